--- /dev/null
+++ b/agent/shell.go
@@ -0,0 +1,180 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mangostage/mangostage/endpoint"
+	"github.com/mangostage/mangostage/peer"
+	"github.com/mangostage/mangostage/wire"
+)
+
+// arrivalState is one call that waits for its reply.
+type arrivalState struct {
+	conn  *peer.Conn
+	reply chan wire.StageResult
+	timer *time.Timer
+
+	// mu orders the chunks of a stream before its final reply: whoever sends
+	// a chunk holds it, and the reply closes the stream under it.
+	mu     sync.Mutex
+	closed bool
+}
+
+// sendChunk writes one piece of the stream, unless the reply is on its way. If
+// the connection fails, its end takes care of the call.
+func (s *arrivalState) sendChunk(chunk wire.StageChunk) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	_ = s.conn.Notify(wire.MethodStageChunk, chunk)
+}
+
+func (s *arrivalState) closeStream() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+}
+
+// do carries out the core's effects in order.
+func (a *Agent) do(list []Effect) {
+	for _, e := range list {
+		a.doOne(e)
+	}
+}
+
+func (a *Agent) doOne(e Effect) {
+	switch e := e.(type) {
+	case Start:
+		a.wg.Add(1)
+		go a.run(e.Run)
+	case Cancel:
+		a.cancelRun(e.Run)
+	case Reply:
+		a.deliver(e)
+	case SendChunk:
+		if s, ok := a.arrival(e.Token); ok {
+			s.sendChunk(e.Chunk)
+		}
+	case Timer:
+		a.setTimer(e)
+	case CancelTimer:
+		time.AfterFunc(e.At.Sub(a.cfg.Now()), func() {
+			a.do(a.core.CancelLate(a.cfg.Now(), e.Run))
+		})
+	case Keep:
+		if a.cfg.Records != nil {
+			a.cfg.Records.Add(e.Record)
+		}
+	case Decision:
+		a.logDecision(e)
+	case DropConnections:
+		a.log.Warn().Dur("gap", e.Gap).Msg("this process was stopped; dropping connections")
+		if a.cfg.DropConnections != nil {
+			a.cfg.DropConnections()
+		}
+	case NewerBundle:
+		if a.cfg.OnNewerBundle != nil {
+			a.cfg.OnNewerBundle(e.Version)
+		}
+	}
+}
+
+func (a *Agent) arrival(token Token) (*arrivalState, bool) {
+	value, ok := a.waiting.Load(token)
+	if !ok {
+		return nil, false
+	}
+	s, ok := value.(*arrivalState)
+	return s, ok
+}
+
+func (a *Agent) deliver(r Reply) {
+	if s, ok := a.arrival(r.Token); ok {
+		s.reply <- r.Result
+	}
+}
+
+func (a *Agent) setTimer(t Timer) {
+	s, ok := a.arrival(t.Token)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.timer = time.AfterFunc(t.At.Sub(a.cfg.Now()), func() {
+		a.do(a.core.Expire(a.cfg.Now(), t.Token, t.ID))
+	})
+}
+
+func (a *Agent) cancelRun(run *Run) {
+	value, ok := a.cancels.Load(run)
+	if !ok {
+		return
+	}
+	if cancel, ok := value.(context.CancelFunc); ok {
+		cancel()
+	}
+}
+
+// run takes one call to the endpoint and back. The context is registered
+// before Commit, because a cancellation may follow it at once.
+func (a *Agent) run(run *Run) {
+	defer a.wg.Done()
+	ctx, cancel := context.WithCancel(a.stopped)
+	defer cancel()
+	a.cancels.Store(run, cancel)
+	defer a.cancels.Delete(run)
+	call, ok, list := a.core.Commit(a.cfg.Now(), run)
+	if !ok {
+		a.do(list)
+		return
+	}
+	// A log that blocks must not come between the last check and the write.
+	go a.do(list)
+	// A protocol that knows when it writes asks once more right before.
+	ctx = endpoint.WithGuard(ctx, func() error { return a.core.Recheck(a.cfg.Now(), run) })
+	result, err := a.cfg.Protocol.Run(ctx, call, func(seq int, text string) {
+		a.do(a.core.Chunk(run, seq, text))
+	})
+	a.do(a.core.Finish(a.cfg.Now(), run, result, err))
+}
+
+func (a *Agent) logDecision(d Decision) {
+	event := a.log.Info()
+	if d.Verdict == VerdictLost || d.Verdict == VerdictUnknown {
+		event = a.log.Warn()
+	}
+	event.Str("decision", string(d.Verdict)).
+		Str("request", d.ID.Request).
+		Str("stage", d.ID.Stage).
+		Str("entry", d.ID.Entry).
+		Int("attempt", d.ID.Attempt).
+		Int("queued", d.Queued).
+		Int("running", d.Running)
+	logOptional(event, d)
+	event.Msg("call")
+}
+
+func logOptional(event *zerolog.Event, d Decision) {
+	if d.Account != "" {
+		event.Str("account", d.Account)
+	}
+	if d.Reason != "" {
+		event.Str("reason", string(d.Reason))
+	}
+	if d.Detail != "" {
+		event.Str("detail", d.Detail)
+	}
+	if d.Wait > 0 {
+		event.Dur("wait", d.Wait)
+	}
+}
--- /dev/null
+++ b/api/api.go
@@ -0,0 +1,141 @@
+// Package api holds what a caller sees: the outcome of a request, the answer
+// and problem documents, and the names of HTTP headers and problem types.
+package api
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Outcome says what became of a request. Every reply carries exactly one.
+type Outcome string
+
+const (
+	// OutcomeAnswered means the reply holds the complete answer.
+	OutcomeAnswered Outcome = "answered"
+	// OutcomeRefused means that the request ran at no stage; this is proved, not guessed.
+	OutcomeRefused Outcome = "refused"
+	// OutcomeCutShort means that at least one stage ran and no complete answer came of it.
+	OutcomeCutShort Outcome = "cut_short"
+	// OutcomeUnknown means that some stage may or may not have run.
+	OutcomeUnknown Outcome = "unknown"
+	// OutcomePending is shown only by look-ups, while the request is still running.
+	OutcomePending Outcome = "pending"
+)
+
+// Reason is a stable machine-readable cause of a refusal or failure. It also
+// forms the last element of a problem's type URI.
+type Reason string
+
+// The reasons a caller can meet.
+const (
+	ReasonBadRequest       Reason = "bad_request"
+	ReasonBodyTooLarge     Reason = "body_too_large"
+	ReasonUnknownPipeline  Reason = "unknown_pipeline"
+	ReasonUnauthorized     Reason = "unauthorized"
+	ReasonNotFound         Reason = "not_found"
+	ReasonForeignRequestID Reason = "foreign_request_id"
+	ReasonKeyConflict      Reason = "key_conflict"
+	ReasonIDExpired        Reason = "id_expired"
+	ReasonRateLimited      Reason = "rate_limited"
+	ReasonOverloaded       Reason = "overloaded"
+	ReasonDeadline         Reason = "deadline"
+	ReasonDeadlineTooShort Reason = "deadline_too_short"
+	ReasonNoEndpoint       Reason = "no_endpoint"
+	ReasonDraining         Reason = "draining"
+	ReasonNoBundle         Reason = "no_bundle"
+	ReasonPaused           Reason = "paused"
+	ReasonTableFull        Reason = "table_full"
+	ReasonRevoked          Reason = "revoked"
+	ReasonNotOwner         Reason = "not_owner"
+	ReasonOwnerRestarted   Reason = "owner_restarted"
+	ReasonOwnerUnreachable Reason = "owner_unreachable"
+	ReasonEarlierAttempt   Reason = "earlier_attempt"
+	ReasonEndpointFailed   Reason = "endpoint_failed"
+	ReasonEndpointLost     Reason = "endpoint_lost"
+	ReasonConnectionLost   Reason = "connection_lost"
+	ReasonSuspectRequest   Reason = "suspect_request"
+	ReasonCallerGone       Reason = "caller_gone"
+	ReasonInternal         Reason = "internal"
+)
+
+// HTTP header names of the caller API.
+const (
+	HeaderRequestID      = "Mangostage-Request-Id"
+	HeaderOutcome        = "Mangostage-Outcome"
+	HeaderTimeout        = "Mangostage-Timeout-Ms"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// ProblemTypePrefix starts the type URI of every problem document.
+const ProblemTypePrefix = "urn:mangostage:problem:"
+
+// StageRun is one attempt of one stage as told to the caller.
+type StageRun struct {
+	Stage    string        `json:"stage"`
+	Endpoint string        `json:"endpoint,omitempty"`
+	Attempt  int           `json:"attempt"`
+	State    StageState    `json:"state"`
+	Took     time.Duration `json:"took_ns"`
+}
+
+// StageState says what is known first-hand about one attempt of a stage.
+type StageState string
+
+const (
+	// StageDone means the endpoint returned its complete result.
+	StageDone StageState = "done"
+	// StageNotRun means the endpoint was never asked.
+	StageNotRun StageState = "not_run"
+	// StageFailed means that the endpoint ran and did not complete.
+	StageFailed StageState = "failed"
+	// StageMayHaveRun means that nobody can tell.
+	StageMayHaveRun StageState = "may_have_run"
+)
+
+// Request is the JSON body of a call to a pipeline.
+type Request struct {
+	// Input is passed to every stage unchanged.
+	Input json.RawMessage `json:"input"`
+}
+
+// Answer is the JSON body of a complete reply.
+type Answer struct {
+	RequestID string          `json:"request_id"`
+	Outcome   Outcome         `json:"outcome"`
+	Pipeline  string          `json:"pipeline"`
+	Output    json.RawMessage `json:"output"`
+	Stages    []StageRun      `json:"stages"`
+	// Replayed tells that the result of an unrepeatable stage is that of an earlier sending.
+	Replayed bool `json:"replayed,omitempty"`
+	// BundleVersion is the version in force when the request was accepted.
+	BundleVersion uint64 `json:"bundle_version"`
+}
+
+// Problem is an RFC 9457 problem document with the product's extensions.
+type Problem struct {
+	Type      string     `json:"type"`
+	Title     string     `json:"title"`
+	Status    int        `json:"status"`
+	Detail    string     `json:"detail,omitempty"`
+	RequestID string     `json:"request_id"`
+	Outcome   Outcome    `json:"outcome"`
+	Reason    Reason     `json:"reason"`
+	Stages    []StageRun `json:"stages,omitempty"`
+	// RetryAfter is when coming back makes sense; zero means that it does not.
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+}
+
+// Final is what the product says of a request: exactly one of Answer and Problem is set.
+type Final struct {
+	Answer  *Answer
+	Problem *Problem
+}
+
+// Outcome returns the typed outcome of f.
+func (f Final) Outcome() Outcome {
+	if f.Answer != nil {
+		return f.Answer.Outcome
+	}
+	return f.Problem.Outcome
+}
--- /dev/null
+++ b/cmd/mangostage/bundle_keygen.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/mangostage/mangostage/bundle"
+)
+
+// The files that bundle keygen writes.
+const (
+	privateKeyFile = "bundle-private.pem"
+	publicKeyFile  = "bundle-public.pem"
+)
+
+// File modes: the private key is its owner's alone.
+const (
+	privateMode = 0o600
+	publicMode  = 0o644
+	keyDirMode  = 0o700
+)
+
+// bundleKeygen makes a key pair.
+type bundleKeygen struct {
+	Out string `arg:"--out,required" placeholder:"DIR" help:"directory for the two PEM files; existing keys are not overwritten"`
+}
+
+func (c *bundleKeygen) run(_ context.Context, out, _ io.Writer) error {
+	pub, priv, err := bundle.GenerateKey()
+	if err != nil {
+		return err
+	}
+	privatePEM, err := bundle.MarshalPrivateKey(priv)
+	if err != nil {
+		return err
+	}
+	publicPEM, err := bundle.MarshalPublicKey(pub)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(c.Out, keyDirMode); err != nil {
+		return err
+	}
+	privatePath := filepath.Join(c.Out, privateKeyFile)
+	publicPath := filepath.Join(c.Out, publicKeyFile)
+	if err := writeNew(privatePath, privatePEM, privateMode); err != nil {
+		return err
+	}
+	if err := writeNew(publicPath, publicPEM, publicMode); err != nil {
+		// A private key without its public half is of no use to anyone.
+		return errors.Join(err, os.Remove(privatePath))
+	}
+	_, err = fmt.Fprintf(out, "key %s: %s, %s\n", bundle.KeyID(pub), privatePath, publicPath)
+	return err
+}
+
+// writeNew writes a file that must not exist yet.
+func writeNew(path string, data []byte, mode os.FileMode) error {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, mode)
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/mangostage/main.go
@@ -0,0 +1,134 @@
+// Command mangostage is the operator's tool.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/mangostage/mangostage/finding"
+)
+
+// Exit codes.
+const (
+	exitOK = 0
+	// exitFindings: the input has findings, or was refused.
+	exitFindings = 1
+	// exitUsage: the command line is wrong, or a file cannot be read or written.
+	exitUsage = 2
+)
+
+// arguments is the command line. Each subcommand is a struct that implements command.
+type arguments struct {
+	Bundle *bundleArguments `arg:"subcommand:bundle" help:"check, sign, verify and compare bundles"`
+	Dev    *dev             `arg:"subcommand:dev" help:"run a deployment with stand-ins in this process"`
+}
+
+// command is a subcommand. Results go to out, findings and errors to errOut.
+// An error that is a finding.List or a refusal leads to exitFindings, any
+// other to exitUsage.
+type command interface {
+	run(ctx context.Context, out, errOut io.Writer) error
+}
+
+// Description heads the help text.
+func (arguments) Description() string {
+	return "mangostage checks and signs bundles and accounts for requests."
+}
+
+// Epilogue ends the help text.
+func (arguments) Epilogue() string {
+	return `Examples:
+  mangostage bundle check examples/brunnhofer.yaml
+  mangostage bundle keygen --out keys
+  mangostage bundle sign --key keys/bundle-private.pem examples/brunnhofer.yaml -o bundle.json
+  mangostage bundle verify --key keys/bundle-public.pem bundle.json
+  mangostage bundle diff old.yaml new.yaml
+
+Exit codes: 0 success, 1 findings or refusal, 2 usage error or unusable file.`
+}
+
+// Version is the text of --version.
+func (arguments) Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "mangostage (unknown version)"
+	}
+	return "mangostage " + info.Main.Version + " " + info.GoVersion
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := execute(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// execute runs one command line and returns the exit code.
+func execute(ctx context.Context, args []string, out, errOut io.Writer) int {
+	var parsed arguments
+	parser, err := arg.NewParser(arg.Config{Program: "mangostage", Out: errOut}, &parsed)
+	if err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	err = parser.Parse(args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+		return exitOK
+	case errors.Is(err, arg.ErrVersion):
+		_, _ = fmt.Fprintln(out, parsed.Version())
+		return exitOK
+	case err != nil:
+		return usage(parser, errOut, err.Error())
+	}
+	cmd, ok := parser.Subcommand().(command)
+	if !ok {
+		return usage(parser, errOut, "a subcommand is required")
+	}
+	return report(errOut, cmd.run(ctx, out, errOut))
+}
+
+// usage prints what is wrong with the command line and returns the exit code.
+func usage(parser *arg.Parser, errOut io.Writer, message string) int {
+	_ = parser.WriteUsageForSubcommand(errOut, parser.SubcommandNames()...)
+	_, _ = fmt.Fprintln(errOut, "error:", message)
+	return exitUsage
+}
+
+// refusal is an error about the input's content that has no place in a file.
+type refusal struct {
+	err error
+}
+
+// Error describes the refusal.
+func (r refusal) Error() string { return r.err.Error() }
+
+// Unwrap returns the cause.
+func (r refusal) Unwrap() error { return r.err }
+
+// report prints a command's error and returns the exit code.
+func report(errOut io.Writer, err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var findings finding.List
+	if errors.As(err, &findings) {
+		_, _ = fmt.Fprintln(errOut, findings.Error())
+		return exitFindings
+	}
+	_, _ = fmt.Fprintln(errOut, "error:", err)
+	var refused refusal
+	if errors.As(err, &refused) {
+		return exitFindings
+	}
+	return exitUsage
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,130 @@
+// Package daemon puts the parts of an entry or an agent together into a
+// process that can be started and stopped, by the thin commands and by tests.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/kernel"
+	"github.com/mangostage/mangostage/member"
+	"github.com/mangostage/mangostage/peer"
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/settings"
+	"github.com/mangostage/mangostage/wire"
+)
+
+const (
+	// platformTimeout bounds one call to the platform beyond a watch's wait.
+	platformTimeout = 2 * time.Second
+	// headerTimeout ends connections that do not send their request.
+	headerTimeout = 5 * time.Second
+)
+
+// NewLog returns the process's log: JSON lines on out.
+func NewLog(out io.Writer, level zerolog.Level, process wire.Process) zerolog.Logger {
+	return zerolog.New(out).Level(level).With().
+		Timestamp().
+		Str("process", process.Name).
+		Str("domain", process.Domain).
+		Logger()
+}
+
+// newProcess names this run of a process.
+func newProcess(name, domain string, role wire.Role) wire.Process {
+	return wire.Process{Name: name, Incarnation: uuid.NewString(), Role: role, Domain: domain}
+}
+
+// base is what entries and agents have in common.
+type base struct {
+	process wire.Process
+	log     zerolog.Logger
+	bus     *kernel.Bus
+	holder  *bundle.Holder
+	mux     *peer.Mux
+	member  *member.Service
+	peers   net.Addr
+	stopBus context.CancelFunc
+}
+
+func newBase(process wire.Process, loaded settings.Loaded, log zerolog.Logger) (*base, error) {
+	bus, err := kernel.NewBus(log)
+	if err != nil {
+		return nil, err
+	}
+	return &base{
+		process: process,
+		log:     log,
+		bus:     bus,
+		holder:  bundle.NewHolder(loaded.BundleKeys),
+		mux:     peer.NewMux(),
+	}, nil
+}
+
+// memberConfig fills what does not depend on the role.
+func (b *base) memberConfig(c settings.Common, loaded settings.Loaded) member.Config {
+	return member.Config{
+		Self:     b.process,
+		VM:       c.VM,
+		Listen:   c.PeerListen,
+		TLS:      loaded.TLS.Config(),
+		Mux:      b.mux,
+		Platform: platform.NewClient(c.Platform, platformTimeout),
+		Holder:   b.holder,
+		Bus:      b.bus,
+		Log:      b.log,
+	}
+}
+
+// start runs the event bus and joins the fleet.
+func (b *base) start(cfg member.Config) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	b.stopBus = cancel
+	go func() {
+		if err := b.bus.Run(ctx); err != nil {
+			b.log.Error().Err(err).Msg("event bus ended")
+		}
+	}()
+	<-b.bus.Running()
+	b.member = member.New(cfg)
+	peers, err := b.member.Start(ctx)
+	if err != nil {
+		cancel()
+		return errorx.Decorate(err, "join the fleet")
+	}
+	b.peers = peers
+	return nil
+}
+
+func (b *base) stop() {
+	b.member.Stop()
+	b.stopBus()
+	_ = b.bus.Close()
+}
+
+// PeerAddr returns the address bound for peers.
+func (b *base) PeerAddr() net.Addr { return b.peers }
+
+// serveHTTP serves handler on address until the server is shut down.
+func serveHTTP(address string, handler http.Handler, log zerolog.Logger) (*http.Server, net.Addr, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, nil, errorx.Decorate(err, "listen for HTTP")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			log.Error().Err(err).Msg("HTTP server ended")
+		}
+	}()
+	return server, listener.Addr(), nil
+}
--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/entry"
+	"github.com/mangostage/mangostage/kernel"
+	"github.com/mangostage/mangostage/ledger"
+	"github.com/mangostage/mangostage/settings"
+	"github.com/mangostage/mangostage/wire"
+)
+
+// Entry is a running entry process.
+type Entry struct {
+	*base
+	settings settings.Entry
+	entry    *entry.Entry
+	server   *http.Server
+	addr     net.Addr
+}
+
+// StartEntry starts an entry; s and loaded have been checked.
+func StartEntry(s settings.Entry, loaded settings.Loaded, log zerolog.Logger) (*Entry, error) {
+	process := newProcess(s.VM, s.Domain, wire.RoleEntry)
+	b, err := newBase(process, loaded, log)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{base: b, settings: s}
+	e.entry = entry.New(entry.Config{
+		Process:   process,
+		FleetKeys: loaded.FleetKeys,
+		Log:       log,
+		Records:   ledger.NewStore(ledger.DefaultStoreConfig),
+		MaxBody:   s.MaxBody,
+	})
+	e.entry.Register(b.mux)
+	kernel.Handle(b.bus, "entry-view", kernel.TopicMember, func(kernel.MemberEvent) {
+		e.entry.ApplyView(b.member.View())
+	})
+	cfg := b.memberConfig(s.Common, loaded)
+	cfg.DialRoles = []wire.Role{wire.RoleAgent, wire.RoleEntry}
+	cfg.OnReport = e.entry.ApplyReport
+	cfg.OnBundle = e.applyBundle
+	if err := b.start(cfg); err != nil {
+		return nil, err
+	}
+	e.entry.Start(b.member)
+	e.server, e.addr, err = serveHTTP(s.Listen, e.entry.Handler(), log)
+	if err != nil {
+		b.stop()
+		return nil, err
+	}
+	return e, nil
+}
+
+// applyBundle logs a bundle whose policy this build does not know; the one in
+// force stays.
+func (e *Entry) applyBundle(v *bundle.Verified) {
+	if err := e.entry.ApplyBundle(v); err != nil {
+		e.log.Error().Err(err).Uint64("version", v.Head.Version).Msg("bundle not applied")
+	}
+}
+
+// Addr returns the address bound for callers.
+func (e *Entry) Addr() net.Addr { return e.addr }
+
+// Entry returns the entry itself.
+func (e *Entry) Entry() *entry.Entry { return e.entry }
+
+// Stop drains: unready first, then no new requests, then out when the last has
+// its answer or ctx ends.
+func (e *Entry) Stop(ctx context.Context) error {
+	err := e.entry.Drain(ctx, e.settings.DrainWait)
+	if shutdown := e.server.Shutdown(ctx); err == nil {
+		err = shutdown
+	}
+	e.entry.Stop()
+	e.stop()
+	return err
+}
--- /dev/null
+++ b/daemon/main.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/mangostage/mangostage/finding"
+	"github.com/mangostage/mangostage/settings"
+)
+
+// Exit codes of the daemons.
+const (
+	ExitOK = 0
+	// ExitFailed means that the process ran into an error.
+	ExitFailed = 1
+	// ExitUsage means that the settings are wrong.
+	ExitUsage = 2
+)
+
+// stopTimeout bounds a graceful stop: longer than any pipeline's deadline.
+const stopTimeout = 30 * time.Second
+
+// Stopper is a running process.
+type Stopper interface {
+	Stop(ctx context.Context) error
+}
+
+// Main runs a daemon: it reads settings into dest, checks them, starts the
+// process and stops it at SIGTERM or SIGINT. It returns the exit code.
+func Main(program string, dest any, start func(*finding.List) (Stopper, error)) int {
+	parser, err := settings.Parse(program, dest, os.Args[1:])
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		parser.WriteHelp(os.Stdout)
+		return ExitOK
+	case err != nil:
+		fmt.Fprintln(os.Stderr, err)
+		return ExitUsage
+	}
+	signals, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	var findings finding.List
+	process, err := start(&findings)
+	if len(findings) > 0 {
+		fmt.Fprintln(os.Stderr, findings.Error())
+		return ExitUsage
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return ExitFailed
+	}
+	<-signals.Done()
+	ctx, stop := context.WithTimeout(context.Background(), stopTimeout)
+	defer stop()
+	if err := process.Stop(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "stop:", err)
+		return ExitFailed
+	}
+	return ExitOK
+}
--- /dev/null
+++ b/endpoint/reply.go
@@ -0,0 +1,72 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// Limits on what an endpoint may send, in bytes.
+const (
+	// MaxReply bounds a reply, and a single event of a stream.
+	MaxReply = 2 << 20
+	// MaxStream bounds a whole stream.
+	MaxStream = 16 << 20
+
+	maxFailure = 16 << 10
+)
+
+// decode reads one JSON document of at most limit bytes and nothing after it.
+func decode(r io.Reader, limit int64, into any) error {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return ErrMalformed.Wrap(err, "read reply")
+	}
+	if int64(len(data)) > limit {
+		return ErrMalformed.New("reply is longer than %d bytes", limit)
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return ErrMalformed.Wrap(err, "decode reply")
+	}
+	return nil
+}
+
+// failure turns a reply that is no success into an *Error.
+//
+// Only a refusal that names this very call counts as proof that it did not
+// run: on a reused connection, a late second reply to the call before could be
+// read as the reply to this one.
+func failure(resp *http.Response, id string) *Error {
+	var reply FailureReply
+	err := decode(resp.Body, maxFailure, &reply)
+	if err != nil && resp.StatusCode < http.StatusBadRequest {
+		return &Error{Written: true, Lost: true, Err: ErrMalformed.New("status %d", resp.StatusCode)}
+	}
+	foreign := reply.Call != "" && reply.Call != id
+	switch {
+	case foreign, resp.StatusCode < http.StatusBadRequest:
+		return &Error{Written: true, Lost: true, Err: ErrMalformed.New("status %d for call %q", resp.StatusCode, reply.Call)}
+	case resp.StatusCode == http.StatusServiceUnavailable && reply.Refused && reply.Call == id:
+		return &Error{Written: true, Refused: true, Err: ErrRefused.New("endpoint refused: %s", reply.Error)}
+	}
+	return &Error{Written: true, Err: ErrFailed.New("status %d: %s", resp.StatusCode, reply.Error)}
+}
+
+// lost describes a call that was written and whose result is not known.
+func lost(err error) *Error { return &Error{Written: true, Lost: true, Err: err} }
+
+// explain makes the end of ctx the cause of a failure that it brought about,
+// for errors.Is, which does not see through the errors of errorx.
+func explain(ctx context.Context, err error) error {
+	var failed *Error
+	if ctx.Err() == nil || !errors.As(err, &failed) || errors.Is(err, ctx.Err()) {
+		return err
+	}
+	if failed.Lost || !bool(failed.Written) {
+		failed.Err = fmt.Errorf("%w: %w", ctx.Err(), failed.Err)
+	}
+	return failed
+}
--- /dev/null
+++ b/entry/admin.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/mangostage/mangostage/api"
+	"github.com/mangostage/mangostage/ledger"
+	"github.com/mangostage/mangostage/member"
+	"github.com/mangostage/mangostage/peer"
+	"github.com/mangostage/mangostage/reqid"
+	"github.com/mangostage/mangostage/wire"
+)
+
+// Explanation is what one entry and all processes it reaches know of a request.
+type Explanation struct {
+	Request string `json:"request"`
+	// Issuer is the entry that minted the ID, and Account and Pipeline are
+	// those it was minted for.
+	Issuer   string     `json:"issuer"`
+	Account  string     `json:"account"`
+	Pipeline string     `json:"pipeline"`
+	Parts    []PartInfo `json:"parts"`
+}
+
+// PartInfo is one process's part of an explanation.
+type PartInfo struct {
+	Process string          `json:"process"`
+	Records []ledger.Record `json:"records"`
+	// Missing says why the process gave no part; empty if it gave one.
+	Missing string `json:"missing,omitempty"`
+}
+
+func (e *Entry) explain(w http.ResponseWriter, r *http.Request) {
+	id := chi.URLParam(r, paramID)
+	fields, err := reqid.Parse(e.cfg.FleetKeys, id)
+	if err != nil {
+		e.reject(w, api.ReasonNotFound, "this is not a request ID of this fleet")
+		return
+	}
+	explanation := Explanation{
+		Request:  id,
+		Issuer:   fields.Entry,
+		Account:  fields.Account,
+		Pipeline: fields.Pipeline,
+	}
+	for _, part := range e.gather(r.Context(), id) {
+		info := PartInfo{Process: part.process, Records: part.records}
+		if part.err != nil {
+			info.Missing = part.err.Error()
+		}
+		explanation.Parts = append(explanation.Parts, info)
+	}
+	explanation.Parts = append(explanation.Parts, e.unreachable()...)
+	writeJSON(w, http.StatusOK, explanation)
+}
+
+// unreachable lists the processes that could not be asked.
+func (e *Entry) unreachable() []PartInfo {
+	var parts []PartInfo
+	for _, m := range e.members.View().Members {
+		if m.Connected || m.VM.Name == "" || m.Process.Name == e.cfg.Process.Name {
+			continue
+		}
+		parts = append(parts, PartInfo{Process: memberName(m), Missing: "not connected: " + string(m.State)})
+	}
+	return parts
+}
+
+func memberName(m member.Member) string {
+	if m.Process.Name != "" {
+		return m.Process.Name
+	}
+	return m.VM.Name
+}
+
+// ProcessStatus is one process's status, or why there is none.
+type ProcessStatus struct {
+	Process string       `json:"process"`
+	Status  *wire.Status `json:"status,omitempty"`
+	Missing string       `json:"missing,omitempty"`
+}
+
+func (e *Entry) status(w http.ResponseWriter, r *http.Request) {
+	own := e.Status()
+	list := []ProcessStatus{{Process: e.cfg.Process.Name, Status: &own}}
+	list = append(list, e.gatherStatus(r.Context())...)
+	for _, p := range e.unreachable() {
+		list = append(list, ProcessStatus{Process: p.Process, Missing: p.Missing})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (e *Entry) gatherStatus(ctx context.Context) []ProcessStatus {
+	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
+	defer cancel()
+	conns := append(e.members.Entries(), e.members.Agents()...)
+	list := make([]ProcessStatus, len(conns))
+	var wg sync.WaitGroup
+	for i, conn := range conns {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			list[i] = fetchStatus(ctx, conn)
+		}()
+	}
+	wg.Wait()
+	return list
+}
+
+func fetchStatus(ctx context.Context, conn *peer.Conn) ProcessStatus {
+	p := ProcessStatus{Process: conn.Peer().Process.Name}
+	var status wire.Status
+	if err := conn.Call(ctx, wire.MethodStatus, struct{}{}, &status); err != nil {
+		p.Missing = err.Error()
+		return p
+	}
+	p.Status = &status
+	return p
+}
--- /dev/null
+++ b/entry/effects.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/mangostage/mangostage/api"
+	"github.com/mangostage/mangostage/peer"
+	"github.com/mangostage/mangostage/pipeline"
+	"github.com/mangostage/mangostage/route"
+	"github.com/mangostage/mangostage/wire"
+)
+
+const (
+	// replyGrace is how long after a call's deadline its reply is still
+	// waited for, to account for its cost; the caller has its answer by then.
+	replyGrace = 500 * time.Millisecond
+	// proofTimeout bounds one revocation or peek; the core stops waiting sooner.
+	proofTimeout = time.Second
+)
+
+// handle gives an event to the core and carries out its effects.
+func (e *Entry) handle(ev pipeline.Event) {
+	e.run(e.core.Handle(e.cfg.Now(), ev))
+}
+
+func (e *Entry) run(effects []pipeline.Effect) {
+	for _, effect := range effects {
+		e.carryOut(effect)
+	}
+}
+
+func (e *Entry) carryOut(effect pipeline.Effect) {
+	switch x := effect.(type) {
+	case pipeline.Call:
+		go e.call(x)
+	case pipeline.Revoke:
+		go e.revoke(x)
+	case pipeline.SendPeek:
+		go e.peek(x)
+	case pipeline.Chunk:
+		if w := e.waiters.get(x.Ref); w != nil {
+			w.push(token{Seq: x.Seq, Text: x.Text})
+		}
+	case pipeline.Reply:
+		e.reply(x)
+	case pipeline.SetTimer:
+		time.AfterFunc(x.At.Sub(e.cfg.Now()), func() {
+			e.handle(pipeline.Timer{RequestID: x.RequestID, Kind: x.Kind, Seq: x.Seq})
+		})
+	case pipeline.Log:
+		e.logDecision(x)
+	case pipeline.Record:
+		e.record(x)
+	case pipeline.Observe:
+		e.observe(x)
+	case pipeline.Cost:
+		e.costs.add(x)
+	}
+}
+
+// call sends one stage call and reports its end to the core.
+func (e *Entry) call(c pipeline.Call) {
+	conn, ok := e.members.Agent(c.Endpoint)
+	if !ok {
+		e.handle(pipeline.CallNotWritten{CallID: c.ID})
+		return
+	}
+	if load := e.fleet.load(c.Endpoint); load != nil {
+		load.InFlight.Add(1)
+		load.SentSinceReport.Add(1)
+		defer load.InFlight.Add(-1)
+	}
+	ctx, cancel := context.WithDeadline(e.ctx, c.Deadline.Add(replyGrace))
+	defer cancel()
+	var result wire.StageResult
+	err := conn.Call(ctx, wire.MethodStageRun, c.StageCall, &result)
+	switch {
+	case errorx.IsOfType(err, peer.ErrNotWritten):
+		e.handle(pipeline.CallNotWritten{CallID: c.ID})
+	case err != nil:
+		e.handle(pipeline.CallLost{CallID: c.ID})
+	case result.ID != c.ID:
+		// An answer to another call must never become this one's: the agent
+		// mixed up its replies, and nothing is known of this call.
+		e.stats.mismatched.Add(1)
+		e.handle(pipeline.CallLost{CallID: c.ID})
+	default:
+		e.ApplyReport(result.Report)
+		e.handle(pipeline.StageResult{StageResult: result})
+	}
+}
+
+func (e *Entry) revoke(r pipeline.Revoke) {
+	var result wire.RevokeResult
+	err := e.ask(r.Endpoint, wire.MethodStageRevoke, wire.Revoke{ID: r.CallID, Until: r.Until}, &result)
+	if err != nil {
+		e.handle(pipeline.RevokeLost{CallID: r.CallID})
+		return
+	}
+	e.ApplyReport(result.Report)
+	e.handle(pipeline.RevokeAck{CallID: r.CallID, RevokeResult: result})
+}
+
+func (e *Entry) peek(p pipeline.SendPeek) {
+	var result wire.PeekResult
+	if err := e.ask(p.Endpoint, wire.MethodStagePeek, p.Peek, &result); err != nil {
+		e.handle(pipeline.PeekLost{RequestID: p.RequestID, Seq: p.Seq, Stage: p.Stage})
+		return
+	}
+	e.handle(pipeline.PeekReply{RequestID: p.RequestID, Seq: p.Seq, Stage: p.Stage, PeekResult: result})
+}
+
+// ask calls an idempotent method of an endpoint's agent.
+func (e *Entry) ask(endpoint, method string, params, result any) error {
+	conn, ok := e.members.Agent(endpoint)
+	if !ok {
+		return peer.ErrNotWritten.New("no connection to %s", endpoint)
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, proofTimeout)
+	defer cancel()
+	return conn.Call(ctx, method, params, result)
+}
+
+func (e *Entry) reply(r pipeline.Reply) {
+	w := e.waiters.remove(r.Ref)
+	if w == nil {
+		return
+	}
+	e.stats.outcome(r.Outcome())
+	w.done()
+	w.finish(r.Final)
+}
+
+// record keeps a fact, and gives a copy of a refusal to other entries: it
+// touched no agent, so this entry alone would know of it.
+func (e *Entry) record(r pipeline.Record) {
+	r.Process = e.cfg.Process.Name
+	e.cfg.Records.Add(r.Record)
+	if r.Outcome != api.OutcomeRefused {
+		return
+	}
+	for i, conn := range e.members.Entries() {
+		if i == recordCopies {
+			return
+		}
+		_ = conn.Notify(wire.MethodRecordCopy, r.Record)
+	}
+}
+
+// recordCopies is the number of entries that get a copy of a refusal.
+const recordCopies = 2
+
+func (e *Entry) observe(o pipeline.Observe) {
+	now := e.cfg.Now()
+	if o.Outcome == route.CallSucceeded && !o.Revoked {
+		e.estimates.Observe(route.StageKey{Pool: o.Pool, Stage: o.Stage}, o.Took, now)
+		e.current.Load().retry.Success(o.Pool, now)
+	}
+	if o.Revoked {
+		return
+	}
+	e.logTransitions(e.fleet.observe(o.Pool, o.Endpoint, o.Outcome, o.Took, now))
+}
--- /dev/null
+++ b/entry/fleet.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mangostage/mangostage/route"
+	"github.com/mangostage/mangostage/wire"
+)
+
+// snapshotInterval bounds how often reports rebuild the snapshot: each reply
+// carries a report, and one rebuild for each would cost more than routing.
+const snapshotInterval = 2 * time.Millisecond
+
+// place is what the membership says of an endpoint.
+type place struct {
+	Endpoint string
+	Pool     string
+	Domain   string
+	Leaving  bool
+}
+
+// fleet turns membership, reports and health into routing snapshots.
+type fleet struct {
+	entry  string
+	domain string
+
+	current atomic.Pointer[route.Snapshot]
+	dirty   atomic.Bool
+
+	mu      sync.Mutex
+	places  []place
+	reports map[string]report
+	loads   map[string]*route.Load
+	health  *route.Health
+}
+
+// report is an agent's latest word on its endpoint.
+type report struct {
+	wire.AgentReport
+	at time.Time
+}
+
+func newFleet(entry, domain string) *fleet {
+	f := &fleet{
+		entry:   entry,
+		domain:  domain,
+		reports: make(map[string]report),
+		loads:   make(map[string]*route.Load),
+		health:  route.NewHealth(),
+	}
+	f.current.Store(&route.Snapshot{Domain: domain, Pools: make(map[string]*route.Pool)})
+	return f
+}
+
+// setPlaces replaces the membership.
+func (f *fleet) setPlaces(places []place, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.places = places
+	known := make(map[string]bool, len(places))
+	byPool := make(map[string][]string)
+	for _, p := range places {
+		known[p.Endpoint] = true
+		byPool[p.Pool] = append(byPool[p.Pool], p.Endpoint)
+		if f.loads[p.Endpoint] == nil {
+			f.loads[p.Endpoint] = new(route.Load)
+		}
+	}
+	maps.DeleteFunc(f.reports, func(name string, _ report) bool { return !known[name] })
+	maps.DeleteFunc(f.loads, func(name string, _ *route.Load) bool { return !known[name] })
+	for pool, names := range byPool {
+		f.health.SetMembers(pool, names, now)
+	}
+	f.rebuild(now)
+}
+
+// setReport takes in an agent's report. One that is older than the latest of
+// the same incarnation came late or out of order and is dropped.
+func (f *fleet) setReport(r wire.AgentReport, now time.Time) {
+	if r.Endpoint == "" {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	last, known := f.reports[r.Endpoint]
+	if known && last.Process.Incarnation == r.Process.Incarnation && r.Seq <= last.Seq {
+		return
+	}
+	f.reports[r.Endpoint] = report{AgentReport: r, at: now}
+	if load := f.loads[r.Endpoint]; load != nil {
+		load.SentSinceReport.Store(0)
+	}
+	if r.Draining != last.Draining || r.Down != last.Down || r.Process.Incarnation != last.Process.Incarnation {
+		f.rebuild(now)
+		return
+	}
+	f.dirty.Store(true)
+}
+
+// observe takes in how a call to an endpoint ended.
+func (f *fleet) observe(pool, endpoint string, outcome route.CallOutcome, took time.Duration, now time.Time) []route.Transition {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	transitions := f.health.Observe(pool, endpoint, outcome, took, now)
+	if len(transitions) > 0 {
+		f.rebuild(now)
+	}
+	return transitions
+}
+
+// tick makes the health transitions that are due by time alone.
+func (f *fleet) tick(now time.Time) []route.Transition {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	transitions := f.health.Tick(now)
+	if len(transitions) > 0 {
+		f.rebuild(now)
+	}
+	return transitions
+}
+
+// snapshot returns a view no older than the latest change of state and, for
+// load, than snapshotInterval.
+func (f *fleet) snapshot(now time.Time) *route.Snapshot {
+	snap := f.current.Load()
+	if !f.dirty.Load() || now.Sub(snap.At) < snapshotInterval {
+		return snap
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dirty.Load() {
+		f.rebuild(now)
+	}
+	return f.current.Load()
+}
+
+func (f *fleet) rebuild(now time.Time) {
+	f.dirty.Store(false)
+	byPool := make(map[string][]*route.Endpoint)
+	for _, p := range f.places {
+		byPool[p.Pool] = append(byPool[p.Pool], f.endpoint(p))
+	}
+	snap := &route.Snapshot{At: now, Domain: f.domain, Pools: make(map[string]*route.Pool, len(byPool))}
+	for name, endpoints := range byPool {
+		snap.Pools[name] = route.NewPool(name, f.entry, endpoints)
+	}
+	f.current.Store(snap)
+}
+
+func (f *fleet) endpoint(p place) *route.Endpoint {
+	r := f.reports[p.Endpoint]
+	e := &route.Endpoint{
+		Name:       p.Endpoint,
+		Pool:       p.Pool,
+		Domain:     p.Domain,
+		Report:     r.AgentReport,
+		ReportedAt: r.at,
+		State:      f.health.State(p.Pool, p.Endpoint),
+		Load:       f.loads[p.Endpoint],
+	}
+	if p.Leaving || r.Draining {
+		e.State = route.StateLeaving
+	}
+	return e
+}
+
+// load returns the entry's own counters for an endpoint, or nil.
+func (f *fleet) load(endpoint string) *route.Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loads[endpoint]
+}
+
+// incarnation returns the running incarnation of the agent beside an endpoint.
+func (f *fleet) incarnation(endpoint string) (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.reports[endpoint]
+	return r.Process.Incarnation, ok
+}
+
+// reportList lists the latest reports by endpoint name.
+func (f *fleet) reportList() []wire.AgentReport {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	names := slices.Sorted(maps.Keys(f.reports))
+	list := make([]wire.AgentReport, 0, len(names))
+	for _, name := range names {
+		list = append(list, f.reports[name].AgentReport)
+	}
+	return list
+}
+
+// usable counts the endpoints that may take work.
+func (f *fleet) usable() int {
+	n := 0
+	for _, pool := range f.current.Load().Pools {
+		for _, e := range pool.Endpoints {
+			if e.State == route.StateLive && e.Report.Seq > 0 && !e.Report.Down {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/go-chi/chi/v5/middleware"
+
+	"github.com/mangostage/mangostage/api"
+)
+
+// Paths of the HTTP API.
+const (
+	pathSubmit   = "/v1/pipelines/{pipeline}/requests"
+	pathIDs      = "/v1/request-ids"
+	pathRequest  = "/v1/requests/{id}"
+	pathHealth   = "/healthz"
+	pathReady    = "/readyz"
+	pathVars     = "/debug/vars"
+	pathExplain  = "/admin/v1/requests/{id}/explain"
+	pathStatus   = "/admin/v1/status"
+	paramID      = "id"
+	paramPipe    = "pipeline"
+	maxSmallBody = 4 << 10
+)
+
+// Handler returns the HTTP API of callers, operators and the balancer.
+func (e *Entry) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Use(middleware.Recoverer)
+	r.Post(pathSubmit, e.submit)
+	r.Post(pathIDs, e.mintID)
+	r.Get(pathRequest, e.lookUp)
+	r.Get(pathExplain, e.operatorOnly(e.explain))
+	r.Get(pathStatus, e.operatorOnly(e.status))
+	r.Get(pathHealth, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get(pathReady, e.ready)
+	r.Get(pathVars, e.vars)
+	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
+		e.reject(w, api.ReasonNotFound, "there is no such path")
+	})
+	r.MethodNotAllowed(func(w http.ResponseWriter, _ *http.Request) {
+		p := refusal(e.newRequestID("", ""), api.ReasonBadRequest, "the path does not take this method")
+		p.Status = http.StatusMethodNotAllowed
+		writeProblem(w, p)
+	})
+	return r
+}
+
+func (e *Entry) ready(w http.ResponseWriter, _ *http.Request) {
+	if !e.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Entry) vars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", typeJSON)
+	_, _ = w.Write([]byte(e.Vars().String()))
+}
+
+// reject answers a caller's mistake. Nothing of such a request is kept: anyone
+// can make any number of them.
+func (e *Entry) reject(w http.ResponseWriter, reason api.Reason, detail string) {
+	e.stats.rejected.Add(1)
+	writeProblem(w, refusal(e.newRequestID("", ""), reason, detail))
+}
+
+// operatorOnly lets only operators of the bundle in force through.
+func (e *Entry) operatorOnly(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		g := e.current.Load()
+		if g == nil {
+			e.reject(w, api.ReasonNoBundle, "")
+			return
+		}
+		if g.creds.operator(r) == nil {
+			e.reject(w, api.ReasonUnauthorized, "an operator's credential is required")
+			return
+		}
+		next(w, r)
+	}
+}
+
+func decodeStrict(data []byte, into any) error {
+	if err := json.Unmarshal(data, into); err != nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/submit.go
@@ -0,0 +1,221 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/mangostage/mangostage/admit"
+	"github.com/mangostage/mangostage/api"
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/limit"
+	"github.com/mangostage/mangostage/pipeline"
+)
+
+// affinityPrefix is how many bytes of the input stand for its prompt prefix.
+const affinityPrefix = 256
+
+// submission is one sending as it is taken apart.
+type submission struct {
+	gen      *generation
+	account  *bundle.Account
+	pipeline *bundle.Pipeline
+	received time.Time
+	timeout  time.Duration
+	body     []byte
+	input    api.Request
+	stream   bool
+	admit    pipeline.Admit
+}
+
+// rejection is a mistake of the caller's, found before any work.
+type rejection struct {
+	reason api.Reason
+	detail string
+}
+
+func (e *Entry) submit(w http.ResponseWriter, r *http.Request) {
+	s := &submission{received: e.cfg.Now(), gen: e.current.Load()}
+	if s.gen == nil {
+		e.reject(w, api.ReasonNoBundle, "this process has not yet seen a bundle")
+		return
+	}
+	if rejected := e.parse(w, r, s); rejected != nil {
+		e.reject(w, rejected.reason, rejected.detail)
+		return
+	}
+	ref := e.refs.Add(1)
+	s.admit.Ref = ref
+	refused, release := e.screen(s)
+	waiting := e.waiters.add(ref, s.admit.RequestID, release)
+	if refused != nil {
+		e.logRefusal(s.admit.RequestID, s.account.Name, s.pipeline.Name, refused)
+		e.handle(pipeline.Refuse{
+			Admit:      s.admit,
+			Reason:     refused.Reason,
+			Detail:     refused.Detail,
+			RetryAfter: refused.RetryAfter,
+		})
+	} else {
+		e.handle(s.admit)
+	}
+	e.await(w, r, s, waiting)
+}
+
+// await passes on what the core says until the final reply or until the
+// caller is gone.
+func (e *Entry) await(w http.ResponseWriter, r *http.Request, s *submission, waiting *waiter) {
+	var events *eventWriter
+	for {
+		select {
+		case <-waiting.ready:
+		case <-r.Context().Done():
+			e.handle(pipeline.CallerGone{RequestID: s.admit.RequestID, Ref: s.admit.Ref})
+			return
+		}
+		chunks, final := waiting.take()
+		for _, c := range chunks {
+			if events == nil {
+				events = newEventWriter(w, s.admit.RequestID)
+			}
+			if err := events.send(eventToken, c); err != nil {
+				e.handle(pipeline.CallerGone{RequestID: s.admit.RequestID, Ref: s.admit.Ref})
+				return
+			}
+		}
+		if final == nil {
+			continue
+		}
+		e.writeReply(w, s, events, *final)
+		return
+	}
+}
+
+// writeReply writes a streamed reply as events once a piece went out or the
+// answer is there; a problem before the first piece keeps its HTTP status.
+func (e *Entry) writeReply(w http.ResponseWriter, s *submission, events *eventWriter, final api.Final) {
+	if events == nil && s.stream && final.Answer != nil {
+		events = newEventWriter(w, s.admit.RequestID)
+	}
+	if events == nil {
+		writeFinal(w, final)
+		return
+	}
+	_ = events.final(final)
+}
+
+func (e *Entry) parse(w http.ResponseWriter, r *http.Request, s *submission) *rejection {
+	if s.account = s.gen.creds.account(r); s.account == nil {
+		return &rejection{api.ReasonUnauthorized, "a client account's credential is required"}
+	}
+	name := chi.URLParam(r, paramPipe)
+	s.pipeline = s.gen.verified.Bundle.Pipeline(name)
+	if s.pipeline == nil || !mayCall(s.account, name) {
+		return &rejection{api.ReasonUnknownPipeline, "the account has no pipeline " + strconv.Quote(name)}
+	}
+	if rejected := e.readBody(w, r, s); rejected != nil {
+		return rejected
+	}
+	if rejected := parseTimeout(r, s); rejected != nil {
+		return rejected
+	}
+	s.stream = strings.Contains(r.Header.Get("Accept"), typeStream)
+	s.admit = pipeline.Admit{
+		Account:      s.account,
+		Bundle:       s.gen.verified.Bundle,
+		Pipeline:     s.pipeline,
+		Deadline:     s.received.Add(s.timeout),
+		Input:        s.input.Input,
+		Stream:       s.stream,
+		AffinityHash: affinityHash(s),
+	}
+	return e.identify(r, s)
+}
+
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, s *submission) *rejection {
+	allowed := e.cfg.MaxBody
+	if most := int64(s.pipeline.MaxBody); most > 0 && most < allowed {
+		allowed = most
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, allowed))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &rejection{api.ReasonBodyTooLarge, "the body exceeds " + strconv.FormatInt(allowed, 10) + " bytes"}
+	}
+	if err != nil {
+		return &rejection{api.ReasonBadRequest, "the body could not be read"}
+	}
+	if err := decodeStrict(body, &s.input); err != nil {
+		return &rejection{api.ReasonBadRequest, "the body is not the expected JSON: " + err.Error()}
+	}
+	if len(s.input.Input) == 0 {
+		return &rejection{api.ReasonBadRequest, `the body has no "input"`}
+	}
+	s.body = body
+	return nil
+}
+
+func parseTimeout(r *http.Request, s *submission) *rejection {
+	s.timeout = s.pipeline.Deadline.D()
+	text := r.Header.Get(api.HeaderTimeout)
+	if text == "" {
+		return nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 31)
+	if err != nil || ms == 0 {
+		return &rejection{api.ReasonBadRequest, api.HeaderTimeout + " is not a positive number of milliseconds"}
+	}
+	s.timeout = min(s.timeout, time.Duration(ms)*time.Millisecond)
+	return nil
+}
+
+func affinityHash(s *submission) uint64 {
+	prefix := s.input.Input
+	if len(prefix) > affinityPrefix {
+		prefix = prefix[:affinityPrefix]
+	}
+	return xxhash.Sum64(prefix)
+}
+
+// screen applies drain, limits and admission, in the order of their cost. The
+// returned release gives back what the request holds of its account's limit.
+func (e *Entry) screen(s *submission) (*api.Problem, func()) {
+	id := s.admit.RequestID
+	none := func() {}
+	if e.refusing.Load() {
+		return withRetry(refusal(id, api.ReasonDraining, ""), time.Second), none
+	}
+	// A request that waited in the socket buffer while this process was
+	// stopped looks fresh; its caller's clock has run on. It is turned away.
+	if e.members.Stalled() || !e.members.Ready() {
+		return withRetry(refusal(id, api.ReasonPaused, "this process has lost sight of the fleet"), time.Second), none
+	}
+	now := e.cfg.Now()
+	snapshot := e.fleet.snapshot(now)
+	first := s.pipeline.Stages[0].Pool
+	verdict := s.gen.limiter.Admit(now, s.account, 1+len(e.members.Entries()),
+		limit.Demand{Pool: first, Occupancy: snapshot.Occupancy(first, now)})
+	if !verdict.OK {
+		return withRetry(refusal(id, verdict.Reason, ""), verdict.RetryAfter), none
+	}
+	release := func() { s.gen.limiter.Done(s.account, first, e.cfg.Now()) }
+	if s.gen.verified.Bundle.Policy.Name == bundle.PolicyNaive {
+		return nil, release
+	}
+	feasible := admit.Check(now, s.pipeline, s.admit.Deadline.Sub(now), e.estimates, snapshot)
+	if !feasible.OK {
+		return withRetry(refusal(id, feasible.Reason, "expected to need "+feasible.Need.String()), feasible.RetryAfter), release
+	}
+	return nil, release
+}
+
+func withRetry(p *api.Problem, after time.Duration) *api.Problem {
+	p.RetryAfter = after
+	return p
+}
--- /dev/null
+++ b/fake/platform.go
@@ -0,0 +1,50 @@
+package fake
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// PlatformSettings shape a Platform.
+type PlatformSettings struct {
+	// ConfigLimit is the number of calls a second that the configuration
+	// service takes; zero means DefaultConfigLimit.
+	ConfigLimit int `arg:"--config-limit" yaml:"config_limit" help:"calls a second that the configuration service takes"`
+	// VMLag is how late changes show in the list of VMs.
+	VMLag time.Duration `arg:"--vm-lag" yaml:"vm_lag" help:"delay of changes in the list of VMs"`
+}
+
+// PlatformCounts is the body of PathCounts at a Platform: the configuration
+// service's own counts, and those of the list of VMs.
+type PlatformCounts struct {
+	CallCounts
+	VMs CallCounts `json:"vms"`
+}
+
+// Platform serves the configuration service and the list of VMs on one address.
+type Platform struct {
+	host
+	Config *Config
+	VMs    *VMList
+}
+
+// NewPlatform returns a stopped Platform.
+func NewPlatform(s PlatformSettings) *Platform {
+	p := &Platform{Config: newConfig(s.ConfigLimit), VMs: newVMList(s.VMLag)}
+	r := chi.NewRouter()
+	p.Config.routes(r)
+	p.VMs.routes(r)
+	r.Get(PathCounts, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, p.Counts()) })
+	p.handler = r
+	return p
+}
+
+// Start listens on addr, such as "127.0.0.1:0".
+func (p *Platform) Start(addr string) error { return p.start(addr) }
+
+// Counts returns what both services have seen.
+func (p *Platform) Counts() PlatformCounts {
+	return PlatformCounts{CallCounts: p.Config.Counts(), VMs: p.VMs.Counts()}
+}
--- /dev/null
+++ b/fake/remote.go
@@ -0,0 +1,100 @@
+package fake
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/mangostage/mangostage/platform"
+)
+
+const remoteTimeout = 5 * time.Second
+
+// ErrRemote is returned when a stand-in in another process does not obey.
+var ErrRemote = errs.NewType("remote")
+
+// remoteClient keeps no connection, which a crash could have killed meanwhile.
+var remoteClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+// Remote controls a stand-in by its URL, also one in another process.
+type Remote struct {
+	URL string
+}
+
+// Apply changes the behaviour of an endpoint's stand-in.
+func (r Remote) Apply(ctx context.Context, c Control) error {
+	return r.send(ctx, http.MethodPost, PathControl, c)
+}
+
+// Counts returns what an endpoint's stand-in has seen.
+func (r Remote) Counts(ctx context.Context) (Counts, error) {
+	var c Counts
+	err := r.do(ctx, http.MethodGet, PathCounts, nil, &c)
+	return c, err
+}
+
+// PlatformCounts returns what a Platform has seen.
+func (r Remote) PlatformCounts(ctx context.Context) (PlatformCounts, error) {
+	var c PlatformCounts
+	err := r.do(ctx, http.MethodGet, PathCounts, nil, &c)
+	return c, err
+}
+
+// ApplyConfig changes how a Platform's configuration service fails.
+func (r Remote) ApplyConfig(ctx context.Context, c ConfigControl) error {
+	return r.send(ctx, http.MethodPost, "/control/config", c)
+}
+
+// ApplyVMs changes how a Platform's list of VMs fails.
+func (r Remote) ApplyVMs(ctx context.Context, c VMControl) error {
+	return r.send(ctx, http.MethodPost, "/control/vms", c)
+}
+
+// SetVMs replaces a Platform's list of VMs.
+func (r Remote) SetVMs(ctx context.Context, vms []platform.VM) error {
+	return r.send(ctx, http.MethodPut, "/control/vms", vms)
+}
+
+// Publish stores a value in a Platform and returns its revision.
+func (r Remote) Publish(ctx context.Context, name string, data []byte) (uint64, error) {
+	var v platform.Value
+	err := r.do(ctx, http.MethodPut, "/control/values/"+url.PathEscape(name), data, &v)
+	return v.Revision, err
+}
+
+func (r Remote) send(ctx context.Context, method, path string, message any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	return r.do(ctx, method, path, body, nil)
+}
+
+func (r Remote) do(ctx context.Context, method, path string, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, remoteTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, r.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := remoteClient.Do(req)
+	if err != nil {
+		return ErrRemote.Wrap(err, "%s %s", method, path)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	reply, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ErrRemote.Wrap(err, "%s %s", method, path)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return ErrRemote.New("%s %s: status %d: %s", method, path, resp.StatusCode, reply)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(reply, into)
+}
--- /dev/null
+++ b/fake/service.go
@@ -0,0 +1,217 @@
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/mangostage/mangostage/endpoint"
+)
+
+// ServiceSettings shape a Service.
+type ServiceSettings struct {
+	Common `yaml:",inline"`
+	// Time is the mean service time.
+	Time time.Duration `arg:"--time" yaml:"time" help:"mean service time"`
+	// Jitter spreads the service time evenly by this share both ways.
+	Jitter float64 `arg:"--jitter" yaml:"jitter" help:"spread of the service time, 0 to 1"`
+	// Concurrency is the number of calls that run at once; zero sets no limit.
+	Concurrency int `arg:"--concurrency" yaml:"concurrency" help:"calls that run at once"`
+}
+
+// Service stands in for a plain service, encoder, retriever or reranker. A
+// call that has begun runs to its end also when its caller has gone away,
+// unless it is cancelled.
+type Service struct {
+	node
+	settings ServiceSettings
+	slots    chan struct{}
+
+	mu      sync.Mutex
+	cancels map[string]context.CancelFunc
+}
+
+// NewService returns a stopped Service.
+func NewService(s ServiceSettings) *Service {
+	f := &Service{settings: s, cancels: make(map[string]context.CancelFunc)}
+	if s.Concurrency > 0 {
+		f.slots = make(chan struct{}, s.Concurrency)
+	}
+	f.init(s.Common, func(r chi.Router) {
+		r.Post(endpoint.PathRun, f.serveRun)
+		r.Post(endpoint.PathCancel, f.serveCancel)
+		r.Get(endpoint.PathHealth, f.serveHealth)
+	})
+	return f
+}
+
+// Start listens on addr, such as "127.0.0.1:0".
+func (f *Service) Start(addr string) error { return f.start(addr) }
+
+func (f *Service) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	inFlight, queued := f.load.reported()
+	writeJSON(w, http.StatusOK, endpoint.HealthReply{Up: true, InFlight: inFlight, Queued: queued})
+}
+
+func (f *Service) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var req endpoint.CancelRequest
+	if err := readJSON(r, &req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.mu.Lock()
+	cancel := f.cancels[req.Call]
+	delete(f.cancels, req.Call)
+	f.mu.Unlock()
+	if cancel != nil {
+		f.counts.update(func(c *Counts) { c.Cancelled++ })
+		cancel()
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (f *Service) serveRun(w http.ResponseWriter, r *http.Request) {
+	var req endpoint.RunRequest
+	if err := readJSON(r, &req); err != nil {
+		writeJSON(w, http.StatusBadRequest, endpoint.FailureReply{Error: err.Error()})
+		return
+	}
+	f.counts.update(func(c *Counts) { c.Arrivals++ })
+	if f.faults.refuses() || f.full() {
+		f.refuse(w, req.Call, "overloaded")
+		return
+	}
+	ctx, cancel := context.WithCancel(lifeOf(r))
+	defer cancel()
+	defer f.track(req.Call, cancel)()
+	if !f.acquire(ctx, r.Context()) {
+		abort()
+	}
+	defer f.release()
+	f.run(ctx, w, req)
+}
+
+func (f *Service) full() bool {
+	return f.common.MaxQueue > 0 && f.load.waiting() >= f.common.MaxQueue
+}
+
+// track makes a call cancellable until the returned function is called.
+func (f *Service) track(call string, cancel context.CancelFunc) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancels[call] = cancel
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.cancels, call)
+	}
+}
+
+// acquire waits for a slot while both contexts last.
+func (f *Service) acquire(ctx, caller context.Context) bool {
+	if f.slots == nil {
+		f.load.add(1, 0)
+		return true
+	}
+	f.load.add(0, 1)
+	select {
+	case f.slots <- struct{}{}:
+		f.load.add(1, -1)
+		return true
+	case <-ctx.Done():
+	case <-caller.Done():
+	}
+	f.load.add(0, -1)
+	return false
+}
+
+func (f *Service) release() {
+	f.load.add(-1, 0)
+	if f.slots != nil {
+		<-f.slots
+	}
+}
+
+func (f *Service) run(ctx context.Context, w http.ResponseWriter, req endpoint.RunRequest) {
+	marker := markerOf(req.Input)
+	f.counts.start(req.Stage, marker)
+	if f.faults.crashes(req.Input) {
+		f.Crash()
+		abort()
+	}
+	took := f.faults.scale(f.faults.jittered(f.settings.Time, f.settings.Jitter))
+	if !sleep(ctx, took) || !f.faults.wait(ctx.Done()) {
+		abort()
+	}
+	if f.faults.fails() {
+		writeJSON(w, http.StatusInternalServerError, endpoint.FailureReply{Call: req.Call, Error: "the run failed"})
+		return
+	}
+	f.counts.finish(marker)
+	output := Expected(req.Stage, req.Input, req.Previous)
+	f.reply(ctx, w, endpoint.RunReply{Call: req.Call, Output: output, Cost: int64(took)})
+}
+
+// reply sends the finished reply, spoiled as told.
+func (f *Service) reply(ctx context.Context, w http.ResponseWriter, reply endpoint.RunReply) {
+	fault, delay := f.faults.nextReply()
+	if fault == ReplyForeign {
+		reply = endpoint.RunReply{Call: "foreign/" + reply.Call, Output: Expected("foreign", nil, nil), Cost: reply.Cost}
+	}
+	body, err := json.Marshal(reply)
+	if err != nil {
+		panic("fake: encode reply: " + err.Error())
+	}
+	switch fault {
+	case ReplyDelay:
+		sleep(ctx, delay)
+	case ReplyTruncate:
+		truncate(w, body)
+	case ReplyDuplicate:
+		duplicate(w, body)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
+// truncate sends half of body and cuts the connection.
+func truncate(w http.ResponseWriter, body []byte) {
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	_, _ = w.Write(body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+	abort()
+}
+
+// duplicate sends the whole HTTP reply twice on the connection.
+func duplicate(w http.ResponseWriter, body []byte) {
+	conn, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		abort()
+	}
+	defer func() { _ = conn.Close() }()
+	for range 2 {
+		_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	_ = buf.Flush()
+}
+
+// sleep waits for d; it returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/kernel/bus.go
@@ -0,0 +1,122 @@
+package kernel
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/ThreeDotsLabs/watermill"
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/ThreeDotsLabs/watermill/message/router/middleware"
+	"github.com/ThreeDotsLabs/watermill/pubsub/gochannel"
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+)
+
+// busBuffer is the number of undelivered events a subscriber may fall behind
+// before publishers wait for it.
+const busBuffer = 1024
+
+// Topic names a stream of events of one type.
+type Topic string
+
+// The topics of a process.
+const (
+	// TopicBundle carries a BundleEvent for each offer of a bundle.
+	TopicBundle Topic = "bundle"
+	// TopicMember carries a MemberEvent for each change of the view of VMs.
+	TopicMember Topic = "member"
+	// TopicRecord carries a ledger.Record for each fact about a request.
+	TopicRecord Topic = "record"
+)
+
+// BundleEvent tells of an offered bundle.
+type BundleEvent struct {
+	Version uint64 `json:"version"`
+	Hash    string `json:"hash"`
+	// Adopted is false when the bundle was refused; Reason says why.
+	Adopted bool   `json:"adopted"`
+	Reason  string `json:"reason"`
+	Source  string `json:"source"`
+}
+
+// MemberEvent tells of a change of one VM in this process's view.
+type MemberEvent struct {
+	VM       string `json:"vm"`
+	Endpoint string `json:"endpoint,omitempty"`
+	Pool     string `json:"pool,omitempty"`
+	State    string `json:"state"`
+	Reason   string `json:"reason"`
+}
+
+// Bus delivers events between the parts of one process, each handler in a
+// goroutine of its own. It carries no stage calls: those need a reply, an
+// order and back pressure that a broadcast does not give.
+type Bus struct {
+	channel *gochannel.GoChannel
+	router  *message.Router
+}
+
+// NewBus returns a bus. Handlers are added before Run.
+func NewBus(log zerolog.Logger) (*Bus, error) {
+	adapter := watermillLog{log}
+	channel := gochannel.NewGoChannel(gochannel.Config{OutputChannelBuffer: busBuffer}, adapter)
+	router, err := message.NewRouter(message.RouterConfig{}, adapter)
+	if err != nil {
+		return nil, errorx.Decorate(err, "event bus")
+	}
+	router.AddMiddleware(middleware.Recoverer)
+	return &Bus{channel: channel, router: router}, nil
+}
+
+// Handle calls fn for each event of the topic. An event that cannot be
+// decoded is dropped: both ends are in this process, so it is a build error.
+func Handle[E any](b *Bus, name string, topic Topic, fn func(E)) {
+	b.router.AddConsumerHandler(name, string(topic), b.channel, func(msg *message.Message) error {
+		var event E
+		if err := json.Unmarshal(msg.Payload, &event); err != nil {
+			return nil //nolint:nilerr // a retry would fail likewise
+		}
+		fn(event)
+		return nil
+	})
+}
+
+// Publish sends an event to all handlers of the topic.
+func Publish[E any](b *Bus, topic Topic, event E) error {
+	payload, err := json.Marshal(event)
+	if err != nil {
+		return errorx.Decorate(err, "encode event for %s", topic)
+	}
+	return b.channel.Publish(string(topic), message.NewMessage(watermill.NewShortUUID(), payload))
+}
+
+// Run delivers events until ctx ends.
+func (b *Bus) Run(ctx context.Context) error { return b.router.Run(ctx) }
+
+// Running is closed once handlers receive events.
+func (b *Bus) Running() <-chan struct{} { return b.router.Running() }
+
+// Close stops delivery and waits for handlers.
+func (b *Bus) Close() error { return b.router.Close() }
+
+// watermillLog passes the library's errors to the process's log.
+type watermillLog struct{ log zerolog.Logger }
+
+// Error logs a failed delivery.
+func (l watermillLog) Error(msg string, err error, fields watermill.LogFields) {
+	l.log.Error().Err(err).Fields(map[string]any(fields)).Msg(msg)
+}
+
+// Info drops chatter of the library.
+func (l watermillLog) Info(string, watermill.LogFields) {}
+
+// Debug drops chatter of the library.
+func (l watermillLog) Debug(string, watermill.LogFields) {}
+
+// Trace drops chatter of the library.
+func (l watermillLog) Trace(string, watermill.LogFields) {}
+
+// With returns a logger that carries fields.
+func (l watermillLog) With(fields watermill.LogFields) watermill.LoggerAdapter {
+	return watermillLog{l.log.With().Fields(map[string]any(fields)).Logger()}
+}
--- /dev/null
+++ b/limit/naive.go
@@ -0,0 +1,50 @@
+package limit
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/mangostage/mangostage/api"
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Module{
+		ID:  Namespace + kernel.ModuleID(bundle.PolicyNaive),
+		New: func() any { return &naive{buckets: make(map[string]*rate.Limiter)} },
+	})
+}
+
+// naiveRetryAfter is what the naive limiter tells everyone.
+const naiveRetryAfter = time.Second
+
+// naive is the baseline: each entry gives each account its whole limit, and
+// knows neither other entries nor shares.
+type naive struct {
+	mu      sync.Mutex
+	buckets map[string]*rate.Limiter
+}
+
+// Admit implements Limiter.
+func (n *naive) Admit(now time.Time, account *bundle.Account, _ int, _ Demand) Verdict {
+	if account.Limit.RequestsPerSecond <= 0 {
+		return Verdict{OK: true}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b := n.buckets[account.Name]
+	if b == nil {
+		b = rate.NewLimiter(rate.Limit(account.Limit.RequestsPerSecond), max(1, account.Limit.Burst))
+		n.buckets[account.Name] = b
+	}
+	if !b.AllowN(now, 1) {
+		return Verdict{Reason: api.ReasonRateLimited, RetryAfter: naiveRetryAfter}
+	}
+	return Verdict{OK: true}
+}
+
+// Done implements Limiter.
+func (*naive) Done(*bundle.Account, string, time.Time) {}
--- /dev/null
+++ b/member/dial.go
@@ -0,0 +1,187 @@
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/mangostage/mangostage/wire"
+)
+
+const (
+	// maxDials bounds the connections being made at once.
+	maxDials = 64
+	// dialTimeout bounds one attempt, the hello included.
+	dialTimeout = 4 * time.Second
+	// firstRedial and slowestRedial bound the wait after a failed attempt.
+	firstRedial   = 100 * time.Millisecond
+	slowestRedial = 5 * time.Second
+	// yieldDial is how long the side of a pair that does not dial by preference
+	// waits for the other side.
+	yieldDial = time.Second
+	// lonelyAfter is how long an agent waits without a connection before it dials.
+	lonelyAfter = 2 * time.Second
+	// freshDials is how many peers a fresh agent dials at once, to learn which
+	// bundle is in force.
+	freshDials = 8
+)
+
+// target is a VM to keep a connection to.
+type target struct {
+	vm      string
+	address string
+	role    wire.Role
+}
+
+func (s *Service) targets() []target {
+	var targets []target
+	for _, m := range s.View().Members {
+		if m.VM.Name == s.cfg.VM || m.VM.Address == "" || !slices.Contains(s.cfg.DialRoles, m.VM.Role) {
+			continue
+		}
+		targets = append(targets, target{vm: m.VM.Name, address: m.VM.Address, role: m.VM.Role})
+	}
+	return targets
+}
+
+// dialLoop keeps connections to the targets.
+func (s *Service) dialLoop() {
+	if s.cfg.Self.Role == wire.RoleAgent {
+		s.dialWhenLonely()
+		return
+	}
+	s.dialAll()
+}
+
+// dialAll runs a keeper for each target and ends it when the target goes.
+func (s *Service) dialAll() {
+	keepers := make(map[target]context.CancelFunc)
+	slots := make(chan struct{}, maxDials)
+	for {
+		wanted := make(map[target]bool)
+		for _, t := range s.targets() {
+			wanted[t] = true
+			if keepers[t] != nil {
+				continue
+			}
+			ctx, cancel := context.WithCancel(s.ctx)
+			keepers[t] = cancel
+			s.spawn(func() { s.keepLink(ctx, t, slots) })
+		}
+		for t, cancel := range keepers {
+			if !wanted[t] {
+				cancel()
+				delete(keepers, t)
+			}
+		}
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.dialWake:
+		}
+	}
+}
+
+// keepLink connects to one target, and again whenever the connection ends.
+func (s *Service) keepLink(ctx context.Context, t target, slots chan struct{}) {
+	wait := newBackoff()
+	yield := time.Duration(0)
+	if t.role == s.cfg.Self.Role && !prefersDial(s.cfg.VM, t.vm) {
+		yield = yieldDial
+	}
+	pause := yield
+	for {
+		if !sleepContext(ctx, pause) {
+			return
+		}
+		if l := s.links.get(t.vm); l != nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-l.gone:
+			}
+			wait.Reset()
+			pause = yield + wait.NextBackOff()
+			continue
+		}
+		slots <- struct{}{}
+		s.dial(ctx, t)
+		<-slots
+		pause = wait.NextBackOff()
+	}
+}
+
+// dial makes one attempt.
+func (s *Service) dial(ctx context.Context, t target) {
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	s.stats.Dials.Add(1)
+	_, err := s.node.Dial(dialCtx, t.address)
+	if s.links.get(t.vm) != nil || ctx.Err() != nil {
+		return
+	}
+	s.stats.DialFailures.Add(1)
+	s.cfg.Log.Debug().Err(err).Str("vm", t.vm).Str("address", t.address).Msg("cannot connect")
+	s.coreMu.Lock()
+	s.views.dialFailure(t.vm)
+	s.coreMu.Unlock()
+	s.markDirty()
+}
+
+// dialWhenLonely connects an agent to peers when it starts and whenever none
+// has connected to it for a while, as when the entries read a list that does
+// not have it yet.
+func (s *Service) dialWhenLonely() {
+	for len(s.targets()) == 0 {
+		if !s.sleepUnless(lonelyAfter, s.dialWake) {
+			return
+		}
+	}
+	s.dialAny(freshDials)
+	wait := newBackoff()
+	for {
+		if !s.sleep(lonelyAfter + wait.NextBackOff()) {
+			return
+		}
+		if s.links.count() > 0 {
+			wait.Reset()
+			continue
+		}
+		s.dialAny(1)
+	}
+}
+
+// dialAny dials up to n targets drawn at random, all at once.
+func (s *Service) dialAny(n int) {
+	targets := s.targets()
+	rand.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	for _, t := range targets[:min(n, len(targets))] {
+		if s.links.get(t.vm) == nil {
+			s.spawn(func() { s.dial(s.ctx, t) })
+		}
+	}
+}
+
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = firstRedial
+	b.MaxInterval = slowestRedial
+	return b
+}
+
+func sleepContext(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/member/fleet_test.go
@@ -0,0 +1,274 @@
+package member
+
+import (
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/wire"
+)
+
+const sampleBundle = `version: %d
+description: %q
+pools: [{name: catalogue, endpoints: 3}]
+accounts: [{name: shop, credential_sha256: ["9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"]}]
+pipelines:
+  - name: look-up
+    deadline: 1s
+    stages: [{name: find, pool: catalogue}]
+`
+
+// store is the platform as it really is.
+type store struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	value   platform.Value
+	vms     []platform.VM
+	calls   atomic.Int64
+}
+
+func newStore() *store { return &store{changed: make(chan struct{})} }
+
+func (p *store) publish(data []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.value = platform.Value{Name: platform.ValueBundle, Revision: p.value.Revision + 1, Data: data}
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *store) read() (platform.Value, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.value, p.changed
+}
+
+func (p *store) edit(change func([]platform.VM) []platform.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = change(slices.Clone(p.vms))
+}
+
+// access is the platform as one process sees it.
+type access struct {
+	store     *store
+	down      atomic.Bool
+	stale     atomic.Pointer[platform.Value]
+	staleList atomic.Pointer[[]platform.VM]
+}
+
+var errDown = errorx.ExternalError.New("platform is down")
+
+func (a *access) Read(context.Context, string) (platform.Value, error) {
+	a.store.calls.Add(1)
+	return a.present()
+}
+
+func (a *access) present() (platform.Value, error) {
+	if a.down.Load() {
+		return platform.Value{}, errDown
+	}
+	if old := a.stale.Load(); old != nil {
+		return *old, nil
+	}
+	value, _ := a.store.read()
+	return value, nil
+}
+
+func (a *access) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) (platform.Value, error) {
+	a.store.calls.Add(1)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		value, changed := a.store.read()
+		if a.down.Load() || (a.stale.Load() == nil && value.Revision > after) {
+			return a.present()
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return a.present()
+		case <-ctx.Done():
+			return platform.Value{}, ctx.Err()
+		}
+	}
+}
+
+func (a *access) List(context.Context) ([]platform.VM, error) {
+	a.store.calls.Add(1)
+	if a.down.Load() {
+		return nil, errDown
+	}
+	if old := a.staleList.Load(); old != nil {
+		return *old, nil
+	}
+	a.store.mu.Lock()
+	defer a.store.mu.Unlock()
+	return slices.Clone(a.store.vms), nil
+}
+
+// member is one process of a test fleet.
+type testMember struct {
+	*Service
+	access *access
+	holder *bundle.Holder
+
+	mu       sync.Mutex
+	versions []uint64
+	leaving  []bool
+	draining atomic.Bool
+}
+
+func (m *testMember) adoptions() []uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.versions)
+}
+
+func (m *testMember) version() uint64 { return m.holder.Head().Version }
+
+func (m *testMember) leavings() []bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.leaving)
+}
+
+// fleet is a set of processes on loopback that share a platform.
+type fleet struct {
+	t       *testing.T
+	store   *store
+	pub     ed25519.PublicKey
+	priv    ed25519.PrivateKey
+	members []*testMember
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	pub, priv, err := bundle.GenerateKey()
+	assert.NilError(t, err)
+	return &fleet{t: t, store: newStore(), pub: pub, priv: priv}
+}
+
+func (f *fleet) signed(version int, text string) []byte {
+	f.t.Helper()
+	signed, err := bundle.Sign(f.priv, fmt.Appendf(nil, sampleBundle, version, text))
+	assert.NilError(f.t, err)
+	return signed
+}
+
+func (f *fleet) publish(version int) { f.store.publish(f.signed(version, "by an operator")) }
+
+// start starts entries and agents, in two domains by turns, and lists them.
+func (f *fleet) start(entries, agents int) {
+	f.t.Helper()
+	for i := range entries + agents {
+		role := wire.RoleEntry
+		if i >= entries {
+			role = wire.RoleAgent
+		}
+		f.add(role, &access{store: f.store})
+	}
+}
+
+// add starts one process and lists it.
+func (f *fleet) add(role wire.Role, a *access) *testMember {
+	f.t.Helper()
+	n := len(f.members)
+	name := fmt.Sprintf("%s-%03d", role, n)
+	m := &testMember{access: a, holder: bundle.NewHolder([]ed25519.PublicKey{f.pub})}
+	self := wire.Process{Name: name, Incarnation: fmt.Sprintf("i%d", n), Role: role, Domain: fmt.Sprintf("d%d", n%2)}
+	vm := platform.VM{Name: name, Role: role, Domain: self.Domain, State: platform.VMLive}
+	cfg := Config{
+		Self: self, Listen: "127.0.0.1:0", Platform: a, Holder: m.holder, Log: zerolog.Nop(),
+		DialRoles: []wire.Role{wire.RoleEntry},
+		OnBundle: func(v *bundle.Verified) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.versions = append(m.versions, v.Head.Version)
+		},
+		OnLeaving: func(leaving bool) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.leaving = append(m.leaving, leaving)
+		},
+	}
+	if role == wire.RoleEntry {
+		cfg.DialRoles = append(cfg.DialRoles, wire.RoleAgent)
+	} else {
+		vm.Endpoint, vm.Pool = "endpoint-"+name, "catalogue"
+		var seq atomic.Uint64
+		cfg.Report = func() wire.AgentReport {
+			return wire.AgentReport{
+				Process: self, Endpoint: vm.Endpoint, Pool: vm.Pool,
+				Seq: seq.Add(1), Draining: m.draining.Load(),
+			}
+		}
+	}
+	m.Service = New(cfg)
+	addr, err := m.Start(context.Background())
+	assert.NilError(f.t, err)
+	f.t.Cleanup(m.Stop)
+	vm.Address = addr.String()
+	f.store.edit(func(vms []platform.VM) []platform.VM { return append(vms, vm) })
+	f.members = append(f.members, m)
+	return m
+}
+
+// await polls a condition for at most limit and returns how long it took.
+func await(t *testing.T, limit time.Duration, what string, ok func() bool) time.Duration {
+	t.Helper()
+	start := time.Now()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for !ok() {
+		if time.Since(start) > limit {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		<-ticker.C
+	}
+	return time.Since(start)
+}
+
+func (f *fleet) all(ok func(*testMember) bool) func() bool {
+	return func() bool {
+		return !slices.ContainsFunc(f.members, func(m *testMember) bool { return !ok(m) })
+	}
+}
+
+// awaitReady waits until every process is ready and every entry is connected
+// to every other process.
+func (f *fleet) awaitReady() {
+	f.t.Helper()
+	await(f.t, time.Minute, "every process ready and connected", f.all(func(m *testMember) bool {
+		connected := m.cfg.Self.Role == wire.RoleAgent || m.links.count() == len(f.members)-1
+		return m.Ready() && connected
+	}))
+}
+
+// inForceWithin is the time in which a bundle is to be in force everywhere.
+const inForceWithin = 5 * time.Second
+
+func (f *fleet) awaitVersion(version uint64, limit time.Duration) time.Duration {
+	f.t.Helper()
+	return await(f.t, limit, fmt.Sprintf("version %d everywhere", version),
+		f.all(func(m *testMember) bool { return m.version() == version }))
+}
+
+func (f *fleet) assertNeverBack() {
+	f.t.Helper()
+	for _, m := range f.members {
+		versions := m.adoptions()
+		assert.Assert(f.t, slices.IsSorted(versions), "%s went back: %v", m.cfg.VM, versions)
+	}
+}
--- /dev/null
+++ b/member/lister.go
@@ -0,0 +1,81 @@
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mangostage/mangostage/wire"
+)
+
+const (
+	// platformTimeout bounds one read of the platform.
+	platformTimeout = 3 * time.Second
+	// startRate is how many processes a second of a fleet that starts or wakes
+	// as one read the list first, and as many the bundle.
+	startRate = 500
+)
+
+// firstDelay spreads the first reads of a fleet of that size.
+func firstDelay(fleet int) time.Duration {
+	return time.Duration(rand.Float64() * float64(fleet) * float64(time.Second) / startRate)
+}
+
+// listLoop follows the platform's list of VMs. A failed read keeps the last view.
+func (s *Service) listLoop() {
+	if !s.sleep(firstDelay(s.cfg.FleetSize)) {
+		return
+	}
+	for {
+		s.readList()
+		s.spreadMu.Lock()
+		every := s.spread.listEvery()
+		s.spreadMu.Unlock()
+		if !s.sleepUnless(every, s.listWake) {
+			return
+		}
+		if !s.listTried.Load() && !s.sleep(firstDelay(len(s.View().Members))) {
+			return
+		}
+	}
+}
+
+func (s *Service) readList() {
+	s.coreMu.Lock()
+	epoch := s.epoch
+	s.coreMu.Unlock()
+	ctx, cancel := context.WithTimeout(s.ctx, platformTimeout)
+	defer cancel()
+	s.stats.ListCalls.Add(1)
+	vms, err := s.cfg.Platform.List(ctx)
+	if s.ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		s.stats.PlatformFailures.Add(1)
+		s.cfg.Log.Debug().Err(err).Msg("list of VMs not read; keeping the last view")
+	}
+	s.coreMu.Lock()
+	// A list that was asked for before a pause is as old as the pause.
+	if epoch != s.epoch {
+		s.coreMu.Unlock()
+		signal(s.listWake)
+		return
+	}
+	var notes []wire.VMNote
+	if err == nil {
+		notes = s.views.list(s.cfg.Now(), vms)
+	}
+	s.listTried.Store(true)
+	s.coreMu.Unlock()
+	if err == nil {
+		s.spreadMu.Lock()
+		becameWatcher := s.spread.list(vms)
+		s.spreadMu.Unlock()
+		if becameWatcher {
+			signal(s.bundleWake)
+		}
+	}
+	s.publish()
+	s.sendVMNotes(notes)
+}
--- /dev/null
+++ b/member/rendezvous.go
@@ -0,0 +1,41 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mangostage/mangostage/platform"
+)
+
+// watchersPerDomain is how many processes of each failure domain keep a watch
+// on the configuration service. Two, so that one death leaves the domain a
+// watcher until the list shows the loss.
+const watchersPerDomain = 2
+
+// Watchers returns the VMs of a failure domain that watch the configuration
+// service, by rendezvous hash over the VMs listed as live. Processes that hold
+// the same list agree without a message, and a VM that joins or leaves moves
+// at most one of the places.
+func Watchers(vms []platform.VM, domain string) []string {
+	type ranked struct {
+		name  string
+		score uint64
+	}
+	var candidates []ranked
+	for i := range vms {
+		if vms[i].Domain != domain || vms[i].State != platform.VMLive {
+			continue
+		}
+		candidates = append(candidates, ranked{vms[i].Name, xxhash.Sum64String(domain + "/" + vms[i].Name)})
+	}
+	slices.SortFunc(candidates, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	})
+	var names []string
+	for _, c := range candidates[:min(len(candidates), watchersPerDomain)] {
+		names = append(names, c.name)
+	}
+	return names
+}
--- /dev/null
+++ b/member/stats.go
@@ -0,0 +1,79 @@
+package member
+
+import "sync/atomic"
+
+// Stats counts what taking part in the fleet costs.
+type Stats struct {
+	// Calls to the platform, and how many of all of them failed.
+	ListCalls, ReadCalls, WatchCalls, PlatformFailures atomic.Int64
+	// PlatformBytes is the size of the values read.
+	PlatformBytes atomic.Int64
+	// Fetches of bundles from peers, how many failed, and how many were served
+	// or turned away because too many were being served.
+	Fetches, FetchFailures, FetchesServed, FetchesRefused atomic.Int64
+	// BundleBytesIn and BundleBytesOut are the sizes of bundles fetched and served.
+	BundleBytesIn, BundleBytesOut atomic.Int64
+	// HeadsSent and HeadsReceived are notifications of a bundle's head.
+	HeadsSent, HeadsReceived atomic.Int64
+	// Adopted and Refused count offered bundles.
+	Adopted, Refused atomic.Int64
+	// Dials, DialFailures, and Wakes (detected pauses of the process).
+	Dials, DialFailures, Wakes atomic.Int64
+}
+
+// StatsSnapshot is Stats at one time, for expvar.
+type StatsSnapshot struct {
+	ListCalls        int64 `json:"list_calls"`
+	ReadCalls        int64 `json:"read_calls"`
+	WatchCalls       int64 `json:"watch_calls"`
+	PlatformFailures int64 `json:"platform_failures"`
+	PlatformBytes    int64 `json:"platform_bytes"`
+	Fetches          int64 `json:"fetches"`
+	FetchFailures    int64 `json:"fetch_failures"`
+	FetchesServed    int64 `json:"fetches_served"`
+	FetchesRefused   int64 `json:"fetches_refused"`
+	BundleBytesIn    int64 `json:"bundle_bytes_in"`
+	BundleBytesOut   int64 `json:"bundle_bytes_out"`
+	HeadsSent        int64 `json:"heads_sent"`
+	HeadsReceived    int64 `json:"heads_received"`
+	Adopted          int64 `json:"adopted"`
+	Refused          int64 `json:"refused"`
+	Dials            int64 `json:"dials"`
+	DialFailures     int64 `json:"dial_failures"`
+	Wakes            int64 `json:"wakes"`
+	PeerBytesIn      int64 `json:"peer_bytes_in"`
+	PeerBytesOut     int64 `json:"peer_bytes_out"`
+	PeerMessagesIn   int64 `json:"peer_messages_in"`
+	PeerMessagesOut  int64 `json:"peer_messages_out"`
+	PeerRejected     int64 `json:"peer_rejected"`
+}
+
+// Stats returns the counters, those of the peer connections included.
+func (s *Service) Stats() StatsSnapshot {
+	st, traffic := &s.stats, &s.node.Traffic
+	return StatsSnapshot{
+		ListCalls:        st.ListCalls.Load(),
+		ReadCalls:        st.ReadCalls.Load(),
+		WatchCalls:       st.WatchCalls.Load(),
+		PlatformFailures: st.PlatformFailures.Load(),
+		PlatformBytes:    st.PlatformBytes.Load(),
+		Fetches:          st.Fetches.Load(),
+		FetchFailures:    st.FetchFailures.Load(),
+		FetchesServed:    st.FetchesServed.Load(),
+		FetchesRefused:   st.FetchesRefused.Load(),
+		BundleBytesIn:    st.BundleBytesIn.Load(),
+		BundleBytesOut:   st.BundleBytesOut.Load(),
+		HeadsSent:        st.HeadsSent.Load(),
+		HeadsReceived:    st.HeadsReceived.Load(),
+		Adopted:          st.Adopted.Load(),
+		Refused:          st.Refused.Load(),
+		Dials:            st.Dials.Load(),
+		DialFailures:     st.DialFailures.Load(),
+		Wakes:            st.Wakes.Load(),
+		PeerBytesIn:      traffic.BytesIn.Load(),
+		PeerBytesOut:     traffic.BytesOut.Load(),
+		PeerMessagesIn:   traffic.MessagesIn.Load(),
+		PeerMessagesOut:  traffic.MessagesOut.Load(),
+		PeerRejected:     traffic.Rejected.Load(),
+	}
+}
--- /dev/null
+++ b/member/viewcore.go
@@ -0,0 +1,309 @@
+package member
+
+import (
+	"time"
+
+	"github.com/mangostage/mangostage/kernel"
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/wire"
+)
+
+const (
+	// leavingHold is how long the list must say live, without a break, before
+	// a VM that was leaving counts as live again. The list carries no
+	// revision, so an old copy that still says live looks like a newer one.
+	// What remains: a list that stays older than the leaving for longer than
+	// this brings the VM back, unless its own process says that it drains.
+	leavingHold = 2 * time.Minute
+	// absentHold is how long a VM is kept, and dialled, that is neither listed
+	// nor connected. A stale list may predate the VM.
+	absentHold = 30 * time.Second
+)
+
+// viewCore makes a View of lists, connections and reports. It does no I/O;
+// its caller serialises the calls.
+type viewCore struct {
+	self      string
+	members   map[string]*memberState
+	byProcess map[wire.Process]*memberState
+	listedAt  time.Time
+	lost      map[Claim]bool
+}
+
+// memberState is what is known of one VM.
+type memberState struct {
+	vm     platform.VM
+	listed bool
+	// goneAt is when the VM was last listed or connected, while it is neither.
+	goneAt time.Time
+	// leaving is sticky; liveSince is the start of the unbroken run of lists
+	// that say live after it.
+	leaving       bool
+	leavingReason string
+	// leavingRun is the incarnation that was known when the VM began to leave;
+	// empty if none was.
+	leavingRun string
+	liveSince  time.Time
+
+	connected  bool
+	dialFailed bool
+	process    wire.Process
+	report     wire.AgentReport
+	reportedAt time.Time
+
+	announced State
+}
+
+func newViewCore(self string) *viewCore {
+	return &viewCore{
+		self:      self,
+		members:   make(map[string]*memberState),
+		byProcess: make(map[wire.Process]*memberState),
+		lost:      make(map[Claim]bool),
+	}
+}
+
+func (c *viewCore) member(name string) *memberState {
+	m, ok := c.members[name]
+	if !ok {
+		m = &memberState{vm: platform.VM{Name: name, State: platform.VMLive}}
+		c.members[name] = m
+	}
+	return m
+}
+
+// list takes in a list that was read at now and returns the VMs that it newly
+// shows as leaving.
+func (c *viewCore) list(now time.Time, vms []platform.VM) []wire.VMNote {
+	c.listedAt = now
+	var notes []wire.VMNote
+	seen := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		if vm.Name == "" || seen[vm.Name] {
+			continue
+		}
+		seen[vm.Name] = true
+		if c.listOne(now, vm) {
+			notes = append(notes, wire.VMNote{VM: vm.Name, Process: c.members[vm.Name].process})
+		}
+	}
+	for name, m := range c.members {
+		if !seen[name] {
+			c.absent(now, name, m)
+		}
+	}
+	return notes
+}
+
+// listOne takes in one line and tells whether the VM newly leaves.
+func (c *viewCore) listOne(now time.Time, vm platform.VM) bool {
+	m := c.member(vm.Name)
+	if m.vm.Address != vm.Address {
+		m.dialFailed = false
+	}
+	m.vm = vm
+	m.listed = true
+	m.goneAt = time.Time{}
+	if vm.State == platform.VMLeaving {
+		return m.leave("listed as leaving")
+	}
+	if m.leaving && m.liveSince.IsZero() {
+		m.liveSince = now
+	}
+	if m.leaving && (m.replaced() || now.Sub(m.liveSince) >= leavingHold) {
+		m.stay()
+	}
+	return false
+}
+
+// replaced tells whether a VM that was leaving has been replaced by one of the
+// same name: another run of its process is connected, and the list says live.
+func (m *memberState) replaced() bool {
+	otherRun := m.leavingRun != "" && m.leavingRun != m.process.Incarnation
+	return m.connected && otherRun && m.listed && m.vm.State == platform.VMLive
+}
+
+func (m *memberState) stay() {
+	m.leaving = false
+	m.liveSince = time.Time{}
+}
+
+// leave marks a VM as leaving and tells whether it was not before.
+func (m *memberState) leave(reason string) bool {
+	fresh := !m.leaving
+	if fresh {
+		m.leavingReason = reason
+		m.leavingRun = m.process.Incarnation
+	}
+	m.leaving = true
+	m.liveSince = time.Time{}
+	return fresh
+}
+
+// noted takes in a peer's note and tells whether it was news. A note about
+// another incarnation than the one known here is about a VM that had this name
+// before.
+func (c *viewCore) noted(note *wire.VMNote) bool {
+	m, ok := c.members[note.VM]
+	if !ok {
+		return false
+	}
+	known := m.process.Incarnation != "" && note.Process.Incarnation != ""
+	if known && m.process.Incarnation != note.Process.Incarnation {
+		return false
+	}
+	return m.leave("a peer read it as leaving")
+}
+
+func (c *viewCore) absent(now time.Time, name string, m *memberState) {
+	m.listed = false
+	m.liveSince = time.Time{}
+	if m.connected {
+		return
+	}
+	if m.goneAt.IsZero() {
+		m.goneAt = now
+	}
+	if now.Sub(m.goneAt) >= absentHold {
+		delete(c.members, name)
+		delete(c.byProcess, m.process)
+	}
+}
+
+// connect takes in a connection that passed the hello.
+func (c *viewCore) connect(now time.Time, vm string, hello *wire.Hello) {
+	m := c.member(vm)
+	m.connected = true
+	m.dialFailed = false
+	m.goneAt = time.Time{}
+	if m.process != hello.Process {
+		delete(c.byProcess, m.process)
+		c.byProcess[hello.Process] = m
+		m.process = hello.Process
+		m.report = wire.AgentReport{}
+		m.reportedAt = time.Time{}
+	}
+	if m.leaving && m.replaced() {
+		m.stay()
+	}
+	if !m.listed {
+		m.vm.Role = hello.Process.Role
+		m.vm.Domain = hello.Process.Domain
+		m.vm.Endpoint = hello.Report.Endpoint
+		m.vm.Pool = hello.Report.Pool
+	}
+	if hello.Process.Role == wire.RoleAgent {
+		c.reported(now, m, hello.Report)
+	}
+}
+
+// disconnect takes in the end of the connection to a process.
+func (c *viewCore) disconnect(now time.Time, vm string, process wire.Process) {
+	m, ok := c.members[vm]
+	if !ok || m.process != process {
+		return
+	}
+	m.connected = false
+	if !m.listed {
+		m.goneAt = now
+	}
+}
+
+// dialFailure marks a VM that could not be connected to.
+func (c *viewCore) dialFailure(vm string) {
+	if m, ok := c.members[vm]; ok && !m.connected {
+		m.dialFailed = true
+	}
+}
+
+// observe takes in a report and tells whether the view changed in more than load.
+func (c *viewCore) observe(now time.Time, report *wire.AgentReport) bool {
+	m, ok := c.byProcess[report.Process]
+	if !ok {
+		return false
+	}
+	draining := m.report.Draining
+	c.reported(now, m, *report)
+	return m.report.Draining != draining
+}
+
+func (c *viewCore) reported(now time.Time, m *memberState, report wire.AgentReport) {
+	if report.Process != m.process {
+		return
+	}
+	if !m.reportedAt.IsZero() && report.Seq < m.report.Seq {
+		return
+	}
+	m.report = report
+	m.reportedAt = now
+}
+
+// wake forgets how fresh the list is; the process was paused.
+func (c *viewCore) wake() {
+	c.listedAt = time.Time{}
+	for _, m := range c.members {
+		m.liveSince = time.Time{}
+	}
+}
+
+func (m *memberState) state() (State, string) {
+	switch {
+	case m.report.Draining:
+		return StateLeaving, "its agent drains"
+	case m.leaving:
+		return StateLeaving, m.leavingReason
+	case !m.connected && m.dialFailed:
+		return StateUnreachable, "cannot connect"
+	case m.connected && !m.listed:
+		return StateLive, "connected but not listed"
+	case !m.listed:
+		return StateUnreachable, "neither listed nor connected"
+	case m.connected:
+		return StateLive, "listed and connected"
+	default:
+		return StateLive, "listed"
+	}
+}
+
+// view returns the present view, the VMs whose state changed since the last
+// call, and the claims on endpoints that are newly ignored.
+func (c *viewCore) view(now time.Time) (*View, []kernel.MemberEvent, []Claim) {
+	var events []kernel.MemberEvent
+	members := make([]Member, 0, len(c.members))
+	for _, m := range c.members {
+		state, reason := m.state()
+		if state != m.announced {
+			m.announced = state
+			events = append(events, memberEvent(&m.vm, state, reason))
+		}
+		members = append(members, Member{
+			VM: m.vm, State: state, Reason: reason, Listed: m.listed, Connected: m.connected,
+			Process: m.process, Report: m.report, ReportedAt: m.reportedAt,
+		})
+	}
+	v, lost := newView(now, c.listedAt, members)
+	return v, events, c.newlyLost(lost)
+}
+
+func (c *viewCore) newlyLost(lost []Claim) []Claim {
+	known := c.lost
+	c.lost = make(map[Claim]bool, len(lost))
+	var fresh []Claim
+	for _, claim := range lost {
+		c.lost[claim] = true
+		if !known[claim] {
+			fresh = append(fresh, claim)
+		}
+	}
+	return fresh
+}
+
+func memberEvent(vm *platform.VM, state State, reason string) kernel.MemberEvent {
+	return kernel.MemberEvent{VM: vm.Name, Endpoint: vm.Endpoint, Pool: vm.Pool, State: string(state), Reason: reason}
+}
+
+// selfLeaving tells whether the own VM is listed as leaving.
+func (c *viewCore) selfLeaving() bool {
+	m, ok := c.members[c.self]
+	return ok && m.leaving
+}
--- /dev/null
+++ b/peer/mux.go
@@ -0,0 +1,105 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/joomcode/errorx"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+type callHandler func(ctx context.Context, from *Conn, params json.RawMessage) (any, error)
+
+type noteHandler func(from *Conn, params json.RawMessage) error
+
+// Mux maps method names to typed handlers. It is filled before the node starts.
+type Mux struct {
+	calls map[string]callHandler
+	notes map[string]noteHandler
+}
+
+// NewMux returns an empty Mux.
+func NewMux() *Mux {
+	return &Mux{calls: make(map[string]callHandler), notes: make(map[string]noteHandler)}
+}
+
+// HandleCall registers fn for a method that has a reply. Each call runs in a
+// goroutine of its own; its context ends with the connection.
+func HandleCall[P, R any](m *Mux, method string, fn func(ctx context.Context, from *Conn, params P) (R, error)) {
+	m.calls[method] = func(ctx context.Context, from *Conn, raw json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, ErrMalformed.Wrap(err, "%s", method)
+		}
+		return fn(ctx, from, params)
+	}
+}
+
+// HandleNote registers fn for a notification. Notifications of one connection
+// run in order, in its read loop, so fn must not block.
+func HandleNote[P any](m *Mux, method string, fn func(from *Conn, params P)) {
+	m.notes[method] = func(from *Conn, raw json.RawMessage) error {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return ErrMalformed.Wrap(err, "%s", method)
+		}
+		fn(from, params)
+		return nil
+	}
+}
+
+// Handle dispatches one request of c; it implements jsonrpc2.Handler.
+func (c *Conn) Handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	<-c.opened
+	var raw json.RawMessage
+	if req.Params != nil {
+		raw = *req.Params
+	}
+	if req.Notif {
+		c.handleNote(req.Method, raw)
+		return
+	}
+	go c.handleCall(ctx, req, raw)
+}
+
+func (c *Conn) handleNote(method string, raw json.RawMessage) {
+	handler, ok := c.node.mux.notes[method]
+	if !ok || !c.authenticated.Load() {
+		c.node.Traffic.Rejected.Add(1)
+		return
+	}
+	if err := handler(c, raw); err != nil {
+		c.node.Traffic.Rejected.Add(1)
+	}
+}
+
+func (c *Conn) handleCall(ctx context.Context, req *jsonrpc2.Request, raw json.RawMessage) {
+	result, err := c.dispatch(ctx, req.Method, raw)
+	if err != nil {
+		rpcErr := &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+		if !errors.As(err, &rpcErr) && errorx.IsOfType(err, ErrMalformed) {
+			rpcErr.Code = jsonrpc2.CodeInvalidParams
+		}
+		_ = c.rpc.ReplyWithError(ctx, req.ID, rpcErr)
+		return
+	}
+	_ = c.rpc.Reply(ctx, req.ID, result)
+}
+
+func (c *Conn) dispatch(ctx context.Context, method string, raw json.RawMessage) (any, error) {
+	handler, ok := c.node.mux.calls[method]
+	if !ok {
+		c.node.Traffic.Rejected.Add(1)
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + method}
+	}
+	if !c.authenticated.Load() && method != helloMethod {
+		c.node.Traffic.Rejected.Add(1)
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidRequest, Message: "hello must come first"}
+	}
+	result, err := handler(ctx, c, raw)
+	if errorx.IsOfType(err, ErrMalformed) {
+		c.node.Traffic.Rejected.Add(1)
+	}
+	return result, err
+}
--- /dev/null
+++ b/peer/node.go
@@ -0,0 +1,279 @@
+// Package peer connects the product's own processes by jsonrpc2 over TCP,
+// usually with mutual TLS. It never sends a message twice and tells apart
+// calls that were not written from calls whose fate is unknown.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/mangostage/mangostage/wire"
+)
+
+var (
+	errs = errorx.NewNamespace("peer")
+	// ErrNotWritten means that no complete message left this process, so the
+	// peer cannot have acted on it.
+	ErrNotWritten = errs.NewType("not_written")
+	// ErrLost means that the message was, or may have been, written and no reply came.
+	ErrLost = errs.NewType("lost")
+	// ErrMalformed means that a message broke the protocol.
+	ErrMalformed = errs.NewType("malformed")
+	// ErrRemote means that the peer answered with an error.
+	ErrRemote = errs.NewType("remote")
+)
+
+const (
+	helloMethod  = wire.MethodHello
+	helloTimeout = 2 * time.Second
+	// keepAlive bounds how long a connection to a vanished VM looks alive.
+	keepAlive = 5 * time.Second
+)
+
+// Config is what a node is made of.
+type Config struct {
+	// TLS is the base of both server and client configuration; nil means plain TCP.
+	TLS *tls.Config
+	// Hello returns what this process says of itself at the start of a connection.
+	Hello func() wire.Hello
+	// OnConnect and OnClose are called once for each authenticated connection.
+	OnConnect func(*Conn)
+	OnClose   func(*Conn)
+}
+
+// Node is this process's end of all its connections.
+type Node struct {
+	Traffic Traffic
+
+	cfg      Config
+	mux      *Mux
+	mu       sync.Mutex
+	conns    map[*Conn]struct{}
+	listener net.Listener
+	closed   bool
+	wg       sync.WaitGroup
+}
+
+// NewNode returns a node that serves the methods of mux.
+func NewNode(cfg Config, mux *Mux) *Node {
+	n := &Node{cfg: cfg, mux: mux, conns: make(map[*Conn]struct{})}
+	HandleCall(mux, helloMethod, n.serveHello)
+	return n
+}
+
+// Conn is one connection to a peer, used in both directions.
+type Conn struct {
+	node          *Node
+	rpc           *jsonrpc2.Conn
+	opened        chan struct{}
+	remote        net.Addr
+	dialed        atomic.Bool
+	authenticated atomic.Bool
+	hello         atomic.Pointer[wire.Hello]
+}
+
+// Listen accepts connections on addr until Close and returns the bound address.
+func (n *Node) Listen(addr string) (net.Addr, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errorx.Decorate(err, "listen for peers")
+	}
+	bound := listener.Addr()
+	if n.cfg.TLS != nil {
+		listener = tls.NewListener(listener, n.cfg.TLS)
+	}
+	n.mu.Lock()
+	n.listener = listener
+	n.mu.Unlock()
+	n.wg.Add(1)
+	go n.accept(listener)
+	return bound, nil
+}
+
+func (n *Node) accept(listener net.Listener) {
+	defer n.wg.Done()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		c := n.open(conn)
+		time.AfterFunc(helloTimeout, func() {
+			if !c.authenticated.Load() {
+				c.Close()
+			}
+		})
+	}
+}
+
+func (n *Node) open(conn net.Conn) *Conn {
+	c := &Conn{node: n, remote: conn.RemoteAddr(), opened: make(chan struct{})}
+	// The read loop starts inside NewConn, before c.rpc is assigned; Handle
+	// waits for opened so that no handler meets a Conn without it.
+	c.rpc = jsonrpc2.NewConn(context.Background(), newStream(conn, &n.Traffic), c, jsonrpc2.SetLogger(discard{}))
+	close(c.opened)
+	n.mu.Lock()
+	n.conns[c] = struct{}{}
+	closed := n.closed
+	n.wg.Add(1)
+	n.mu.Unlock()
+	go n.watch(c)
+	if closed {
+		c.Close()
+	}
+	return c
+}
+
+func (n *Node) watch(c *Conn) {
+	defer n.wg.Done()
+	<-c.rpc.DisconnectNotify()
+	n.mu.Lock()
+	delete(n.conns, c)
+	n.mu.Unlock()
+	if c.authenticated.Load() && n.cfg.OnClose != nil {
+		n.cfg.OnClose(c)
+	}
+}
+
+// Dial connects to addr and exchanges hellos.
+func (n *Node) Dial(ctx context.Context, addr string) (*Conn, error) {
+	conn, err := n.dialConn(ctx, addr)
+	if err != nil {
+		return nil, ErrNotWritten.Wrap(err, "dial %s", addr)
+	}
+	c := n.open(conn)
+	c.dialed.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	var theirs wire.Hello
+	if err := c.rpc.Call(ctx, helloMethod, n.cfg.Hello(), &theirs); err != nil {
+		c.Close()
+		return nil, ErrNotWritten.Wrap(err, "hello to %s", addr)
+	}
+	c.accept(theirs)
+	return c, nil
+}
+
+func (n *Node) dialConn(ctx context.Context, addr string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: helloTimeout, KeepAlive: keepAlive}
+	if n.cfg.TLS == nil {
+		return dialer.DialContext(ctx, "tcp", addr)
+	}
+	tlsDialer := &tls.Dialer{NetDialer: dialer, Config: n.cfg.TLS}
+	return tlsDialer.DialContext(ctx, "tcp", addr)
+}
+
+func (n *Node) serveHello(_ context.Context, from *Conn, theirs wire.Hello) (wire.Hello, error) {
+	if theirs.Process.Name == "" || theirs.Process.Incarnation == "" {
+		return wire.Hello{}, ErrMalformed.New("hello without a process")
+	}
+	from.accept(theirs)
+	return n.cfg.Hello(), nil
+}
+
+func (c *Conn) accept(theirs wire.Hello) {
+	c.hello.Store(&theirs)
+	if c.authenticated.Swap(true) {
+		return
+	}
+	if c.node.cfg.OnConnect != nil {
+		c.node.cfg.OnConnect(c)
+	}
+}
+
+// Conns lists the authenticated connections.
+func (n *Node) Conns() []*Conn {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	conns := make([]*Conn, 0, len(n.conns))
+	for c := range n.conns {
+		if c.authenticated.Load() {
+			conns = append(conns, c)
+		}
+	}
+	return conns
+}
+
+// DropAll closes every connection and keeps listening. A process that was
+// paused calls it, so that messages that waited in socket buffers die unread.
+func (n *Node) DropAll() {
+	n.mu.Lock()
+	conns := make([]*Conn, 0, len(n.conns))
+	for c := range n.conns {
+		conns = append(conns, c)
+	}
+	n.mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+	}
+}
+
+// StopListening refuses new connections and keeps the open ones.
+func (n *Node) StopListening() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listener != nil {
+		_ = n.listener.Close()
+	}
+}
+
+// Close ends the listener and all connections and waits for them.
+func (n *Node) Close() {
+	n.StopListening()
+	n.mu.Lock()
+	n.closed = true
+	n.mu.Unlock()
+	n.DropAll()
+	n.wg.Wait()
+}
+
+// Peer returns the latest hello of the other side.
+func (c *Conn) Peer() wire.Hello {
+	if h := c.hello.Load(); h != nil {
+		return *h
+	}
+	return wire.Hello{}
+}
+
+// RemoteAddr returns the other side's address.
+func (c *Conn) RemoteAddr() net.Addr { return c.remote }
+
+// Dialed tells whether this process dialled the connection, or accepted it.
+func (c *Conn) Dialed() bool { return c.dialed.Load() }
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
+
+// Close ends the connection.
+func (c *Conn) Close() { _ = c.rpc.Close() }
+
+// Call sends a request and waits for its result. Its error is of type
+// ErrNotWritten, ErrLost or ErrRemote. A call is never sent again.
+func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
+	if err := ctx.Err(); err != nil {
+		return ErrNotWritten.Wrap(err, "%s", method)
+	}
+	waiter, err := c.rpc.DispatchCall(ctx, method, params)
+	if err != nil {
+		return writeError(err, method)
+	}
+	if err := waiter.Wait(ctx, result); err != nil {
+		return waitError(err, method)
+	}
+	return nil
+}
+
+// Notify sends a notification.
+func (c *Conn) Notify(method string, params any) error {
+	if err := c.rpc.Notify(context.Background(), method, params); err != nil {
+		return writeError(err, method)
+	}
+	return nil
+}
--- /dev/null
+++ b/peer/stream.go
@@ -0,0 +1,103 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mangostage/mangostage/wire"
+)
+
+// writeTimeout bounds one write. A peer that is stopped while its socket
+// buffer is full would otherwise block every sender on the connection.
+const writeTimeout = 2 * time.Second
+
+// Traffic counts what passed over all connections of a node.
+type Traffic struct {
+	BytesIn, BytesOut       atomic.Int64
+	MessagesIn, MessagesOut atomic.Int64
+	// Rejected counts oversized or malformed messages, each ending its connection.
+	Rejected atomic.Int64
+}
+
+// stream frames JSON objects with a varint length and bounds their size.
+type stream struct {
+	conn    net.Conn
+	reader  *bufio.Reader
+	traffic *Traffic
+
+	mu     sync.Mutex
+	broken error
+}
+
+func newStream(conn net.Conn, traffic *Traffic) *stream {
+	return &stream{conn: conn, reader: bufio.NewReader(conn), traffic: traffic}
+}
+
+// WriteObject writes one message. An oversized or unencodable object is
+// refused before any byte of it is written and leaves the stream usable.
+func (s *stream) WriteObject(obj any) error {
+	payload, err := json.Marshal(obj)
+	if err != nil {
+		return ErrNotWritten.Wrap(err, "encode message")
+	}
+	if len(payload) > wire.MaxMessage {
+		return ErrNotWritten.New("message of %d bytes exceeds %d", len(payload), wire.MaxMessage)
+	}
+	frame := binary.AppendUvarint(make([]byte, 0, len(payload)+binary.MaxVarintLen64), uint64(len(payload)))
+	frame = append(frame, payload...)
+	return s.writeFrame(frame)
+}
+
+func (s *stream) writeFrame(frame []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A frame cut by a failed write must not be followed by another: the
+	// reader would take the second's bytes for the rest of the first.
+	if s.broken != nil {
+		return ErrNotWritten.Wrap(s.broken, "connection is broken")
+	}
+	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return ErrNotWritten.Wrap(err, "set write deadline")
+	}
+	n, err := s.conn.Write(frame)
+	s.traffic.BytesOut.Add(int64(n))
+	if err != nil {
+		s.broken = err
+		_ = s.conn.Close()
+		return ErrLost.Wrap(err, "write message")
+	}
+	s.traffic.MessagesOut.Add(1)
+	return nil
+}
+
+// ReadObject reads one message into v.
+func (s *stream) ReadObject(v any) error {
+	size, err := binary.ReadUvarint(s.reader)
+	if err != nil {
+		return err
+	}
+	if size > wire.MaxMessage {
+		s.traffic.Rejected.Add(1)
+		return ErrMalformed.New("message of %d bytes exceeds %d", size, wire.MaxMessage)
+	}
+	payload := make([]byte, size)
+	if _, err := io.ReadFull(s.reader, payload); err != nil {
+		return err
+	}
+	s.traffic.BytesIn.Add(int64(size) + 1)
+	s.traffic.MessagesIn.Add(1)
+	if err := json.Unmarshal(payload, v); err != nil {
+		s.traffic.Rejected.Add(1)
+		return ErrMalformed.Wrap(err, "decode message")
+	}
+	return nil
+}
+
+// Close ends the connection.
+func (s *stream) Close() error { return s.conn.Close() }
--- /dev/null
+++ b/pipeline/ports.go
@@ -0,0 +1,101 @@
+package pipeline
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/retry"
+	"github.com/mangostage/mangostage/route"
+	"github.com/mangostage/mangostage/suspect"
+	"github.com/mangostage/mangostage/wire"
+)
+
+// The ports are called under a shard's lock. They must be safe for concurrent
+// use, return at once and not call the Core.
+
+// Picker chooses the endpoint of one attempt.
+type Picker interface {
+	Pick(now time.Time, policy *bundle.Policy, req *route.Request) route.Decision
+}
+
+// Retrier decides on further attempts; each retry.Policy is one.
+type Retrier interface {
+	// Decide judges a failed attempt and charges the budget if it is tried again.
+	Decide(f retry.Failure, now time.Time) retry.Verdict
+	// Hedge tells whether a second, concurrent attempt may start, and charges it.
+	Hedge(pool string, now time.Time) bool
+}
+
+// Suspects stops content that crashes endpoints; *suspect.Table is one. Each
+// Begin that doesn't refuse is followed by one of the other three.
+type Suspects interface {
+	Begin(fingerprint string, now time.Time) suspect.Verdict
+	Crashed(fingerprint string, c suspect.Crash, now time.Time)
+	Succeeded(fingerprint string, now time.Time)
+	Ended(fingerprint string, now time.Time)
+}
+
+// Quantiles gives measured times of stages; *route.Estimator is one.
+type Quantiles interface {
+	Quantile(key route.StageKey, q float64, now time.Time) route.Estimate
+}
+
+// RouterPicker is a Picker over a route.Router and the current snapshot.
+type RouterPicker struct {
+	router   func(policy *bundle.Policy) route.Router
+	snapshot func(now time.Time) *route.Snapshot
+	mu       sync.Mutex
+	rng      *rand.Rand
+}
+
+// NewRouterPicker returns a Picker; src is used by one goroutine at a time.
+func NewRouterPicker(
+	router func(policy *bundle.Policy) route.Router,
+	snapshot func(now time.Time) *route.Snapshot,
+	src rand.Source,
+) *RouterPicker {
+	return &RouterPicker{router: router, snapshot: snapshot, rng: rand.New(src)}
+}
+
+// Pick implements Picker.
+func (p *RouterPicker) Pick(now time.Time, policy *bundle.Policy, req *route.Request) route.Decision {
+	return p.router(policy).Pick(p.snapshot(now), req, now, p.fork())
+}
+
+// fork returns a source of its own for one decision, so that decisions of
+// several shards don't wait for each other.
+func (p *RouterPicker) fork() *rand.Rand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return rand.New(rand.NewPCG(p.rng.Uint64(), p.rng.Uint64()))
+}
+
+// unlimitedRetrier has no budget: it looks only at repeatability and time.
+type unlimitedRetrier struct{}
+
+func (unlimitedRetrier) Decide(f retry.Failure, _ time.Time) retry.Verdict {
+	if f.Unrepeatable && f.Status != wire.StatusRefused {
+		return retry.Verdict{Reason: retry.ReasonUnrepeatable}
+	}
+	if f.Remaining < f.Need {
+		return retry.Verdict{Reason: retry.ReasonNoTime}
+	}
+	return retry.Verdict{Retry: true, Reason: retry.ReasonRetry}
+}
+
+func (unlimitedRetrier) Hedge(string, time.Time) bool { return true }
+
+type noSuspects struct{}
+
+func (noSuspects) Begin(string, time.Time) suspect.Verdict  { return suspect.Verdict{} }
+func (noSuspects) Crashed(string, suspect.Crash, time.Time) {}
+func (noSuspects) Succeeded(string, time.Time)              {}
+func (noSuspects) Ended(string, time.Time)                  {}
+
+type noQuantiles struct{}
+
+func (noQuantiles) Quantile(route.StageKey, float64, time.Time) route.Estimate {
+	return route.Estimate{}
+}
--- /dev/null
+++ b/pipeline/request.go
@@ -0,0 +1,183 @@
+package pipeline
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/mangostage/mangostage/api"
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/wire"
+)
+
+// phase is how far a request has come.
+type phase uint8
+
+const (
+	// running: a stage is being tried.
+	running phase = iota
+	// proving: no further call will be made; revocations may still tell what ran.
+	proving
+	// peeking: no call of this sending ran; owners are asked for earlier ones.
+	peeking
+)
+
+const timerKinds = int(TimerProof) + 1
+
+// request is one sending of a request.
+type request struct {
+	Admit
+	// entry is the Entry of all its CallIDs.
+	entry    string
+	admitted time.Time
+	giveUpAt time.Time
+	phase    phase
+	ended    bool
+
+	// stage is the index of the current one, previous the output before it.
+	stage    int
+	previous json.RawMessage
+	replayed bool
+	attempts []*attempt
+	// winners holds, by stage, the attempt whose result was used.
+	winners []*attempt
+
+	// timers holds the sequence number of each running timer.
+	timers [timerKinds]uint64
+
+	cause cause
+	// abandoned: even a complete result would not be delivered.
+	abandoned bool
+
+	// forwarded is what the caller has been sent of the last stage's output.
+	forwarded []byte
+	nextChunk int
+
+	// peekSeq numbers the round of peeks, peeks holds the stages not heard from.
+	peekSeq uint64
+	peeks   map[string]struct{}
+}
+
+func (r *request) stageAt(i int) *bundle.Stage { return &r.Pipeline.Stages[i] }
+
+func (r *request) lastStage() int { return len(r.Pipeline.Stages) - 1 }
+
+func (r *request) attemptsOf(stage int) int {
+	n := 0
+	for _, a := range r.attempts {
+		if a.stage == stage {
+			n++
+		}
+	}
+	return n
+}
+
+// tried lists the endpoints that were sent the stage.
+func (r *request) tried(stage int) []string {
+	var names []string
+	for _, a := range r.attempts {
+		if a.stage == stage {
+			names = append(names, a.endpoint)
+		}
+	}
+	return names
+}
+
+// find returns the attempt with exactly that ID, or nil.
+func (r *request) find(id wire.CallID) *attempt {
+	for _, a := range r.attempts {
+		if a.id == id {
+			return a
+		}
+	}
+	return nil
+}
+
+// binding returns the only agent run that may execute a stage, if there is one.
+func (r *request) binding(stage int) *wire.Binding {
+	s := r.stageAt(stage)
+	b, ok := r.Bindings[s.Name]
+	if !s.Unrepeatable || !ok {
+		return nil
+	}
+	return &b
+}
+
+func (r *request) hasUnrepeatable() bool {
+	for i := range r.Pipeline.Stages {
+		if r.Pipeline.Stages[i].Unrepeatable {
+			return true
+		}
+	}
+	return false
+}
+
+// allBound tells whether every stage has an owner.
+func (r *request) allBound() bool {
+	if len(r.Pipeline.Stages) == 0 {
+		return false
+	}
+	for i := range r.Pipeline.Stages {
+		if r.binding(i) == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// earlier tells whether another sending of the same request may have run. An
+// idempotency key matters only to unrepeatable stages: without one, each
+// sending is a request of its own, with an ID of its own.
+func (r *request) earlier() bool {
+	if r.Identity.Kind == wire.IdentityKey && !r.hasUnrepeatable() {
+		return false
+	}
+	return r.MayHaveEarlier
+}
+
+// knows tells whether some attempt is in state k.
+func (r *request) knows(k knowledge) bool {
+	for _, a := range r.attempts {
+		if a.knowledge == k {
+			return true
+		}
+	}
+	return false
+}
+
+// hopeful tells whether a complete answer may still come without another call.
+func (r *request) hopeful() bool {
+	if r.abandoned || r.stage != r.lastStage() {
+		return false
+	}
+	for _, a := range r.attempts {
+		if a.stage == r.stage && a.mayComplete() {
+			return true
+		}
+	}
+	return false
+}
+
+// outcome is what can be said of a request that isn't answered. It is
+// "refused" only if each call ever made is proved not to have run and no
+// earlier sending can have run either; silence proves nothing.
+func (r *request) outcome(neverEarlier bool) api.Outcome {
+	switch {
+	case r.knows(ran):
+		return api.OutcomeCutShort
+	case r.knows(pending), r.knows(silent), r.knows(mayHaveRun):
+		return api.OutcomeUnknown
+	case r.earlier() && !neverEarlier:
+		return api.OutcomeUnknown
+	}
+	return api.OutcomeRefused
+}
+
+func (r *request) stageRuns() []api.StageRun {
+	runs := make([]api.StageRun, 0, len(r.attempts))
+	for _, a := range r.attempts {
+		runs = append(runs, api.StageRun{
+			Stage: a.id.Stage, Endpoint: a.endpoint, Attempt: a.id.Attempt, State: a.state(), Took: a.took,
+		})
+	}
+	return runs
+}
--- /dev/null
+++ b/reqid/payload.go
@@ -0,0 +1,122 @@
+package reqid
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/mangostage/mangostage/wire"
+)
+
+// maxPairs bounds the bindings in a payload.
+const maxPairs = 16
+
+const (
+	kindMinted = 1
+	kindHeld   = 2
+)
+
+type payload struct {
+	Entry    string             `cbor:"1,keyasint"`
+	Issued   int64              `cbor:"2,keyasint"`
+	Random   []byte             `cbor:"3,keyasint"`
+	Account  string             `cbor:"4,keyasint"`
+	Pipeline string             `cbor:"5,keyasint"`
+	Bindings map[string]binding `cbor:"6,keyasint,omitempty"`
+	Expiry   int64              `cbor:"7,keyasint"`
+	Kind     int                `cbor:"8,keyasint"`
+}
+
+type binding struct {
+	Agent       string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+}
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+// mustEncMode panics only on an option value that the library doesn't know.
+func mustEncMode() cbor.EncMode {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// mustDecMode panics only on an option value that the library doesn't know.
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
+		IndefLength:       cbor.IndefLengthForbidden,
+		TagsMd:            cbor.TagsForbidden,
+		MaxMapPairs:       maxPairs,
+		MaxArrayElements:  maxPairs,
+		MaxNestedLevels:   4,
+		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func encode(f Fields) ([]byte, error) {
+	p := payload{
+		Entry:    f.Entry,
+		Issued:   f.Issued.UnixMilli(),
+		Random:   f.Random[:],
+		Account:  f.Account,
+		Pipeline: f.Pipeline,
+		Expiry:   f.Expiry.UnixMilli(),
+	}
+	switch f.Kind {
+	case wire.IdentityMinted:
+		p.Kind = kindMinted
+	case wire.IdentityHeld:
+		p.Kind = kindHeld
+	default:
+		return nil, ErrMalformed.New("a request ID can't be of kind %q", f.Kind)
+	}
+	if len(f.Bindings) > 0 {
+		p.Bindings = make(map[string]binding, len(f.Bindings))
+	}
+	for stage, b := range f.Bindings {
+		p.Bindings[stage] = binding{Agent: b.Agent, Incarnation: b.Incarnation}
+	}
+	return encMode.Marshal(p)
+}
+
+func decode(raw []byte) (Fields, error) {
+	var p payload
+	if err := decMode.Unmarshal(raw, &p); err != nil {
+		return Fields{}, ErrMalformed.New("the payload can't be read: %v", err)
+	}
+	f := Fields{
+		Entry:    p.Entry,
+		Issued:   time.UnixMilli(p.Issued),
+		Account:  p.Account,
+		Pipeline: p.Pipeline,
+		Expiry:   time.UnixMilli(p.Expiry),
+	}
+	if copy(f.Random[:], p.Random) != randomLen || len(p.Random) != randomLen {
+		return Fields{}, ErrMalformed.New("the payload holds no %d random bytes", randomLen)
+	}
+	switch p.Kind {
+	case kindMinted:
+		f.Kind = wire.IdentityMinted
+	case kindHeld:
+		f.Kind = wire.IdentityHeld
+	default:
+		return Fields{}, ErrMalformed.New("the payload is of unknown kind %d", p.Kind)
+	}
+	if len(p.Bindings) > 0 {
+		f.Bindings = make(map[string]wire.Binding, len(p.Bindings))
+	}
+	for stage, b := range p.Bindings {
+		f.Bindings[stage] = wire.Binding{Agent: b.Agent, Incarnation: b.Incarnation}
+	}
+	return f, nil
+}
--- /dev/null
+++ b/retry/adaptive.go
@@ -0,0 +1,50 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Module{
+		ID:  Namespace + kernel.ModuleID(bundle.PolicyAdaptive),
+		New: func() any { return new(adaptive) },
+	})
+}
+
+// adaptive tries again only what can still be answered in time, and only
+// within the pool's budget.
+type adaptive struct {
+	maxAttempts int
+	budget      *Budget
+}
+
+func (a *adaptive) configure(policy bundle.Policy) {
+	a.maxAttempts = max(1, policy.MaxAttempts)
+	a.budget = NewBudget(policy.RetryBudget)
+}
+
+// Decide implements Policy. The budget comes last, so that nothing is charged
+// for a retry that is not made.
+func (a *adaptive) Decide(f Failure, now time.Time) Verdict {
+	switch {
+	case !repeatable(f):
+		return Verdict{Reason: ReasonUnrepeatable}
+	case f.Attempts >= a.maxAttempts:
+		return Verdict{Reason: ReasonAttempts}
+	case f.Remaining < f.Need:
+		return Verdict{Reason: ReasonNoTime}
+	case !a.budget.Take(f.Pool, now):
+		return Verdict{Reason: ReasonBudget}
+	default:
+		return Verdict{Retry: true, Reason: ReasonRetry}
+	}
+}
+
+// Success implements Policy.
+func (a *adaptive) Success(pool string, now time.Time) { a.budget.Success(pool, now) }
+
+// Hedge implements Policy.
+func (a *adaptive) Hedge(pool string, now time.Time) bool { return a.budget.TakeSpare(pool, now) }
--- /dev/null
+++ b/route/affinity_test.go
@@ -0,0 +1,109 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/bundle"
+)
+
+// homesOf counts where calls with each of a hundred prefixes go.
+func homesOf(t *testing.T, snap *Snapshot, seed uint64) map[uint64]string {
+	t.Helper()
+	r := newTestRouter(t, bundle.PolicyAdaptive)
+	rng := rand.New(rand.NewPCG(seed, 1))
+	homes := map[uint64]string{}
+	for hash := uint64(1); hash <= 100; hash++ {
+		homes[hash] = r.Pick(snap, &Request{Pool: "llm", AffinityHash: hash}, start, rng).Endpoint.Name
+	}
+	return homes
+}
+
+// Story: engines publish cache events late and with gaps. The entry asks for
+// none: the same prefix goes to the same engine from every entry and with any
+// random source, and the loss of one engine moves only the prefixes it held.
+func TestPrefixStaysWithoutCacheEvents(t *testing.T) {
+	endpoints := testEndpoints(12)
+	before := homesOf(t, testSnapshot(endpoints), 1)
+	other := &Snapshot{Domain: "domain-2", Pools: map[string]*Pool{"llm": NewPool("llm", "entry-2", endpoints)}}
+	assert.DeepEqual(t, homesOf(t, other, 2), before)
+	endpoints[4].State = StateEjected
+	used := map[string]bool{}
+	for hash, name := range homesOf(t, testSnapshot(endpoints), 3) {
+		used[name] = true
+		assert.Assert(t, name == before[hash] || before[hash] == endpoints[4].Name)
+	}
+	assert.Assert(t, len(used) >= 10, "%d engines used", len(used))
+}
+
+func TestPrefixYieldsToQueue(t *testing.T) {
+	endpoints := testEndpoints(12)
+	home := homesOf(t, testSnapshot(endpoints), 1)[1]
+	for _, e := range endpoints {
+		if e.Name == home {
+			e.Report.InFlight = 12
+		}
+	}
+	assert.Assert(t, homesOf(t, testSnapshot(endpoints), 1)[1] != home)
+}
+
+func TestRequestSentAgainMeetsItsEndpoint(t *testing.T) {
+	r := newTestRouter(t, bundle.PolicyAdaptive)
+	endpoints := testEndpoints(12)
+	for _, e := range endpoints {
+		e.Domain = "domain-0"
+	}
+	snap := testSnapshot(endpoints)
+	req := &Request{ID: "request", Pool: "llm"}
+	first := r.Pick(snap, req, start, rand.New(rand.NewPCG(1, 1))).Endpoint
+	for seed := range uint64(20) {
+		assert.Equal(t, r.Pick(snap, req, start, rand.New(rand.NewPCG(seed, 2))).Endpoint, first)
+	}
+}
+
+// Story: the few endpoints that an entry prefers fill up while others of a
+// large pool stand idle. Calls must go to those before they queue.
+func TestSubsetIsWidenedWhenFull(t *testing.T) {
+	endpoints := testEndpoints(210)
+	snap := testSnapshot(endpoints)
+	for _, e := range Subset("entry-1", endpoints, subsetMin) {
+		e.Report.InFlight = 8
+	}
+	r := newTestRouter(t, bundle.PolicyAdaptive)
+	rng := rand.New(rand.NewPCG(1, 1))
+	widened := 0
+	for range 100 {
+		d := r.Pick(snap, &Request{Pool: "llm", Remaining: time.Second}, start, rng)
+		if d.Reason == ReasonWidened {
+			assert.Equal(t, d.Endpoint.Report.InFlight, 0)
+			widened++
+		}
+	}
+	assert.Assert(t, widened >= 98, "%d of 100", widened)
+}
+
+func BenchmarkOccupancy(b *testing.B) {
+	snap := testSnapshot(testEndpoints(2100))
+	b.ReportAllocs()
+	for b.Loop() {
+		snap.Occupancy("llm", start.Add(time.Second))
+	}
+}
+
+func BenchmarkRefresh(b *testing.B) {
+	endpoints := testEndpoints(2100)
+	b.Run("new", func(b *testing.B) {
+		for b.Loop() {
+			NewPool("llm", "entry-1", endpoints)
+		}
+	})
+	b.Run("refresh", func(b *testing.B) {
+		pool := NewPool("llm", "entry-1", endpoints)
+		for b.Loop() {
+			pool.Refresh("entry-1", endpoints)
+		}
+	})
+}
--- /dev/null
+++ b/route/pool.go
@@ -0,0 +1,210 @@
+package route
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// subsetMin is the smallest subset: enough that losing a failure domain
+	// and ejecting stragglers still leaves a choice.
+	subsetMin = 24
+	// subsetRedundancy is in how many entries' subsets each endpoint should be.
+	subsetRedundancy = 4
+)
+
+// SubsetSize returns how many of a pool's endpoints each of the live entries
+// should prefer: each endpoint is then in about subsetRedundancy subsets, so
+// that uneven entries still load the pool evenly.
+func SubsetSize(endpoints, entries int) int {
+	size := max(subsetMin, (subsetRedundancy*endpoints+entries-1)/max(1, entries))
+	return min(size, endpoints)
+}
+
+// order is the order in which one entry prefers the members of a pool.
+type order struct {
+	ranks   []rank
+	domains []string
+	index   map[string]int
+}
+
+// rank is one endpoint's place in an order.
+type rank struct {
+	// hash is of the endpoint's name.
+	hash uint64
+	// index is into Pool.Endpoints, domain into order.domains.
+	index  int32
+	domain int32
+}
+
+// NewPool returns a pool ordered for one entry, so that a decision need not
+// look at all of it. The endpoints are sorted by name.
+func NewPool(name, entry string, endpoints []*Endpoint) *Pool {
+	sorted := sortedByName(endpoints)
+	return &Pool{Name: name, Endpoints: sorted, order: newOrder(entry, sorted)}
+}
+
+// Refresh returns the pool with newer versions of its endpoints. While they
+// have the same names and failure domains, the order is shared and need not
+// be computed again, which for a large pool takes most of the time.
+func (p *Pool) Refresh(entry string, endpoints []*Endpoint) *Pool {
+	next := *p
+	next.Endpoints = sortedByName(endpoints)
+	if p.order == nil || !slices.EqualFunc(p.Endpoints, next.Endpoints, sameMember) {
+		next.order = newOrder(entry, next.Endpoints)
+	}
+	return &next
+}
+
+func sameMember(a, b *Endpoint) bool { return a.Name == b.Name && a.Domain == b.Domain }
+
+func sortedByName(endpoints []*Endpoint) []*Endpoint {
+	sorted := slices.Clone(endpoints)
+	slices.SortFunc(sorted, func(a, b *Endpoint) int { return strings.Compare(a.Name, b.Name) })
+	return sorted
+}
+
+// Replace returns the pool with another version of one member; the members'
+// order is shared, not computed again. An endpoint that is no member is not added.
+func (p *Pool) Replace(e *Endpoint) *Pool {
+	i, ok := p.position(e.Name)
+	if !ok {
+		return p
+	}
+	next := *p
+	next.Endpoints = slices.Clone(p.Endpoints)
+	next.Endpoints[i] = e
+	return &next
+}
+
+// Endpoint returns the endpoint of that name, or nil.
+func (p *Pool) Endpoint(name string) *Endpoint {
+	i, ok := p.position(name)
+	if !ok {
+		return nil
+	}
+	return p.Endpoints[i]
+}
+
+func (p *Pool) position(name string) (int, bool) {
+	if p.order != nil {
+		i, ok := p.order.index[name]
+		return i, ok
+	}
+	i := slices.IndexFunc(p.Endpoints, func(e *Endpoint) bool { return e.Name == name })
+	return i, i >= 0
+}
+
+// subset returns how many members the entry prefers.
+func (p *Pool) subset() int {
+	size := p.Subset
+	if size <= 0 {
+		size = subsetMin
+	}
+	return min(size, len(p.Endpoints))
+}
+
+// at returns the i-th member in the entry's order.
+func (p *Pool) at(i int) *Endpoint {
+	if p.order == nil {
+		return p.Endpoints[i]
+	}
+	return p.Endpoints[p.order.ranks[i].index]
+}
+
+// hash returns the hash of the name of the i-th member in the entry's order.
+func (p *Pool) hash(i int) uint64 {
+	if p.order == nil {
+		return xxhash.Sum64String(p.Endpoints[i].Name)
+	}
+	return p.order.ranks[i].hash
+}
+
+// inDomain tells whether the i-th member in the entry's order is in the
+// failure domain, without touching the member itself.
+func (p *Pool) inDomain(i int, domain string) bool {
+	if p.order == nil {
+		return p.Endpoints[i].Domain == domain
+	}
+	return p.order.domains[p.order.ranks[i].domain] == domain
+}
+
+// Subset returns the k endpoints that the entry prefers. It is the same
+// wherever it is computed, hardly changes when an endpoint comes or goes, is
+// spread evenly over failure domains, and differs between entries. A larger k
+// only adds endpoints, so a saturated subset can be widened.
+func Subset(entry string, endpoints []*Endpoint, k int) []*Endpoint {
+	ranks := newOrder(entry, endpoints).ranks
+	subset := make([]*Endpoint, min(k, len(ranks)))
+	for i := range subset {
+		subset[i] = endpoints[ranks[i].index]
+	}
+	return subset
+}
+
+// newOrder ranks endpoints by rendezvous hash within each failure domain and
+// takes one of each domain in turn. Which domain comes first differs between
+// entries too, or the first domain would carry more when subsets are small.
+func newOrder(entry string, endpoints []*Endpoint) *order {
+	seed := xxhash.Sum64String(entry)
+	o := &order{index: make(map[string]int, len(endpoints))}
+	var groups [][]rank
+	for i, e := range endpoints {
+		o.index[e.Name] = i
+		d := slices.Index(o.domains, e.Domain)
+		if d < 0 {
+			d = len(o.domains)
+			o.domains = append(o.domains, e.Domain)
+			groups = append(groups, nil)
+		}
+		groups[d] = append(groups[d], rank{hash: xxhash.Sum64String(e.Name), index: int32(i), domain: int32(d)})
+	}
+	for _, group := range groups {
+		slices.SortFunc(group, func(a, b rank) int { return byWeight(seed, a.hash, b.hash) })
+	}
+	slices.SortFunc(groups, func(a, b []rank) int {
+		return byWeight(seed, xxhash.Sum64String(o.domains[a[0].domain]), xxhash.Sum64String(o.domains[b[0].domain]))
+	})
+	o.ranks = interleave(groups, len(endpoints))
+	return o
+}
+
+// byWeight compares two hashes by their rendezvous weight for a seed, the
+// heavier first.
+func byWeight(seed, a, b uint64) int {
+	x, y := mix(seed, a), mix(seed, b)
+	switch {
+	case x > y:
+		return -1
+	case x < y:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func interleave(groups [][]rank, total int) []rank {
+	ranks := make([]rank, 0, total)
+	for i := 0; len(ranks) < total; i++ {
+		for _, group := range groups {
+			if i < len(group) {
+				ranks = append(ranks, group[i])
+			}
+		}
+	}
+	return ranks
+}
+
+// mix combines two hashes into one that is uniform in both, with the
+// finaliser of MurmurHash3.
+func mix(a, b uint64) uint64 {
+	h := a ^ (b * 0x9e3779b97f4a7c15)
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	h ^= h >> 33
+	return h
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,105 @@
+// Package route chooses the endpoint for one attempt of one stage. A decision
+// is a pure function of an immutable snapshot, the request, the time and a
+// random source; filters, scorers and pickers are plug-ins.
+package route
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/mangostage/mangostage/wire"
+)
+
+// State is what the membership says of an endpoint.
+type State uint8
+
+// The endpoint states.
+const (
+	// StateLive endpoints take new work.
+	StateLive State = iota
+	// StateProbation endpoints take a trickle of work until they prove well.
+	StateProbation
+	// StateEjected endpoints take none unless too many others are ejected.
+	StateEjected
+	// StateLeaving endpoints take none.
+	StateLeaving
+)
+
+// Endpoint is one endpoint as the entry believes it to be.
+type Endpoint struct {
+	Name   string
+	Pool   string
+	Domain string
+	// Report is the latest from its agent; zero until the first.
+	Report     wire.AgentReport
+	ReportedAt time.Time
+	State      State
+	// Sent and Finished count this entry's own calls; they are shared by all
+	// snapshots of the endpoint and corrected for the report's lag.
+	Load *Load
+}
+
+// Load counts one entry's own calls to an endpoint. It is updated without
+// rebuilding the snapshot.
+type Load struct {
+	// InFlight is the number of this entry's calls without a reply.
+	InFlight atomic.Int64
+	// SentSinceReport is the number of calls sent since the latest report.
+	SentSinceReport atomic.Int64
+}
+
+// Pool is the endpoints of one pool, in a fixed order. Build it with NewPool,
+// which also orders it for one entry; without that order each decision costs
+// more and all entries prefer the same endpoints.
+type Pool struct {
+	Name      string
+	Endpoints []*Endpoint
+	// Subset is how many endpoints the entry prefers; see SubsetSize. Zero
+	// stands for subsetMin.
+	Subset int
+	// order is shared by all versions of the pool with the same members.
+	order *order
+}
+
+// Snapshot is an immutable view of all pools.
+type Snapshot struct {
+	At     time.Time
+	Domain string
+	Pools  map[string]*Pool
+}
+
+// Request is what a decision needs to know.
+type Request struct {
+	ID       string
+	Stage    string
+	Pool     string
+	Account  string
+	Model    string
+	Priority int
+	// AffinityHash groups requests that share a prompt prefix; zero for none.
+	AffinityHash uint64
+	// Remaining is the time left before the request's deadline.
+	Remaining time.Duration
+	// Exclude lists endpoints already tried.
+	Exclude []string
+	// Only restricts the choice to one endpoint, for bound stages; empty for any.
+	Only string
+}
+
+// Decision is the outcome of one choice, as logged.
+type Decision struct {
+	Endpoint *Endpoint
+	// Candidates is the number of endpoints that passed the filters and were
+	// compared; a decision looks at a sample of a large pool.
+	Candidates int
+	// Considered is the size of the pool.
+	Considered int
+	Reason     string
+}
+
+// Router chooses endpoints.
+type Router interface {
+	// Pick returns a decision; its Endpoint is nil when no endpoint may be used.
+	Pick(snap *Snapshot, req *Request, now time.Time, rng *rand.Rand) Decision
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,192 @@
+// Package settings reads the flags and environment of the daemons, checks all
+// of them at the start and reports every finding with the name of its flag.
+package settings
+
+import (
+	"crypto/ed25519"
+	"encoding/hex"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/finding"
+	"github.com/mangostage/mangostage/reqid"
+)
+
+// filePrefix marks a setting whose value is read from a file.
+const filePrefix = "file:"
+
+// Common are the settings of every daemon.
+type Common struct {
+	VM         string   `arg:"--vm,env:MANGOSTAGE_VM" help:"name of this VM in the platform's list"`
+	Domain     string   `arg:"--domain,env:MANGOSTAGE_DOMAIN" help:"failure domain of this VM"`
+	PeerListen string   `arg:"--peer-listen,env:MANGOSTAGE_PEER_LISTEN" default:"0.0.0.0:7700" help:"address for the product's own processes"`
+	Platform   string   `arg:"--platform,env:MANGOSTAGE_PLATFORM" help:"URL of the platform's configuration service and VM list"`
+	BundleKeys string   `arg:"--bundle-keys,env:MANGOSTAGE_BUNDLE_KEYS" help:"PEM public keys that sign bundles, or file:PATH"`
+	FleetKeys  []string `arg:"--fleet-key,separate,env:MANGOSTAGE_FLEET_KEYS" help:"hex key for request IDs, or file:PATH; the first signs, all verify"`
+	TLSCert    string   `arg:"--tls-cert,env:MANGOSTAGE_TLS_CERT" help:"PEM certificate file of this process"`
+	TLSKey     string   `arg:"--tls-key,env:MANGOSTAGE_TLS_KEY" help:"PEM key file of this process"`
+	TLSCA      string   `arg:"--tls-ca,env:MANGOSTAGE_TLS_CA" help:"PEM file of the authorities that sign peers"`
+	Insecure   bool     `arg:"--insecure,env:MANGOSTAGE_INSECURE" help:"plain TCP between processes, for development only"`
+	LogLevel   string   `arg:"--log-level,env:MANGOSTAGE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	// DebugListen serves /debug/vars and health on its own address.
+	DebugListen string `arg:"--debug-listen,env:MANGOSTAGE_DEBUG_LISTEN" help:"address of /debug/vars and health checks"`
+}
+
+// Entry are the settings of mangostage-entry.
+type Entry struct {
+	Common
+	Listen    string        `arg:"--listen,env:MANGOSTAGE_LISTEN" default:"0.0.0.0:7600" help:"address of the callers' HTTP API"`
+	DrainWait time.Duration `arg:"--drain-wait,env:MANGOSTAGE_DRAIN_WAIT" default:"3s" help:"time the balancer needs to notice that this entry is not ready"`
+	MaxBody   int64         `arg:"--max-body,env:MANGOSTAGE_MAX_BODY" default:"1048576" help:"largest request body in bytes, whatever the bundle says"`
+}
+
+// Agent are the settings of mangostage-agent.
+type Agent struct {
+	Common
+	Endpoint    string `arg:"--endpoint,env:MANGOSTAGE_ENDPOINT" help:"name of the endpoint beside this agent"`
+	Pool        string `arg:"--pool,env:MANGOSTAGE_POOL" help:"pool of the endpoint"`
+	EndpointURL string `arg:"--endpoint-url,env:MANGOSTAGE_ENDPOINT_URL" help:"URL of the endpoint"`
+	Protocol    string `arg:"--protocol,env:MANGOSTAGE_PROTOCOL" default:"service" help:"protocol of the endpoint: engine or service"`
+}
+
+// Parse fills dest from flags and environment.
+func Parse(program string, dest any, args []string) (*arg.Parser, error) {
+	parser, err := arg.NewParser(arg.Config{Program: program}, dest)
+	if err != nil {
+		return nil, errorx.Decorate(err, "settings of %s", program)
+	}
+	return parser, parser.Parse(args)
+}
+
+// Loaded are the checked values that Common's text stands for.
+type Loaded struct {
+	BundleKeys []ed25519.PublicKey
+	FleetKeys  []reqid.Key
+	LogLevel   zerolog.Level
+	TLS        *TLS
+}
+
+// Load checks c and reads its key material.
+func (c *Common) Load(findings *finding.List) Loaded {
+	var loaded Loaded
+	required(findings, "--vm", c.VM)
+	required(findings, "--domain", c.Domain)
+	checkAddress(findings, "--peer-listen", c.PeerListen)
+	checkURL(findings, "--platform", c.Platform)
+	if c.DebugListen != "" {
+		checkAddress(findings, "--debug-listen", c.DebugListen)
+	}
+	loaded.BundleKeys = c.loadBundleKeys(findings)
+	loaded.FleetKeys = c.loadFleetKeys(findings)
+	level, err := zerolog.ParseLevel(c.LogLevel)
+	if err != nil {
+		findings.Add(flag("--log-level"), "%v", err)
+	}
+	loaded.LogLevel = level
+	loaded.TLS = c.loadTLS(findings)
+	return loaded
+}
+
+// Check reports what is wrong with e beyond its common part.
+func (e *Entry) Check(findings *finding.List) {
+	checkAddress(findings, "--listen", e.Listen)
+	if e.DrainWait < 0 {
+		findings.Add(flag("--drain-wait"), "%v is negative", e.DrainWait)
+	}
+	if e.MaxBody <= 0 {
+		findings.Add(flag("--max-body"), "%d is not positive", e.MaxBody)
+	}
+}
+
+// Check reports what is wrong with a beyond its common part.
+func (a *Agent) Check(findings *finding.List) {
+	required(findings, "--endpoint", a.Endpoint)
+	required(findings, "--pool", a.Pool)
+	checkURL(findings, "--endpoint-url", a.EndpointURL)
+	switch bundle.Protocol(a.Protocol) {
+	case bundle.ProtocolEngine, bundle.ProtocolService:
+	default:
+		findings.Add(flag("--protocol"), "%q is neither engine nor service", a.Protocol)
+	}
+}
+
+func (c *Common) loadBundleKeys(findings *finding.List) []ed25519.PublicKey {
+	text, ok := secret(findings, "--bundle-keys", c.BundleKeys)
+	if !ok {
+		return nil
+	}
+	keys, err := bundle.LoadPublicKeys(text)
+	if err != nil {
+		findings.Add(flag("--bundle-keys"), "%v", err)
+	}
+	return keys
+}
+
+func (c *Common) loadFleetKeys(findings *finding.List) []reqid.Key {
+	required(findings, "--fleet-key", strings.Join(c.FleetKeys, ""))
+	var keys []reqid.Key
+	for _, value := range c.FleetKeys {
+		text, ok := secret(findings, "--fleet-key", value)
+		if !ok {
+			continue
+		}
+		key, err := hex.DecodeString(strings.TrimSpace(string(text)))
+		if err != nil || len(key) < reqid.MinKeyLen {
+			findings.Add(flag("--fleet-key"), "not a hex key of at least %d bytes", reqid.MinKeyLen)
+			continue
+		}
+		keys = append(keys, reqid.Key(key))
+	}
+	return keys
+}
+
+// secret returns a setting's value, from a file if it says so.
+func secret(findings *finding.List, name, value string) ([]byte, bool) {
+	if value == "" {
+		required(findings, name, value)
+		return nil, false
+	}
+	path, isFile := strings.CutPrefix(value, filePrefix)
+	if !isFile {
+		return []byte(value), true
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		findings.Add(flag(name), "%v", err)
+		return nil, false
+	}
+	return text, true
+}
+
+func flag(name string) finding.Place { return finding.Place{Name: name} }
+
+func required(findings *finding.List, name, value string) {
+	if value == "" {
+		findings.Add(flag(name), "is required")
+	}
+}
+
+func checkAddress(findings *finding.List, name, value string) {
+	if _, _, err := net.SplitHostPort(value); err != nil {
+		findings.Add(flag(name), "%q is not host:port: %v", value, err)
+	}
+}
+
+func checkURL(findings *finding.List, name, value string) {
+	if value == "" {
+		required(findings, name, value)
+		return
+	}
+	u, err := url.Parse(value)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		findings.Add(flag(name), "%q is not an http or https URL", value)
+	}
+}
