Account for a request: explain and status

explain merges the first-hand records of entries and agents into one story and shows what is missing as gaps; status shows each process as the entries see it. Unrepeatable calls without a held ID or key are bound to the agent run at the other end of the connection.

Entries exchange crash counts of suspect content, report overdue calls to the health core before they end, and keep budgets, limits and counts over a new bundle with the same policy.

--- /dev/null
+++ b/cmd/mangostage/client.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	entryTimeout = 5 * time.Second
+	// maxEntryReply bounds what is read of an entry's reply, in bytes.
+	maxEntryReply = 64 << 20
+)
+
+// entryArguments say which entries to ask and as whom.
+type entryArguments struct {
+	Entries    []string `arg:"--entries,separate,env:MANGOSTAGE_ENTRIES" help:"address of an entry, host:port; repeat for several"`
+	Credential string   `arg:"--credential,env:MANGOSTAGE_CREDENTIAL" help:"operator's credential"`
+}
+
+func (a *entryArguments) check() error {
+	var errs []error
+	if len(a.Entries) == 0 {
+		errs = append(errs, errors.New("--entries: is required"))
+	}
+	if a.Credential == "" {
+		errs = append(errs, errors.New("--credential: is required"))
+	}
+	return errors.Join(errs...)
+}
+
+// get reads path from one entry into result.
+func (a *entryArguments) get(ctx context.Context, entry, path string, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, entryTimeout)
+	defer cancel()
+	base := entry
+	if !strings.Contains(base, "://") {
+		base = "http://" + base
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+path, http.NoBody)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+a.Credential)
+	reply, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = reply.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxEntryReply))
+	if err != nil {
+		return err
+	}
+	if reply.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %s: %s", entry, reply.Status, strings.TrimSpace(string(body)))
+	}
+	return json.Unmarshal(body, result)
+}
--- a/cmd/mangostage/main.go
+++ b/cmd/mangostage/main.go
@@ -27,8 +27,10 @@
 
 // arguments is the command line. Each subcommand is a struct that implements command.
 type arguments struct {
-	Bundle *bundleArguments `arg:"subcommand:bundle" help:"check, sign, verify and compare bundles"`
-	Dev    *dev             `arg:"subcommand:dev" help:"run a deployment with stand-ins in this process"`
+	Bundle  *bundleArguments `arg:"subcommand:bundle" help:"check, sign, verify and compare bundles"`
+	Dev     *dev             `arg:"subcommand:dev" help:"run a deployment with stand-ins in this process"`
+	Explain *explain         `arg:"subcommand:explain" help:"tell what became of one request"`
+	Status  *status          `arg:"subcommand:status" help:"show processes, load and cost as the entries see them"`
 }
 
 // command is a subcommand. Results go to out, findings and errors to errOut.
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -20,18 +20,11 @@
 	Request string `json:"request"`
 	// Issuer is the entry that minted the ID, and Account and Pipeline are
 	// those it was minted for.
-	Issuer   string     `json:"issuer"`
-	Account  string     `json:"account"`
-	Pipeline string     `json:"pipeline"`
-	Parts    []PartInfo `json:"parts"`
-}
-
-// PartInfo is one process's part of an explanation.
-type PartInfo struct {
-	Process string          `json:"process"`
-	Records []ledger.Record `json:"records"`
-	// Missing says why the process gave no part; empty if it gave one.
-	Missing string `json:"missing,omitempty"`
+	Issuer   string        `json:"issuer"`
+	Account  string        `json:"account"`
+	Pipeline string        `json:"pipeline"`
+	Parts    []ledger.Part `json:"parts"`
+	Story    ledger.Story  `json:"story"`
 }
 
 func (e *Entry) explain(w http.ResponseWriter, r *http.Request) {
@@ -41,31 +34,25 @@
 		e.reject(w, api.ReasonNotFound, "this is not a request ID of this fleet")
 		return
 	}
-	explanation := Explanation{
+	parts := e.gather(r.Context(), id)
+	writeJSON(w, http.StatusOK, Explanation{
 		Request:  id,
 		Issuer:   fields.Entry,
 		Account:  fields.Account,
 		Pipeline: fields.Pipeline,
-	}
-	for _, part := range e.gather(r.Context(), id) {
-		info := PartInfo{Process: part.process, Records: part.records}
-		if part.err != nil {
-			info.Missing = part.err.Error()
-		}
-		explanation.Parts = append(explanation.Parts, info)
-	}
-	explanation.Parts = append(explanation.Parts, e.unreachable()...)
-	writeJSON(w, http.StatusOK, explanation)
+		Parts:    parts,
+		Story:    ledger.Merge(id, parts...),
+	})
 }
 
 // unreachable lists the processes that could not be asked.
-func (e *Entry) unreachable() []PartInfo {
-	var parts []PartInfo
+func (e *Entry) unreachable() []ledger.Part {
+	var parts []ledger.Part
 	for _, m := range e.members.View().Members {
-		if m.Connected || m.VM.Name == "" || m.Process.Name == e.cfg.Process.Name {
+		if m.Connected || memberName(m) == e.cfg.Process.Name {
 			continue
 		}
-		parts = append(parts, PartInfo{Process: memberName(m), Missing: "not connected: " + string(m.State)})
+		parts = append(parts, ledger.Part{Process: memberName(m), Missing: "not connected: " + string(m.State)})
 	}
 	return parts
 }
--- a/entry/effects.go
+++ b/entry/effects.go
@@ -68,11 +68,22 @@
 		e.handle(pipeline.CallNotWritten{CallID: c.ID})
 		return
 	}
+	if c.Unrepeatable && c.Binding == nil {
+		// The call is for the agent run at the other end of this connection and
+		// no later one: a copy that outlives the run must not reach its successor.
+		c.Binding = &wire.Binding{Agent: c.Endpoint, Incarnation: conn.Peer().Process.Incarnation}
+	}
 	if load := e.fleet.load(c.Endpoint); load != nil {
 		load.InFlight.Add(1)
 		load.SentSinceReport.Add(1)
 		defer load.InFlight.Add(-1)
 	}
+	if after := e.fleet.overdueAfter(c.Pool); after > 0 {
+		watch := time.AfterFunc(after, func() {
+			e.logTransitions(e.fleet.overdue(c.Pool, c.Endpoint, after, e.cfg.Now()))
+		})
+		defer watch.Stop()
+	}
 	ctx, cancel := context.WithDeadline(e.ctx, c.Deadline.Add(replyGrace))
 	defer cancel()
 	var result wire.StageResult
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,13 @@
 // tickInterval is how often transitions that are due by time are made.
 const tickInterval = 100 * time.Millisecond
 
+// shareInterval is how often entries exchange what they know of suspects.
+const shareInterval = 300 * time.Millisecond
+
+// pauseGap is the time between two ticks from which on the process must have
+// been stopped.
+const pauseGap = time.Second
+
 // Members is what an entry needs of the membership; *member.Service is one.
 type Members interface {
 	Agent(endpoint string) (*peer.Conn, bool)
@@ -100,7 +107,7 @@
 	e.ctx, e.stop = context.WithCancel(context.Background())
 	policies := (*policies)(e)
 	e.core = pipeline.New(pipeline.Config{
-		Entry:     cfg.Process.Name + "@" + cfg.Process.Incarnation,
+		Entry:     e.name(),
 		Picker:    pipeline.NewRouterPicker(policies.router, e.fleet.snapshot, rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Retrier:   policies,
 		Suspects:  policies,
@@ -109,6 +116,10 @@
 	return e
 }
 
+// name names this run of the entry, so that what an earlier run said is never
+// taken for its own.
+func (e *Entry) name() string { return e.cfg.Process.Name + "@" + e.cfg.Process.Incarnation }
+
 // Register adds the entry's methods to mux. It is called before Start.
 func (e *Entry) Register(mux *peer.Mux) {
 	peer.HandleNote(mux, wire.MethodStageChunk, func(_ *peer.Conn, c wire.StageChunk) {
@@ -117,6 +128,11 @@
 	peer.HandleNote(mux, wire.MethodRecordCopy, func(_ *peer.Conn, r ledger.Record) {
 		e.cfg.Records.Add(r)
 	})
+	peer.HandleNote(mux, wire.MethodSuspects, func(_ *peer.Conn, counts []suspect.Count) {
+		if g := e.current.Load(); g != nil {
+			g.suspects.Merge(counts, e.cfg.Now())
+		}
+	})
 	peer.HandleCall(mux, wire.MethodRecords, func(_ context.Context, _ *peer.Conn, q wire.RecordsQuery) ([]ledger.Record, error) {
 		return e.cfg.Records.Get(q.Request), nil
 	})
@@ -136,13 +152,24 @@
 	defer e.wg.Done()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	last := e.cfg.Now()
+	shared := last
 	var applied *member.View
 	for {
 		select {
 		case <-e.ctx.Done():
 			return
 		case <-ticker.C:
-			e.logTransitions(e.fleet.tick(e.cfg.Now()))
+		}
+		now := e.cfg.Now()
+		if now.Sub(last) > pauseGap {
+			e.fleet.pardon()
+		}
+		last = now
+		e.logTransitions(e.fleet.tick(now))
+		if now.Sub(shared) >= shareInterval {
+			shared = now
+			e.shareSuspects(now)
 		}
 		// A connection that comes or goes is no event of its own but makes a
 		// new view.
@@ -153,6 +180,23 @@
 	}
 }
 
+// shareSuspects tells the other entries which content crashed endpoints, so
+// that its caller gains nothing by going to another entry. Counts only grow,
+// so a lost message is made good by the next.
+func (e *Entry) shareSuspects(now time.Time) {
+	g := e.current.Load()
+	if g == nil {
+		return
+	}
+	counts := g.suspects.Counts(now)
+	if len(counts) == 0 {
+		return
+	}
+	for _, conn := range e.members.Entries() {
+		go func() { _ = conn.Notify(wire.MethodSuspects, counts) }()
+	}
+}
+
 // ApplyBundle puts an adopted bundle in force for requests that come after it.
 func (e *Entry) ApplyBundle(v *bundle.Verified) error {
 	policy := v.Bundle.Policy
@@ -160,7 +204,7 @@
 	if err != nil {
 		return errorx.Decorate(err, "bundle %d", v.Head.Version)
 	}
-	retrier, err := retry.New(policy)
+	retrier, err := e.retrierFor(policy)
 	if err != nil {
 		return errorx.Decorate(err, "bundle %d", v.Head.Version)
 	}
@@ -179,6 +223,15 @@
 	return nil
 }
 
+// retrierFor keeps the budgets over a new version with the same policy: new
+// ones would start with a reserve for retries that was already spent.
+func (e *Entry) retrierFor(policy bundle.Policy) (retry.Policy, error) {
+	if old := e.current.Load(); old != nil && old.verified.Bundle.Policy == policy {
+		return old.retry, nil
+	}
+	return retry.New(policy)
+}
+
 // limiterFor keeps the limiter's state over a new version: a full bucket after
 // each of a day's many versions would lift the limits.
 func (e *Entry) limiterFor(policy bundle.Policy) (limit.Limiter, error) {
@@ -195,7 +248,7 @@
 	if old != nil && old.verified.Bundle.Policy.CrashLimit == policy.CrashLimit {
 		return old.suspects
 	}
-	table := suspect.New(e.cfg.Process.Name, policy.CrashLimit)
+	table := suspect.New(e.name(), policy.CrashLimit)
 	if old != nil {
 		now := e.cfg.Now()
 		table.Merge(old.suspects.Counts(now), now)
@@ -206,9 +259,13 @@
 // ApplyView takes in a change of the membership.
 func (e *Entry) ApplyView(v *member.View) {
 	var places []place
+	entries := 0
 	for i := range v.Members {
 		m := &v.Members[i]
 		if m.VM.Endpoint == "" {
+			if m.Connected && m.VM.Role == wire.RoleEntry {
+				entries++
+			}
 			continue
 		}
 		if owner, ok := v.Endpoint(m.VM.Endpoint); !ok || owner.VM.Name != m.VM.Name {
@@ -223,7 +280,7 @@
 			Leaving: m.State != member.StateLive || !m.Connected,
 		})
 	}
-	e.fleet.setPlaces(places, e.cfg.Now())
+	e.fleet.setPlaces(places, 1+entries, e.cfg.Now())
 	// A report may have come before its endpoint was a member, and was dropped
 	// then; the view holds the latest.
 	for i := range v.Members {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -36,6 +36,10 @@
 	reports map[string]report
 	loads   map[string]*route.Load
 	health  *route.Health
+	// entries is the number of live entries, which share the endpoints.
+	entries int
+	// fresh names the endpoints with a report that no snapshot shows yet.
+	fresh map[string]bool
 }
 
 // report is an agent's latest word on its endpoint.
@@ -51,16 +55,19 @@
 		reports: make(map[string]report),
 		loads:   make(map[string]*route.Load),
 		health:  route.NewHealth(),
+		entries: 1,
+		fresh:   make(map[string]bool),
 	}
 	f.current.Store(&route.Snapshot{Domain: domain, Pools: make(map[string]*route.Pool)})
 	return f
 }
 
 // setPlaces replaces the membership.
-func (f *fleet) setPlaces(places []place, now time.Time) {
+func (f *fleet) setPlaces(places []place, entries int, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.places = places
+	f.entries = entries
 	known := make(map[string]bool, len(places))
 	byPool := make(map[string][]string)
 	for _, p := range places {
@@ -91,9 +98,7 @@
 		return
 	}
 	f.reports[r.Endpoint] = report{AgentReport: r, at: now}
-	if load := f.loads[r.Endpoint]; load != nil {
-		load.SentSinceReport.Store(0)
-	}
+	f.fresh[r.Endpoint] = true
 	if r.Draining != last.Draining || r.Down != last.Down || r.Process.Incarnation != last.Process.Incarnation {
 		f.rebuild(now)
 		return
@@ -102,27 +107,47 @@
 }
 
 // observe takes in how a call to an endpoint ended.
-func (f *fleet) observe(pool, endpoint string, outcome route.CallOutcome, took time.Duration, now time.Time) []route.Transition {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	transitions := f.health.Observe(pool, endpoint, outcome, took, now)
-	if len(transitions) > 0 {
-		f.rebuild(now)
-	}
-	return transitions
+func (f *fleet) observe(pool, endpoint string, outcome route.CallOutcome, ran time.Duration, now time.Time) []route.Transition {
+	return f.judge(now, func(h *route.Health) []route.Transition {
+		return h.Observe(pool, endpoint, outcome, ran, now)
+	})
+}
+
+// overdue takes in that a call has been running for long and is not finished.
+func (f *fleet) overdue(pool, endpoint string, age time.Duration, now time.Time) []route.Transition {
+	return f.judge(now, func(h *route.Health) []route.Transition {
+		return h.Overdue(pool, endpoint, age, now)
+	})
 }
 
 // tick makes the health transitions that are due by time alone.
 func (f *fleet) tick(now time.Time) []route.Transition {
+	return f.judge(now, func(h *route.Health) []route.Transition { return h.Tick(now) })
+}
+
+func (f *fleet) judge(now time.Time, event func(*route.Health) []route.Transition) []route.Transition {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	transitions := f.health.Tick(now)
+	transitions := event(f.health)
 	if len(transitions) > 0 {
 		f.rebuild(now)
 	}
 	return transitions
 }
 
+func (f *fleet) overdueAfter(pool string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.health.OverdueAfter(pool)
+}
+
+// pardon forgets failures that a pause of this process may have caused.
+func (f *fleet) pardon() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.health.Pardon()
+}
+
 // snapshot returns a view no older than the latest change of state and, for
 // load, than snapshotInterval.
 func (f *fleet) snapshot(now time.Time) *route.Snapshot {
@@ -144,11 +169,31 @@
 	for _, p := range f.places {
 		byPool[p.Pool] = append(byPool[p.Pool], f.endpoint(p))
 	}
+	old := f.current.Load()
 	snap := &route.Snapshot{At: now, Domain: f.domain, Pools: make(map[string]*route.Pool, len(byPool))}
 	for name, endpoints := range byPool {
-		snap.Pools[name] = route.NewPool(name, f.entry, endpoints)
+		snap.Pools[name] = f.pool(old.Pools[name], name, endpoints)
 	}
 	f.current.Store(snap)
+	// The own sends are forgotten only once decisions see the report that
+	// counts them; the other way round an endpoint would look idle between.
+	for name := range f.fresh {
+		if load := f.loads[name]; load != nil {
+			load.SentSinceReport.Store(0)
+		}
+	}
+	clear(f.fresh)
+}
+
+func (f *fleet) pool(old *route.Pool, name string, endpoints []*route.Endpoint) *route.Pool {
+	var pool *route.Pool
+	if old != nil {
+		pool = old.Refresh(f.entry, endpoints)
+	} else {
+		pool = route.NewPool(name, f.entry, endpoints)
+	}
+	pool.Subset = route.SubsetSize(len(endpoints), f.entries)
+	return pool
 }
 
 func (f *fleet) endpoint(p place) *route.Endpoint {
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -19,20 +19,13 @@
 // not answer in time are shown as missing.
 const gatherTimeout = time.Second
 
-// gathered is one process's part of an account.
-type gathered struct {
-	process string
-	records []ledger.Record
-	err     error
-}
-
 // gather asks every process this entry is connected to for its records of a
 // request, and adds its own.
-func (e *Entry) gather(ctx context.Context, id string) []gathered {
+func (e *Entry) gather(ctx context.Context, id string) []ledger.Part {
 	ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
 	defer cancel()
 	conns := append(e.members.Entries(), e.members.Agents()...)
-	parts := make([]gathered, len(conns)+1)
+	parts := make([]ledger.Part, len(conns)+1)
 	var wg sync.WaitGroup
 	for i, conn := range conns {
 		wg.Add(1)
@@ -42,13 +35,15 @@
 		}()
 	}
 	wg.Wait()
-	parts[len(conns)] = gathered{process: e.cfg.Process.Name, records: e.cfg.Records.Get(id)}
-	return parts
+	parts[len(conns)] = ledger.Part{Process: e.cfg.Process.Name, Records: e.cfg.Records.Get(id)}
+	return append(parts, e.unreachable()...)
 }
 
-func fetchRecords(ctx context.Context, conn *peer.Conn, id string) gathered {
-	part := gathered{process: conn.Peer().Process.Name}
-	part.err = conn.Call(ctx, wire.MethodRecords, wire.RecordsQuery{Request: id}, &part.records)
+func fetchRecords(ctx context.Context, conn *peer.Conn, id string) ledger.Part {
+	part := ledger.Part{Process: conn.Peer().Process.Name}
+	if err := conn.Call(ctx, wire.MethodRecords, wire.RecordsQuery{Request: id}, &part.Records); err != nil {
+		part.Missing = err.Error()
+	}
 	return part
 }
 
@@ -56,8 +51,7 @@
 type requestState struct {
 	RequestID string      `json:"request_id"`
 	Outcome   api.Outcome `json:"outcome"`
-	Reason    api.Reason  `json:"reason,omitempty"`
-	// Detail says what is missing when the outcome is not known.
+	// Detail says what the outcome rests on.
 	Detail string `json:"detail,omitempty"`
 }
 
@@ -82,25 +76,10 @@
 	}
 	state := requestState{RequestID: id, Outcome: api.OutcomePending}
 	if !e.waiters.pending(id) {
-		state = finalState(id, e.gather(r.Context(), id))
+		story := ledger.Merge(id, e.gather(r.Context(), id)...)
+		state.Outcome = story.Outcome
+		state.Detail = story.Verdict
 	}
 	setReplyHeaders(w.Header(), id, state.Outcome, 0)
 	writeJSON(w, http.StatusOK, state)
 }
-
-// finalState reads the outcome off the records. Where no process holds the
-// final one, the outcome is unknown: an absent record proves nothing.
-func finalState(id string, parts []gathered) requestState {
-	state := requestState{RequestID: id, Outcome: api.OutcomeUnknown, Detail: "no process that answered holds the final record"}
-	var latest time.Time
-	for _, part := range parts {
-		for _, r := range part.records {
-			if r.Kind != ledger.KindFinal || r.At.Before(latest) {
-				continue
-			}
-			latest = r.At
-			state = requestState{RequestID: id, Outcome: r.Outcome, Reason: r.Reason, Detail: r.Detail}
-		}
-	}
-	return state
-}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -16,6 +16,7 @@
 	"github.com/mangostage/mangostage/bundle"
 	"github.com/mangostage/mangostage/limit"
 	"github.com/mangostage/mangostage/pipeline"
+	"github.com/mangostage/mangostage/suspect"
 )
 
 // affinityPrefix is how many bytes of the input stand for its prompt prefix.
@@ -198,13 +199,15 @@
 	}
 	now := e.cfg.Now()
 	snapshot := e.fleet.snapshot(now)
-	first := s.pipeline.Stages[0].Pool
-	verdict := s.gen.limiter.Admit(now, s.account, 1+len(e.members.Entries()),
-		limit.Demand{Pool: first, Occupancy: snapshot.Occupancy(first, now)})
+	if after := s.gen.refusedContent(s, now); after > 0 {
+		return withRetry(refusal(id, api.ReasonSuspectRequest, ""), after), none
+	}
+	demand := limit.DemandOf(now, s.pipeline, snapshot)
+	verdict := s.gen.limiter.Admit(now, s.account, 1+len(e.members.Entries()), demand)
 	if !verdict.OK {
 		return withRetry(refusal(id, verdict.Reason, ""), verdict.RetryAfter), none
 	}
-	release := func() { s.gen.limiter.Done(s.account, first, e.cfg.Now()) }
+	release := func() { s.gen.limiter.Done(s.account, demand.Pool, e.cfg.Now()) }
 	if s.gen.verified.Bundle.Policy.Name == bundle.PolicyNaive {
 		return nil, release
 	}
@@ -215,6 +218,17 @@
 	return nil, release
 }
 
+// refusedContent tells for how long content that crashed endpoints at one of
+// the pipeline's stages is refused; zero if it is not.
+func (g *generation) refusedContent(s *submission, now time.Time) time.Duration {
+	var longest time.Duration
+	for i := range s.pipeline.Stages {
+		key := suspect.Key(s.admit.Identity.BodyHash, s.pipeline.Stages[i].Name)
+		longest = max(longest, g.suspects.Refused(key, now))
+	}
+	return longest
+}
+
 func withRetry(p *api.Problem, after time.Duration) *api.Problem {
 	p.RetryAfter = after
 	return p
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -26,6 +26,7 @@
 	MethodRecords     = "records.get"
 	MethodRecordCopy  = "records.copy.note"
 	MethodStatus      = "status.get"
+	MethodSuspects    = "suspects.note"
 )
 
 // MaxMessage is the largest encoded message in bytes; a longer one ends the connection.
