Revoke with the identity and the incarnation that the call was written to

An agent that restarted, or a second one that claims the same endpoint, has never seen the call and would say "not run" in good faith. The entry now names the run of the agent at the other end of the connection it wrote to.

--- a/entry/effects.go
+++ b/entry/effects.go
@@ -68,10 +68,13 @@
 		e.handle(pipeline.CallNotWritten{CallID: c.ID})
 		return
 	}
+	incarnation := conn.Peer().Process.Incarnation
+	e.sentTo.Store(c.ID, incarnation)
+	time.AfterFunc(c.Deadline.Add(replyGrace).Sub(e.cfg.Now()), func() { e.sentTo.Delete(c.ID) })
 	if c.Unrepeatable && c.Binding == nil {
 		// The call is for the agent run at the other end of this connection and
 		// no later one: a copy that outlives the run must not reach its successor.
-		c.Binding = &wire.Binding{Agent: c.Endpoint, Incarnation: conn.Peer().Process.Incarnation}
+		c.Binding = &wire.Binding{Agent: c.Endpoint, Incarnation: incarnation}
 	}
 	if load := e.fleet.load(c.Endpoint); load != nil {
 		load.InFlight.Add(1)
@@ -106,8 +109,14 @@
 
 func (e *Entry) revoke(r pipeline.Revoke) {
 	var result wire.RevokeResult
-	err := e.ask(r.Endpoint, wire.MethodStageRevoke, wire.Revoke{ID: r.CallID, Until: r.Until}, &result)
-	if err != nil {
+	message := r.Message()
+	// Two runs of an agent may be reachable for a moment. Only the one that the
+	// call was written to can say that it did not run; its successor, never
+	// having seen the call, would say so in good faith.
+	if incarnation, ok := e.sentTo.Load(r.CallID); ok {
+		message.Incarnation, _ = incarnation.(string)
+	}
+	if err := e.ask(r.Endpoint, wire.MethodStageRevoke, message, &result); err != nil {
 		e.handle(pipeline.RevokeLost{CallID: r.CallID})
 		return
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -71,6 +71,9 @@
 	members Members
 	current atomic.Pointer[generation]
 	refs    atomic.Uint64
+	// sentTo holds the incarnation of the agent that each call was written to,
+	// by wire.CallID, until the call's deadline has passed.
+	sentTo sync.Map
 
 	draining atomic.Bool
 	refusing atomic.Bool
