--- a/entry/http.go
+++ b/entry/http.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"encoding/json"
 	"net/http"
 
 	"github.com/go-chi/chi/v5"
@@ -79,10 +78,3 @@
 		next(w, r)
 	}
 }
-
-func decodeStrict(data []byte, into any) error {
-	if err := json.Unmarshal(data, into); err != nil {
-		return err
-	}
-	return nil
-}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -152,7 +153,7 @@
 	if err != nil {
 		return &rejection{api.ReasonBadRequest, "the body could not be read"}
 	}
-	if err := decodeStrict(body, &s.input); err != nil {
+	if err := json.Unmarshal(body, &s.input); err != nil {
 		return &rejection{api.ReasonBadRequest, "the body is not the expected JSON: " + err.Error()}
 	}
 	if len(s.input.Input) == 0 {
