Let an unrepeatable run finish when its sending is revoked

A caller who gives up on an order and asks again shall find its result. A revocation cancelled the run on the endpoint and left behind something that may or may not have happened; a departed caller's run already went on. Both now take the same path.

Health judges endpoints by the time on the endpoint and estimates leave out the agent's queue; before, a busy endpoint looked slow.

--- a/agent/core_revoke.go
+++ b/agent/core_revoke.go
@@ -123,10 +123,9 @@
 		}
 		return wire.RevokedNotRun, 0
 	case phaseRunning:
+		deadline := run.deadline()
 		c.leaveRunning(now, run, api.ReasonRevoked, func(w *waiter) bool { return w.id == id }, fx)
-		if len(run.waiters) == 0 {
-			c.cancel(run, api.ReasonRevoked, fx)
-		}
+		c.abandon(now, run, deadline, api.ReasonRevoked, fx)
 		return wire.RevokedRunning, now.Sub(run.started)
 	default:
 		return c.revokeWaiting(now, run, id, fx), 0
@@ -164,7 +163,7 @@
 		c.answer(w.token, w.id, reject, fx)
 		c.keepWaiter(now, run, w, reject.status, reject.reason, fx)
 	})
-	return wire.RevokedRunning
+	return wire.RevokedUnknown
 }
 
 // drop removes the waiters that match and calls answer for each.
@@ -216,9 +215,7 @@
 }
 
 // depart removes one waiter. A run that nobody waits for is taken out of the
-// queue, or cancelled if it can be repeated. An unrepeatable run goes on to its
-// end, so that the caller, who will ask again, finds the result instead of
-// something that may or may not have happened.
+// queue or abandoned.
 func (c *Core) depart(now time.Time, token Token, id wire.CallID, reason api.Reason) []Effect {
 	var fx effects
 	c.observe(now, &fx)
@@ -240,15 +237,21 @@
 	deadline := run.deadline()
 	c.leaveRunning(now, run, reason, match, &fx)
 	c.decide(&fx, &run.call, VerdictExpired, reason, "")
-	if len(run.waiters) > 0 {
-		return fx.list
-	}
-	if run.call.Unrepeatable {
+	c.abandon(now, run, deadline, reason, &fx)
+	return fx.list
+}
+
+// abandon ends a run that nobody waits for any more. An unrepeatable one goes
+// on to its end, so that the caller, who will ask again, finds the result
+// instead of something that may or may not have happened.
+func (c *Core) abandon(now time.Time, run *Run, deadline time.Time, reason api.Reason, fx *effects) {
+	switch {
+	case len(run.waiters) > 0:
+	case run.call.Unrepeatable:
 		fx.add(CancelTimer{Run: run, At: laterOf(now, deadline).Add(finishGrace)})
-		return fx.list
+	default:
+		c.cancel(run, reason, fx)
 	}
-	c.cancel(run, reason, &fx)
-	return fx.list
 }
 
 func (c *Core) departWaiting(now time.Time, run *Run, match func(*waiter) bool, reason api.Reason, fx *effects) {
--- a/entry/effects.go
+++ b/entry/effects.go
@@ -173,14 +173,16 @@
 // recordCopies is the number of entries that get a copy of a refusal.
 const recordCopies = 2
 
+// observe feeds the estimates and the health of endpoints. Time spent waiting
+// at the agent is load and not slowness, so neither counts it.
 func (e *Entry) observe(o pipeline.Observe) {
-	now := e.cfg.Now()
-	if o.Outcome == route.CallSucceeded && !o.Revoked {
-		e.estimates.Observe(route.StageKey{Pool: o.Pool, Stage: o.Stage}, o.Took, now)
-		e.current.Load().retry.Success(o.Pool, now)
-	}
 	if o.Revoked {
 		return
 	}
-	e.logTransitions(e.fleet.observe(o.Pool, o.Endpoint, o.Outcome, o.Took, now))
+	now := e.cfg.Now()
+	if o.Outcome == route.CallSucceeded {
+		e.estimates.Observe(route.StageKey{Pool: o.Pool, Stage: o.Stage}, o.Took-o.Queued, now)
+		e.current.Load().retry.Success(o.Pool, now)
+	}
+	e.logTransitions(e.fleet.observe(o.Pool, o.Endpoint, o.Outcome, o.Ran, now))
 }
--- /dev/null
+++ b/pipeline/core_test.go
@@ -0,0 +1,371 @@
+package pipeline
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/api"
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/ledger"
+	"github.com/mangostage/mangostage/route"
+	"github.com/mangostage/mangostage/suspect"
+	"github.com/mangostage/mangostage/wire"
+)
+
+// player feeds a Core by hand and keeps its effects.
+type player struct {
+	core    *Core
+	now     time.Time
+	effects []Effect
+	calls   []Call
+}
+
+// step makes the next event from what was called so far; calls count from 1.
+type step func(p *player) Event
+
+func (p *player) play(steps ...step) {
+	for _, s := range steps {
+		p.now = p.now.Add(ms)
+		effects := p.core.Handle(p.now, s(p))
+		p.effects = append(p.effects, effects...)
+		for _, e := range effects {
+			if c, ok := e.(Call); ok {
+				p.calls = append(p.calls, c)
+			}
+		}
+	}
+}
+
+func (p *player) Pick(_ time.Time, _ *bundle.Policy, req *route.Request) route.Decision {
+	for _, name := range []string{"e1", "e2", "e3"} {
+		if !slices.Contains(req.Exclude, name) && (req.Only == "" || req.Only == name) {
+			e := &route.Endpoint{Name: name}
+			e.Report.Process.Incarnation = "first"
+			return route.Decision{Endpoint: e}
+		}
+	}
+	return route.Decision{Reason: route.ReasonAllTried}
+}
+
+func newPlayer(cfg Config) *player {
+	p := &player{now: epoch}
+	cfg.Entry, cfg.Picker = "entry/1", p
+	p.core = New(cfg)
+	return p
+}
+
+// all returns the effects of one type.
+func all[T Effect](p *player) []T {
+	var found []T
+	for _, e := range p.effects {
+		if x, ok := e.(T); ok {
+			found = append(found, x)
+		}
+	}
+	return found
+}
+
+func admit(kind wire.IdentityKind, stages ...bundle.Stage) Admit {
+	a := Admit{
+		RequestID: "r", Ref: 1, Identity: wire.Identity{Kind: kind, Value: "v", BodyHash: "content"},
+		Account: &bundle.Account{Name: "account"}, Deadline: epoch.Add(time.Second), Input: quote("in"),
+		Bundle:   &bundle.Bundle{Version: 7, Policy: bundle.Policy{MaxAttempts: 2, HedgeAfter: 0.9}},
+		Pipeline: &bundle.Pipeline{Name: "p", Stages: stages}, Bindings: make(map[string]wire.Binding),
+		MayHaveEarlier: kind != wire.IdentityMinted,
+	}
+	for _, s := range stages {
+		if s.Unrepeatable {
+			a.Bindings[s.Name] = wire.Binding{Agent: "e1", Incarnation: "first"}
+		}
+	}
+	return a
+}
+
+var (
+	one    = bundle.Stage{Name: "one", Pool: "a"}
+	two    = bundle.Stage{Name: "two", Pool: "a"}
+	order  = bundle.Stage{Name: "order", Pool: "a", Unrepeatable: true}
+	minted = wire.IdentityMinted
+)
+
+func send(a Admit) step { return func(*player) Event { return a } }
+
+func result(call int, status wire.StageStatus, output string) step {
+	return func(p *player) Event {
+		res := wire.StageResult{ID: p.calls[call-1].ID, Status: status, Cost: 5 * ms}
+		if output != "" {
+			res.Output = quote(output)
+		}
+		return StageResult{res}
+	}
+}
+
+func done(call int) step    { return result(call, wire.StatusDone, "out") }
+func refused(call int) step { return result(call, wire.StatusRefused, "") }
+func lost(call int) step    { return func(p *player) Event { return CallLost{p.calls[call-1].ID} } }
+func revokeLost(call int) step {
+	return func(p *player) Event { return RevokeLost{p.calls[call-1].ID} }
+}
+
+func notWritten(call int) step {
+	return func(p *player) Event { return CallNotWritten{p.calls[call-1].ID} }
+}
+
+func ack(call int, state wire.RevokeState, incarnation string) step {
+	return func(p *player) Event {
+		res := wire.RevokeResult{State: state}
+		res.Report.Process.Incarnation = incarnation
+		return RevokeAck{p.calls[call-1].ID, res}
+	}
+}
+
+func peeked(state wire.PeekState) step {
+	return func(p *player) Event {
+		sent := all[SendPeek](p)[0]
+		return PeekReply{sent.RequestID, sent.Seq, sent.Stage, wire.PeekResult{State: state}}
+	}
+}
+
+func piece(call, seq int, text string) step {
+	return func(p *player) Event {
+		return StageChunk{wire.StageChunk{ID: p.calls[call-1].ID, Seq: seq, Text: text}}
+	}
+}
+
+// timer lets the latest timer of a kind come due.
+func timer(kind TimerKind) step {
+	return func(p *player) Event {
+		var latest SetTimer
+		for _, e := range all[SetTimer](p) {
+			if e.Kind == kind {
+				latest = e
+			}
+		}
+		p.now = latest.At
+		return Timer{latest.RequestID, latest.Kind, latest.Seq}
+	}
+}
+
+func gone(*player) Event { return CallerGone{"r", 1} }
+
+// A caller is told "refused" and orders again; or is told nothing of use and
+// must ask. Which of the two is right hangs on what exactly was heard of each
+// call before the reply.
+func TestOutcome(t *testing.T) {
+	held, key := admit(wire.IdentityHeld, order), admit(wire.IdentityKey, one)
+	unowned := admit(wire.IdentityHeld, order)
+	unowned.Bindings = nil
+	shell := Refuse{Admit: held, Reason: api.ReasonRateLimited}
+	for _, tc := range []struct {
+		name   string
+		steps  []step
+		want   api.Outcome
+		reason api.Reason
+	}{
+		{"done", []step{send(admit(minted, one, two)), done(1), done(2)}, api.OutcomeAnswered, ""},
+		{"refused everywhere", []step{send(admit(minted, one)), refused(1), refused(2)}, api.OutcomeRefused, api.ReasonOverloaded},
+		{"not written", []step{send(admit(minted, one)), notWritten(1), notWritten(2)}, api.OutcomeRefused, api.ReasonConnectionLost},
+		{"refused, then done elsewhere", []step{send(admit(minted, one)), refused(1), done(2)}, api.OutcomeAnswered, ""},
+		{"lost, then refused elsewhere, first acknowledged", []step{send(admit(minted, one)), lost(1), refused(2), ack(1, wire.RevokedNotRun, "first")}, api.OutcomeRefused, api.ReasonOverloaded},
+		{"order lost, not run", []step{send(admit(minted, order)), lost(1), ack(1, wire.RevokedNotRun, "first")}, api.OutcomeRefused, api.ReasonConnectionLost},
+		{"order lost, cancelled", []step{send(admit(minted, order)), lost(1), ack(1, wire.RevokedRunning, "first")}, api.OutcomeCutShort, api.ReasonConnectionLost},
+		{"order lost, had run", []step{send(admit(minted, order)), lost(1), ack(1, wire.RevokedDone, "first")}, api.OutcomeCutShort, api.ReasonConnectionLost},
+		{"order lost, agent restarted", []step{send(admit(minted, order)), lost(1), ack(1, wire.RevokedNotRun, "second")}, api.OutcomeUnknown, api.ReasonConnectionLost},
+		{"order lost, agent without a report", []step{send(admit(minted, order)), lost(1), ack(1, wire.RevokedNotRun, "")}, api.OutcomeUnknown, api.ReasonConnectionLost},
+		{"order lost, revocation lost", []step{send(admit(minted, order)), lost(1), revokeLost(1)}, api.OutcomeUnknown, api.ReasonConnectionLost},
+		{"order lost, silence", []step{send(admit(minted, order)), lost(1), timer(TimerProof)}, api.OutcomeUnknown, api.ReasonConnectionLost},
+		{"order may have run before", []step{send(admit(minted, order)), result(1, wire.StatusUnknown, "")}, api.OutcomeUnknown, api.ReasonEarlierAttempt},
+		{"order lost by the agent", []step{send(admit(minted, order)), result(1, wire.StatusLost, "")}, api.OutcomeUnknown, api.ReasonEndpointLost},
+		{"order failed", []step{send(admit(minted, order)), result(1, wire.StatusFailed, "")}, api.OutcomeCutShort, api.ReasonEndpointFailed},
+		{"order without output", []step{send(admit(minted, order)), result(1, wire.StatusDone, "")}, api.OutcomeCutShort, api.ReasonEndpointFailed},
+		{"second stage refused", []step{send(admit(minted, one, two)), done(1), refused(2), refused(3)}, api.OutcomeCutShort, api.ReasonOverloaded},
+		{"given up, not run", []step{send(admit(minted, one)), timer(TimerGiveUp), ack(1, wire.RevokedNotRun, "first")}, api.OutcomeRefused, api.ReasonDeadline},
+		{"given up, result wins", []step{send(admit(minted, one)), timer(TimerGiveUp), done(1)}, api.OutcomeAnswered, ""},
+		{"given up, result after its acknowledgement", []step{send(admit(minted, one)), timer(TimerGiveUp), ack(1, wire.RevokedDone, "first"), done(1)}, api.OutcomeAnswered, ""},
+		{"given up, silence", []step{send(admit(minted, one)), timer(TimerGiveUp), timer(TimerDeadline)}, api.OutcomeUnknown, api.ReasonDeadline},
+		{"result after the deadline", []step{send(admit(minted, one)), func(p *player) Event { p.now = p.now.Add(2 * time.Second); return done(1)(p) }}, api.OutcomeCutShort, api.ReasonDeadline},
+		{"caller gone, not run", []step{send(admit(minted, one)), gone, ack(1, wire.RevokedNotRun, "first")}, api.OutcomeRefused, api.ReasonCallerGone},
+		{"caller gone, done", []step{send(admit(minted, one)), gone, done(1)}, api.OutcomeCutShort, api.ReasonCallerGone},
+		{"held order refused, owner never ran it", []step{send(held), refused(1), peeked(wire.PeekNever)}, api.OutcomeRefused, api.ReasonOverloaded},
+		{"held order refused, owner ran it", []step{send(held), refused(1), peeked(wire.PeekDone)}, api.OutcomeCutShort, api.ReasonEarlierAttempt},
+		{"held order refused, owner runs it", []step{send(held), refused(1), peeked(wire.PeekRunning)}, api.OutcomeUnknown, api.ReasonEarlierAttempt},
+		{"held order refused, owner can't tell", []step{send(held), refused(1), peeked(wire.PeekUnknown)}, api.OutcomeUnknown, api.ReasonOverloaded},
+		{"held order refused, owner silent", []step{send(held), refused(1), timer(TimerProof)}, api.OutcomeUnknown, api.ReasonOverloaded},
+		{"held order turned away by the shell", []step{func(*player) Event { return shell }, peeked(wire.PeekNever)}, api.OutcomeRefused, api.ReasonRateLimited},
+		{"held, repeatable", []step{send(admit(wire.IdentityHeld, one)), refused(1), refused(2)}, api.OutcomeUnknown, api.ReasonOverloaded},
+		{"held, partly repeatable", []step{send(admit(wire.IdentityHeld, order, one)), refused(1)}, api.OutcomeUnknown, api.ReasonOverloaded},
+		{"held order without an owner", []step{send(unowned)}, api.OutcomeUnknown, api.ReasonNoEndpoint},
+		{"key, repeatable", []step{send(key), refused(1), refused(2)}, api.OutcomeRefused, api.ReasonOverloaded},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newPlayer(Config{})
+			p.play(tc.steps...)
+			replies := all[Reply](p)
+			assert.Equal(t, len(replies), 1)
+			assert.Equal(t, replies[0].Outcome(), tc.want)
+			if tc.want != api.OutcomeAnswered {
+				assert.Equal(t, replies[0].Problem.Reason, tc.reason)
+			}
+			assert.Equal(t, p.core.InFlight(), 0)
+		})
+	}
+}
+
+// A result comes twice, or after its request was answered. The second copy
+// must neither be delivered nor move another request on.
+func TestRepeatedResultIsDropped(t *testing.T) {
+	p := newPlayer(Config{})
+	p.play(send(admit(minted, one, two)), done(1), done(1), done(2), done(2))
+	assert.Equal(t, len(all[Reply](p)), 1)
+	assert.Equal(t, len(p.calls), 2)
+	assert.Equal(t, string(p.calls[1].Previous), `"out"`)
+	dropped := 0
+	for _, r := range all[Record](p) {
+		if r.Kind == ledger.KindDropped {
+			dropped++
+		}
+	}
+	assert.Equal(t, dropped, 2)
+}
+
+func TestHedge(t *testing.T) {
+	p := newPlayer(Config{Quantiles: fixedQuantile(20 * ms)})
+	p.play(send(admit(minted, one)), timer(TimerHedge), result(2, wire.StatusDone, "fast"), done(1), ack(1, wire.RevokedDone, "first"))
+	assert.Equal(t, string(all[Reply](p)[0].Answer.Output), `"fast"`)
+	assert.Equal(t, all[Revoke](p)[0].Endpoint, "e1")
+	cost := Cost{Pipeline: "p", Stage: "one", Account: "account", Amount: 5 * ms}
+	useful := cost
+	useful.Useful = true
+	assert.DeepEqual(t, all[Cost](p), []Cost{useful, cost})
+}
+
+// The endpoint dies in the middle of a streamed answer and another takes over.
+// A caller who has read "The frame" must not go on to read words of another
+// text: the retry is shown only from where it continues exactly.
+func TestStreamAfterRetry(t *testing.T) {
+	streamed := admit(minted, one)
+	streamed.Stream = true
+	start := []step{send(streamed), piece(1, 0, "The "), piece(1, 1, "frame"), piece(1, 1, "frame"), lost(1)}
+	text := func(p *player) (s string) {
+		for i, c := range all[Chunk](p) {
+			assert.Equal(t, c.Seq, i)
+			s += c.Text
+		}
+		return s
+	}
+	p := newPlayer(Config{})
+	p.play(append(start, piece(2, 0, "The fr"), piece(2, 1, "ame fits"), done(2))...)
+	assert.Equal(t, text(p), "The frame fits")
+	assert.Equal(t, all[Reply](p)[0].Outcome(), api.OutcomeAnswered)
+	for name, rest := range map[string][]step{
+		"other text": {piece(2, 0, "A frame")},
+		"too short":  {piece(2, 0, "The"), done(2)},
+		"with a gap": {piece(2, 1, "ame fits"), done(2)},
+	} {
+		p := newPlayer(Config{})
+		p.play(append(slices.Clone(start), rest...)...)
+		assert.Equal(t, text(p), "The frame", name)
+		assert.Equal(t, all[Reply](p)[0].Outcome(), api.OutcomeCutShort, name)
+	}
+}
+
+func TestFullTable(t *testing.T) {
+	p := newPlayer(Config{MaxInFlight: 1})
+	second := admit(minted, one)
+	second.RequestID, second.Ref = "s", 2
+	p.play(send(admit(minted, one)), send(second), done(1))
+	replies := all[Reply](p)
+	assert.Equal(t, replies[0].Ref, uint64(2))
+	assert.Equal(t, replies[0].Outcome(), api.OutcomeRefused)
+	assert.Equal(t, replies[0].Problem.RetryAfter, retryAfterDefault)
+	assert.Equal(t, replies[1].Outcome(), api.OutcomeAnswered)
+}
+
+// A caller sends a held ID again through the same entry, at once and later.
+// Calls of the two sendings must not be taken for each other.
+func TestHeldIDSentAgain(t *testing.T) {
+	again := admit(wire.IdentityHeld, one)
+	again.Ref = 2
+	p := newPlayer(Config{})
+	p.play(send(admit(wire.IdentityHeld, one)), send(again), done(1), send(again))
+	replies := all[Reply](p)
+	assert.Equal(t, replies[0].Ref, uint64(2))
+	assert.Equal(t, replies[0].Problem.Reason, api.ReasonEarlierAttempt)
+	assert.Equal(t, replies[1].Ref, uint64(1))
+	p.play(done(1))
+	assert.Equal(t, len(all[Reply](p)), 2, "a result of the first sending answered the second")
+	p.play(done(2))
+	assert.Equal(t, len(all[Reply](p)), 3)
+}
+
+// crashing refuses content after its first crash.
+type crashing struct {
+	noSuspects
+	crashes int
+}
+
+func (c *crashing) Crashed(string, suspect.Crash, time.Time) { c.crashes++ }
+func (c *crashing) Begin(string, time.Time) suspect.Verdict {
+	return suspect.Verdict{Refuse: c.crashes > 0, RetryAfter: time.Minute}
+}
+
+// A request kills the endpoint that runs it. The crash counts before the retry
+// is decided, so that the retry doesn't kill the next endpoint.
+func TestCrashCountsBeforeRetry(t *testing.T) {
+	p := newPlayer(Config{Suspects: &crashing{}})
+	p.play(send(admit(minted, one)), func(p *player) Event {
+		return StageResult{wire.StageResult{ID: p.calls[0].ID, Status: wire.StatusLost, Crashed: true}}
+	})
+	problem := all[Reply](p)[0].Problem
+	assert.Equal(t, problem.Reason, api.ReasonSuspectRequest)
+	assert.Equal(t, problem.Outcome, api.OutcomeUnknown)
+	assert.Equal(t, problem.RetryAfter, time.Minute)
+	assert.Equal(t, len(p.calls), 1)
+}
+
+// oneRequest carries a request of two stages through the core.
+func oneRequest(core *Core, id string) int {
+	a := admit(minted, one, two)
+	a.RequestID = id
+	answers := 0
+	for pending := core.Handle(epoch, a); len(pending) > 0; pending = pending[1:] {
+		switch e := pending[0].(type) {
+		case Call:
+			res := wire.StageResult{ID: e.ID, Status: wire.StatusDone, Output: a.Input}
+			pending = append(pending, core.Handle(epoch, StageResult{res})...)
+		case Reply:
+			answers++
+		}
+	}
+	return answers
+}
+
+func TestParallelRequests(t *testing.T) {
+	core := newPlayer(Config{}).core
+	var wg sync.WaitGroup
+	var answers atomic.Int64
+	for i := range 8 {
+		wg.Go(func() {
+			for j := range 100 {
+				answers.Add(int64(oneRequest(core, fmt.Sprint(i, "/", j))))
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, answers.Load(), int64(800))
+	assert.Equal(t, core.InFlight(), 0)
+}
+
+func BenchmarkRequest(b *testing.B) {
+	core := newPlayer(Config{}).core
+	b.ReportAllocs()
+	for b.Loop() {
+		oneRequest(core, "r")
+	}
+}
--- a/pipeline/effect.go
+++ b/pipeline/effect.go
@@ -117,6 +117,9 @@
 	Outcome  route.CallOutcome
 	// Took is from the Call to its end as seen here.
 	Took time.Duration
+	// Queued and Ran are the agent's word on the time it kept the call waiting
+	// and the time on the endpoint; zero when no agent answered.
+	Queued, Ran time.Duration
 	// Revoked: the call had been revoked, so that its outcome says nothing of
 	// the endpoint's health.
 	Revoked bool
--- a/pipeline/finish.go
+++ b/pipeline/finish.go
@@ -119,7 +119,7 @@
 		a.result = &wire.StageResult{ID: a.id, Status: a.result.Status}
 	}
 	evicted := t.shard.late.add(&lateCall{attempt: a, pipeline: r.Pipeline.Name, account: r.Account.Name,
-		fingerprint: r.Identity.BodyHash})
+		fingerprint: r.content(a.stage)})
 	if evicted != nil && !evicted.over() {
 		t.core.cfg.Suspects.Ended(evicted.fingerprint, t.now)
 	}
--- a/pipeline/late.go
+++ b/pipeline/late.go
@@ -70,6 +70,7 @@
 	}
 	o := call.observe(t.now, callOutcome(res))
 	o.Crashed, o.Companions, o.Report = res.Crashed, res.Companions, &res.Report
+	o.Queued, o.Ran = res.Queued, res.Ran
 	t.emit(o)
 }
 
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -6,6 +6,7 @@
 
 	"github.com/mangostage/mangostage/api"
 	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/suspect"
 	"github.com/mangostage/mangostage/wire"
 )
 
@@ -59,6 +60,11 @@
 
 func (r *request) stageAt(i int) *bundle.Stage { return &r.Pipeline.Stages[i] }
 
+// content is the key by which crashes at a stage are counted.
+func (r *request) content(stage int) string {
+	return suspect.Key(r.Identity.BodyHash, r.stageAt(stage).Name)
+}
+
 func (r *request) lastStage() int { return len(r.Pipeline.Stages) - 1 }
 
 func (r *request) attemptsOf(stage int) int {
--- a/pipeline/result.go
+++ b/pipeline/result.go
@@ -63,6 +63,7 @@
 		t.endRun(a)
 		o := t.observe(a, callOutcome(res))
 		o.Crashed, o.Companions, o.Report = res.Crashed, res.Companions, &res.Report
+		o.Queued, o.Ran = res.Queued, res.Ran
 		t.emit(o)
 	}
 	t.recordAttempt(a, ledger.Record{Kind: ledger.KindFinished, State: a.state(), Reason: res.Reason,
@@ -72,7 +73,7 @@
 
 // endRun tells Suspects how the run of the content ended.
 func (t *turn) endRun(a *attempt) {
-	fingerprint := t.r.Identity.BodyHash
+	fingerprint := t.r.content(a.stage)
 	s := t.core.cfg.Suspects
 	switch {
 	case a.result != nil && a.result.Crashed:
@@ -87,7 +88,7 @@
 func (t *turn) observe(a *attempt, outcome route.CallOutcome) Observe {
 	return Observe{
 		CallID: a.id, Pool: a.pool, Stage: a.id.Stage, Endpoint: a.endpoint, Outcome: outcome,
-		Took: t.now.Sub(a.sentAt), Revoked: a.revoked, Fingerprint: t.r.Identity.BodyHash,
+		Took: t.now.Sub(a.sentAt), Revoked: a.revoked, Fingerprint: t.r.content(a.stage),
 	}
 }
 
--- a/pipeline/stage.go
+++ b/pipeline/stage.go
@@ -45,7 +45,7 @@
 		t.conclude(cause{reason: api.ReasonDeadline, detail: "no time left for the stage"})
 		return
 	}
-	verdict := t.core.cfg.Suspects.Begin(t.r.Identity.BodyHash, t.now)
+	verdict := t.core.cfg.Suspects.Begin(t.r.content(t.r.stage), t.now)
 	if verdict.Refuse {
 		stage := t.r.stageAt(t.r.stage)
 		t.emit(Log{RequestID: t.r.RequestID, Stage: stage.Name, Pool: stage.Pool,
@@ -55,7 +55,7 @@
 	}
 	d := t.pick(false)
 	if d.Endpoint == nil {
-		t.core.cfg.Suspects.Ended(t.r.Identity.BodyHash, t.now)
+		t.core.cfg.Suspects.Ended(t.r.content(t.r.stage), t.now)
 		if t.r.binding(t.r.stage) != nil {
 			otherwise = cause{reason: api.ReasonOwnerUnreachable}
 		}
@@ -158,7 +158,7 @@
 	if r.phase != running || !t.now.Before(r.giveUpAt) || r.attemptsOf(r.stage) >= r.maxAttempts() || !r.waiting() {
 		return
 	}
-	verdict := t.core.cfg.Suspects.Begin(r.Identity.BodyHash, t.now)
+	verdict := t.core.cfg.Suspects.Begin(r.content(r.stage), t.now)
 	if verdict.Refuse {
 		return
 	}
@@ -170,7 +170,7 @@
 			return
 		}
 	}
-	t.core.cfg.Suspects.Ended(r.Identity.BodyHash, t.now)
+	t.core.cfg.Suspects.Ended(r.content(r.stage), t.now)
 }
 
 // waiting tells whether an attempt of the current stage is still running.
