--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -32,7 +32,7 @@
 	dirty   atomic.Bool
 
 	mu      sync.Mutex
-	places  []place
+	places  map[string]place
 	reports map[string]report
 	loads   map[string]*route.Load
 	health  *route.Health
@@ -52,6 +52,7 @@
 	f := &fleet{
 		entry:   entry,
 		domain:  domain,
+		places:  make(map[string]place),
 		reports: make(map[string]report),
 		loads:   make(map[string]*route.Load),
 		health:  route.NewHealth(),
@@ -66,25 +67,29 @@
 func (f *fleet) setPlaces(places []place, entries int, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.places = places
+	clear(f.places)
 	f.entries = entries
-	known := make(map[string]bool, len(places))
 	byPool := make(map[string][]string)
 	for _, p := range places {
-		known[p.Endpoint] = true
+		f.places[p.Endpoint] = p
 		byPool[p.Pool] = append(byPool[p.Pool], p.Endpoint)
 		if f.loads[p.Endpoint] == nil {
 			f.loads[p.Endpoint] = new(route.Load)
 		}
 	}
-	maps.DeleteFunc(f.reports, func(name string, _ report) bool { return !known[name] })
-	maps.DeleteFunc(f.loads, func(name string, _ *route.Load) bool { return !known[name] })
+	maps.DeleteFunc(f.reports, func(name string, _ report) bool { return !f.member(name) })
+	maps.DeleteFunc(f.loads, func(name string, _ *route.Load) bool { return !f.member(name) })
 	for pool, names := range byPool {
 		f.health.SetMembers(pool, names, now)
 	}
 	f.rebuild(now)
 }
 
+func (f *fleet) member(endpoint string) bool {
+	_, ok := f.places[endpoint]
+	return ok
+}
+
 // setReport takes in an agent's report. One that is older than the latest of
 // the same incarnation came late or out of order and is dropped.
 func (f *fleet) setReport(r wire.AgentReport, now time.Time) {
@@ -99,11 +104,10 @@
 	}
 	f.reports[r.Endpoint] = report{AgentReport: r, at: now}
 	f.fresh[r.Endpoint] = true
-	if r.Draining != last.Draining || r.Down != last.Down || r.Process.Incarnation != last.Process.Incarnation {
-		f.rebuild(now)
-		return
-	}
 	f.dirty.Store(true)
+	if r.Draining != last.Draining || r.Down != last.Down {
+		f.refresh(now)
+	}
 }
 
 // observe takes in how a call to an endpoint ended.
@@ -158,11 +162,42 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.dirty.Load() {
-		f.rebuild(now)
+		f.refresh(now)
 	}
 	return f.current.Load()
 }
 
+// refresh shows the fresh reports. Membership is as it was, so all other
+// endpoints are taken over.
+func (f *fleet) refresh(now time.Time) {
+	f.dirty.Store(false)
+	old := f.current.Load()
+	snap := &route.Snapshot{At: now, Domain: f.domain, Pools: maps.Clone(old.Pools)}
+	for name := range f.fresh {
+		p, ok := f.places[name]
+		if !ok {
+			continue
+		}
+		if pool := snap.Pools[p.Pool]; pool != nil {
+			snap.Pools[p.Pool] = pool.Replace(f.endpoint(p))
+		}
+	}
+	f.show(snap)
+}
+
+// show puts a snapshot in place. The own sends are forgotten only once
+// decisions see the report that counts them; the other way round an endpoint
+// would look idle between.
+func (f *fleet) show(snap *route.Snapshot) {
+	f.current.Store(snap)
+	for name := range f.fresh {
+		if load := f.loads[name]; load != nil {
+			load.SentSinceReport.Store(0)
+		}
+	}
+	clear(f.fresh)
+}
+
 func (f *fleet) rebuild(now time.Time) {
 	f.dirty.Store(false)
 	byPool := make(map[string][]*route.Endpoint)
@@ -174,15 +209,7 @@
 	for name, endpoints := range byPool {
 		snap.Pools[name] = f.pool(old.Pools[name], name, endpoints)
 	}
-	f.current.Store(snap)
-	// The own sends are forgotten only once decisions see the report that
-	// counts them; the other way round an endpoint would look idle between.
-	for name := range f.fresh {
-		if load := f.loads[name]; load != nil {
-			load.SentSinceReport.Store(0)
-		}
-	}
-	clear(f.fresh)
+	f.show(snap)
 }
 
 func (f *fleet) pool(old *route.Pool, name string, endpoints []*route.Endpoint) *route.Pool {
