--- a/agent/agent.go
+++ b/agent/agent.go
@@ -49,9 +49,15 @@
 	// DropConnections closes all connections to peers; it is called when the
 	// process finds that it was stopped. Nil for none.
 	DropConnections func()
+	// Announce tells the entries of the agent's report; it is called when the
+	// endpoint goes down, comes back or stops taking work, and must not block. Nil
+	// for none.
+	Announce func()
 	// OnNewerBundle is called when a call was made under a newer bundle than the
 	// agent holds; it must not block. Nil for none.
 	OnNewerBundle func(version uint64)
+	// RefusalsOnly leaves decisions to run a call, and their success, out of the log.
+	RefusalsOnly bool
 	// Bounds sets the bounds of the core; its other fields are ignored.
 	Bounds CoreConfig
 }
@@ -117,14 +123,14 @@
 
 // SetLeaving notes whether the platform lists the agent's VM as leaving.
 func (a *Agent) SetLeaving(leaving bool) {
-	a.log.Info().Str("vm", a.cfg.VM).Bool("leaving", leaving).Msg("vm state")
+	a.log.Info().Str("event", logVMState).Str("vm", a.cfg.VM).Bool("leaving", leaving).Msg("vm state")
 	a.core.SetLeaving(a.cfg.Now(), leaving)
 }
 
 // Drain refuses new calls and returns when all that were accepted have been
 // answered, or with ctx's error.
 func (a *Agent) Drain(ctx context.Context) error {
-	a.log.Info().Msg("draining")
+	a.log.Info().Str("event", logDraining).Msg("draining")
 	a.core.Drain()
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
@@ -177,16 +183,37 @@
 	defer a.wg.Done()
 	ticker := time.NewTicker(TickInterval)
 	defer ticker.Stop()
+	var announced availability
 	for {
 		select {
 		case <-a.stopped.Done():
 			return
 		case <-ticker.C:
 			a.do(a.core.Tick(a.cfg.Now()))
+			a.announceChange(&announced)
 		}
 	}
 }
 
+// availability is what of a report decides whether an endpoint gets work.
+type availability struct{ draining, down bool }
+
+// announceChange announces a change of availability. Without it an entry that
+// sends nothing here would learn only by the next exchange of hellos, seconds
+// later, that a crashed endpoint is back. When a request has crashed several
+// endpoints that shows as callers who are refused though there is room for them.
+func (a *Agent) announceChange(last *availability) {
+	report := a.core.Report()
+	now := availability{draining: report.Draining, down: report.Down}
+	if now == *last {
+		return
+	}
+	*last = now
+	if a.cfg.Announce != nil {
+		a.cfg.Announce()
+	}
+}
+
 func (a *Agent) checkHealth() {
 	defer a.wg.Done()
 	for {
--- a/agent/shell.go
+++ b/agent/shell.go
@@ -12,6 +12,14 @@
 	"github.com/mangostage/mangostage/wire"
 )
 
+// Event names of the agent's log lines.
+const (
+	logCall     = "call"
+	logPaused   = "paused"
+	logVMState  = "vm_state"
+	logDraining = "draining"
+)
+
 // arrivalState is one call that waits for its reply.
 type arrivalState struct {
 	conn  *peer.Conn
@@ -75,7 +83,7 @@
 		a.decisions.add(e)
 		a.logDecision(e)
 	case DropConnections:
-		a.log.Warn().Dur("gap", e.Gap).Msg("this process was stopped; dropping connections")
+		a.log.Warn().Str("event", logPaused).Dur("gap", e.Gap).Msg("this process was stopped; dropping connections")
 		if a.cfg.DropConnections != nil {
 			a.cfg.DropConnections()
 		}
@@ -149,12 +157,26 @@
 	a.do(a.core.Finish(a.cfg.Now(), run, result, err))
 }
 
+// routine are the decisions of a call that takes its course. All others refuse
+// it or end it without a result.
+var routine = map[Verdict]bool{
+	VerdictStarted:  true,
+	VerdictQueued:   true,
+	VerdictJoined:   true,
+	VerdictReplayed: true,
+	VerdictDone:     true,
+}
+
 func (a *Agent) logDecision(d Decision) {
+	if a.cfg.RefusalsOnly && routine[d.Verdict] {
+		return
+	}
 	event := a.log.Info()
-	if d.Verdict == VerdictLost || d.Verdict == VerdictUnknown {
+	if !routine[d.Verdict] {
 		event = a.log.Warn()
 	}
-	event.Str("decision", string(d.Verdict)).
+	event.Str("event", logCall).
+		Str("decision", string(d.Verdict)).
 		Str("request", d.ID.Request).
 		Str("stage", d.ID.Stage).
 		Str("entry", d.ID.Entry).
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -89,6 +89,7 @@
 	c.require(p.Affinity >= 0 && p.Affinity <= 1, pos.field("affinity"), "affinity must be between 0 and 1")
 	c.require(p.DrainAfter > 0, pos.field("drain_after"), "drain_after must be longer than 0s")
 	c.require(p.KeyRetention > 0, pos.field("key_retention"), "key_retention must be longer than 0s")
+	c.require(p.ModelLoadsPerMinute > 0, pos.field("model_loads_per_minute"), "model_loads_per_minute must be more than 0")
 	c.require(p.MaxClockSkew >= 0, pos.field("max_clock_skew"), "max_clock_skew must not be negative")
 }
 
--- a/bundle/check_test.go
+++ b/bundle/check_test.go
@@ -23,6 +23,7 @@
 		{"version: 3", "version: 3\npolicy: {max_attempts: 0}", "f:2:24: max_attempts must be at least 1"},
 		{"version: 3", "version: 3\npolicy: {hedge_after: 1}", "f:2:23: hedge_after must be at least 0 and under 1"},
 		{"version: 3", "version: 3\npolicy: {drain_after: 0s}", "f:2:23: drain_after must be longer than 0s"},
+		{"version: 3", "version: 3\npolicy: {model_loads_per_minute: 0}", "f:2:34: model_loads_per_minute must be more than 0"},
 		{"version: 3", "version: 3\npolicy: {key_retention: 500ms}",
 			"f:21:15: deadline 1s is longer than the policy's key_retention 500ms"},
 		{"name: shops", "name: Shops", `f:3:11: account name "Shops" must be 1 to 63 lower-case letters, digits and inner hyphens`},
--- a/bundle/defaults.go
+++ b/bundle/defaults.go
@@ -14,6 +14,8 @@
 	DefaultKeyRetention = Duration(10 * time.Minute)
 	DefaultMaxClockSkew = Duration(500 * time.Millisecond)
 
+	DefaultModelLoadsPerMinute = 60.0
+
 	DefaultProtocol    = ProtocolService
 	DefaultConcurrency = 16
 	DefaultQueue       = 64
@@ -49,6 +51,8 @@
 		DrainAfter:   DefaultDrainAfter,
 		KeyRetention: DefaultKeyRetention,
 		MaxClockSkew: DefaultMaxClockSkew,
+
+		ModelLoadsPerMinute: DefaultModelLoadsPerMinute,
 	}
 }
 
--- a/bundle/schema.go
+++ b/bundle/schema.go
@@ -58,6 +58,9 @@
 	DrainAfter Duration `yaml:"drain_after" json:"drain_after"`
 	// KeyRetention is how long a finished unrepeatable call is remembered.
 	KeyRetention Duration `yaml:"key_retention" json:"key_retention"`
+	// ModelLoadsPerMinute is the most models that all engines together load
+	// from the weight store in a minute.
+	ModelLoadsPerMinute float64 `yaml:"model_loads_per_minute" json:"model_loads_per_minute"`
 	// MaxClockSkew bounds the difference between the clocks of two VMs.
 	MaxClockSkew Duration `yaml:"max_clock_skew" json:"max_clock_skew"`
 }
--- a/cmd/mangostage/bundle.go
+++ b/cmd/mangostage/bundle.go
@@ -18,6 +18,7 @@
 	Sign   *bundleSign   `arg:"subcommand:sign" help:"check and sign a YAML bundle for publication"`
 	Verify *bundleVerify `arg:"subcommand:verify" help:"prove the signature and content of a published bundle"`
 	Diff   *bundleDiff   `arg:"subcommand:diff" help:"list what changes from one YAML bundle to another"`
+	Schema *bundleSchema `arg:"subcommand:schema" help:"print the JSON Schema of a bundle, for editors"`
 }
 
 // readBundle reads and checks a YAML bundle. The error is a finding.List, or
--- a/cmd/mangostage/bundle_keygen.go
+++ b/cmd/mangostage/bundle_keygen.go
@@ -27,6 +27,14 @@
 // bundleKeygen makes a key pair.
 type bundleKeygen struct {
 	Out string `arg:"--out,required" placeholder:"DIR" help:"directory for the two PEM files; existing keys are not overwritten"`
+	outputArguments
+}
+
+// keyReport is the JSON output of bundle keygen.
+type keyReport struct {
+	Key     string `json:"key"`
+	Private string `json:"private"`
+	Public  string `json:"public"`
 }
 
 func (c *bundleKeygen) run(_ context.Context, out, _ io.Writer) error {
@@ -54,7 +62,11 @@
 		// A private key without its public half is of no use to anyone.
 		return errors.Join(err, os.Remove(privatePath))
 	}
-	_, err = fmt.Fprintf(out, "key %s: %s, %s\n", bundle.KeyID(pub), privatePath, publicPath)
+	report := keyReport{Key: bundle.KeyID(pub), Private: privatePath, Public: publicPath}
+	if c.Output == outputJSON {
+		return writeJSON(out, report)
+	}
+	_, err = fmt.Fprintf(out, "key %s: %s, %s\n", report.Key, report.Private, report.Public)
 	return err
 }
 
--- a/cmd/mangostage/bundle_sign.go
+++ b/cmd/mangostage/bundle_sign.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/ed25519"
+	"fmt"
 	"io"
 	"os"
 
@@ -13,6 +15,14 @@
 	Key  string `arg:"--key,required" placeholder:"PEM" help:"private key"`
 	File string `arg:"positional,required" help:"YAML bundle"`
 	Out  string `arg:"-o,--out" placeholder:"FILE" help:"where to write the signed bundle [default: standard output]"`
+	outputArguments
+}
+
+// signReport is the JSON output of bundle sign to a file.
+type signReport struct {
+	File    string `json:"file"`
+	Version uint64 `json:"version"`
+	Key     string `json:"key"`
 }
 
 func (c *bundleSign) run(_ context.Context, out, _ io.Writer) error {
@@ -20,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	_, data, err := readBundle(c.File)
+	b, data, err := readBundle(c.File)
 	if err != nil {
 		return err
 	}
@@ -28,9 +38,17 @@
 	if err != nil {
 		return err
 	}
-	if c.Out != "" {
-		return os.WriteFile(c.Out, signed, publicMode)
+	if c.Out == "" {
+		_, err = out.Write(signed)
+		return err
+	}
+	if err := os.WriteFile(c.Out, signed, publicMode); err != nil {
+		return err
+	}
+	report := signReport{File: c.Out, Version: b.Version, Key: bundle.KeyID(key.Public().(ed25519.PublicKey))}
+	if c.Output == outputJSON {
+		return writeJSON(out, report)
 	}
-	_, err = out.Write(signed)
+	_, err = fmt.Fprintf(out, "%s: version %d, signed with key %s\n", report.File, report.Version, report.Key)
 	return err
 }
--- /dev/null
+++ b/cmd/mangostage/help.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+)
+
+// help is what the help text of one command says beyond its arguments.
+type help struct {
+	examples []string
+	// failed is when the command ends with exitFindings; empty if it never does.
+	failed string
+}
+
+// helps holds the help of each command by its words; "" is the program's.
+var helps = map[string]help{
+	"": {
+		examples: []string{
+			"mangostage dev",
+			"mangostage bundle check examples/brunnhofer.yaml",
+			"mangostage status --entries 127.0.0.1:7600 --credential dev-operator",
+			"mangostage COMMAND --help",
+		},
+		failed: "the input has findings or was refused",
+	},
+	"bundle": {
+		examples: []string{
+			"mangostage bundle keygen --out keys",
+			"mangostage bundle check bundle.yaml",
+			"mangostage bundle diff old.yaml bundle.yaml",
+			"mangostage bundle sign --key keys/bundle-private.pem bundle.yaml -o bundle.json",
+			"mangostage bundle verify --key keys/bundle-public.pem bundle.json",
+		},
+		failed: "the input has findings or was refused",
+	},
+	"bundle check": {
+		examples: []string{"mangostage bundle check bundle.yaml", "mangostage bundle check --output json bundle.yaml"},
+		failed:   "the bundle has findings",
+	},
+	"bundle keygen": {
+		examples: []string{"mangostage bundle keygen --out keys"},
+	},
+	"bundle sign": {
+		examples: []string{
+			"mangostage bundle sign --key keys/bundle-private.pem bundle.yaml -o bundle.json",
+			"mangostage bundle sign --key keys/bundle-private.pem bundle.yaml > bundle.json",
+		},
+		failed: "the bundle has findings; it is not signed",
+	},
+	"bundle verify": {
+		examples: []string{
+			"mangostage bundle verify --key keys/bundle-public.pem bundle.json",
+			"mangostage bundle verify --key old.pem --key new.pem --output json bundle.json",
+		},
+		failed: "no key signed it, or it is damaged, or has findings",
+	},
+	"bundle diff": {
+		examples: []string{"mangostage bundle diff old.yaml bundle.yaml"},
+		failed:   "one of the bundles has findings",
+	},
+	"bundle schema": {
+		examples: []string{"mangostage bundle schema > bundle.schema.json"},
+	},
+	"dev": {
+		examples: []string{
+			"mangostage dev",
+			"mangostage dev --deployment stroomwacht --listen 127.0.0.1:7601 --log-level info",
+		},
+	},
+	"load": {
+		examples: []string{
+			"mangostage load --list",
+			"mangostage load --self-contained calm burst+straggler --seed 7",
+			"mangostage load --self-contained overload-2x --compare naive --output json",
+		},
+		failed: "the run broke a promise",
+	},
+	"explain": {
+		examples: []string{
+			"mangostage explain --entries 127.0.0.1:7600 --credential dev-operator REQUEST",
+			"mangostage explain --entries 10.0.0.1:7600 --entries 10.0.0.2:7600 --output json REQUEST",
+		},
+		failed: "the entries refused: no operator's credential, or not an ID of this fleet",
+	},
+	"status": {
+		examples: []string{
+			"mangostage status --entries 127.0.0.1:7600 --credential dev-operator",
+			"MANGOSTAGE_ENTRIES=10.0.0.1:7600,10.0.0.2:7600 mangostage status --output json",
+		},
+		failed: "the entries refused: no operator's credential",
+	},
+}
+
+// writeHelp writes the help of the command that parser has met.
+func writeHelp(out io.Writer, parser *arg.Parser) error {
+	names := parser.SubcommandNames()
+	if err := parser.WriteHelpForSubcommand(out, names...); err != nil {
+		return err
+	}
+	_, err := io.WriteString(out, helps[strings.Join(names, " ")].text())
+	return err
+}
+
+func (h help) text() string {
+	var b strings.Builder
+	b.WriteString("\nExamples:\n")
+	for _, example := range h.examples {
+		b.WriteString("  " + example + "\n")
+	}
+	b.WriteString("\nExit codes:\n")
+	line := func(code int, meaning string) { _, _ = fmt.Fprintf(&b, "  %d  %s\n", code, meaning) }
+	line(exitOK, "success")
+	if h.failed != "" {
+		line(exitFindings, h.failed)
+	}
+	line(exitUsage, "wrong command line, unusable file, or a failure on the way")
+	return b.String()
+}
--- a/cmd/mangostage/main.go
+++ b/cmd/mangostage/main.go
@@ -8,12 +8,12 @@
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/alexflint/go-arg"
 
 	"github.com/mangostage/mangostage/finding"
+	"github.com/mangostage/mangostage/settings"
 )
 
 // Exit codes.
@@ -29,6 +29,7 @@
 type arguments struct {
 	Bundle  *bundleArguments `arg:"subcommand:bundle" help:"check, sign, verify and compare bundles"`
 	Dev     *dev             `arg:"subcommand:dev" help:"run a deployment with stand-ins in this process"`
+	Load    *loadArguments   `arg:"subcommand:load" help:"drive a deployment with load and faults, and sum up"`
 	Explain *explain         `arg:"subcommand:explain" help:"tell what became of one request"`
 	Status  *status          `arg:"subcommand:status" help:"show processes, load and cost as the entries see them"`
 }
@@ -42,28 +43,12 @@
 
 // Description heads the help text.
 func (arguments) Description() string {
-	return "mangostage checks and signs bundles and accounts for requests."
-}
-
-// Epilogue ends the help text.
-func (arguments) Epilogue() string {
-	return `Examples:
-  mangostage bundle check examples/brunnhofer.yaml
-  mangostage bundle keygen --out keys
-  mangostage bundle sign --key keys/bundle-private.pem examples/brunnhofer.yaml -o bundle.json
-  mangostage bundle verify --key keys/bundle-public.pem bundle.json
-  mangostage bundle diff old.yaml new.yaml
-
-Exit codes: 0 success, 1 findings or refusal, 2 usage error or unusable file.`
+	return "mangostage checks and signs bundles, accounts for requests, and runs trials."
 }
 
 // Version is the text of --version.
 func (arguments) Version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "mangostage (unknown version)"
-	}
-	return "mangostage " + info.Main.Version + " " + info.GoVersion
+	return settings.Version("mangostage")
 }
 
 func main() {
@@ -84,7 +69,7 @@
 	err = parser.Parse(args)
 	switch {
 	case errors.Is(err, arg.ErrHelp):
-		_ = parser.WriteHelpForSubcommand(out, parser.SubcommandNames()...)
+		_ = writeHelp(out, parser)
 		return exitOK
 	case errors.Is(err, arg.ErrVersion):
 		_, _ = fmt.Fprintln(out, parsed.Version())
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 	"github.com/rs/zerolog"
@@ -32,6 +33,21 @@
 	headerTimeout = 5 * time.Second
 )
 
+// Event names of the log lines.
+const (
+	logStarted    = "started"
+	logDraining   = "draining"
+	logStopped    = "stopped"
+	logBusEnded   = "event_bus_ended"
+	logHTTPEnded  = "http_ended"
+	logNotApplied = "bundle_not_applied"
+)
+
+// timeFormat has the milliseconds that order the lines of several processes.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // NewLog returns the process's log: JSON lines on out.
 func NewLog(out io.Writer, level zerolog.Level, process wire.Process) zerolog.Logger {
 	return zerolog.New(out).Level(level).With().
@@ -55,7 +71,11 @@
 	mux     *peer.Mux
 	member  *member.Service
 	peers   net.Addr
-	stopBus context.CancelFunc
+	// debug serves metrics on their own address; nil without one.
+	debug     *http.Server
+	debugAddr net.Addr
+	tls       *settings.TLS
+	stopBus   context.CancelFunc
 }
 
 func newBase(process wire.Process, loaded settings.Loaded, log zerolog.Logger) (*base, error) {
@@ -68,6 +88,7 @@
 		log:     log,
 		bus:     bus,
 		holder:  bundle.NewHolder(loaded.BundleKeys),
+		tls:     loaded.TLS,
 		mux:     peer.NewMux(),
 	}, nil
 }
@@ -93,7 +114,7 @@
 	b.stopBus = cancel
 	go func() {
 		if err := b.bus.Run(ctx); err != nil {
-			b.log.Error().Err(err).Msg("event bus ended")
+			b.log.Error().Str("event", logBusEnded).Err(err).Msg("event bus ended")
 		}
 	}()
 	<-b.bus.Running()
@@ -111,8 +132,46 @@
 	b.member.Stop()
 	b.stopBus()
 	_ = b.bus.Close()
+	b.log.Info().Str("event", logStopped).Msg("stopped")
 }
 
+// serveDebug serves metrics and health on their own address, if there is one.
+func (b *base) serveDebug(address string, own *expvar.Map) error {
+	if address == "" {
+		return nil
+	}
+	r := chi.NewRouter()
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/debug/vars", serveVars(b.vars(own)))
+	var err error
+	b.debug, b.debugAddr, err = serveHTTP(address, r, b.log)
+	return err
+}
+
+func (b *base) stopDebug(ctx context.Context) {
+	if b.debug != nil {
+		_ = b.debug.Shutdown(ctx)
+	}
+}
+
+// logStart tells where the process listens; callers is nil without a callers' API.
+func (b *base) logStart(callers net.Addr) {
+	event := b.log.Info().Str("event", logStarted).
+		Str("incarnation", b.process.Incarnation).
+		Stringer("peer_address", b.peers).
+		Bool("tls", b.tls != nil)
+	if callers != nil {
+		event.Stringer("address", callers)
+	}
+	if b.debugAddr != nil {
+		event.Stringer("debug_address", b.debugAddr)
+	}
+	event.Msg("listening")
+}
+
+// DebugAddr returns the address bound for metrics, or nil.
+func (b *base) DebugAddr() net.Addr { return b.debugAddr }
+
 // PeerAddr returns the address bound for peers.
 func (b *base) PeerAddr() net.Addr { return b.peers }
 
@@ -123,6 +182,9 @@
 	m.Set(string(b.process.Role), own)
 	m.Set("member", expvar.Func(func() any { return b.member.Stats() }))
 	m.Set("bundle", expvar.Func(func() any { return b.holder.Head() }))
+	if b.tls != nil {
+		m.Set("tls", expvar.Func(func() any { return b.tls.Stats(time.Now()) }))
+	}
 	m.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	if memstats := expvar.Get("memstats"); memstats != nil {
 		m.Set("memstats", memstats)
@@ -147,7 +209,7 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			log.Error().Err(err).Msg("HTTP server ended")
+			log.Error().Str("event", logHTTPEnded).Err(err).Msg("HTTP server ended")
 		}
 	}()
 	return server, listener.Addr(), nil
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -33,11 +33,12 @@
 	}
 	e := &Entry{base: b, settings: s}
 	e.entry = entry.New(entry.Config{
-		Process:   process,
-		FleetKeys: loaded.FleetKeys,
-		Log:       log,
-		Records:   ledger.NewStore(ledger.DefaultStoreConfig),
-		MaxBody:   s.MaxBody,
+		Process:      process,
+		FleetKeys:    loaded.FleetKeys,
+		Log:          log,
+		Records:      ledger.NewStore(ledger.DefaultStoreConfig),
+		MaxBody:      s.MaxBody,
+		RefusalsOnly: loaded.RefusalsOnly,
 	})
 	e.entry.Register(b.mux)
 	kernel.Handle(b.bus, "entry-view", kernel.TopicMember, func(kernel.MemberEvent) {
@@ -51,19 +52,39 @@
 		return nil, err
 	}
 	e.entry.Start(b.member)
-	e.server, e.addr, err = serveHTTP(s.Listen, e.entry.Handler(serveVars(b.vars(e.entry.Vars()))), log)
-	if err != nil {
+	if err := e.serve(); err != nil {
+		e.entry.Stop()
+		b.stopDebug(context.Background())
 		b.stop()
 		return nil, err
 	}
+	b.logStart(e.addr)
 	return e, nil
 }
 
+// serve serves the callers' API, and the metrics with it unless they have an
+// address of their own: callers need not see other accounts' figures.
+func (e *Entry) serve() error {
+	vars := serveVars(e.vars(e.entry.Vars()))
+	if e.settings.DebugListen != "" {
+		vars = http.NotFound
+	}
+	var err error
+	if e.server, e.addr, err = serveHTTP(e.settings.Listen, e.entry.Handler(vars), e.log); err != nil {
+		return err
+	}
+	if err := e.serveDebug(e.settings.DebugListen, e.entry.Vars()); err != nil {
+		_ = e.server.Close()
+		return err
+	}
+	return nil
+}
+
 // applyBundle logs a bundle whose policy this build does not know; the one in
 // force stays.
 func (e *Entry) applyBundle(v *bundle.Verified) {
 	if err := e.entry.ApplyBundle(v); err != nil {
-		e.log.Error().Err(err).Uint64("version", v.Head.Version).Msg("bundle not applied")
+		e.log.Error().Str("event", logNotApplied).Err(err).Uint64("version", v.Head.Version).Msg("bundle not applied")
 	}
 }
 
@@ -76,10 +97,12 @@
 // Stop drains: unready first, then no new requests, then out when the last has
 // its answer or ctx ends.
 func (e *Entry) Stop(ctx context.Context) error {
+	e.log.Info().Str("event", logDraining).Msg("draining")
 	err := e.entry.Drain(ctx, e.settings.DrainWait)
 	if shutdown := e.server.Shutdown(ctx); err == nil {
 		err = shutdown
 	}
+	e.stopDebug(ctx)
 	e.entry.Stop()
 	e.stop()
 	return err
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -40,8 +40,11 @@
 	case errors.Is(err, arg.ErrHelp):
 		parser.WriteHelp(os.Stdout)
 		return ExitOK
+	case errors.Is(err, arg.ErrVersion):
+		_, _ = fmt.Fprintln(os.Stdout, settings.Version(program))
+		return ExitOK
 	case err != nil:
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(os.Stderr, "error:", err)
 		return ExitUsage
 	}
 	signals, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- /dev/null
+++ b/daemon/page_test.go
@@ -0,0 +1,88 @@
+package daemon
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const operatingPage = "../docs/OPERATING.md"
+
+func readPage(t *testing.T) string {
+	t.Helper()
+	page, err := os.ReadFile(operatingPage)
+	assert.NilError(t, err)
+	return string(page)
+}
+
+// source is the text of a package's files without its tests.
+func source(t *testing.T, dir string) string {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join("..", dir, "*.go"))
+	assert.NilError(t, err)
+	var text strings.Builder
+	for _, file := range files {
+		if strings.HasSuffix(file, "_test.go") {
+			continue
+		}
+		data, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		text.Write(data)
+	}
+	return text.String()
+}
+
+// loggingPackages are those that write log lines in a daemon.
+var loggingPackages = []string{"agent", "daemon", "entry", "kernel", "member", "order"}
+
+var (
+	eventUse   = regexp.MustCompile(`Str\("event", (\w+)`)
+	eventNames = regexp.MustCompile(`(?m)^(?:const)?\s+(log[A-Z]\w*)\s*= "(\w+)"`)
+	lineEnd    = regexp.MustCompile(`\.\s*(?:Msg\(|Send\(\))`)
+	pageEvents = regexp.MustCompile("(?m)^\\| ((?:`[a-z_]+`(?:, )?)+) \\| (?:debug|info|warn|error)")
+	word       = regexp.MustCompile("`([a-z_]+)`")
+)
+
+func TestPageListsEveryEvent(t *testing.T) {
+	onPage := make(map[string]bool)
+	for _, m := range pageEvents.FindAllStringSubmatch(readPage(t), -1) {
+		for _, name := range word.FindAllStringSubmatch(m[1], -1) {
+			onPage[name[1]] = true
+		}
+	}
+	inCode := make(map[string]bool)
+	for _, dir := range loggingPackages {
+		text := source(t, dir)
+		for _, m := range eventNames.FindAllStringSubmatch(text, -1) {
+			inCode[m[2]] = true
+		}
+		uses, lines := len(eventUse.FindAllString(text, -1)), len(lineEnd.FindAllString(text, -1))
+		assert.Equal(t, uses, lines, "%s writes log lines without the name of an event", dir)
+	}
+	assert.DeepEqual(t, onPage, inCode)
+}
+
+// namesIn returns the values of the constants of a type.
+func namesIn(text, typeName string) []string {
+	var names []string
+	pattern := regexp.MustCompile(`(?m)^\s+\w+\s+` + typeName + `\s+= "(\w+)"`)
+	for _, m := range pattern.FindAllStringSubmatch(text, -1) {
+		names = append(names, m[1])
+	}
+	return names
+}
+
+func TestPageNamesReasonsAndDecisions(t *testing.T) {
+	page := readPage(t)
+	names := namesIn(source(t, "api"), "Reason")
+	assert.Assert(t, len(names) > 0)
+	decisions := namesIn(source(t, "agent"), "Verdict")
+	assert.Assert(t, len(decisions) > 0)
+	for _, name := range append(names, decisions...) {
+		assert.Assert(t, strings.Contains(page, "`"+name+"`"), "%s lacks %q", operatingPage, name)
+	}
+}
--- /dev/null
+++ b/daemon/tls_test.go
@@ -0,0 +1,124 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/member"
+	"github.com/mangostage/mangostage/settings"
+)
+
+const someInput = `{"input": {"text": "hello"}}`
+
+// connect makes a TLS connection and waits until the other side either takes
+// it, by waiting for the first message, or ends it.
+func connect(t *testing.T, address net.Addr, cfg *tls.Config) error {
+	t.Helper()
+	conn, err := tls.Dial("tcp", address.String(), cfg)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
+	_, err = conn.Read(make([]byte, 1))
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		return nil
+	}
+	return err
+}
+
+// Anyone who reaches a peer address could give an agent calls, or an entry
+// false reports. A process without a certificate of the fleet's authority, or
+// with one of another, must be turned away before its first message, and the
+// operator must see that somebody tried.
+func TestStrangersAreRefusedAndCounted(t *testing.T) {
+	f := startFleet(t)
+	assert.Equal(t, f.send(someInput), http.StatusOK)
+	other := newAuthority(t)
+	other.issue("stranger", 1)
+	foreign := f.ca.config("")
+	foreign.Certificates = other.config("stranger").Certificates
+	for _, p := range []struct{ peer, debug net.Addr }{
+		{f.agent.PeerAddr(), f.agent.DebugAddr()},
+		{f.entry.PeerAddr(), f.entry.DebugAddr()},
+	} {
+		refused := func() int64 { return section[member.StatsSnapshot](f, p.debug, "member").PeerHandshakesRefused }
+		// A connection may be cut while the fleet comes together.
+		before := refused()
+		assert.NilError(t, connect(t, p.peer, f.ca.config("entry")))
+		assert.Equal(t, refused(), before)
+		assert.ErrorContains(t, connect(t, p.peer, f.ca.config("")), "certificate")
+		assert.ErrorContains(t, connect(t, p.peer, foreign), "certificate")
+		f.eventually("both strangers are counted", func() bool { return refused() == before+2 })
+	}
+	assert.Assert(t, f.log.count("peer_refused") >= 4)
+	assert.Equal(t, f.send(someInput), http.StatusOK)
+}
+
+// Certificates are renewed while the fleet serves. The new pair must be shown
+// to whoever connects next, requests must go on, and a pair that does not load
+// must be told of while the one in use still works, not when it expires.
+func TestCertificatesChangeWhileServing(t *testing.T) {
+	f := startFleet(t)
+	client := f.ca.config("entry")
+	shown := func(address net.Addr) int64 {
+		conn, err := tls.Dial("tcp", address.String(), client)
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+	}
+	assert.Equal(t, shown(f.agent.PeerAddr()), int64(10))
+	f.ca.issue("agent", 11)
+	f.ca.issue("entry", 11)
+	f.eventually("both show the new certificate", func() bool {
+		return shown(f.agent.PeerAddr()) == 11 && shown(f.entry.PeerAddr()) == 11
+	})
+	dials := section[member.StatsSnapshot](f, f.entry.DebugAddr(), "member").Dials +
+		section[member.StatsSnapshot](f, f.agent.DebugAddr(), "member").Dials
+	f.agent.member.DropConnections()
+	f.eventually("they have connected anew", func() bool {
+		return section[member.StatsSnapshot](f, f.entry.DebugAddr(), "member").Dials+
+			section[member.StatsSnapshot](f, f.agent.DebugAddr(), "member").Dials > dials
+	})
+	f.waitUsable()
+	assert.Equal(t, f.send(someInput), http.StatusOK)
+
+	assert.NilError(t, os.WriteFile(f.ca.path("agent.pem"), []byte("broken"), 0o600))
+	f.eventually("the broken pair is told of", func() bool {
+		stats := section[settings.TLSStats](f, f.agent.DebugAddr(), "tls")
+		return stats.LoadFailures > 0 && stats.LastFailure != "" && stats.Loads == 2
+	})
+	assert.Equal(t, shown(f.agent.PeerAddr()), int64(11))
+	assert.Equal(t, f.send(someInput), http.StatusOK)
+}
+
+func TestPageNamesEveryMetric(t *testing.T) {
+	f := startFleet(t)
+	assert.Equal(t, f.send(someInput), http.StatusOK)
+	page := readPage(t)
+	for _, debug := range []net.Addr{f.entry.DebugAddr(), f.agent.DebugAddr()} {
+		for name, value := range f.vars(debug) {
+			parts := make(map[string]json.RawMessage)
+			if name == "bundle" || name == "memstats" || json.Unmarshal(value, &parts) != nil {
+				assert.Assert(t, strings.Contains(page, "`"+name+"`"), name)
+				continue
+			}
+			for part := range parts {
+				full := name + "." + part
+				assert.Assert(t, strings.Contains(page, "`"+full+"`"), full)
+			}
+		}
+	}
+	reply, err := http.Get("http://" + f.entry.Addr().String() + "/debug/vars")
+	assert.NilError(t, err)
+	_ = reply.Body.Close()
+	assert.Equal(t, reply.StatusCode, http.StatusNotFound, "metrics have an address of their own")
+}
--- a/entry/effects.go
+++ b/entry/effects.go
@@ -176,10 +176,14 @@
 // observe feeds the estimates and the health of endpoints. Time spent waiting
 // at the agent is load and not slowness, so neither counts it.
 func (e *Entry) observe(o pipeline.Observe) {
+	now := e.cfg.Now()
+	if o.Crashed {
+		// The next copy may be on its way to another entry already.
+		e.shareSuspects(now)
+	}
 	if o.Revoked {
 		return
 	}
-	now := e.cfg.Now()
 	if o.Outcome == route.CallSucceeded {
 		e.estimates.Observe(route.StageKey{Pool: o.Pool, Stage: o.Stage}, o.Took-o.Queued, now)
 		e.current.Load().retry.Success(o.Pool, now)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,6 +56,8 @@
 	Records *ledger.Store
 	// MaxBody bounds request bodies in bytes, whatever the bundle says.
 	MaxBody int64
+	// RefusalsOnly leaves the choice of an endpoint out of the log, unless none was found.
+	RefusalsOnly bool
 }
 
 // Entry serves callers.
--- a/entry/http_test.go
+++ b/entry/http_test.go
@@ -101,3 +101,29 @@
 	assert.Equal(t, retryAfterSeconds(time.Millisecond), "1")
 	assert.Equal(t, retryAfterSeconds(1001*time.Millisecond), "2")
 }
+
+// TestSendingAgainToAFreshEntry: an order was sent through one entry and ran;
+// its caller got no reply and sends it again to an entry that has no bundle yet.
+// "Refused" would make it place the order anew.
+func TestSendingAgainToAFreshEntry(t *testing.T) {
+	tests := map[string]struct {
+		header string
+		want   api.Outcome
+	}{
+		"held ID":           {api.HeaderRequestID, api.OutcomeUnknown},
+		"key":               {api.HeaderIdempotencyKey, api.OutcomeUnknown},
+		"not recognisable":  {"", api.OutcomeRefused},
+		"some other header": {"X-Trace", api.OutcomeRefused},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			req := httptest.NewRequest(http.MethodPost, "/v1/pipelines/orders/requests", strings.NewReader(`{"input":1}`))
+			if test.header != "" {
+				req.Header.Set(test.header, "some value")
+			}
+			w := httptest.NewRecorder()
+			testEntry(t).Handler(noVars).ServeHTTP(w, req)
+			assert.Equal(t, w.Header().Get(api.HeaderOutcome), string(test.want))
+		})
+	}
+}
--- a/entry/log.go
+++ b/entry/log.go
@@ -11,12 +11,17 @@
 
 // Event names of the entry's log lines.
 const (
-	logRoute   = "route"
-	logHealth  = "endpoint_health"
-	logRefused = "refused"
+	logRoute    = "route"
+	logHealth   = "endpoint_health"
+	logRefused  = "refused"
+	logCutShort = "cut_short"
+	logUnknown  = "unknown"
 )
 
 func (e *Entry) logDecision(d pipeline.Log) {
+	if e.cfg.RefusalsOnly && d.Endpoint != "" {
+		return
+	}
 	e.cfg.Log.Info().
 		Str("event", logRoute).
 		Str("request", d.RequestID).
@@ -37,21 +42,29 @@
 			Str("event", logHealth).
 			Str("pool", t.Pool).
 			Str("endpoint", t.Endpoint).
-			Uint8("from", uint8(t.From)).
-			Uint8("to", uint8(t.To)).
+			Stringer("from", t.From).
+			Stringer("to", t.To).
 			Str("reason", t.Reason).
 			Send()
 	}
 }
 
-// logRefusal logs a request turned away before its first stage.
-func (e *Entry) logRefusal(requestID, account, pipelineName string, p *api.Problem) {
+// problemEvents names the event of each outcome that is not an answer.
+var problemEvents = map[api.Outcome]string{
+	api.OutcomeRefused:  logRefused,
+	api.OutcomeCutShort: logCutShort,
+	api.OutcomeUnknown:  logUnknown,
+}
+
+// logProblem logs a request that ends without an answer.
+func (e *Entry) logProblem(account, pipelineName string, p *api.Problem) {
 	e.cfg.Log.Warn().
-		Str("event", logRefused).
-		Str("request", requestID).
+		Str("event", problemEvents[p.Outcome]).
+		Str("request", p.RequestID).
 		Str("account", account).
 		Str("pipeline", pipelineName).
 		Str("reason", string(p.Reason)).
+		Str("detail", p.Detail).
 		Dur("retry_after", p.RetryAfter).
 		Send()
 }
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -45,11 +45,11 @@
 func (e *Entry) submit(w http.ResponseWriter, r *http.Request) {
 	s := &submission{received: e.cfg.Now(), gen: e.current.Load()}
 	if s.gen == nil {
-		e.reject(w, api.ReasonNoBundle, "this process has not yet seen a bundle")
+		e.rejectSending(w, r, api.ReasonNoBundle, "this process has not yet seen a bundle")
 		return
 	}
 	if rejected := e.parse(w, r, s); rejected != nil {
-		e.reject(w, rejected.reason, rejected.detail)
+		e.rejectSending(w, r, rejected.reason, rejected.detail)
 		return
 	}
 	ref := e.refs.Add(1)
@@ -57,7 +57,6 @@
 	refused, release := e.screen(s)
 	waiting := e.waiters.add(ref, s.admit.RequestID, release)
 	if refused != nil {
-		e.logRefusal(s.admit.RequestID, s.account.Name, s.pipeline.Name, refused)
 		e.handle(pipeline.Refuse{
 			Admit:      s.admit,
 			Reason:     refused.Reason,
@@ -70,6 +69,31 @@
 	e.await(w, r, s, waiting)
 }
 
+// unasked are the reasons for which a sending is turned away, though there is
+// nothing wrong with it, before anybody was asked whether an earlier one ran.
+var unasked = map[api.Reason]bool{
+	api.ReasonNoBundle:  true,
+	api.ReasonIDExpired: true,
+}
+
+// rejectSending answers a sending that gets no further than this process.
+//
+// It guards against "refused" for an order that ran: the caller sends it again,
+// with the same key or held ID, to an entry that has just started or after the
+// ID has expired, reads that it did not run, and places it anew. This sending
+// did not run, but nobody here knows of the one before.
+func (e *Entry) rejectSending(w http.ResponseWriter, r *http.Request, reason api.Reason, detail string) {
+	recognisable := r.Header.Get(api.HeaderRequestID) != "" || r.Header.Get(api.HeaderIdempotencyKey) != ""
+	if !unasked[reason] || !recognisable {
+		e.reject(w, reason, detail)
+		return
+	}
+	e.stats.rejected.Add(1)
+	p := refusal(e.newRequestID("", ""), reason, detail)
+	p.Outcome = api.OutcomeUnknown
+	writeProblem(w, p)
+}
+
 // await passes on what the core says until the final reply or until the
 // caller is gone.
 func (e *Entry) await(w http.ResponseWriter, r *http.Request, s *submission, waiting *waiter) {
@@ -94,6 +118,9 @@
 		if final == nil {
 			continue
 		}
+		if final.Problem != nil {
+			e.logProblem(s.account.Name, s.pipeline.Name, final.Problem)
+		}
 		e.writeReply(w, s, events, *final)
 		return
 	}
--- a/kernel/bus.go
+++ b/kernel/bus.go
@@ -99,12 +99,15 @@
 // Close stops delivery and waits for handlers.
 func (b *Bus) Close() error { return b.router.Close() }
 
+// logBusError is the event name of the bus's log lines.
+const logBusError = "event_bus_error"
+
 // watermillLog passes the library's errors to the process's log.
 type watermillLog struct{ log zerolog.Logger }
 
 // Error logs a failed delivery.
 func (l watermillLog) Error(msg string, err error, fields watermill.LogFields) {
-	l.log.Error().Err(err).Fields(map[string]any(fields)).Msg(msg)
+	l.log.Error().Str("event", logBusError).Err(err).Fields(map[string]any(fields)).Msg(msg)
 }
 
 // Info drops chatter of the library.
--- a/member/bundles.go
+++ b/member/bundles.go
@@ -97,7 +97,8 @@
 	body, err := s.fetchBody(order)
 	if err != nil {
 		s.stats.FetchFailures.Add(1)
-		s.cfg.Log.Debug().Err(err).Str("vm", order.VM).Uint64("version", order.Head.Version).Msg("bundle not fetched")
+		s.cfg.Log.Debug().Str("event", logBundleNotFetched).Err(err).Str("vm", order.VM).
+			Uint64("version", order.Head.Version).Msg("bundle not fetched")
 	} else {
 		s.stats.BundleBytesIn.Add(int64(len(body)))
 		a := s.offer(body, "peer "+order.VM)
@@ -195,7 +196,7 @@
 	case a.Err != nil:
 		event = s.cfg.Log.Warn()
 	}
-	event.Str("result", string(a.Result)).Uint64("version", a.Offered.Version).Str("hash", a.Offered.Hash).
+	event.Str("event", logBundle).Str("result", string(a.Result)).Uint64("version", a.Offered.Version).Str("hash", a.Offered.Hash).
 		Str("source", a.Source).Str("reason", a.Reason).Msg("bundle")
 	if a.Changed() {
 		s.stats.Adopted.Add(1)
--- a/member/conns.go
+++ b/member/conns.go
@@ -1,8 +1,11 @@
 package member
 
 import (
+	"net"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/wire"
 )
@@ -16,7 +19,8 @@
 	now := s.cfg.Now()
 	a := s.links.admit(now, conn, &hello)
 	if a.Stale {
-		s.cfg.Log.Warn().Str("vm", helloVM(&hello)).Str("incarnation", hello.Process.Incarnation).Str("reason", a.Reason).Msg("process refused")
+		s.cfg.Log.Warn().Str("event", logProcessRefused).Str("vm", helloVM(&hello)).
+			Str("incarnation", hello.Process.Incarnation).Str("reason", a.Reason).Msg("process refused")
 		conn.Close()
 		return
 	}
@@ -43,6 +47,14 @@
 	}
 }
 
+// refusedLog bounds the lines about strangers: anyone can make any number.
+var refusedLog = &zerolog.BurstSampler{Burst: 5, Period: time.Second}
+
+func (s *Service) onRefuse(from net.Addr, err error) {
+	log := s.cfg.Log.Sample(refusedLog)
+	log.Warn().Str("event", logPeerRefused).Stringer("address", from).Err(err).Msg("peer without a valid certificate refused")
+}
+
 // lingerTime is how long a connection that another took the place of stays
 // open. Calls may be in flight on it; cutting them would lose their results.
 const lingerTime = 30 * time.Second
@@ -51,7 +63,7 @@
 // other side at once, which may have chosen it.
 func (s *Service) retire(conn *peer.Conn, reason string) {
 	hello := conn.Peer()
-	s.cfg.Log.Debug().Str("vm", helloVM(&hello)).Str("reason", reason).Msg("connection retired")
+	s.cfg.Log.Debug().Str("event", logRetired).Str("vm", helloVM(&hello)).Str("reason", reason).Msg("connection retired")
 	s.spawn(func() {
 		_ = conn.Notify(wire.MethodRetireNote, wire.Retire{})
 		timer := time.NewTimer(lingerTime)
--- a/member/dial.go
+++ b/member/dial.go
@@ -132,7 +132,7 @@
 		return
 	}
 	s.stats.DialFailures.Add(1)
-	s.cfg.Log.Debug().Err(err).Str("vm", t.vm).Str("address", t.address).Msg("cannot connect")
+	s.cfg.Log.Debug().Str("event", logCannotConnect).Err(err).Str("vm", t.vm).Str("address", t.address).Msg("cannot connect")
 	s.coreMu.Lock()
 	s.views.dialFailure(t.vm)
 	s.coreMu.Unlock()
--- a/member/lister.go
+++ b/member/lister.go
@@ -53,7 +53,7 @@
 	}
 	if err != nil {
 		s.stats.PlatformFailures.Add(1)
-		s.cfg.Log.Debug().Err(err).Msg("list of VMs not read; keeping the last view")
+		s.cfg.Log.Debug().Str("event", logListNotRead).Err(err).Msg("list of VMs not read; keeping the last view")
 	}
 	s.coreMu.Lock()
 	// A list that was asked for before a pause is as old as the pause.
--- a/member/notes.go
+++ b/member/notes.go
@@ -43,7 +43,7 @@
 	var theirs wire.Hello
 	if err := l.conn.Call(ctx, wire.MethodHello, s.hello(), &theirs); err != nil {
 		if s.ctx.Err() == nil && ctx.Err() != nil {
-			s.cfg.Log.Warn().Str("vm", vm).Msg("peer does not answer; connection closed")
+			s.cfg.Log.Warn().Str("event", logPeerSilent).Str("vm", vm).Msg("peer does not answer; connection closed")
 			l.conn.Close()
 		}
 		return
--- a/member/pause.go
+++ b/member/pause.go
@@ -64,7 +64,7 @@
 	s.epoch++
 	s.views.wake()
 	s.coreMu.Unlock()
-	s.cfg.Log.Warn().Dur("gap", gap).Msg("process was paused; reconnecting")
+	s.cfg.Log.Warn().Str("event", logPaused).Dur("gap", gap).Msg("process was paused; reconnecting")
 	s.node.DropAll()
 	s.markDirty()
 	signal(s.listWake)
--- a/member/service.go
+++ b/member/service.go
@@ -85,7 +85,7 @@
 	peer.HandleNote(cfg.Mux, wire.MethodRetireNote, s.onRetire)
 	peer.HandleCall(cfg.Mux, wire.MethodBundleFetch, s.serveFetch)
 	s.node = peer.NewNode(peer.Config{
-		TLS: cfg.TLS, Hello: s.hello, OnConnect: s.onConnect, OnClose: s.onClose,
+		TLS: cfg.TLS, Hello: s.hello, OnConnect: s.onConnect, OnClose: s.onClose, OnRefuse: s.onRefuse,
 	}, cfg.Mux)
 	return s
 }
@@ -223,11 +223,13 @@
 	s.coreMu.Unlock()
 	s.view.Store(view)
 	for _, e := range events {
-		s.cfg.Log.Info().Str("vm", e.VM).Str("endpoint", e.Endpoint).Str("state", e.State).Str("reason", e.Reason).Msg("member")
+		s.cfg.Log.Info().Str("event", logMember).Str("vm", e.VM).Str("endpoint", e.Endpoint).
+			Str("state", e.State).Str("reason", e.Reason).Msg("member")
 		s.publishEvent(kernel.TopicMember, e)
 	}
 	for _, claim := range claims {
-		s.cfg.Log.Warn().Str("vm", claim.VM).Str("endpoint", claim.Endpoint).Msg("endpoint is claimed by a second process; ignored")
+		s.cfg.Log.Warn().Str("event", logClaimedTwice).Str("vm", claim.VM).Str("endpoint", claim.Endpoint).
+			Msg("endpoint is claimed by a second process; ignored")
 	}
 	signal(s.dialWake)
 	if turned && s.cfg.OnLeaving != nil {
@@ -240,7 +242,7 @@
 		return
 	}
 	if err := kernel.Publish(s.cfg.Bus, topic, event); err != nil {
-		s.cfg.Log.Warn().Err(err).Str("topic", string(topic)).Msg("event not published")
+		s.cfg.Log.Warn().Str("event", logNotPublished).Err(err).Str("topic", string(topic)).Msg("event not published")
 	}
 }
 
--- a/member/source.go
+++ b/member/source.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		if !src.s.canceled(err) {
 			src.s.stats.PlatformFailures.Add(1)
-			src.s.cfg.Log.Debug().Err(err).Msg("configuration service not read")
+			src.s.cfg.Log.Debug().Str("event", logConfigNotRead).Err(err).Msg("configuration service not read")
 		}
 		return src.wait.NextBackOff()
 	}
--- a/member/stats.go
+++ b/member/stats.go
@@ -46,6 +46,9 @@
 	PeerMessagesIn   int64 `json:"peer_messages_in"`
 	PeerMessagesOut  int64 `json:"peer_messages_out"`
 	PeerRejected     int64 `json:"peer_rejected"`
+	// PeerHandshakesRefused counts connections of strangers, who had no
+	// certificate of the authorities.
+	PeerHandshakesRefused int64 `json:"peer_handshakes_refused"`
 }
 
 // Stats returns the counters, those of the peer connections included.
@@ -75,5 +78,7 @@
 		PeerMessagesIn:   traffic.MessagesIn.Load(),
 		PeerMessagesOut:  traffic.MessagesOut.Load(),
 		PeerRejected:     traffic.Rejected.Load(),
+
+		PeerHandshakesRefused: traffic.HandshakesRefused.Load(),
 	}
 }
--- a/order/core.go
+++ b/order/core.go
@@ -5,14 +5,23 @@
 // A giver may be stopped and woken, and give an order that it decided on long
 // ago, when a successor has taken its place. Engines that check fencing numbers
 // refuse it, because the successor's numbers are higher. For engines that do
-// not check, two guards remain: an order is given only within a second of its
-// decision, judged immediately before it is written, and after a pause nothing
-// is decided before the engine's state has been read anew. What these cannot
-// prevent is an order that is stopped between the last check and the wire, and
-// two givers that run at once on both sides of a replacement. Such an order can
-// load a model that is not wanted, or drop one that is; the present giver sees
-// that in the engine's state at its next look and orders the contrary. No
-// request is lost by it, since an engine refuses a call for a model it lacks.
+// not check, the giver's own guards remain: an order is given only within a
+// second of its decision, judged immediately before it is written; after a pause
+// nothing is decided before a newer bundle has had time to arrive and the
+// engine's state has been read anew; and a giver whose VM leaves gives none.
+//
+// What these cannot prevent, on an engine that does not check, is an order that
+// is stopped between the last check and the wire, and one of a predecessor that
+// runs on, cut off from all peers and the platform, beside its successor. Such
+// an order can load a model that is no longer wanted, which stays, because a
+// giver drops only what a bundle known to it has dropped. It can drop a model
+// only if a bundle known to that predecessor dropped it; if a newer one names
+// the model again, the successor loads it after its next look. No request is
+// lost by either, since an engine refuses a call for a model it lacks.
+//
+// Loads of the whole fleet share the weight store. Each engine has a slot of
+// time of its own, so that their sum keeps to the bundle's pace without a word
+// between the givers; see pace.
 package order
 
 import (
@@ -21,8 +30,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/mangostage/mangostage/bundle"
 	"github.com/mangostage/mangostage/endpoint"
 )
@@ -42,6 +49,10 @@
 	// unloadAfter is how long a model is kept that the bundle no longer names:
 	// requests keep the bundle that they began with.
 	unloadAfter = 30 * time.Second
+	// wakeWait is how long nothing is decided after a pause. A giver that wakes
+	// still holds the bundle from before and would load what a newer one has
+	// dropped; within this time a process that reaches any peer has the newer.
+	wakeWait = 5 * time.Second
 )
 
 // CoreConfig is what a Core is made of.
@@ -52,14 +63,20 @@
 	Giver string
 	// Start is when this process began.
 	Start time.Time
-	// LoadInterval is the least time between two loads by this giver. The
-	// weight store's limit holds for the fleet if it is the number of engines
-	// over the store's rate.
-	LoadInterval time.Duration
 }
 
 // Give asks the shell to give an order, after Core.Commit.
-type Give struct{ Order endpoint.Order }
+type Give struct {
+	Order endpoint.Order
+	// Reason says why, for logs.
+	Reason string
+}
+
+// The reasons for orders.
+const (
+	reasonLoad   = "the bundle names the model and the engine lacks it"
+	reasonUnload = "the bundle has dropped the model"
+)
 
 // Core decides on orders; it does no I/O.
 type Core struct {
@@ -67,12 +84,18 @@
 
 	mu      sync.Mutex
 	version uint64
-	// wanted is nil until a bundle names the pool.
-	wanted   []string
+	// named: the bundle in force has the pool; wanted are its models.
+	named  bool
+	wanted []string
+	// dropped are the models that a bundle named and a later one did not. No
+	// others are ever unloaded.
+	dropped  map[string]bool
 	draining bool
+	leaving  bool
 	orders   uint64
-	// nextLoad is the earliest time of the next load.
-	nextLoad time.Time
+	pace     pace
+	// lastTurn is the slot of the latest load.
+	lastTurn time.Time
 
 	lastEvent time.Time
 	look      look
@@ -96,31 +119,50 @@
 
 // NewCore returns a core that gives no orders before a bundle and a look.
 func NewCore(cfg CoreConfig) *Core {
-	return &Core{cfg: cfg, unwanted: make(map[string]time.Time), loading: make(map[string]time.Time)}
+	return &Core{
+		cfg:      cfg,
+		dropped:  make(map[string]bool),
+		unwanted: make(map[string]time.Time),
+		loading:  make(map[string]time.Time),
+	}
 }
 
-// Bundle takes the bundle in force. Its first load is put off by a part of the
-// interval that differs from engine to engine, or a new bundle would send the
-// whole fleet to the weight store at once.
-func (c *Core) Bundle(now time.Time, b *bundle.Bundle) {
+// Bundle takes the bundle in force.
+func (c *Core) Bundle(b *bundle.Bundle) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	pool := b.Pool(c.cfg.Pool)
-	if b.Version <= c.version || pool == nil {
+	if b.Version <= c.version {
 		return
 	}
 	c.version = b.Version
-	if !slices.Equal(c.wanted, pool.Models) {
-		c.nextLoad = later(c.nextLoad, now.Add(c.offset()))
+	pool := b.Pool(c.cfg.Pool)
+	c.named = pool != nil
+	if pool == nil {
+		return
+	}
+	for _, model := range c.wanted {
+		c.dropped[model] = true
+	}
+	for _, model := range pool.Models {
+		delete(c.dropped, model)
 	}
 	c.wanted = pool.Models
+	c.pace = paceOf(b, c.cfg.Pool, c.cfg.Endpoint)
 }
 
-func (c *Core) offset() time.Duration {
-	if c.cfg.LoadInterval <= 0 {
-		return 0
-	}
-	return time.Duration(xxhash.Sum64String(c.cfg.Endpoint) % uint64(c.cfg.LoadInterval))
+// Active tells whether there may be an order under the bundle in force.
+func (c *Core) Active() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.named && len(c.wanted)+len(c.dropped) > 0
+}
+
+// SetLeaving notes whether the platform lists the own VM as leaving. Its
+// successor at the engine gives the orders then.
+func (c *Core) SetLeaving(leaving bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = leaving
 }
 
 func later(a, b time.Time) time.Time {
@@ -147,18 +189,20 @@
 	c.look = look{at: now, models: h.Models}
 	for _, model := range h.Models {
 		delete(c.loading, model)
-		switch _, known := c.unwanted[model]; {
-		case slices.Contains(c.wanted, model):
-			delete(c.unwanted, model)
-		case !known:
+		if _, known := c.unwanted[model]; c.dropped[model] && !known {
 			c.unwanted[model] = now
 		}
 	}
 	for model := range c.unwanted {
-		if !slices.Contains(h.Models, model) {
+		if !c.dropped[model] || !slices.Contains(h.Models, model) {
 			delete(c.unwanted, model)
 		}
 	}
+	for model := range c.dropped {
+		if _, loading := c.loading[model]; !loading && !slices.Contains(h.Models, model) {
+			delete(c.dropped, model)
+		}
+	}
 }
 
 // observe notes an event and tells whether the process was stopped before it.
@@ -171,6 +215,7 @@
 	}
 	c.look = look{}
 	c.pending = nil
+	c.waitUntil = later(c.waitUntil, now.Add(wakeWait))
 	return true
 }
 
@@ -187,7 +232,7 @@
 	if c.observe(now) || !c.ready(now) {
 		return Give{}, false
 	}
-	kind, model := c.choose(now)
+	kind, model, reason := c.choose(now)
 	if kind == "" {
 		return Give{}, false
 	}
@@ -199,12 +244,12 @@
 		Giver: c.cfg.Giver,
 	}
 	c.pendingAt = now
-	return Give{Order: *c.pending}, true
+	return Give{Order: *c.pending, Reason: reason}, true
 }
 
 func (c *Core) ready(now time.Time) bool {
 	switch {
-	case c.draining || c.wanted == nil || c.pending != nil:
+	case c.draining || c.leaving || !c.named || c.pending != nil:
 		return false
 	case c.look.at.IsZero() || now.Sub(c.look.at) > lookLife:
 		return false
@@ -218,7 +263,7 @@
 }
 
 // choose loads what is missing before it drops anything.
-func (c *Core) choose(now time.Time) (endpoint.OrderKind, string) {
+func (c *Core) choose(now time.Time) (kind endpoint.OrderKind, model, reason string) {
 	missing := false
 	for _, model := range c.wanted {
 		if slices.Contains(c.look.models, model) {
@@ -229,21 +274,22 @@
 		if loading && now.Sub(began) < loadPatience {
 			continue
 		}
-		if now.Before(c.nextLoad) {
-			return "", ""
+		turn, open := c.pace.turn(now)
+		if !open || turn.Equal(c.lastTurn) {
+			return "", "", ""
 		}
-		return endpoint.OrderLoad, model
+		return endpoint.OrderLoad, model, reasonLoad
 	}
 	if missing {
-		return "", ""
+		return "", "", ""
 	}
 	for _, model := range c.look.models {
 		since, unwanted := c.unwanted[model]
-		if unwanted && !slices.Contains(c.wanted, model) && now.Sub(since) >= unloadAfter {
-			return endpoint.OrderUnload, model
+		if unwanted && now.Sub(since) >= unloadAfter {
+			return endpoint.OrderUnload, model, reasonUnload
 		}
 	}
-	return "", ""
+	return "", "", ""
 }
 
 // Commit is the last check, immediately before an order is written.
@@ -255,12 +301,12 @@
 		return false
 	}
 	current := o.Fence>>versionShift == c.version
-	if c.draining || !current || elapsed(c.pendingAt, now) > pauseLimit {
+	if c.draining || c.leaving || !current || elapsed(c.pendingAt, now) > pauseLimit {
 		c.pending = nil
 		return false
 	}
 	if o.Kind == endpoint.OrderLoad {
-		c.nextLoad = now.Add(c.cfg.LoadInterval)
+		c.lastTurn, _ = c.pace.turn(c.pendingAt)
 	}
 	return true
 }
--- a/order/giver.go
+++ b/order/giver.go
@@ -19,6 +19,13 @@
 	lookTimeout  = 500 * time.Millisecond
 )
 
+// Event names of the log lines.
+const (
+	logPlacement = "placement"
+	logOrder     = "order"
+	logHeld      = "order_held"
+)
+
 var (
 	errs    = errorx.NewNamespace("order")
 	errHeld = errs.NewType("held")
@@ -62,7 +69,10 @@
 }
 
 // ApplyBundle takes the bundle in force.
-func (g *Giver) ApplyBundle(v *bundle.Verified) { g.core.Bundle(g.cfg.Now(), v.Bundle) }
+func (g *Giver) ApplyBundle(v *bundle.Verified) { g.core.Bundle(v.Bundle) }
+
+// SetLeaving notes whether the platform lists the own VM as leaving.
+func (g *Giver) SetLeaving(leaving bool) { g.core.SetLeaving(leaving) }
 
 // Start begins to look at the engine and to give orders.
 func (g *Giver) Start() {
@@ -93,6 +103,9 @@
 }
 
 func (g *Giver) look() {
+	if !g.core.Active() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(g.ctx, lookTimeout)
 	defer cancel()
 	asked := g.cfg.Now()
@@ -110,6 +123,7 @@
 	if !ok {
 		return
 	}
+	g.event(g.cfg.Log.Info(), &give.Order).Str("event", logPlacement).Str("reason", give.Reason).Msg("placement")
 	g.wg.Add(1)
 	go func() {
 		defer g.wg.Done()
@@ -121,6 +135,7 @@
 	ctx, cancel := context.WithTimeout(g.ctx, orderTimeout)
 	defer cancel()
 	if !g.core.Commit(g.cfg.Now(), o) {
+		g.event(g.cfg.Log.Warn(), &o).Str("event", logHeld).Msg("order held back")
 		return
 	}
 	// The client asks once more when it has a connection to write to.
@@ -136,9 +151,13 @@
 	if err != nil {
 		event = g.cfg.Log.Warn().Err(err)
 	}
-	event.Str("endpoint", g.cfg.Core.Endpoint).
+	g.event(event, &o).Str("event", logOrder).Msg("order")
+}
+
+func (g *Giver) event(e *zerolog.Event, o *endpoint.Order) *zerolog.Event {
+	return e.Str("endpoint", g.cfg.Core.Endpoint).
 		Str("order", string(o.Kind)).
 		Str("model", o.Model).
 		Uint64("fence", o.Fence).
-		Msg("order")
+		Uint64("version", o.Fence>>versionShift)
 }
--- a/peer/mux.go
+++ b/peer/mux.go
@@ -29,7 +29,7 @@
 func HandleCall[P, R any](m *Mux, method string, fn func(ctx context.Context, from *Conn, params P) (R, error)) {
 	m.calls[method] = func(ctx context.Context, from *Conn, raw json.RawMessage) (any, error) {
 		var params P
-		if err := json.Unmarshal(raw, &params); err != nil {
+		if err := decode(raw, &params); err != nil {
 			return nil, ErrMalformed.Wrap(err, "%s", method)
 		}
 		return fn(ctx, from, params)
@@ -41,7 +41,7 @@
 func HandleNote[P any](m *Mux, method string, fn func(from *Conn, params P)) {
 	m.notes[method] = func(from *Conn, raw json.RawMessage) error {
 		var params P
-		if err := json.Unmarshal(raw, &params); err != nil {
+		if err := decode(raw, &params); err != nil {
 			return ErrMalformed.Wrap(err, "%s", method)
 		}
 		fn(from, params)
@@ -84,7 +84,13 @@
 		_ = c.rpc.ReplyWithError(ctx, req.ID, rpcErr)
 		return
 	}
-	_ = c.rpc.Reply(ctx, req.ID, result)
+	text, err := verbatim(result)
+	if err != nil {
+		rpcErr := &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+		_ = c.rpc.ReplyWithError(ctx, req.ID, rpcErr)
+		return
+	}
+	_ = c.rpc.Reply(ctx, req.ID, text)
 }
 
 func (c *Conn) dispatch(ctx context.Context, method string, raw json.RawMessage) (any, error) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,8 @@
 	// OnConnect and OnClose are called once for each authenticated connection.
 	OnConnect func(*Conn)
 	OnClose   func(*Conn)
+	// OnRefuse is called for each incoming connection whose TLS handshake failed.
+	OnRefuse func(from net.Addr, err error)
 }
 
 // Node is this process's end of all its connections.
@@ -59,11 +62,15 @@
 	listener net.Listener
 	closed   bool
 	wg       sync.WaitGroup
+	// ctx ends with Close; it bounds handshakes.
+	ctx  context.Context
+	stop context.CancelFunc
 }
 
 // NewNode returns a node that serves the methods of mux.
 func NewNode(cfg Config, mux *Mux) *Node {
 	n := &Node{cfg: cfg, mux: mux, conns: make(map[*Conn]struct{})}
+	n.ctx, n.stop = context.WithCancel(context.Background())
 	HandleCall(mux, helloMethod, n.serveHello)
 	return n
 }
@@ -104,12 +111,41 @@
 		if err != nil {
 			return
 		}
-		c := n.open(conn)
-		time.AfterFunc(helloTimeout, func() {
-			if !c.authenticated.Load() {
-				c.Close()
-			}
-		})
+		n.wg.Add(1)
+		go n.admit(conn)
+	}
+}
+
+// admit makes a connection of an accepted one whose other side proves itself.
+// The handshake is made here, and not with the first message, so that a
+// stranger is counted and told of, and never reaches the message loop.
+func (n *Node) admit(conn net.Conn) {
+	defer n.wg.Done()
+	if secure, ok := conn.(*tls.Conn); ok {
+		ctx, cancel := context.WithTimeout(n.ctx, helloTimeout)
+		err := secure.HandshakeContext(ctx)
+		cancel()
+		if err != nil {
+			n.refuse(conn, err)
+			return
+		}
+	}
+	c := n.open(conn)
+	time.AfterFunc(helloTimeout, func() {
+		if !c.authenticated.Load() {
+			c.Close()
+		}
+	})
+}
+
+func (n *Node) refuse(conn net.Conn, err error) {
+	_ = conn.Close()
+	if n.ctx.Err() != nil {
+		return
+	}
+	n.Traffic.HandshakesRefused.Add(1)
+	if n.cfg.OnRefuse != nil {
+		n.cfg.OnRefuse(conn.RemoteAddr(), err)
 	}
 }
 
@@ -153,7 +189,7 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	var theirs wire.Hello
-	if err := c.rpc.Call(ctx, helloMethod, n.cfg.Hello(), &theirs); err != nil {
+	if err := c.Call(ctx, helloMethod, n.cfg.Hello(), &theirs); err != nil {
 		c.Close()
 		return nil, ErrNotWritten.Wrap(err, "hello to %s", addr)
 	}
@@ -227,6 +263,7 @@
 // Close ends the listener and all connections and waits for them.
 func (n *Node) Close() {
 	n.StopListening()
+	n.stop()
 	n.mu.Lock()
 	n.closed = true
 	n.mu.Unlock()
@@ -260,19 +297,34 @@
 	if err := ctx.Err(); err != nil {
 		return ErrNotWritten.Wrap(err, "%s", method)
 	}
-	waiter, err := c.rpc.DispatchCall(ctx, method, params)
+	text, err := verbatim(params)
+	if err != nil {
+		return ErrNotWritten.Wrap(err, "%s", method)
+	}
+	waiter, err := c.rpc.DispatchCall(ctx, method, text)
 	if err != nil {
 		return writeError(err, method)
 	}
-	if err := waiter.Wait(ctx, result); err != nil {
+	var reply json.RawMessage
+	if err := waiter.Wait(ctx, &reply); err != nil {
 		return waitError(err, method)
 	}
+	if result == nil {
+		return nil
+	}
+	if err := decode(reply, result); err != nil {
+		return ErrLost.Wrap(err, "%s: malformed result", method)
+	}
 	return nil
 }
 
 // Notify sends a notification.
 func (c *Conn) Notify(method string, params any) error {
-	if err := c.rpc.Notify(context.Background(), method, params); err != nil {
+	text, err := verbatim(params)
+	if err != nil {
+		return ErrNotWritten.Wrap(err, "%s", method)
+	}
+	if err := c.rpc.Notify(context.Background(), method, text); err != nil {
 		return writeError(err, method)
 	}
 	return nil
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -23,6 +23,8 @@
 	MessagesIn, MessagesOut atomic.Int64
 	// Rejected counts oversized or malformed messages, each ending its connection.
 	Rejected atomic.Int64
+	// HandshakesRefused counts incoming connections whose TLS handshake failed.
+	HandshakesRefused atomic.Int64
 }
 
 // stream frames JSON objects with a varint length and bounds their size.
--- a/route/route.go
+++ b/route/route.go
@@ -26,6 +26,21 @@
 	StateLeaving
 )
 
+var stateNames = [...]string{
+	StateLive:      "live",
+	StateProbation: "probation",
+	StateEjected:   "ejected",
+	StateLeaving:   "leaving",
+}
+
+// String returns the state's name in logs.
+func (s State) String() string {
+	if int(s) >= len(stateNames) {
+		return "unknown"
+	}
+	return stateNames[s]
+}
+
 // Endpoint is one endpoint as the entry believes it to be.
 type Endpoint struct {
 	Name   string
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,6 +23,12 @@
 // filePrefix marks a setting whose value is read from a file.
 const filePrefix = "file:"
 
+// Values of Common.DecisionLog.
+const (
+	DecisionLogAll      = "all"
+	DecisionLogRefusals = "refusals"
+)
+
 // Common are the settings of every daemon.
 type Common struct {
 	VM         string   `arg:"--vm,env:MANGOSTAGE_VM" help:"name of this VM in the platform's list"`
@@ -36,8 +42,10 @@
 	TLSCA      string   `arg:"--tls-ca,env:MANGOSTAGE_TLS_CA" help:"PEM file of the authorities that sign peers"`
 	Insecure   bool     `arg:"--insecure,env:MANGOSTAGE_INSECURE" help:"plain TCP between processes, for development only"`
 	LogLevel   string   `arg:"--log-level,env:MANGOSTAGE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	// DecisionLog chooses which decisions are logged.
+	DecisionLog string `arg:"--decision-log,env:MANGOSTAGE_DECISION_LOG" default:"all" help:"decisions to log: all, or refusals, which leaves out those by which a request takes its course"`
 	// DebugListen serves /debug/vars and health on its own address.
-	DebugListen string `arg:"--debug-listen,env:MANGOSTAGE_DEBUG_LISTEN" help:"address of /debug/vars and health checks"`
+	DebugListen string `arg:"--debug-listen,env:MANGOSTAGE_DEBUG_LISTEN" help:"address of /debug/vars and /healthz; an entry without it serves them with the callers' API"`
 }
 
 // Entry are the settings of mangostage-entry.
@@ -71,7 +79,9 @@
 	BundleKeys []ed25519.PublicKey
 	FleetKeys  []reqid.Key
 	LogLevel   zerolog.Level
-	TLS        *TLS
+	// RefusalsOnly leaves routine decisions out of the log.
+	RefusalsOnly bool
+	TLS          *TLS
 }
 
 // Load checks c and reads its key material.
@@ -91,6 +101,7 @@
 		findings.Add(flag("--log-level"), "%v", err)
 	}
 	loaded.LogLevel = level
+	loaded.RefusalsOnly = c.checkDecisionLog(findings)
 	loaded.TLS = c.loadTLS(findings)
 	return loaded
 }
@@ -118,6 +129,19 @@
 	}
 }
 
+// checkDecisionLog tells whether only refusals are to be logged. Empty, as in
+// settings made by a program, means all decisions.
+func (c *Common) checkDecisionLog(findings *finding.List) bool {
+	switch c.DecisionLog {
+	case "", DecisionLogAll:
+		return false
+	case DecisionLogRefusals:
+		return true
+	}
+	findings.Add(flag("--decision-log"), "%q is neither %s nor %s", c.DecisionLog, DecisionLogAll, DecisionLogRefusals)
+	return false
+}
+
 func (c *Common) loadBundleKeys(findings *finding.List) []ed25519.PublicKey {
 	text, ok := secret(findings, "--bundle-keys", c.BundleKeys)
 	if !ok {
--- a/settings/tls.go
+++ b/settings/tls.go
@@ -26,6 +26,28 @@
 	cert    *tls.Certificate
 	modTime time.Time
 	checked time.Time
+	stats   TLSStats
+}
+
+// TLSStats tell whether the certificate in use will do. A new pair that cannot
+// be used is noticed here, while the old one still works.
+type TLSStats struct {
+	// NotAfter is when the certificate in use expires.
+	NotAfter time.Time `json:"not_after"`
+	// Loads counts pairs taken into use, the first included, and LoadFailures
+	// counts attempts to read a changed pair that failed.
+	Loads        int64 `json:"loads"`
+	LoadFailures int64 `json:"load_failures"`
+	// LastFailure is why the last such attempt failed; empty after a success.
+	LastFailure string `json:"last_failure,omitempty"`
+}
+
+// Stats looks at the files, if that is due, and returns the state.
+func (t *TLS) Stats(now time.Time) TLSStats {
+	t.current(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stats
 }
 
 // Config returns a configuration for both ends of a connection in which each
@@ -61,14 +83,31 @@
 	}
 	cert, err := tls.LoadX509KeyPair(t.certFile, t.keyFile)
 	if err != nil {
+		t.stats.LoadFailures++
+		t.stats.LastFailure = err.Error()
 		return t.cert
 	}
-	t.cert = &cert
+	t.use(&cert)
 	t.modTime = info.ModTime()
 	return t.cert
 }
 
+// use takes a pair into use. The caller holds mu, or is alone with t.
+func (t *TLS) use(cert *tls.Certificate) {
+	t.cert = cert
+	t.stats.Loads++
+	t.stats.LastFailure = ""
+	if cert.Leaf != nil {
+		t.stats.NotAfter = cert.Leaf.NotAfter
+	}
+}
+
 func newTLS(certFile, keyFile, caFile string) (*TLS, error) {
+	// The time is taken first: a pair that changes while it is read is read again.
+	info, err := os.Stat(certFile)
+	if err != nil {
+		return nil, errorx.Decorate(err, "load certificate")
+	}
 	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
 	if err != nil {
 		return nil, errorx.Decorate(err, "load certificate")
@@ -81,7 +120,9 @@
 	if !roots.AppendCertsFromPEM(pem) {
 		return nil, errorx.IllegalArgument.New("no certificate in %s", caFile)
 	}
-	return &TLS{certFile: certFile, keyFile: keyFile, roots: roots, cert: &cert}, nil
+	t := &TLS{certFile: certFile, keyFile: keyFile, roots: roots, modTime: info.ModTime()}
+	t.use(&cert)
+	return t, nil
 }
 
 func (c *Common) loadTLS(findings *finding.List) *TLS {
