--- a/entry/http.go
+++ b/entry/http.go
@@ -7,6 +7,7 @@
 	"github.com/go-chi/chi/v5/middleware"
 
 	"github.com/mangostage/mangostage/api"
+	"github.com/mangostage/mangostage/bundle"
 )
 
 // Paths of the HTTP API.
@@ -63,6 +64,21 @@
 	writeProblem(w, refusal(e.newRequestID("", ""), reason, detail))
 }
 
+// authenticate returns the caller's account under the bundle in force. It
+// answers the caller itself, and returns no account, if there is none.
+func (e *Entry) authenticate(w http.ResponseWriter, r *http.Request) (*generation, *bundle.Account) {
+	g := e.current.Load()
+	if g == nil {
+		e.reject(w, api.ReasonNoBundle, "")
+		return nil, nil
+	}
+	account := g.creds.account(r)
+	if account == nil {
+		e.reject(w, api.ReasonUnauthorized, "a client account's credential is required")
+	}
+	return g, account
+}
+
 // operatorOnly lets only operators of the bundle in force through.
 func (e *Entry) operatorOnly(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/entry/identity.go
+++ b/entry/identity.go
@@ -133,14 +133,8 @@
 // several entries. Each unrepeatable stage is bound to one run of one agent, so
 // that all sendings meet there or nowhere.
 func (e *Entry) mintID(w http.ResponseWriter, r *http.Request) {
-	g := e.current.Load()
-	if g == nil {
-		e.reject(w, api.ReasonNoBundle, "")
-		return
-	}
-	account := g.creds.account(r)
+	g, account := e.authenticate(w, r)
 	if account == nil {
-		e.reject(w, api.ReasonUnauthorized, "a client account's credential is required")
 		return
 	}
 	var body idRequest
--- a/entry/lookup.go
+++ b/entry/lookup.go
@@ -47,6 +47,49 @@
 	return part
 }
 
+// tell merges what is known of a request into its story.
+//
+// A held ID can be sent through several entries, and "refused" is true of one
+// sending at its time. It guards against saying so of the request: one sending
+// is refused, the next runs, then its entry and its agent die, and all that is
+// left is the refusal. Only the agent runs that the ID is bound to could have
+// executed it, so without the word of each of them the outcome is unknown.
+func (e *Entry) tell(ctx context.Context, id string, fields reqid.Fields) ([]ledger.Part, ledger.Story) {
+	parts := e.gather(ctx, id)
+	gone := e.goneExecutors(fields, parts)
+	parts = append(parts, gone...)
+	story := ledger.Merge(id, parts...)
+	if story.Outcome == api.OutcomeRefused && len(gone) > 0 {
+		story.Outcome = api.OutcomeUnknown
+		story.Verdict = "unknown: a sending was refused, but another may have run on " + gone[0].Process + ", which cannot be asked"
+	}
+	return parts, story
+}
+
+// goneExecutors lists the agent runs that a held ID is bound to and that did
+// not give their part.
+func (e *Entry) goneExecutors(fields reqid.Fields, parts []ledger.Part) []ledger.Part {
+	if fields.Kind != wire.IdentityHeld {
+		return nil
+	}
+	asked := make(map[string]bool)
+	for _, part := range parts {
+		asked[part.Process] = part.Missing == ""
+	}
+	there := make(map[string]bool)
+	for _, conn := range e.members.Agents() {
+		p := conn.Peer().Process
+		there[p.Incarnation] = asked[p.Name]
+	}
+	var gone []ledger.Part
+	for _, b := range fields.Bindings {
+		if !there[b.Incarnation] {
+			gone = append(gone, ledger.Part{Process: b.Agent, Missing: "its run " + b.Incarnation + ", the only one that could execute the request, is gone"})
+		}
+	}
+	return gone
+}
+
 // requestState is what a caller is told of one of its requests.
 type requestState struct {
 	RequestID string      `json:"request_id"`
@@ -56,14 +99,8 @@
 }
 
 func (e *Entry) lookUp(w http.ResponseWriter, r *http.Request) {
-	g := e.current.Load()
-	if g == nil {
-		e.reject(w, api.ReasonNoBundle, "")
-		return
-	}
-	account := g.creds.account(r)
+	_, account := e.authenticate(w, r)
 	if account == nil {
-		e.reject(w, api.ReasonUnauthorized, "a client account's credential is required")
 		return
 	}
 	id := chi.URLParam(r, paramID)
@@ -76,7 +113,7 @@
 	}
 	state := requestState{RequestID: id, Outcome: api.OutcomePending}
 	if !e.waiters.pending(id) {
-		story := ledger.Merge(id, e.gather(r.Context(), id)...)
+		_, story := e.tell(r.Context(), id, fields)
 		state.Outcome = story.Outcome
 		state.Detail = story.Verdict
 	}
