Share a pool only when its queue would cost time; prove the whole path with processes

Now shares begin when the expected wait exceeds a tenth of the time to spare, and the slots follow from it by Little's law.

--- /dev/null
+++ b/integration/main_test.go
@@ -0,0 +1,11 @@
+// Package integration holds the proofs that need real processes.
+package integration
+
+import (
+	"os"
+	"testing"
+
+	"github.com/mangostage/mangostage/internal/harness"
+)
+
+func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
--- /dev/null
+++ b/integration/stream_test.go
@@ -0,0 +1,116 @@
+package integration
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/api"
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/fake"
+	"github.com/mangostage/mangostage/internal/harness"
+)
+
+// streamed is the data of a token event.
+type streamed struct {
+	Seq  int    `json:"seq"`
+	Text string `json:"text"`
+}
+
+func streamFleet(t *testing.T) *harness.Fleet {
+	return harness.Start(t, harness.Config{
+		Pools: map[string]int{"encoders": 1, "retrievers": 1, "rerankers": 1, "fitting-engines": 1, catalogue: 1},
+		// One attempt, so that each fault reaches the caller.
+		Edit: func(b *bundle.Bundle) { b.Policy.MaxAttempts = 1 },
+	})
+}
+
+// checkStream finds tokens without a gap, then one final event and nothing behind it.
+func checkStream(t *testing.T, reply *harness.Reply) (text string) {
+	t.Helper()
+	assert.NilError(t, reply.Err)
+	assert.Assert(t, len(reply.Events) > 0, "%s", reply.Body)
+	for i, e := range reply.Events {
+		if i == len(reply.Events)-1 {
+			assert.Assert(t, e.Name == "answer" || e.Name == "problem", "%s", reply.Body)
+			break
+		}
+		assert.Equal(t, e.Name, "token")
+		var token streamed
+		assert.NilError(t, json.Unmarshal(e.Data, &token))
+		assert.Equal(t, token.Seq, i)
+		text += token.Text
+	}
+	return text
+}
+
+// A caller that reads tokens as they come has the same text in the end as one
+// that waits, and knows by the last event whether it has all of it.
+func TestStreamEndsWithOneAnswer(t *testing.T) {
+	fleet := streamFleet(t)
+	for _, pipeline := range []string{assistant, catalogue} {
+		input := harness.Marker("streamed-" + pipeline)
+		reply := fleet.Send(t.Context(), 0, harness.Call{Pipeline: pipeline, Input: input, Stream: true})
+		text := checkStream(t, reply)
+		assert.Equal(t, reply.Outcome(), api.OutcomeAnswered, "%s", reply.Body)
+		assert.Equal(t, string(reply.Answer.Output), string(harness.Expect(fleet.Bundle, pipeline, input)))
+		assert.Equal(t, reply.Answer.RequestID, reply.RequestID())
+		if pipeline == assistant {
+			var output fake.Output
+			assert.NilError(t, json.Unmarshal(reply.Answer.Output, &output))
+			assert.Equal(t, text, output.Text)
+			assert.Equal(t, len(reply.Events), output.Tokens+1)
+		}
+	}
+}
+
+// The engine's stream breaks while the caller reads: it ends, or is cut, in
+// the middle, or skips a token. The caller gets either the whole answer, as
+// when the engine still has the rest, or a problem that names the stages that
+// ran; never half a text as the whole.
+func TestBrokenStreamEndsWithOneEvent(t *testing.T) {
+	fleet := streamFleet(t)
+	for _, fault := range []fake.ReplyFault{
+		fake.ReplyTruncate, fake.ReplyUnclosed, fake.ReplyGap, fake.ReplyReorder, fake.ReplyForeign, fake.ReplyDuplicate,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			// A broken reply tells against the engine for a while.
+			fleet.WaitEntry(0, replyWait)
+			once := 1
+			fleet.Endpoint("fitting-engines-1").Apply(fake.Control{Reply: &fault, ReplyCount: &once})
+			input := harness.Marker("broken-" + string(fault))
+			reply := fleet.Send(t.Context(), 0, harness.Call{Pipeline: assistant, Input: input, Stream: true})
+			assert.NilError(t, reply.Err)
+			t.Logf("%s, %d events", reply.Outcome(), len(reply.Events))
+			if reply.Answer != nil {
+				text := checkStream(t, reply)
+				want := harness.Expect(fleet.Bundle, assistant, input)
+				assert.Equal(t, string(reply.Answer.Output), string(want))
+				assert.Assert(t, strings.Contains(string(want), text) && text != "")
+				return
+			}
+			if len(reply.Events) > 0 {
+				checkStream(t, reply)
+			}
+			assert.Assert(t, reply.Problem != nil, "%s", reply.Body)
+			assert.Assert(t, reply.Problem.RequestID != "")
+			assert.Assert(t, reply.Outcome() == api.OutcomeCutShort || reply.Outcome() == api.OutcomeUnknown)
+			assert.Assert(t, len(reply.Problem.Stages) >= 4, "%s", reply.Body)
+		})
+	}
+}
+
+// The engine fails before the first token: the caller gets a problem document
+// with its HTTP status, as without a stream.
+func TestFailureBeforeTheFirstToken(t *testing.T) {
+	fleet := streamFleet(t)
+	always := 1.0
+	fleet.Endpoint("fitting-engines-1").Apply(fake.Control{FailRate: &always})
+	reply := fleet.Send(t.Context(), 0, harness.Call{Pipeline: assistant, Input: harness.Marker("failed"), Stream: true})
+	assert.NilError(t, reply.Err)
+	assert.Equal(t, reply.Outcome(), api.OutcomeCutShort, "%s", reply.Body)
+	assert.Equal(t, reply.Status, reply.Problem.Status)
+	assert.Equal(t, len(reply.Events), 0)
+}
--- /dev/null
+++ b/integration/traffic_test.go
@@ -0,0 +1,212 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/mangostage/mangostage/api"
+	"github.com/mangostage/mangostage/internal/harness"
+)
+
+const (
+	// waitLimit bounds waits for what should come much sooner.
+	waitLimit = 30 * time.Second
+	// balancerPoll is how often the balancer asks an entry whether it is ready.
+	balancerPoll = 50 * time.Millisecond
+	// callerPause is between an answer and the same caller's next request.
+	callerPause = 10 * time.Millisecond
+)
+
+// traffic is a steady stream of requests, each sent once, through entries that
+// a balancer finds ready.
+type traffic struct {
+	complaints
+	fleet *harness.Fleet
+	stop  context.CancelFunc
+	wg    sync.WaitGroup
+	ready []atomic.Bool
+	// mustAnswer: refusals are not allowed either.
+	mustAnswer bool
+
+	sent     atomic.Int64
+	answered atomic.Int64
+	refused  atomic.Int64
+
+	mu sync.Mutex
+	// ownerless are the keys, which are the markers too, of calls whose owner was away or had
+	// just restarted. Nobody can tell then whether an earlier sending ran.
+	ownerless []string
+}
+
+const (
+	cutOff        = "no whole reply"
+	notHonest     = "neither answered nor refused"
+	noReturnTime  = "refused without a time to return"
+	wrongResponse = "the answer is not the request's own"
+	ranUnowned    = "ran, although its owner was away"
+)
+
+// startTraffic sends calls of each kind from some callers until stopped. A kind
+// makes a call of a marker.
+func startTraffic(t *testing.T, fleet *harness.Fleet, callers int, kinds ...func(marker string) harness.Call) *traffic {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	tr := &traffic{fleet: fleet, stop: stop, ready: make([]atomic.Bool, len(fleet.Entries()))}
+	for i := range tr.ready {
+		tr.ready[i].Store(true)
+		tr.wg.Go(func() { tr.balance(ctx, i) })
+	}
+	for k, call := range kinds {
+		for i := range callers {
+			tr.wg.Go(func() { tr.call(ctx, fmt.Sprintf("traffic-%d-%d", k, i), call) })
+		}
+	}
+	return tr
+}
+
+// balance follows one entry's word on whether it is ready.
+func (tr *traffic) balance(ctx context.Context, entry int) {
+	ticker := time.NewTicker(balancerPoll)
+	defer ticker.Stop()
+	for {
+		reply := tr.fleet.Get(ctx, entry, "/readyz", "")
+		tr.ready[entry].Store(reply.Err == nil && reply.Status == http.StatusOK)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (tr *traffic) call(ctx context.Context, caller string, call func(string) harness.Call) {
+	ticker := time.NewTicker(callerPause)
+	defer ticker.Stop()
+	for n := 0; ctx.Err() == nil; n++ {
+		if entry, ok := tr.choose(n); ok {
+			// What was begun is waited for although the traffic ends.
+			tr.send(context.WithoutCancel(ctx), entry, call(fmt.Sprintf("%s-%d", caller, n)))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// choose takes the entries that are ready in turn.
+func (tr *traffic) choose(n int) (int, bool) {
+	for k := range tr.ready {
+		entry := (n + k) % len(tr.ready)
+		if tr.ready[entry].Load() {
+			return entry, true
+		}
+	}
+	return 0, false
+}
+
+func (tr *traffic) send(ctx context.Context, entry int, call harness.Call) {
+	tr.sent.Add(1)
+	reply := tr.fleet.Send(ctx, entry, call)
+	tr.judge(call, entry, reply)
+}
+
+// judge complains of anything but the whole right answer, or a refusal that
+// says when to come back.
+func (tr *traffic) judge(call harness.Call, entry int, reply *harness.Reply) {
+	what := fmt.Sprintf("%s %s through entry-%d after %v: status %d, %v, %s", call.Pipeline, call.Input, entry+1,
+		reply.Took, reply.Status, reply.Err, summary(reply))
+	switch {
+	case reply.Err != nil:
+		tr.add(cutOff, "%s", what)
+	case reply.Outcome() == api.OutcomeAnswered:
+		tr.answered.Add(1)
+		if want := harness.Expect(tr.fleet.Bundle, call.Pipeline, call.Input); string(reply.Answer.Output) != string(want) {
+			tr.add(wrongResponse, "%s\nwant %s", what, want)
+		}
+	case reply.Outcome() == api.OutcomeRefused:
+		tr.refused.Add(1)
+		if tr.mustAnswer {
+			tr.add(notAnswered, "%s", what)
+		}
+		if reply.Header.Get("Retry-After") == "" {
+			tr.add(noReturnTime, "%s", what)
+		}
+	case call.Key != "" && ownerAway[reply.Reason()]:
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		tr.ownerless = append(tr.ownerless, call.Key)
+	default:
+		tr.add(notHonest, "%s", what)
+	}
+}
+
+// summary is what matters of a reply's body.
+func summary(reply *harness.Reply) string {
+	p := reply.Problem
+	if p == nil {
+		return string(reply.Body)
+	}
+	text := fmt.Sprintf("%s, %s, %s", p.Outcome, p.Reason, p.Detail)
+	for _, run := range p.Stages {
+		text += fmt.Sprintf("; %s on %s: %s after %v", run.Stage, run.Endpoint, run.State, run.Took)
+	}
+	return text
+}
+
+// ownerAway are the reasons for "unknown" that a call with a key may meet while
+// the one agent that may run it restarts.
+var ownerAway = map[api.Reason]bool{
+	api.ReasonOwnerUnreachable: true,
+	api.ReasonOwnerRestarted:   true,
+}
+
+// end stops the traffic, waits for what is under way and reports.
+func (tr *traffic) end(t *testing.T) {
+	t.Helper()
+	tr.stop()
+	tr.wg.Wait()
+	t.Logf("%d requests sent, %d answered, %d refused, %d without an owner",
+		tr.sent.Load(), tr.answered.Load(), tr.refused.Load(), len(tr.ownerless))
+	for _, marker := range tr.ownerless {
+		if n := tr.fleet.Runs(marker); n != 0 {
+			tr.add(ranUnowned, "%s: %d runs", marker, n)
+		}
+	}
+	tr.report(t)
+}
+
+// plainCall is a repeatable call of a pipeline.
+func plainCall(pipeline string) func(string) harness.Call {
+	return func(marker string) harness.Call {
+		return harness.Call{Pipeline: pipeline, Input: harness.Marker(marker)}
+	}
+}
+
+// orderCall is an order that its caller would not send again.
+func orderCall(pipeline string) func(string) harness.Call {
+	return func(marker string) harness.Call {
+		return harness.Call{Pipeline: pipeline, Input: harness.Order(marker)}
+	}
+}
+
+// keyedCall is an order with a fresh idempotency key, which is its marker too.
+func keyedCall(pipeline string) func(string) harness.Call {
+	return func(string) harness.Call {
+		key := harness.NewKey()
+		return harness.Call{Pipeline: pipeline, Input: harness.Order(key), Key: key}
+	}
+}
+
+func answeredSince(tr *traffic, before, n int64) error {
+	if got := tr.answered.Load() - before; got < n {
+		return fmt.Errorf("%d answers of %d", got, n)
+	}
+	return nil
+}
--- a/internal/harness/gate.go
+++ b/internal/harness/gate.go
@@ -39,9 +39,13 @@
 	mode     gateMode
 	upstream string
 	held     int
+	// accepted counts connections since the latest change of mode.
+	accepted int
 	fill     []net.Conn
-	open     []net.Conn
-	closed   bool
+	// filling are the addresses of the gate's own connections.
+	filling map[string]bool
+	open    []net.Conn
+	closed  bool
 }
 
 // NewGate returns an open gate, which ends with the test.
@@ -51,7 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := &Gate{t: t, listener: listener}
+	g := &Gate{t: t, listener: listener, filling: make(map[string]bool)}
 	g.changed = sync.NewCond(&g.mu)
 	if err := g.shrinkBacklog(); err != nil {
 		t.Fatal(err)
@@ -103,6 +107,7 @@
 		}
 		g.mu.Lock()
 		g.fill = append(g.fill, conn)
+		g.filling[conn.LocalAddr().String()] = true
 		g.mu.Unlock()
 	}
 	g.t.Fatal("the gate's listener does not fill")
@@ -118,10 +123,21 @@
 	return nil
 }
 
+// Connected returns nil once somebody has connected since the latest change.
+func (g *Gate) Connected() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.accepted == 0 {
+		return errorx.IllegalState.New("nobody has connected to the gate")
+	}
+	return nil
+}
+
 func (g *Gate) set(mode gateMode) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.mode = mode
+	g.accepted = 0
 	if mode != gateFull {
 		for _, conn := range g.fill {
 			_ = conn.Close()
@@ -141,10 +157,19 @@
 			_ = conn.Close()
 			return
 		}
+		g.noteAccepted(conn)
 		go g.pass(conn)
 	}
 }
 
+func (g *Gate) noteAccepted(conn net.Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.filling[conn.RemoteAddr().String()] {
+		g.accepted++
+	}
+}
+
 // await waits for a condition that is judged under the lock; it returns false
 // if the gate is closed first.
 func (g *Gate) await(ready func() bool) bool {
--- a/limit/demand.go
+++ b/limit/demand.go
@@ -17,6 +17,8 @@
 	// Hold is how long the request will be in flight if it never queues; zero
 	// if not known.
 	Hold time.Duration
+	// Deadline is the pipeline's; zero if not known.
+	Deadline time.Duration
 }
 
 // PoolLoad gives the load of pools; *route.Snapshot is one.
@@ -27,7 +29,7 @@
 // DemandOf finds the pool that limits the pipeline's throughput: shares are
 // worth most where calls will queue, and the first stage is seldom that place.
 func DemandOf(now time.Time, pipeline *bundle.Pipeline, load PoolLoad) Demand {
-	var d Demand
+	d := Demand{Deadline: pipeline.Deadline.D()}
 	slowest := math.Inf(1)
 	for i := range pipeline.Stages {
 		stage := &pipeline.Stages[i]
@@ -45,20 +47,38 @@
 	return d
 }
 
-// slack is how much more than its part of a saturated pool's capacity an
-// entry keeps in flight: enough that endpoints never wait for work, little
-// enough that queues stay short.
-const slack = 1.5
+const (
+	// slack is how much more than its part of a saturated pool's capacity an
+	// entry keeps in flight at the least: enough that endpoints never wait for work.
+	slack = 1.5
+	// queueShare is the part of the time to spare that a request may spend
+	// waiting before shares are in force. A burst that clears well within the
+	// deadline is no reason to refuse anybody; a longer queue is a cost that the
+	// accounts that did not cause it would share.
+	queueShare = 0.1
+)
+
+// patience is how long a request may queue before shares are in force.
+func (d Demand) patience() time.Duration {
+	return max(0, time.Duration(queueShare*float64(d.Deadline-d.Hold)))
+}
+
+// saturated tells whether the pool's queue is too long to go on without shares.
+func (d Demand) saturated() bool {
+	return d.Occupancy.Saturated() && d.Occupancy.Wait(d.Occupancy.Service) >= d.patience()
+}
 
 // slots is how many requests the entry may have in flight that use the pool,
-// once it is saturated. A request holds its place over all of its stages, so
-// that many more are in flight than the pool runs at once if it is only a
-// short part of the pipeline.
+// once it is saturated: by Little's law its part of the throughput times the
+// time that they take, the wait included. A request holds its place over all of
+// its stages, so that many more are in flight than the pool runs at once if it
+// is only a short part of the pipeline.
 func (d Demand) slots(liveEntries int) float64 {
 	part := float64(d.Occupancy.Capacity) / float64(max(1, liveEntries))
-	stages := 1.0
-	if d.Occupancy.Service > 0 && d.Hold > d.Occupancy.Service {
-		stages = float64(d.Hold) / float64(d.Occupancy.Service)
+	service := float64(d.Occupancy.Service)
+	if service == 0 {
+		return max(1, part*slack)
 	}
-	return max(1, part*stages*slack)
+	hold := max(float64(d.Hold), service)
+	return max(1, part*hold/service*slack, part*(hold+float64(d.patience()))/service)
 }
--- a/limit/fair.go
+++ b/limit/fair.go
@@ -80,7 +80,7 @@
 	if demand.Occupancy.Capacity == 0 {
 		return false
 	}
-	if demand.Occupancy.Saturated() {
+	if demand.saturated() {
 		return true
 	}
 	// Without Hold the slots are of one stage, the calls in flight of all.
