--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -29,7 +30,7 @@
 	defer func() { _ = conn.Close() }()
 	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
 	_, err = conn.Read(make([]byte, 1))
-	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil
 	}
 	return err
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -53,7 +53,7 @@
 	var s Agent
 	_, err := Parse("mangostage-agent", &s, []string{
 		"--peer-listen", "nowhere", "--platform", "ftp://x", "--bundle-keys", "file:/does/not/exist",
-		"--fleet-key", "abc", "--log-level", "loud", "--protocol", "smtp", "--insecure", "--tls-cert", "x",
+		"--fleet-key", "abc", "--log-level", "loud", "--protocol", "smtp", "--decision-log", "some", "--insecure", "--tls-cert", "x",
 	})
 	assert.NilError(t, err)
 	var findings finding.List
@@ -61,7 +61,7 @@
 	s.Check(&findings)
 	for _, flag := range []string{
 		"--vm:", "--domain:", "--peer-listen:", "--platform:", "--bundle-keys:", "--fleet-key:",
-		"--log-level:", "--insecure:", "--endpoint:", "--pool:", "--endpoint-url:", "--protocol:",
+		"--log-level:", "--decision-log:", "--insecure:", "--endpoint:", "--pool:", "--endpoint-url:", "--protocol:",
 	} {
 		assert.Assert(t, strings.Contains(findings.Error(), flag), "%s is not among\n%s", flag, findings.Error())
 	}
