--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -105,6 +105,8 @@
 		Holder:   b.holder,
 		Bus:      b.bus,
 		Log:      b.log,
+
+		FleetSize: c.FleetSize,
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,9 +28,6 @@
 // tickInterval is how often transitions that are due by time are made.
 const tickInterval = 100 * time.Millisecond
 
-// shareInterval is how often entries exchange what they know of suspects.
-const shareInterval = 300 * time.Millisecond
-
 // pauseGap is the time between two ticks from which on the process must have
 // been stopped.
 const pauseGap = time.Second
@@ -78,12 +75,15 @@
 	// by wire.CallID, until the call's deadline has passed.
 	sentTo sync.Map
 
+	suspects suspectShare
 	draining atomic.Bool
 	refusing atomic.Bool
-	wg       sync.WaitGroup
-	stop     context.CancelFunc
-	ctx      context.Context
-	started  time.Time
+	// viewed is set once routing follows the membership.
+	viewed  atomic.Bool
+	wg      sync.WaitGroup
+	stop    context.CancelFunc
+	ctx     context.Context
+	started time.Time
 }
 
 // generation is everything that follows from one adopted bundle. It is
@@ -159,7 +159,6 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	last := e.cfg.Now()
-	shared := last
 	var applied *member.View
 	for {
 		select {
@@ -174,36 +173,17 @@
 		last = now
 		e.pauses.tick(now)
 		e.moved(e.fleet.tick(now))
-		if now.Sub(shared) >= shareInterval {
-			shared = now
-			e.shareSuspects(now)
-		}
+		e.shareSuspects(now)
 		// A connection that comes or goes is no event of its own but makes a
 		// new view.
 		if view := e.members.View(); view != applied {
 			applied = view
 			e.ApplyView(view)
+			e.viewed.Store(true)
 		}
 	}
 }
 
-// shareSuspects tells the other entries which content crashed endpoints, so
-// that its caller gains nothing by going to another entry. Counts only grow,
-// so a lost message is made good by the next.
-func (e *Entry) shareSuspects(now time.Time) {
-	g := e.current.Load()
-	if g == nil {
-		return
-	}
-	counts := g.suspects.Counts(now)
-	if len(counts) == 0 {
-		return
-	}
-	for _, conn := range e.members.Entries() {
-		go func() { _ = conn.Notify(wire.MethodSuspects, counts) }()
-	}
-}
-
 // ApplyBundle puts an adopted bundle in force for requests that come after it.
 func (e *Entry) ApplyBundle(v *bundle.Verified) error {
 	policy := v.Bundle.Policy
@@ -302,7 +282,9 @@
 
 // Ready tells the balancer whether to send callers here.
 func (e *Entry) Ready() bool {
-	return !e.draining.Load() && e.current.Load() != nil && e.members != nil && e.members.Ready()
+	// Until the first view is applied there is no endpoint to route to, and
+	// callers would be refused for want of one.
+	return !e.draining.Load() && e.current.Load() != nil && e.viewed.Load() && e.members.Ready()
 }
 
 // Usable is the number of endpoints that this entry would send work to.
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -105,7 +105,7 @@
 	f.reports[r.Endpoint] = report{AgentReport: r, at: now}
 	f.fresh[r.Endpoint] = true
 	f.dirty.Store(true)
-	if r.Draining != last.Draining || r.Down != last.Down {
+	if r.Draining != last.Draining || r.Down != last.Down || last.Capacity == 0 {
 		f.refresh(now)
 	}
 }
@@ -249,7 +249,10 @@
 		State:      f.health.State(p.Pool, p.Endpoint),
 		Load:       f.loads[p.Endpoint],
 	}
-	if p.Leaving || r.Draining {
+	// An agent that has told its load but no capacity holds no bundle yet and
+	// would refuse every call.
+	unready := r.Seq > 0 && r.Capacity == 0
+	if p.Leaving || r.Draining || unready {
 		e.State = route.StateLeaving
 	}
 	return e
--- a/entry/policies.go
+++ b/entry/policies.go
@@ -33,6 +33,7 @@
 // Crashed implements pipeline.Suspects.
 func (p *policies) Crashed(fingerprint string, c suspect.Crash, now time.Time) {
 	p.current.Load().suspects.Crashed(fingerprint, c, now)
+	p.suspects.changed.Store(true)
 }
 
 // Succeeded implements pipeline.Suspects.
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -222,7 +222,7 @@
 	}
 	// A request that waited in the socket buffer while this process was
 	// stopped looks fresh; its caller's clock has run on. It is turned away.
-	if e.members.Stalled() || !e.members.Ready() {
+	if e.members.Stalled() || !e.viewed.Load() || !e.members.Ready() {
 		return withRetry(refusal(id, api.ReasonPaused, "this process has lost sight of the fleet"), time.Second), none
 	}
 	now := e.cfg.Now()
--- /dev/null
+++ b/internal/slopes/limit_test.go
@@ -0,0 +1,62 @@
+package slopes
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/limit"
+)
+
+// BenchmarkLimitShare is the share refused of an account that asks for less
+// than its limit, by the number of entries among which its limit is divided. Its
+// requests come at random times to random entries.
+func BenchmarkLimitShare(b *testing.B) {
+	const asked = 19_000.0 / accountsFull
+	const requests = 20_000
+	for _, entries := range []int{3, 36, entriesFull} {
+		for _, headroom := range []float64{1.2, 4} {
+			b.Run(fmt.Sprintf("%d/headroom=%v", entries, headroom), func(b *testing.B) {
+				limits := bundle.Limit{RequestsPerSecond: headroom * asked, Burst: int(2 * headroom * asked), InFlight: 1000}
+				account := &bundle.Account{Name: accountName(1), Weight: 1, Limit: limits}
+				for range b.N {
+					b.ReportMetric(100*refusedShare(b, entries, account, asked, requests), "%refused")
+				}
+				b.ReportMetric(0, "ns/op")
+			})
+		}
+	}
+}
+
+func refusedShare(tb testing.TB, entries int, account *bundle.Account, asked float64, requests int) float64 {
+	tb.Helper()
+	limiters := make([]limit.Limiter, entries)
+	for i := range limiters {
+		l, err := limit.New(bundle.Policy{Name: bundle.PolicyAdaptive})
+		assert.NilError(tb, err)
+		limiters[i] = l
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	demand := limit.Demand{Pool: poolName(0), Hold: time.Second}
+	now, refused, counted := epoch, 0, 0
+	for i := range 2 * requests {
+		now = now.Add(time.Duration(rng.ExpFloat64() / asked * float64(time.Second)))
+		l := limiters[rng.IntN(entries)]
+		ok := l.Admit(now, account, entries, demand).OK
+		if ok {
+			l.Done(account, demand.Pool, now)
+		}
+		// The first half empties the buckets, which begin full.
+		if i >= requests {
+			counted++
+			if !ok {
+				refused++
+			}
+		}
+	}
+	return float64(refused) / float64(counted)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,7 @@
 type Common struct {
 	VM         string   `arg:"--vm,env:MANGOSTAGE_VM" help:"name of this VM in the platform's list"`
 	Domain     string   `arg:"--domain,env:MANGOSTAGE_DOMAIN" help:"failure domain of this VM"`
+	FleetSize  int      `arg:"--fleet-size,env:MANGOSTAGE_FLEET_SIZE" default:"64" help:"expected number of VMs; spreads the first reads of a fleet that starts as one"`
 	PeerListen string   `arg:"--peer-listen,env:MANGOSTAGE_PEER_LISTEN" default:"0.0.0.0:7700" help:"address for the product's own processes"`
 	Platform   string   `arg:"--platform,env:MANGOSTAGE_PLATFORM" help:"URL of the platform's configuration service and VM list"`
 	BundleKeys string   `arg:"--bundle-keys,env:MANGOSTAGE_BUNDLE_KEYS" help:"PEM public keys that sign bundles, or file:PATH"`
@@ -91,6 +92,9 @@
 	required(findings, "--domain", c.Domain)
 	checkAddress(findings, "--peer-listen", c.PeerListen)
 	checkURL(findings, "--platform", c.Platform)
+	if c.FleetSize < 0 {
+		findings.Add(flag("--fleet-size"), "%d is negative", c.FleetSize)
+	}
 	if c.DebugListen != "" {
 		checkAddress(findings, "--debug-listen", c.DebugListen)
 	}
