--- /dev/null
+++ b/integration/stages_test.go
@@ -0,0 +1,165 @@
+package integration
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/api"
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/fake"
+	"github.com/mangostage/mangostage/internal/harness"
+)
+
+const (
+	framePipeline = "frame-order"
+	checkStage    = "catalogue-check"
+	billingStage  = "billing"
+	cataloguePool = "catalogue"
+	billingPool   = "billing"
+	// frameTimeout leaves time for all three stages.
+	frameTimeout = 3 * time.Second
+	// longCheck leaves time to cut what comes after the check.
+	longCheck = 200 * time.Millisecond
+)
+
+// frameFleet starts what a frame order needs: its first stage may be repeated,
+// the workshop's and the bill may not.
+func frameFleet(t *testing.T, catalogues int, checkTime time.Duration) *harness.Fleet {
+	t.Helper()
+	return harness.Start(t, harness.Config{
+		Pools:      map[string]int{cataloguePool: catalogues, ordersPool: 2, billingPool: 2},
+		ProxyPeers: true,
+		Plain:      true,
+		Edit:       remember(2*time.Minute, skew),
+		Service: func(p *bundle.Pool, s *fake.ServiceSettings) {
+			s.Time = orderTime
+			if p.Name == cataloguePool {
+				s.Time = checkTime
+			}
+		},
+	})
+}
+
+// verifyStages holds every stage's own count against what callers were told.
+func (b *book) verifyStages() {
+	b.t.Helper()
+	b.verify()
+	runs := b.fleet.StageRuns()
+	for _, o := range b.orders {
+		checks, makes, bills := runs[checkStage][o.marker], runs[orderStage][o.marker], runs[billingStage][o.marker]
+		if bills > 1 || bills > makes || (makes > 0 && checks == 0) {
+			b.add(ranTwice, "%s (%s): checked %d times, made %d times, billed %d times: %s",
+				o.marker, o.by, checks, makes, bills, o.history())
+		}
+		if o.answered() && bills != 1 {
+			b.add(falselyAnswered, "%s (%s): billed %d times: %s", o.marker, o.by, bills, o.history())
+		}
+	}
+}
+
+// TestEntryKilledInMidPipeline: an entry dies with orders between their stages:
+// some are in the workshop, some billed, some neither. Their callers lose the
+// connection and send again through the other entry. Each gets the answer to its
+// own order, and workshop and billing have worked once for each.
+func TestEntryKilledInMidPipeline(t *testing.T) {
+	b := &book{t: t, fleet: frameFleet(t, 2, orderTime), pipeline: framePipeline}
+	defer b.report(t)
+	for _, moment := range []string{checkStage, orderStage, billingStage} {
+		var orders []*order
+		for range 2 * ofEach {
+			orders = append(orders, b.open(held), b.open(timedKey))
+		}
+		before := len(b.fleet.StageRuns()[moment])
+		var first sync.WaitGroup
+		for _, o := range orders {
+			first.Go(func() { b.send(t.Context(), o, 0, frameTimeout) })
+		}
+		harness.Wait(t, patience, func() error {
+			if len(b.fleet.StageRuns()[moment]) == before {
+				return errorx.IllegalState.New("no order has reached stage %s", moment)
+			}
+			return nil
+		})
+		b.fleet.Entry(0).Kill()
+		first.Wait()
+		var again sync.WaitGroup
+		for _, o := range orders {
+			again.Go(func() { b.persist(o, 1) })
+		}
+		again.Wait()
+		for _, o := range orders {
+			assert.Assert(t, o.answered(), "%s (%s): %s", o.marker, o.by, o.history())
+		}
+		b.fleet.Entry(0).Restart()
+		b.fleet.WaitReady(patience)
+	}
+	b.verifyStages()
+}
+
+// persist sends an order through one entry until it is answered.
+func (b *book) persist(o *order, entryIndex int) {
+	for range sendings {
+		if b.send(b.t.Context(), o, entryIndex, frameTimeout).was(api.OutcomeAnswered) {
+			return
+		}
+	}
+}
+
+// TestFinishedStageIsFoundAgain: an order is checked against the catalogue, and
+// then its workshop cannot be reached; the caller is told "cut short" and sends
+// again when the way is free. The catalogue's agent still holds the result of the
+// check, and the catalogue is not asked twice. If that agent was started anew, it
+// holds nothing and the check, which may be repeated, runs again.
+func TestFinishedStageIsFoundAgain(t *testing.T) {
+	b := &book{t: t, fleet: frameFleet(t, 1, longCheck), pipeline: framePipeline}
+	defer b.report(t)
+	toWorkshops := b.fleet.Between([]string{"entry-1", "entry-2"}, agentsOf(b.fleet))
+	for _, restart := range []bool{false, true} {
+		orders := []*order{b.open(timedKey), b.open(opaqueKey), b.open(held)}
+		var first sync.WaitGroup
+		for _, o := range orders {
+			first.Go(func() { b.send(t.Context(), o, 0, frameTimeout) })
+		}
+		harness.Wait(t, patience, func() error {
+			for _, o := range orders {
+				if b.fleet.StageRuns()[checkStage][o.marker] == 0 {
+					return errorx.IllegalState.New("%s is not being checked", o.marker)
+				}
+			}
+			return nil
+		})
+		toWorkshops.Cut()
+		first.Wait()
+		for _, o := range orders {
+			assert.Equal(t, o.sendings[0].reply.Outcome(), api.OutcomeCutShort, "%s", o.history())
+		}
+		toWorkshops.Heal()
+		catalogue := b.fleet.Agent(cataloguePool + "-1")
+		if restart {
+			catalogue.Kill()
+			catalogue.Restart()
+		}
+		b.fleet.WaitReady(patience)
+		b.awaitServing(1)
+		runs := 1
+		if restart {
+			runs = 2
+		}
+		for _, o := range orders {
+			if o.by != opaqueKey {
+				// An opaque key is not taken by a workshop's agent this young.
+				s := b.send(t.Context(), o, 1, frameTimeout)
+				assert.Equal(t, s.reply.Outcome(), api.OutcomeAnswered, "%s (%s): %s", o.marker, o.by, s.reply.Body)
+			}
+			n := b.fleet.StageRuns()[checkStage][o.marker]
+			if o.by != opaqueKey && n != runs {
+				t.Errorf("%s (%s) was checked %d times, not %d", o.marker, o.by, n, runs)
+			}
+		}
+	}
+	b.verifyStages()
+}
