--- a/entry/effects.go
+++ b/entry/effects.go
@@ -126,7 +126,7 @@
 
 func (e *Entry) peek(p pipeline.SendPeek) {
 	var result wire.PeekResult
-	p.Peek.Entry, p.Peek.At = e.name(), e.cfg.Now()
+	p.Entry, p.At = e.name(), e.cfg.Now()
 	if err := e.ask(p.Endpoint, wire.MethodStagePeek, p.Peek, &result); err != nil {
 		e.handle(pipeline.PeekLost{RequestID: p.RequestID, Seq: p.Seq, Stage: p.Stage})
 		return
@@ -178,10 +178,6 @@
 // at the agent is load and not slowness, so neither counts it.
 func (e *Entry) observe(o pipeline.Observe) {
 	now := e.cfg.Now()
-	if o.Crashed {
-		// The next copy may be on its way to another entry already.
-		e.shareSuspects(now)
-	}
 	if o.Revoked {
 		return
 	}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -77,6 +77,26 @@
 	assert.Assert(t, f.load("engines-1") == nil, "a member that is gone is forgotten")
 }
 
+// In a burst calls wait at the agents of sound endpoints for longer than three
+// usual calls take. Counted as slow, they would eject endpoints just when each
+// is needed.
+func TestWaitingIsNotOverdue(t *testing.T) {
+	now := time.Now()
+	f := testFleet(3, now)
+	for i := range 20 {
+		for _, name := range []string{"engines-1", "engines-2", "engines-3"} {
+			f.observe("engines", name, route.CallSucceeded, time.Second, now.Add(time.Duration(i)*time.Second))
+		}
+	}
+	usual := f.overdueAfter("engines", "engines-1")
+	assert.Assert(t, usual > 3*time.Second && usual < 4*time.Second, "%v", usual)
+	queue := agentReport("engines-1", "i1", 2, 16)
+	queue.Queued, queue.P50 = 32, time.Second
+	f.setReport(queue, now)
+	assert.Equal(t, f.overdueAfter("engines", "engines-1"), usual+2*time.Second)
+	assert.Equal(t, f.overdueAfter("engines", "engines-2"), usual)
+}
+
 func BenchmarkReportAndSnapshot(b *testing.B) {
 	for _, n := range []int{12, 210, 2100} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
