Charge a run that did not complete like those that do

Cause: an answer costs what its endpoint reports, on an engine its part of each step; a run that was cancelled or lost cost its whole wall time. With one straggler among twelve engines the accounts showed 28.7 % of all cost wasted, more than that engine's time. Ruled out: hedging as the cause (in calm it was 1.0-2.3 %, mostly this charge too); charging the ratio of cost to time of completed runs: tried, 9.3 % in the straggler run, still more than the engine's time, because the straggler's batch is fuller than those that completed before. Change: the agent learns how its endpoint charges, as a multiple of time divided by the runs beside, and charges by that.

--- a/agent/core_queue.go
+++ b/agent/core_queue.go
@@ -37,6 +37,8 @@
 	// start and finish are the tags of start-time fair queueing.
 	start, finish float64
 	arrival       uint64
+	// beside is the number of runs on the endpoint once this one had started.
+	beside int
 }
 
 type placeState uint8
@@ -133,17 +135,23 @@
 }
 
 // complete takes in what the endpoint charged for a run that was on it for took.
-func (a *admission) complete(took, cost time.Duration) {
+func (a *admission) complete(run *Run, took, cost time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.share.add(took, cost)
+	a.share.add(took, cost, a.beside(run))
 }
 
 // charge is the cost of a run that did not complete after took on the endpoint.
-func (a *admission) charge(took time.Duration) time.Duration {
+func (a *admission) charge(run *Run, took time.Duration) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.share.of(took)
+	return a.share.of(took, a.beside(run))
+}
+
+// beside is about how many runs were on the endpoint during this one, itself
+// included: the mean of its beginning and now.
+func (a *admission) beside(run *Run) float64 {
+	return max(1, float64(run.place.beside+a.running)/2)
 }
 
 func (a *admission) vacate(run *Run) {
@@ -205,6 +213,7 @@
 	a.running++
 	a.alone = run.place.alone
 	run.place.state = placeSlot
+	run.place.beside = a.running
 }
 
 // startNext starts from the front of the queue. A call that wants the endpoint
--- a/agent/core_revoke.go
+++ b/agent/core_revoke.go
@@ -126,7 +126,7 @@
 		deadline := run.deadline()
 		c.leaveRunning(now, run, api.ReasonRevoked, func(w *waiter) bool { return w.id == id }, fx)
 		c.abandon(now, run, deadline, api.ReasonRevoked, fx)
-		return wire.RevokedRunning, c.admission.charge(now.Sub(run.started))
+		return wire.RevokedRunning, c.admission.charge(run, now.Sub(run.started))
 	default:
 		return c.revokeWaiting(now, run, id, fx), 0
 	}
@@ -190,7 +190,7 @@
 			Reason: reason,
 			Queued: run.started.Sub(run.received),
 			Ran:    took,
-			Cost:   c.admission.charge(took),
+			Cost:   c.admission.charge(run, took),
 		}})
 		c.keepWaiter(now, run, w, wire.StatusLost, reason, fx)
 	})
--- a/agent/core_run.go
+++ b/agent/core_run.go
@@ -141,10 +141,10 @@
 		if res.Cost > 0 {
 			result.Cost = res.Cost
 		}
-		c.admission.complete(took, result.Cost)
+		c.admission.complete(run, took, result.Cost)
 		return result, false
 	}
-	result.Cost = c.admission.charge(took)
+	result.Cost = c.admission.charge(run, took)
 	result.Detail = err.Error()
 	var failure *endpoint.Error
 	if !errors.As(err, &failure) {
