--- a/agent/core_run.go
+++ b/agent/core_run.go
@@ -162,6 +162,10 @@
 		crashed = result.Reason == api.ReasonNoEndpoint
 	case failure.Lost && run.cancelled != "":
 		result.Status, result.Reason = wire.StatusLost, run.cancelled
+	case failure.Lost && errorx.IsOfType(failure.Err, endpoint.ErrMalformed):
+		// The endpoint lives and answered, though not in the protocol. Taking
+		// that for a crash shows as a whole queue refused for one bad reply.
+		result.Status, result.Reason = wire.StatusLost, api.ReasonEndpointFailed
 	case failure.Lost:
 		result.Status, result.Reason = wire.StatusLost, api.ReasonEndpointLost
 		result.Crashed = true
--- a/endpoint/reply.go
+++ b/endpoint/reply.go
@@ -23,7 +23,7 @@
 func decode(r io.Reader, limit int64, into any) error {
 	data, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
-		return ErrMalformed.Wrap(err, "read reply")
+		return errCut.Wrap(err, "read reply")
 	}
 	if int64(len(data)) > limit {
 		return ErrMalformed.New("reply is longer than %d bytes", limit)
