Weigh crowding on an engine as it is measured

The wait scorer held a full engine to be half as slow again as an idle one; by the stand-ins' timings it takes more than twice the time, since each newcomer's prompt holds up the batch. So the preference for the near endpoint, the prefix's and the request's own outweighed one more call, and some engines were crowded. Change: contention 0.5 -> 1.5, and the same number in the plain score that the differential test holds it against.

Keep a storm's engines on calls that can still be answered

Three causes, measured one after the other: the prefix's home kept its advantage in the queue of a full engine, shares refused callers while the queue could still clear, and calls that others had passed in the queue were run to their deadline in vain. Change: - affinity counts only while the home has a place free; - queueShare 0.5 -> 0.75; - an agent refuses, before the write, a call with less than the median time left while others wait; it is proved not to have run.

--- a/agent/core_queue.go
+++ b/agent/core_queue.go
@@ -134,6 +134,16 @@
 	return a.startNext()
 }
 
+// hopeless tells whether a call with that much time left is better not started.
+// Calls that were expected to come in time may have been passed in the queue; run
+// to their deadline, most of them would take a place for nothing from those that
+// wait. While nobody waits, even an unlikely answer is worth a try.
+func (a *admission) hopeless(remaining time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.queue) > 0 && remaining < a.times.p50
+}
+
 // complete takes in what the endpoint charged for a run that was on it for took.
 func (a *admission) complete(run *Run, took, cost time.Duration) {
 	a.mu.Lock()
--- a/agent/core_queue_test.go
+++ b/agent/core_queue_test.go
@@ -105,6 +105,21 @@
 	assert.Assert(t, a.offer(queuedRun("a", 7), 1, 30*time.Millisecond).queued, "priority shortens the wait")
 }
 
+// Story: in a storm a caller's request is passed in the queue by others and starts
+// a tenth of a second before its deadline. The engine worked on it in vain while
+// requests with time left waited behind it and came too late as well.
+func TestHopelessCallsMakeRoom(t *testing.T) {
+	a := testAdmission(1, 8)
+	assert.Assert(t, !a.hopeless(time.Millisecond), "nothing is known")
+	a.finished(queuedRun("x", 0), time.Second, true)
+	a.refresh()
+	assert.Assert(t, !a.hopeless(100*time.Millisecond), "nobody waits")
+	a.offer(queuedRun("a", 0), 1, time.Minute)
+	a.offer(queuedRun("b", 0), 1, time.Minute)
+	assert.Assert(t, a.hopeless(100*time.Millisecond))
+	assert.Assert(t, !a.hopeless(2*time.Second))
+}
+
 func TestAloneHasNoCompany(t *testing.T) {
 	a := testAdmission(2, 64)
 	first, second := queuedRun("x", 0), queuedRun("y", 0)
--- a/agent/core_run.go
+++ b/agent/core_run.go
@@ -31,6 +31,9 @@
 	case elapsed(run.deadline(), now) >= 0:
 		c.refuseLocked(now, run, refused(api.ReasonDeadline, "the deadline passed before the call was written"), &fx)
 		return endpoint.Call{}, false, fx.list
+	case c.admission.hopeless(run.deadline().Sub(now)):
+		c.refuseLocked(now, run, refused(api.ReasonDeadline, "too little time was left after the queue"), &fx)
+		return endpoint.Call{}, false, fx.list
 	}
 	run.phase = phaseRunning
 	run.started = now
--- a/limit/demand.go
+++ b/limit/demand.go
@@ -54,9 +54,9 @@
 	// queueShare is the part of the time to spare that a request may spend
 	// waiting before shares are in force. A burst that clears within the deadline
 	// is no reason to refuse anybody, and agents let small accounts pass large ones
-	// in their queues; the other half is for the queue to grow in while the calls
-	// that were let in pass through earlier stages.
-	queueShare = 0.5
+	// in their queues; the rest is for the queue to grow in while the calls that
+	// were let in pass through earlier stages.
+	queueShare = 0.75
 )
 
 // patience is how long a request may queue before shares are in force.
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -250,13 +250,13 @@
 	}
 	load := max(reported+float64(e.Load.SentSinceReport.Load()), float64(e.Load.InFlight.Load()))
 	busy := (load + 1) / capacity
-	score := service * (1 + min(1, busy)/2 + max(0, busy-1))
+	score := service * (1 + 1.5*min(1, busy) + max(0, busy-1))
 	crossing := 0.002 + service/20
 	if e.Domain != q.Snapshot.Domain {
 		score += crossing
 	}
 	score += crossing * min(1, max(0, busy-0.75)*4)
-	if e == q.prefixHome {
+	if e == q.prefixHome && busy <= 1 {
 		score -= service / 2
 	}
 	if e == q.identityHome {
--- a/route/scorer.go
+++ b/route/scorer.go
@@ -23,9 +23,11 @@
 	kernel.Register(kernel.Module{ID: scorerIdentity, New: func() any { return identityScorer{} }})
 }
 
-// contention is how much longer a call takes on a full endpoint than on an
-// idle one, as a share of the service time: batches share an engine.
-const contention = 0.5
+// contention is how much longer a call takes on a full endpoint than on an idle
+// one, as a share of the service time: batches share an engine, and each newcomer's
+// prompt holds up all of them. Set too low, the small preferences for a near or a
+// known endpoint pile calls on some engines while others have room.
+const contention = 1.5
 
 // waitScorer is the expected time on the endpoint, queue included.
 type waitScorer struct{}
@@ -68,7 +70,7 @@
 
 // affinityScorer prefers the endpoint that calls with the same prefix go to,
 // by the time that the cached prefix saves: the policy's Affinity as a share
-// of the service time. A queue longer than that sends the call elsewhere.
+// of the service time, as long as it has a place free.
 //
 // The choice is a rendezvous hash and not what the engines' cache events say:
 // those come late and with gaps, and an entry that trusts them sends calls to
@@ -84,7 +86,9 @@
 
 // Score implements Scorer.
 func (s *affinityScorer) Score(q *Query, c *Candidate) float64 {
-	if c.Endpoint != q.prefixHome {
+	// In a full engine's queue the call would wait longer than the prefix saves, and
+	// so would those behind it.
+	if c.Endpoint != q.prefixHome || c.Load+1 > c.Capacity {
 		return 0
 	}
 	return -s.share * c.Service
