--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -38,7 +38,7 @@
 	sender *sender
 }
 
-// errCut marks a stream that broke between two events.
+// errCut marks a reply or stream that broke off, as when its endpoint dies.
 var errCut = errs.NewType("stream_cut")
 
 // Run implements Protocol. It calls chunk only for calls with Stream set.
--- /dev/null
+++ b/integration/placement_test.go
@@ -0,0 +1,258 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/endpoint"
+	"github.com/mangostage/mangostage/fake"
+	"github.com/mangostage/mangostage/internal/harness"
+	"github.com/mangostage/mangostage/platform"
+)
+
+const (
+	// baseModel is the one that the pipelines of the example need.
+	baseModel = "fitting-notes-13b"
+	oldModel  = "old-model"
+	newModel  = "new-model"
+	// shortStop is long enough for the agent to notice, and shorter than its
+	// patience with a connection.
+	shortStop = 1400 * time.Millisecond
+	// loadsPerMinute is the pace of one load a second.
+	loadsPerMinute = 60
+)
+
+// modelsHeld returns what an engine says that it holds.
+func modelsHeld(t *testing.T, e *harness.Endpoint) ([]string, error) {
+	client, err := endpoint.New(string(bundle.ProtocolEngine), e.URL())
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	h, err := client.Health(ctx)
+	return h.Models, err
+}
+
+func awaitModel(t *testing.T, e *harness.Endpoint, model string) {
+	t.Helper()
+	harness.Wait(t, waitLimit, func() error {
+		models, err := modelsHeld(t, e)
+		if err == nil && !slices.Contains(models, model) {
+			err = errorx.IllegalState.New("%s holds %v", e.Name, models)
+		}
+		return err
+	})
+}
+
+// withModels names the models of the engines.
+func withModels(fleet *harness.Fleet, version uint64, models ...string) []byte {
+	return fleet.YAML(func(b *bundle.Bundle) {
+		b.Version = version
+		b.Pool(poolEngines).Models = models
+	})
+}
+
+// orderLine is a log line on an order to an engine.
+type orderLine struct {
+	Message  string `json:"message"`
+	Process  string `json:"process"`
+	Endpoint string `json:"endpoint"`
+	Order    string `json:"order"`
+	Model    string `json:"model"`
+	// Error says why the order was not given.
+	Error string `json:"error"`
+}
+
+const (
+	lineDecided = "placement"
+	lineGiven   = "order"
+)
+
+func orderLines(p *harness.Process, message string) []orderLine {
+	var list []orderLine
+	for text := range bytes.Lines(p.Log()) {
+		var line orderLine
+		if json.Unmarshal(text, &line) == nil && line.Message == message {
+			list = append(list, line)
+		}
+	}
+	return list
+}
+
+// Six engines come up without the model that the bundle names, all at the same
+// moment. If each loaded at once, the weight store would turn most of them away.
+// The loads come one by one at the bundle's pace, one for each engine, each from
+// the one agent beside it and with a log line on the decision.
+func TestModelLoadsKeepThePace(t *testing.T) {
+	const engines = 6
+	began := time.Now()
+	fleet := harness.Start(t, harness.Config{
+		Pools:  map[string]int{poolEngines: engines},
+		Edit:   func(b *bundle.Bundle) { b.Policy.ModelLoadsPerMinute = loadsPerMinute },
+		Engine: func(_ *bundle.Pool, s *fake.EngineSettings) { s.Models, s.RequireModel = nil, true },
+	})
+	var loads []time.Time
+	harness.Wait(t, waitLimit, func() error {
+		now, n := time.Now(), 0
+		for _, e := range fleet.PoolEndpoints(poolEngines) {
+			n += e.Counts().OrdersToLoad
+		}
+		for len(loads) < n {
+			loads = append(loads, now)
+		}
+		if n < engines {
+			return errorx.IllegalState.New("%d loads", n)
+		}
+		return nil
+	})
+	for _, e := range fleet.PoolEndpoints(poolEngines) {
+		awaitModel(t, e, baseModel)
+		agent := fleet.Agent(e.Name)
+		decided, given := orderLines(agent, lineDecided), orderLines(agent, lineGiven)
+		assert.Equal(t, len(decided), 1)
+		assert.Equal(t, len(given), 1)
+		assert.Equal(t, given[0].Endpoint, e.Name)
+		assert.Equal(t, given[0].Process, e.Name)
+		assert.Equal(t, e.Counts().OrdersToLoad, 1)
+	}
+	last := loads[len(loads)-1].Sub(loads[0])
+	t.Logf("%d loads, %v from the first to the last, %v after the start", len(loads), last, loads[len(loads)-1].Sub(began))
+	// Five intervals lie between six loads; a load may be late within its own.
+	assert.Assert(t, last >= (engines-2)*time.Minute/loadsPerMinute, "%v from the first load to the last", last)
+}
+
+// engineFleet is one engine behind a gate, through which its agent reaches it.
+func engineFleet(t *testing.T, ignoreFence bool) (*harness.Fleet, *harness.Gate) {
+	gate := harness.NewGate(t)
+	fleet := harness.Start(t, harness.Config{
+		Pools:      map[string]int{poolEngines: 1},
+		Edit:       func(b *bundle.Bundle) { b.Policy.ModelLoadsPerMinute = loadsPerMinute },
+		Engine:     func(_ *bundle.Pool, s *fake.EngineSettings) { s.IgnoreFence = ignoreFence },
+		AgentFlags: []string{"--endpoint-url=" + gate.URL()},
+		NoWait:     true,
+	})
+	engine, err := url.Parse(fleet.Endpoint(engineName).URL())
+	assert.NilError(t, err)
+	gate.To(engine.Host)
+	fleet.WaitReady(waitLimit)
+	return fleet, gate
+}
+
+const engineName = poolEngines + "-1"
+
+// awaitDecision waits until the agent has decided to load a model.
+func awaitDecision(t *testing.T, agent *harness.Process, model string) {
+	t.Helper()
+	harness.Wait(t, waitLimit, func() error {
+		for _, line := range orderLines(agent, lineDecided) {
+			if line.Model == model {
+				return nil
+			}
+		}
+		return errorx.IllegalState.New("no decision on %s", model)
+	})
+}
+
+// An agent decides on an order and is stopped before it has a connection to
+// write it to. Meanwhile the bundle changes, so that the order is wrong. The
+// connection is there when the agent wakes; the engine does not check fencing
+// numbers. The agent itself holds the order back, and obeys the new bundle.
+func TestWokenAgentHoldsItsOrderBack(t *testing.T) {
+	fleet, gate := engineFleet(t, true)
+	agent, engine := fleet.Agent(engineName), fleet.Endpoint(engineName)
+	gate.Fill()
+	fleet.Publish(withModels(fleet, 2, baseModel, oldModel))
+	awaitDecision(t, agent, oldModel)
+	agent.Stop()
+	stopped := time.Now()
+	gate.Open()
+	fleet.Publish(withModels(fleet, 3, baseModel, newModel))
+	// The kernel goes on connecting for the stopped process.
+	harness.Wait(t, waitLimit, gate.Connected)
+	after(stopped, shortStop)
+	agent.Cont()
+	awaitModel(t, engine, newModel)
+	assert.Equal(t, engine.Counts().OrdersToLoad, 1, "the old order was given too")
+	held := slices.DeleteFunc(orderLines(agent, lineGiven), func(l orderLine) bool { return l.Error == "" })
+	assert.Equal(t, len(held), 1)
+	t.Logf("held back: %s", held[0].Error)
+	models, err := modelsHeld(t, engine)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, models, []string{baseModel, newModel})
+}
+
+// An agent has written an order, and the network holds it back; the agent is
+// stopped and its VM is replaced. The successor has given orders under a newer
+// bundle when the old one arrives. An engine that checks fencing numbers refuses
+// it. One that does not obeys it: nobody is left who could hold it back, and
+// the superfluous model stays. That is what remains possible.
+func TestDelayedOrderMeetsTheFence(t *testing.T) {
+	for _, ignoreFence := range []bool{false, true} {
+		t.Run(fmt.Sprintf("ignoreFence=%v", ignoreFence), func(t *testing.T) {
+			fleet, gate := engineFleet(t, ignoreFence)
+			agent, engine := fleet.Agent(engineName), fleet.Endpoint(engineName)
+			gate.Hold()
+			fleet.Publish(withModels(fleet, 2, baseModel, oldModel))
+			awaitDecision(t, agent, oldModel)
+			harness.Wait(t, waitLimit, gate.Held)
+			agent.Stop()
+			fleet.Publish(withModels(fleet, 3, baseModel, newModel))
+			fleet.Replace(engineName)
+			awaitModel(t, engine, newModel)
+			gate.Open()
+			harness.Wait(t, waitLimit, func() error {
+				if c := engine.Counts(); c.StaleRefused+c.StaleAccepted == 0 {
+					return errorx.IllegalState.New("the old order has not arrived")
+				}
+				return nil
+			})
+			counts := engine.Counts()
+			t.Logf("old orders refused by the engine: %d, obeyed: %d", counts.StaleRefused, counts.StaleAccepted)
+			if ignoreFence {
+				assert.Equal(t, counts.StaleAccepted, 1)
+				return
+			}
+			assert.Equal(t, counts.StaleRefused, 1)
+			agent.Cont()
+			fleet.WaitReady(waitLimit)
+			models, err := modelsHeld(t, engine)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, models, []string{baseModel, newModel})
+			assert.Equal(t, engine.Counts().OrdersToLoad, 1)
+		})
+	}
+}
+
+// An engine's VM leaves the fleet and the engine loses its models. The agent
+// there gives no more orders; its successor at the engine does, so that no
+// engine has two givers of orders.
+func TestLeavingAgentGivesNoOrders(t *testing.T) {
+	fleet := harness.Start(t, harness.Config{
+		Pools:  map[string]int{poolEngines: 1},
+		Edit:   func(b *bundle.Bundle) { b.Policy.ModelLoadsPerMinute = loadsPerMinute },
+		Engine: func(_ *bundle.Pool, s *fake.EngineSettings) { s.IgnoreFence = true },
+	})
+	leaving := fleet.Agent(engineName)
+	fleet.SetVMState(leaving.VM, platform.VMLeaving)
+	harness.Wait(t, waitLimit, func() error { return fleet.Unusable(0, engineName) })
+	fleet.Publish(withModels(fleet, 2, baseModel, newModel))
+	harness.Wait(t, waitLimit, func() error { return fleet.InForce(2) })
+	// Three turns of the pace pass.
+	after(time.Now(), 3*time.Minute/loadsPerMinute)
+	assert.Equal(t, len(orderLines(leaving, lineDecided)), 0)
+	old := fleet.Replace(engineName)
+	awaitModel(t, fleet.Endpoint(engineName), newModel)
+	assert.Equal(t, len(orderLines(old, lineDecided)), 0)
+	assert.Equal(t, len(orderLines(fleet.Agent(engineName), lineGiven)), 1)
+}
--- /dev/null
+++ b/integration/rollout_test.go
@@ -0,0 +1,342 @@
+package integration
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/fake"
+	"github.com/mangostage/mangostage/internal/harness"
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/wire"
+)
+
+// inForceLimit is the time within which a new version is in force everywhere.
+const inForceLimit = 5 * time.Second
+
+// peerDelay is how much slower, each way, a fresh process's peers answer than
+// the configuration service.
+const peerDelay = 150 * time.Millisecond
+
+// described returns a bundle with the version and a text that tells it apart.
+func described(fleet *harness.Fleet, version uint64, text string) []byte {
+	return fleet.YAML(func(b *bundle.Bundle) {
+		b.Version = version
+		b.Description = text
+	})
+}
+
+func publish(fleet *harness.Fleet, signed []byte) {
+	fleet.Platform.Config.Publish(platform.ValueBundle, signed)
+}
+
+// heads returns what the named processes have in force, as told through an entry.
+func heads(t *testing.T, fleet *harness.Fleet, entry int, names []string) (map[string]wire.BundleHead, error) {
+	list, err := fleet.Status(t.Context(), entry)
+	if err != nil {
+		return nil, err
+	}
+	found := make(map[string]wire.BundleHead)
+	for _, p := range list {
+		if p.Status != nil && slices.Contains(names, p.Process) {
+			found[p.Process] = p.Status.Bundle
+		}
+	}
+	if len(found) != len(names) {
+		return nil, errorx.IllegalState.New("%d of %d processes answer: %v", len(found), len(names), found)
+	}
+	return found, nil
+}
+
+// awaitVersion waits until the named processes have the version in force, and
+// tells how long it took.
+func awaitVersion(t *testing.T, fleet *harness.Fleet, entry int, version uint64, limit time.Duration, names []string) time.Duration {
+	t.Helper()
+	began := time.Now()
+	harness.Wait(t, limit, func() error {
+		found, err := heads(t, fleet, entry, names)
+		if err != nil {
+			return err
+		}
+		for name, head := range found {
+			if head.Version != version {
+				return errorx.IllegalState.New("%s has version %d, not %d", name, head.Version, version)
+			}
+		}
+		return nil
+	})
+	return time.Since(began)
+}
+
+func namesOf(fleet *harness.Fleet, except ...string) []string {
+	var names []string
+	for _, p := range fleet.Processes() {
+		if !slices.Contains(except, p.Name) {
+			names = append(names, p.Name)
+		}
+	}
+	return names
+}
+
+// bundleLine is a log line on what became of an offered bundle.
+type bundleLine struct {
+	Message string                `json:"message"`
+	Result  bundle.AdoptionResult `json:"result"`
+	Version uint64                `json:"version"`
+	Source  string                `json:"source"`
+}
+
+func bundleLines(p *harness.Process) []bundleLine {
+	var list []bundleLine
+	for text := range bytes.Lines(p.Log()) {
+		var line bundleLine
+		if json.Unmarshal(text, &line) == nil && line.Message == "bundle" {
+			list = append(list, line)
+		}
+	}
+	return list
+}
+
+// logged tells how many processes have logged the result of a value that they read.
+func logged(fleet *harness.Fleet, result bundle.AdoptionResult) int {
+	n := 0
+	for _, p := range fleet.Processes() {
+		if slices.ContainsFunc(bundleLines(p), func(line bundleLine) bool {
+			return line.Result == result && line.Source == "platform"
+		}) {
+			n++
+		}
+	}
+	return n
+}
+
+// awaitLogged waits until at least n processes have logged the result.
+func awaitLogged(t *testing.T, fleet *harness.Fleet, result bundle.AdoptionResult, n int) {
+	t.Helper()
+	harness.Wait(t, waitLimit, func() error {
+		if got := logged(fleet, result); got < n {
+			return errorx.IllegalState.New("%d of %d processes log %s", got, n, result)
+		}
+		return nil
+	})
+}
+
+// neverBack finds that no process put an older version in force, over all its
+// runs: its successor on the same VM counts as the same.
+func neverBack(t *testing.T, fleet *harness.Fleet) {
+	t.Helper()
+	for _, p := range fleet.Processes() {
+		var inForce []uint64
+		for _, line := range bundleLines(p) {
+			if line.Result == bundle.ResultAdopted || line.Result == bundle.ResultConflictReplaced {
+				inForce = append(inForce, line.Version)
+			}
+		}
+		t.Logf("%s had in force: %v", p.Name, inForce)
+		assert.Assert(t, len(inForce) > 0 && slices.IsSorted(inForce), "%s: %v", p.Name, inForce)
+	}
+}
+
+// An operator publishes a version. All processes have it in force within five
+// seconds; and so they have the next one when five of eight processes can no
+// longer reach the platform and must get it from their peers.
+func TestBundleIsInForceWithinSeconds(t *testing.T) {
+	fleet := harness.Start(t, harness.Config{Pools: map[string]int{poolCatalogue: 6}, ProxyPlatform: true})
+	all := namesOf(fleet)
+	fleet.Publish(described(fleet, 2, "all reach the platform"))
+	t.Logf("version 2 in force on %d processes after %v", len(all), awaitVersion(t, fleet, 0, 2, inForceLimit, all))
+
+	// One failure domain of three keeps the platform.
+	for _, name := range []string{"entry-2", "catalogue-2", "catalogue-3", "catalogue-5", "catalogue-6"} {
+		fleet.PlatformLink(name).Cut()
+	}
+	fleet.Publish(described(fleet, 3, "few reach the platform"))
+	t.Logf("version 3 in force on %d processes after %v", len(all), awaitVersion(t, fleet, 0, 3, inForceLimit, all))
+	neverBack(t, fleet)
+}
+
+// An agent is cut off and an entry is stopped while a new version comes in force
+// on the others. Then the configuration service falls back to the old version,
+// and a process is replaced, which reads the old version from it. Neither it, nor
+// those that join again, nor those that were there go back to it.
+func TestBundleNeverGoesBack(t *testing.T) {
+	fleet := harness.Start(t, harness.Config{
+		Pools: map[string]int{poolCatalogue: 3}, ProxyPeers: true, ProxyPlatform: true,
+	})
+	old := fleet.Sign(described(fleet, 2, "old"))
+	publish(fleet, old)
+	awaitVersion(t, fleet, 0, 2, inForceLimit, namesOf(fleet))
+
+	apart := fleet.Links("catalogue-3")
+	apart.Cut()
+	fleet.PlatformLink("catalogue-3").Cut()
+	fleet.Entry(1).Stop()
+	publish(fleet, fleet.Sign(described(fleet, 3, "new")))
+	rest := namesOf(fleet, "catalogue-3", "entry-2")
+	awaitVersion(t, fleet, 0, 3, inForceLimit, rest)
+
+	publish(fleet, old)
+	// The service answers sooner than the peers.
+	toPeers := fleet.Link("entry-1", "catalogue-1")
+	fresh := fleet.Agent("catalogue-1")
+	fresh.Kill()
+	toPeers.Delay(peerDelay)
+	fresh.Restart()
+	awaitVersion(t, fleet, 0, 3, waitLimit, rest)
+	toPeers.Heal()
+	fleet.Entry(1).Cont()
+	fleet.PlatformLink("catalogue-3").Heal()
+	apart.Heal()
+	awaitVersion(t, fleet, 0, 3, waitLimit, namesOf(fleet))
+	awaitLogged(t, fleet, bundle.ResultOlder, 1)
+	awaitVersion(t, fleet, 1, 3, waitLimit, namesOf(fleet))
+	neverBack(t, fleet)
+}
+
+// Two operators publish one version with different contents, and each half of
+// a parted fleet sees another one. When the halves meet, all processes choose
+// the same content, and those that give theirs up say loudly that there were two;
+// a higher version ends it.
+func TestTwoContentsOfOneVersionConverge(t *testing.T) {
+	fleet := harness.Start(t, harness.Config{
+		Pools: map[string]int{poolCatalogue: 2}, ProxyPeers: true, ProxyPlatform: true,
+	})
+	halves := [][]string{{"entry-1", "catalogue-1"}, {"entry-2", "catalogue-2"}}
+	between := fleet.Between(halves[0], halves[1])
+	between.Cut()
+	for i, half := range halves {
+		for _, name := range halves[1-i] {
+			fleet.PlatformLink(name).Cut()
+		}
+		for _, name := range half {
+			fleet.PlatformLink(name).Heal()
+		}
+		fleet.Publish(described(fleet, 2, fmt.Sprint("operator ", i+1)))
+		awaitVersion(t, fleet, i, 2, waitLimit, half)
+	}
+	between.Heal()
+	for _, name := range halves[0] {
+		fleet.PlatformLink(name).Heal()
+	}
+	fleet.WaitReady(waitLimit)
+	harness.Wait(t, inForceLimit, func() error { return oneContent(t, fleet) })
+	harness.Wait(t, waitLimit, func() error { return conflictLogged(fleet, len(halves[0])) })
+
+	fleet.Publish(described(fleet, 3, "settled"))
+	awaitVersion(t, fleet, 0, 3, inForceLimit, namesOf(fleet))
+	assert.NilError(t, oneContent(t, fleet))
+	neverBack(t, fleet)
+}
+
+// oneContent returns nil if all processes have the same bundle in force.
+func oneContent(t *testing.T, fleet *harness.Fleet) error {
+	found, err := heads(t, fleet, 0, namesOf(fleet))
+	if err != nil {
+		return err
+	}
+	seen := make(map[wire.BundleHead]int)
+	for _, head := range found {
+		seen[head]++
+	}
+	if len(seen) != 1 {
+		return errorx.IllegalState.New("in force: %v", seen)
+	}
+	return nil
+}
+
+// conflictLogged returns nil if at least n processes tell of the conflict as an
+// error. Those of the half whose content goes have seen both.
+func conflictLogged(fleet *harness.Fleet, n int) error {
+	told := 0
+	for _, p := range fleet.Processes() {
+		if p.LogHas(`"level":"error"`, "CONFLICT") {
+			told++
+		}
+	}
+	if told < n {
+		return errorx.IllegalState.New("%d of %d processes tell of the conflict", told, n)
+	}
+	return nil
+}
+
+// Somebody puts a value with a stranger's signature into the configuration
+// service; later, readers see a new value half written. Nothing changes, also
+// for a process that starts at that time; the whole value is in force soon after
+// it can be read.
+func TestBadValuesChangeNothing(t *testing.T) {
+	fleet := harness.Start(t, harness.Config{Pools: map[string]int{poolCatalogue: 2}})
+	all := namesOf(fleet)
+	fleet.Publish(described(fleet, 2, "good"))
+	awaitVersion(t, fleet, 0, 2, inForceLimit, all)
+
+	_, stranger, err := bundle.GenerateKey()
+	assert.NilError(t, err)
+	forged, err := bundle.Sign(stranger, described(fleet, 9, "forged"))
+	assert.NilError(t, err)
+	publish(fleet, forged)
+	awaitLogged(t, fleet, bundle.ResultBadSignature, 1)
+
+	half, whole := true, false
+	fleet.Platform.Config.Apply(fake.ConfigControl{HalfWritten: &half})
+	fleet.Publish(described(fleet, 3, "whole"))
+	// So few processes all watch.
+	awaitLogged(t, fleet, bundle.ResultMalformed, len(all))
+	fleet.Agent("catalogue-1").Kill()
+	fleet.Agent("catalogue-1").Restart()
+	awaitVersion(t, fleet, 0, 2, waitLimit, all)
+
+	fleet.Platform.Config.Apply(fake.ConfigControl{HalfWritten: &whole})
+	t.Logf("in force %v after the whole value could be read", awaitVersion(t, fleet, 0, 3, inForceLimit, all))
+	neverBack(t, fleet)
+}
+
+const (
+	// platformWindow is how long a fleet's reads of the platform are counted.
+	platformWindow = 8 * time.Second
+	// platformGrowth is the most that the reads of a fleet four times as large
+	// may have grown.
+	platformGrowth = 3.0
+)
+
+// Each process reads the platform, whose limits grow more slowly than the
+// fleet. The reads of 10 and of 40 processes are counted at the stand-in: when
+// they start all at once, in steady state, and while a new version spreads.
+func TestPlatformReadsGrowSlowly(t *testing.T) {
+	var rates []float64
+	for _, size := range []struct{ entries, agents int }{{2, 8}, {5, 35}} {
+		t.Run(fmt.Sprint(size.entries+size.agents), func(t *testing.T) {
+			rates = append(rates, platformRate(t, size.entries, size.agents))
+		})
+	}
+	assert.Equal(t, len(rates), 2)
+	assert.Assert(t, rates[1] < platformGrowth*rates[0], "%v", rates)
+}
+
+func platformRate(t *testing.T, entries, agents int) float64 {
+	fleet := harness.Start(t, harness.Config{
+		Pools: map[string]int{poolCatalogue: agents}, Entries: entries, Plain: true, LogLevel: "warn",
+	})
+	calls := func() int {
+		c := fleet.Platform.Counts()
+		return c.Total + c.VMs.Total
+	}
+	starting, began := calls(), time.Now()
+	after(began, platformWindow)
+	rate := float64(calls()-starting) / time.Since(began).Seconds()
+	fleet.Publish(described(fleet, 2, "new"))
+	took := awaitVersion(t, fleet, 0, 2, waitLimit, namesOf(fleet))
+	counts := fleet.Platform.Counts()
+	t.Logf("%d processes: %d reads until ready, then %.2f a second; version 2 everywhere after %v; "+
+		"most in one second: %d of the configuration service, %d of the list",
+		entries+agents, starting, rate, took, counts.MaxPerSecond, counts.VMs.MaxPerSecond)
+	assert.Assert(t, counts.MaxPerSecond+counts.VMs.MaxPerSecond <= fake.DefaultConfigLimit)
+	assert.Equal(t, counts.Refused, 0)
+	return rate
+}
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -253,7 +253,7 @@
 	p, err := newProxy(f.proxies, process+" to "+parsed.Host, parsed.Host)
 	f.must(err)
 	proxies[process] = p
-	return "http://" + p.Listen
+	return "http://" + p.address
 }
 
 func (f *Fleet) startProcesses() {
--- a/internal/harness/link.go
+++ b/internal/harness/link.go
@@ -32,6 +32,8 @@
 // proxy is one listener of toxiproxy's and the port it keeps while stopped.
 type proxy struct {
 	*toxiproxy.Proxy
+	// address is the one reserved; the library writes its own copy at each start.
+	address string
 	release func()
 }
 
@@ -45,7 +47,7 @@
 		release()
 		return nil, err
 	}
-	return &proxy{Proxy: p, release: release}, nil
+	return &proxy{Proxy: p, address: address, release: release}, nil
 }
 
 func newProxyServer() *toxiproxy.ApiServer {
--- a/internal/harness/view.go
+++ b/internal/harness/view.go
@@ -90,7 +90,7 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
-		vms[i].Address = p.Listen
+		vms[i].Address = p.address
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(vms)
