Admit by the queue that a request's priority does not pass

Cause: admission charged every request the whole queue of a pool, while agents run their queues by priority. Ruled out: the limiter (it refused only households, above their limit). Change: the limiter tells which share of what the entry has in flight on the pool has the request's priority or a higher one, and admission counts that share of the queue.

--- a/entry/submit.go
+++ b/entry/submit.go
@@ -239,7 +239,8 @@
 	if s.gen.verified.Bundle.Policy.Name == bundle.PolicyNaive {
 		return nil, release
 	}
-	feasible := admit.Check(now, s.pipeline, s.admit.Deadline.Sub(now), e.estimates, snapshot)
+	feasible := admit.Check(now, s.pipeline, s.admit.Deadline.Sub(now), e.estimates,
+		loadAhead{snapshot: snapshot, share: verdict.Ahead})
 	if !feasible.OK {
 		return withRetry(refusal(id, feasible.Reason, "expected to need "+feasible.Need.String()), feasible.RetryAfter), release
 	}
--- a/limit/adaptive.go
+++ b/limit/adaptive.go
@@ -54,7 +54,7 @@
 		pool.done(account.Name, now, true)
 		return Verdict{Reason: api.ReasonRateLimited, RetryAfter: after}
 	}
-	return Verdict{OK: true}
+	return Verdict{OK: true, Ahead: pool.ahead(account.Priority)}
 }
 
 // Done implements Limiter.
--- a/limit/fair.go
+++ b/limit/fair.go
@@ -74,6 +74,22 @@
 	return 0, true
 }
 
+// ahead is the share of the calls in flight that have the priority or a higher one.
+func (p *fairPool) ahead(priority int) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.inFlight == 0 {
+		return 1
+	}
+	before := 0
+	for _, c := range p.claims {
+		if c.priority >= priority {
+			before += c.inFlight
+		}
+	}
+	return float64(before) / float64(p.inFlight)
+}
+
 // saturated tells whether shares are in force. A pool of unknown capacity is
 // left to admission.
 func (p *fairPool) saturated(demand Demand, slots float64) bool {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -46,6 +46,10 @@
 	Reason api.Reason
 	// RetryAfter is when a call is likely to be taken.
 	RetryAfter time.Duration
+	// Ahead is the share of what this entry has in flight on the demand's pool
+	// that an agent's queue puts before the request or treats alike: 1 for the
+	// lowest priority, near 0 for a priority that hardly anybody else has.
+	Ahead float64
 }
 
 // Limiter decides which requests of which client accounts an entry takes.
--- a/limit/naive.go
+++ b/limit/naive.go
@@ -31,7 +31,7 @@
 // Admit implements Limiter.
 func (n *naive) Admit(now time.Time, account *bundle.Account, _ int, _ Demand) Verdict {
 	if account.Limit.RequestsPerSecond <= 0 {
-		return Verdict{OK: true}
+		return Verdict{OK: true, Ahead: 1}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -43,7 +43,7 @@
 	if !b.AllowN(now, 1) {
 		return Verdict{Reason: api.ReasonRateLimited, RetryAfter: naiveRetryAfter}
 	}
-	return Verdict{OK: true}
+	return Verdict{OK: true, Ahead: 1}
 }
 
 // Done implements Limiter.
