--- a/cmd/mangostage/help.go
+++ b/cmd/mangostage/help.go
@@ -75,6 +75,7 @@
 			"mangostage load --list",
 			"mangostage load --self-contained calm burst+straggler --seed 7",
 			"mangostage load --self-contained overload-2x --compare naive --output json",
+			"mangostage load --self-contained burst --compare naive --plot burst.png",
 		},
 		failed: "the run broke a promise",
 	},
--- a/cmd/mangostage/load.go
+++ b/cmd/mangostage/load.go
@@ -30,6 +30,7 @@
 	Mix           string        `arg:"--mix" placeholder:"FILE" help:"YAML mix of pipelines and accounts; default the deployment's"`
 	Policy        string        `arg:"--policy" help:"policy in place of the bundle's"`
 	Compare       string        `arg:"--compare" placeholder:"POLICY" help:"run again with this policy and the same seed, and print both"`
+	Plot          string        `arg:"--plot" placeholder:"FILE.png" help:"draw attainment and latency by the second; of several scenarios, each in FILE-SCENARIO.png"`
 	Seed          uint64        `arg:"--seed" help:"seed of arrivals; default drawn"`
 	Duration      time.Duration `arg:"--duration" default:"20s" help:"length of a run"`
 	Warmup        time.Duration `arg:"--warmup" default:"3s" help:"time before a run that does not count"`
@@ -75,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if err := l.checkPlots(configs); err != nil {
+		return err
+	}
 	_, _ = fmt.Fprintf(errOut, "seed %d\n", l.Seed)
 	var results loadResults
 	for _, cfg := range configs {
@@ -88,15 +92,17 @@
 		}
 	}
 	if results.broken() {
-		return refusal{errors.New("the run broke a promise; see the integrity figures")}
+		return errors.Join(refusal{errors.New("the run broke a promise; see the integrity figures")}, results.plotErr)
 	}
-	return nil
+	return results.plotErr
 }
 
 // loadResults is the JSON output.
 type loadResults struct {
 	Reports     []*load.Report     `json:"reports,omitempty"`
 	Comparisons []*load.Comparison `json:"comparisons,omitempty"`
+	// plotErr is kept to the end, so that no figures are lost for a picture.
+	plotErr error
 }
 
 func (r *loadResults) broken() bool {
@@ -113,8 +119,9 @@
 	return false
 }
 
-// tabled is what can be written for people.
-type tabled interface {
+// shown is what can be written for people.
+type shown interface {
+	plottable
 	WriteTable(out io.Writer) error
 }
 
@@ -125,7 +132,7 @@
 	}
 	if l.Compare == "" {
 		results.Reports = append(results.Reports, report)
-		return l.print(out, report)
+		return l.show(out, cfg.Scenario.Name, report, results)
 	}
 	cfg.Policy = bundle.PolicyName(l.Compare)
 	baseline, err := runShown(ctx, cfg, errOut)
@@ -134,7 +141,7 @@
 	}
 	comparison := load.Compare(report, baseline)
 	results.Comparisons = append(results.Comparisons, comparison)
-	return l.print(out, comparison)
+	return l.show(out, cfg.Scenario.Name, comparison, results)
 }
 
 // runShown ends the line of progress, if there was one.
@@ -146,7 +153,9 @@
 	return report, err
 }
 
-func (l *loadArguments) print(out io.Writer, result tabled) error {
+// show draws the picture and prints the table, where wanted.
+func (l *loadArguments) show(out io.Writer, scenario string, result shown, results *loadResults) error {
+	results.plotErr = errors.Join(results.plotErr, l.plot(scenario, result))
 	if l.Output == outputJSON {
 		return nil
 	}
--- a/load/report.go
+++ b/load/report.go
@@ -129,6 +129,8 @@
 	Sent    int `json:"sent"`
 	InTime  int `json:"in_time"`
 	Refused int `json:"refused"`
+	// Latency is that of answers, late ones included, from the time due.
+	Latency Quantiles `json:"latency"`
 }
 
 func share(part, all float64) float64 {
--- a/load/summary.go
+++ b/load/summary.go
@@ -107,10 +107,9 @@
 func summarize(p *Plan, samples []Sample) Report {
 	r := Report{
 		Scenario: p.Scenario.Name, Seed: p.Seed, Warmup: p.Warmup, Duration: p.Duration, Capacity: p.Capacity,
-		Timeline: make([]Second, int((p.Duration+time.Second-1)/time.Second)),
 	}
 	total, bystanders, crashes := newTally(totalName), newTally("bystanders"), newTally("crash requests")
-	pipelines, accounts := make(tallies), make(tallies)
+	pipelines, accounts, seconds := make(tallies), make(tallies), newTimeline(p)
 	for i := range samples {
 		s := &samples[i]
 		switch {
@@ -126,9 +125,10 @@
 		if s.Account != p.Mix.largest().Name {
 			bystanders.add(s)
 		}
-		r.addSecond(p, s)
+		seconds.add(s)
 	}
 	r.Total, r.Pipelines, r.Accounts = total.sum(), pipelines.sums(), accounts.sums()
+	r.Timeline = seconds.sum()
 	if p.Scenario.Flood > 0 {
 		r.Bystanders = new(bystanders.sum())
 	}
@@ -153,21 +153,6 @@
 	}
 }
 
-func (r *Report) addSecond(p *Plan, s *Sample) {
-	i := int((s.At - p.Warmup) / time.Second)
-	if i < 0 || i >= len(r.Timeline) {
-		return
-	}
-	at := &r.Timeline[i]
-	at.Sent++
-	if s.InTime() {
-		at.InTime++
-	}
-	if s.Outcome == api.OutcomeRefused {
-		at.Refused++
-	}
-}
-
 // addDetails adds what counts over all requests, the warm-up's included where
 // a promise was broken.
 func (r *Report) addDetails(samples []Sample) {
--- a/load/summary_test.go
+++ b/load/summary_test.go
@@ -58,7 +58,10 @@
 	assert.Equal(t, r.RefusedWithRetryAfter, 1)
 	assert.Equal(t, r.FirstToken.Count, 1)
 	assert.Equal(t, r.TokenGap.Count, 2)
-	assert.DeepEqual(t, r.Timeline[1], Second{Sent: 2, InTime: 1})
+	assert.Equal(t, len(r.Timeline), 100)
+	// Quantiles are the upper ends of the histogram's buckets.
+	latency := Quantiles{Count: 2, P50: 100_031 * time.Microsecond, P95: 1_001_471 * time.Microsecond, P99: 1_001_471 * time.Microsecond}
+	assert.DeepEqual(t, r.Timeline[1], Second{Sent: 2, InTime: 1, Latency: latency})
 	assert.DeepEqual(t, r.Timeline[2], Second{Sent: 3, Refused: 3})
 	assert.Equal(t, r.Offered, 0.1)
 	// Two answers in 100 s with two calls each, of ten calls that fit.
