--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,180 @@
+// Package balance chooses endpoints of plain services: by what they said of
+// their load, by this process's own requests in flight, by how long answers
+// took and by how often requests failed. It does no I/O.
+package balance
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+)
+
+const (
+	// latencyWeight is the share of the newest answer in an endpoint's latency.
+	latencyWeight = 0.2
+	// latencyGuess is the latency of an endpoint that has not answered yet.
+	latencyGuess = 60 * time.Millisecond
+	// failWeight is the share of the newest outcome in the failure rate.
+	failWeight = 0.25
+	// failHalfLife is the time in which a failure rate halves without new evidence.
+	failHalfLife = 3 * time.Second
+	// failCost is what a failure rate of 1 costs: about as much as an answer
+	// that misses its objective.
+	failCost = 2 * time.Second
+	// remoteCost is added for an endpoint in another failure domain: two ways
+	// between domains and the price of the bytes.
+	remoteCost = 4 * time.Millisecond
+	// loadSpan is how long what an endpoint said of its load is believed.
+	loadSpan = time.Second
+	// pauseFirst and pauseMax bound the time for which an endpoint that did
+	// not answer comes last.
+	pauseFirst = 200 * time.Millisecond
+	pauseMax   = 3 * time.Second
+)
+
+// Outcome is how a request at an endpoint ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Served requests were answered by the endpoint.
+	Served Outcome = iota
+	// Failed requests were answered with an error of the endpoint.
+	Failed
+	// Silent requests had no usable answer.
+	Silent
+	// Full requests were refused without being run.
+	Full
+	// Abandoned requests ended by the client's doing and say nothing.
+	Abandoned
+)
+
+// Balancer knows the endpoints of all services.
+type Balancer struct {
+	domain string
+	mu     sync.Mutex
+	states map[string]*state
+}
+
+type state struct {
+	inFlight int
+	latency  time.Duration
+	failRate float64
+	failAt   time.Time
+	// waiting is the load that the endpoint reported at loadAt, less our own share of it.
+	waiting     int
+	loadAt      time.Time
+	silences    int
+	pausedUntil time.Time
+	used        time.Time
+}
+
+// New returns a balancer for a process in the failure domain.
+func New(domain string) *Balancer {
+	return &Balancer{domain: domain, states: make(map[string]*state)}
+}
+
+// Pick returns the endpoint with the least expected cost that takes work and is
+// not in avoid, and counts a request for it; nil if there is none.
+func (b *Balancer) Pick(now time.Time, endpoints []*catalog.Endpoint, avoid map[string]bool) *catalog.Endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var best *catalog.Endpoint
+	var least time.Duration
+	for _, e := range endpoints {
+		if e.Leaving || avoid[e.ID] {
+			continue
+		}
+		if cost := b.cost(now, e); best == nil || cost < least {
+			best, least = e, cost
+		}
+	}
+	if best != nil {
+		s := b.state(best.ID)
+		s.inFlight++
+		s.used = now
+	}
+	return best
+}
+
+// cost is the expected time until an answer.
+func (b *Balancer) cost(now time.Time, e *catalog.Endpoint) time.Duration {
+	s := b.state(e.ID)
+	load := s.inFlight
+	if now.Sub(s.loadAt) < loadSpan {
+		load = max(load, s.waiting)
+	}
+	slots := max(1, e.Slots)
+	cost := s.latency + s.latency*time.Duration(load)/time.Duration(slots)
+	cost += time.Duration(float64(failCost) * s.rate(now))
+	if e.Domain != b.domain {
+		cost += remoteCost
+	}
+	if now.Before(s.pausedUntil) {
+		cost += failCost
+	}
+	return cost
+}
+
+func (b *Balancer) state(id string) *state {
+	s := b.states[id]
+	if s == nil {
+		s = &state{latency: latencyGuess}
+		b.states[id] = s
+	}
+	return s
+}
+
+func (s *state) rate(now time.Time) float64 {
+	if s.failRate == 0 {
+		return 0
+	}
+	return s.failRate * math.Exp2(-now.Sub(s.failAt).Seconds()/failHalfLife.Seconds())
+}
+
+// Ended takes the outcome of a request that Pick counted. load is what the
+// endpoint said of its running and waiting requests; negative if nothing.
+func (b *Balancer) Ended(now time.Time, id string, outcome Outcome, took time.Duration, load int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(id)
+	s.inFlight--
+	if load >= 0 {
+		s.waiting = load
+		s.loadAt = now
+	}
+	switch outcome {
+	case Served:
+		s.latency += time.Duration(latencyWeight * float64(took-s.latency))
+		s.learn(now, 0)
+		s.silences = 0
+	case Failed:
+		s.learn(now, 1)
+		s.silences = 0
+	case Full:
+		s.pausedUntil = now.Add(pauseFirst / 4)
+	case Silent:
+		s.learn(now, 1)
+		s.pausedUntil = now.Add(min(pauseMax, pauseFirst<<min(s.silences, 5)))
+		s.silences++
+	case Abandoned:
+	}
+}
+
+func (s *state) learn(now time.Time, failed float64) {
+	s.failRate = s.rate(now) + failWeight*(failed-s.rate(now))
+	s.failAt = now
+}
+
+// Forget drops the state of endpoints that are gone.
+func (b *Balancer) Forget(view *catalog.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.states {
+		if s.inFlight <= 0 && view.Endpoint(id) == nil {
+			delete(b.states, id)
+		}
+	}
+}
--- /dev/null
+++ b/catalog/index.go
@@ -0,0 +1,62 @@
+package catalog
+
+import (
+	"sort"
+	"strings"
+)
+
+// Index answers questions about one Config; it is never changed.
+type Index struct {
+	Config   *Config
+	routes   map[string][]*Route
+	accounts map[string]*Account
+	services map[string]*Service
+}
+
+// NewIndex returns the index of c, which must not change any more.
+func NewIndex(c *Config) *Index {
+	x := &Index{
+		Config:   c,
+		routes:   make(map[string][]*Route),
+		accounts: make(map[string]*Account),
+		services: make(map[string]*Service, len(c.Services)),
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		x.routes[r.Host] = append(x.routes[r.Host], r)
+	}
+	for _, routes := range x.routes {
+		sort.SliceStable(routes, func(i, j int) bool {
+			return len(routes[i].Prefix) > len(routes[j].Prefix)
+		})
+	}
+	for i := range c.Accounts {
+		a := &c.Accounts[i]
+		for _, key := range a.Keys {
+			x.accounts[key] = a
+		}
+	}
+	for i := range c.Services {
+		x.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return x
+}
+
+// Route returns the route of host with the longest prefix of path, or nil.
+func (x *Index) Route(host, path string) *Route {
+	for _, r := range x.routes[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// HasAccounts tells whether requests need a key at all.
+func (x *Index) HasAccounts() bool { return len(x.Config.Accounts) > 0 }
+
+// Account returns the account that holds key, or nil.
+func (x *Index) Account(key string) *Account { return x.accounts[key] }
+
+// Service returns the service of that name, or nil.
+func (x *Index) Service(name string) *Service { return x.services[name] }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -204,11 +204,15 @@
 
 // serveHTTP serves handler on address until the server is shut down.
 func serveHTTP(address string, handler http.Handler, log zerolog.Logger) (*http.Server, net.Addr, error) {
+	return serveWith(&http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}, address, log)
+}
+
+// serveWith is serveHTTP with a server of the caller's making.
+func serveWith(server *http.Server, address string, log zerolog.Logger) (*http.Server, net.Addr, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, errorx.Decorate(err, "listen for HTTP")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			log.Error().Str("event", logHTTPEnded).Err(err).Msg("HTTP server ended")
--- /dev/null
+++ b/daemon/gateway.go
@@ -0,0 +1,244 @@
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rs/zerolog"
+
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/discovery"
+	"github.com/mangostage/mangostage/fleet"
+	"github.com/mangostage/mangostage/gateway"
+	"github.com/mangostage/mangostage/internal/logsink"
+	"github.com/mangostage/mangostage/kernel"
+	"github.com/mangostage/mangostage/peer"
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/scheduler"
+	"github.com/mangostage/mangostage/settings"
+)
+
+const (
+	// unreadyFor is how long a stopping gateway still takes new connections:
+	// the balancer asks once a second and acts on the second miss.
+	unreadyFor = 3200 * time.Millisecond
+	// stopReserve is kept of the grace for the end of the process itself.
+	stopReserve = 700 * time.Millisecond
+	// clientHeaderTimeout ends connections that do not send their header.
+	clientHeaderTimeout = 10 * time.Second
+	// clientIdleTimeout is longer than any limit that clients keep to, so that
+	// a request never crosses the end of its connection.
+	clientIdleTimeout = 90 * time.Second
+	// storeIdleTimeout keeps the connection to the store between calls.
+	storeIdleTimeout = 30 * time.Second
+)
+
+// Gateway is a running mangostage-gateway.
+type Gateway struct {
+	loaded    settings.LoadedGateway
+	own       settings.Gateway
+	log       zerolog.Logger
+	sink      *logsink.Sink
+	bus       *kernel.Bus
+	follower  *discovery.Follower
+	fleet     *fleet.Service
+	scheduler *scheduler.Scheduler
+	gateway   *gateway.Gateway
+	metrics   *gateway.Metrics
+	front     *http.Server
+	side      []*http.Server
+	stop      context.CancelFunc
+	running   sync.WaitGroup
+}
+
+// StartGateway starts the process; log lines go to sink.
+func StartGateway(own settings.Gateway, loaded settings.LoadedGateway, sink *logsink.Sink) (*Gateway, error) {
+	p := loaded.Platform
+	log := zerolog.New(sink).Level(loaded.LogLevel).With().Timestamp().Str("process", p.Name).Logger()
+	bus, err := kernel.NewBus(log)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{own: own, loaded: loaded, log: log, sink: sink, bus: bus, metrics: gateway.NewMetrics()}
+	ctx, stop := context.WithCancel(context.Background())
+	g.stop = stop
+	g.assemble()
+	g.runBus(ctx)
+	if err := g.start(ctx); err != nil {
+		stop()
+		return nil, err
+	}
+	g.log.Info().Str("event", logStarted).Str("domain", p.Domain).Str("frontend", p.Frontend).
+		Str("peer_address", p.Peer).Str("store", p.Store).Msg("listening")
+	return g, nil
+}
+
+// assemble makes the parts and connects them.
+func (g *Gateway) assemble() {
+	p := g.loaded.Platform
+	mux := peer.NewMux()
+	store := platform.NewStore(p.Store, &http.Client{Transport: storeTransport()})
+	stages := platform.NewStages(&http.Client{Transport: gateway.NewTransport()})
+	g.scheduler = scheduler.New(stages, g.log)
+	g.fleet = fleet.New(fleet.Config{
+		Self:    fleet.Member{Name: p.Name, Addr: p.Peer, Domain: p.Domain, Cores: p.Cores},
+		Seeds:   p.Seeds,
+		Mux:     mux,
+		Log:     g.log,
+		StoreAt: func() uint64 { return g.follower.At() },
+	})
+	g.follower = discovery.NewFollower(store, discovery.NewPeerRelay(g.fleet), g.log, g.viewChanged)
+	discovery.ServePeers(mux, g.follower)
+	scheduler.Serve(mux, g.scheduler)
+	g.gateway = gateway.New(gateway.Config{
+		Domain:    p.Domain,
+		Bounds:    p.Bounds,
+		View:      g.follower.View,
+		FleetSize: g.fleet.Size,
+		Scheduler: scheduler.NewClient(g.scheduler, g.fleet, g.log),
+		Transport: gateway.NewTransport(),
+		Log:       g.log,
+		Metrics:   g.metrics,
+	})
+	kernel.Handle(g.bus, "scheduler", kernel.TopicView, func(kernel.ViewEvent) { g.scheduler.SetView(g.follower.View()) })
+	kernel.Handle(g.bus, "gateway", kernel.TopicView, func(kernel.ViewEvent) { g.gateway.SetView(g.follower.View()) })
+}
+
+func storeTransport() *http.Transport {
+	t := gateway.NewTransport()
+	t.IdleConnTimeout = storeIdleTimeout
+	return t
+}
+
+// viewChanged tells the parts that keep state by endpoint. Requests read the
+// view itself, so that no request sees an older one than another before it.
+func (g *Gateway) viewChanged(view *catalog.View) {
+	err := kernel.Publish(g.bus, kernel.TopicView, kernel.ViewEvent{Revision: view.Revision})
+	if err != nil {
+		g.log.Error().Str("event", logBusEnded).Err(err).Msg("view not passed on")
+	}
+}
+
+func (g *Gateway) runBus(ctx context.Context) {
+	g.running.Go(func() {
+		if err := g.bus.Run(ctx); err != nil {
+			g.log.Error().Str("event", logBusEnded).Err(err).Msg("event bus ended")
+		}
+	})
+	<-g.bus.Running()
+}
+
+// start opens the addresses and lets the parts run.
+func (g *Gateway) start(ctx context.Context) error {
+	p := g.loaded.Platform
+	if err := g.fleet.Start(ctx); err != nil {
+		return err
+	}
+	g.running.Go(func() { g.follower.Run(ctx) })
+	g.running.Go(func() { g.scheduler.Run(ctx) })
+	g.running.Go(func() { g.watchSettings(ctx) })
+	ready := chi.NewRouter()
+	ready.Get("/readyz", g.gateway.Ready)
+	if err := g.serveSide(p.Ready, ready); err != nil {
+		return err
+	}
+	if g.own.MetricsPort != 0 {
+		metrics := chi.NewRouter()
+		metrics.Get("/metrics", serveVars(g.vars()))
+		if err := g.serveSide(net.JoinHostPort(p.IP, strconv.Itoa(g.own.MetricsPort)), metrics); err != nil {
+			return err
+		}
+	}
+	return g.serveFront(p.Frontend)
+}
+
+func (g *Gateway) serveSide(addr string, handler http.Handler) error {
+	server, _, err := serveHTTP(addr, handler, g.log)
+	if err == nil {
+		g.side = append(g.side, server)
+	}
+	return err
+}
+
+func (g *Gateway) serveFront(addr string) error {
+	server, _, err := serveWith(&http.Server{
+		Handler:           g.gateway,
+		ReadHeaderTimeout: clientHeaderTimeout,
+		IdleTimeout:       clientIdleTimeout,
+	}, addr, g.log)
+	g.front = server
+	return err
+}
+
+// watchSettings re-reads the platform's file at SIGHUP. Nothing in it can
+// change while the process runs but what the process does not use; a change
+// is logged and no request is cut.
+func (g *Gateway) watchSettings(ctx context.Context) {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	defer signal.Stop(hups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hups:
+			changed, findings := g.own.Changed(g.loaded)
+			g.log.Info().Str("event", "settings_read").Bool("changed", changed).
+				Err(findings.Err()).Msg("settings file read again")
+		}
+	}
+}
+
+// Stop makes the process unready, serves until the balancer has noticed, and
+// lets what is in flight end within the platform's grace.
+func (g *Gateway) Stop(ctx context.Context) error {
+	began := time.Now()
+	g.log.Info().Str("event", logDraining).Msg("stopping")
+	g.gateway.Leave()
+	g.fleet.Leave()
+	ctx, cancel := context.WithTimeout(ctx, g.loaded.Platform.Bounds.Grace-stopReserve)
+	defer cancel()
+	timer := time.NewTimer(unreadyFor)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	err := g.front.Shutdown(ctx)
+	for _, server := range g.side {
+		_ = server.Close()
+	}
+	g.stop()
+	g.fleet.Close()
+	g.log.Info().Str("event", logStopped).Dur("took_ms", time.Since(began)).Err(err).Msg("stopped")
+	g.sink.Close(stopReserve / 2)
+	return nil
+}
+
+// vars returns the metrics of the process.
+func (g *Gateway) vars() *expvar.Map {
+	m := new(expvar.Map).Init()
+	m.Set("answers", g.metrics.Answers)
+	m.Set("sends", g.metrics.Sends)
+	m.Set("latency_ms", expvar.Func(func() any { return g.metrics.Latency() }))
+	m.Set("queues", expvar.Func(func() any { return g.scheduler.Stats() }))
+	m.Set("fleet_size", expvar.Func(func() any { return g.fleet.Size() }))
+	m.Set("store_at", expvar.Func(func() any { return g.follower.At() }))
+	m.Set("store_healthy", expvar.Func(func() any { return g.follower.Healthy() }))
+	m.Set("log_lines_dropped", expvar.Func(func() any { return g.sink.Dropped() }))
+	m.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
+	if memstats := expvar.Get("memstats"); memstats != nil {
+		m.Set("memstats", memstats)
+	}
+	return m
+}
--- /dev/null
+++ b/discovery/follower.go
@@ -0,0 +1,266 @@
+package discovery
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/platform"
+)
+
+const (
+	// watchWait is how long a watch may stand. Long ones cost few calls; a
+	// connection that has gone silent is found by watchSlack after it.
+	watchWait = 10 * time.Second
+	// watchSlack is how long an answer may take beyond its wait. Store answers
+	// take milliseconds; a slow store takes some hundred.
+	watchSlack = 1500 * time.Millisecond
+	// callTimeout bounds a read of the store.
+	callTimeout = 2 * time.Second
+	// retryFirst and retryMax bound the pause after a failed call.
+	retryFirst = 100 * time.Millisecond
+	retryMax   = time.Second
+	// expireEvery is how often lapsed endpoints are looked at.
+	expireEvery = 100 * time.Millisecond
+)
+
+// Relay reads from peers what the store does not say to this process.
+type Relay interface {
+	// Newer returns items that changed after the revision and the peer's own
+	// revision; at is 0 if no peer knows more.
+	Newer(ctx context.Context, after uint64) (items []platform.Item, at uint64)
+}
+
+// Follower keeps a State up to date from the store.
+type Follower struct {
+	store *platform.Store
+	relay Relay
+	log   zerolog.Logger
+
+	mu    sync.Mutex
+	state *State
+	view  atomic.Pointer[catalog.View]
+	// healthy is true while the store answers.
+	healthy  atomic.Bool
+	onChange func(*catalog.View)
+}
+
+// NewFollower returns a follower; onChange is called with each new view.
+func NewFollower(store *platform.Store, relay Relay, log zerolog.Logger, onChange func(*catalog.View)) *Follower {
+	f := &Follower{store: store, relay: relay, log: log, state: NewState(), onChange: onChange}
+	f.view.Store(catalog.NewView(nil, nil, 0))
+	return f
+}
+
+// View returns the present view.
+func (f *Follower) View() *catalog.View { return f.view.Load() }
+
+// Healthy tells whether the store answered the last call.
+func (f *Follower) Healthy() bool { return f.healthy.Load() }
+
+// At is the store's revision that this process knows.
+func (f *Follower) At() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.At()
+}
+
+// Since lists the items that changed after the revision, and the own revision.
+func (f *Follower) Since(after uint64) ([]platform.Item, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Since(after), f.state.At()
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	go f.expire(ctx)
+	retries := backoff.NewExponentialBackOff()
+	retries.InitialInterval = retryFirst
+	retries.MaxInterval = retryMax
+	listed := false
+	for ctx.Err() == nil {
+		err := f.step(ctx, &listed)
+		if err == nil {
+			f.regained()
+			retries.Reset()
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.lost(err)
+		f.fromPeers(ctx)
+		pause(ctx, retries.NextBackOff())
+	}
+}
+
+// step makes one call, or the calls of one list.
+func (f *Follower) step(ctx context.Context, listed *bool) error {
+	if !*listed {
+		if err := f.list(ctx); err != nil {
+			return err
+		}
+		*listed = true
+		return nil
+	}
+	err := f.watch(ctx)
+	if errorx.IsOfType(err, platform.ErrCompacted) {
+		f.log.Info().Str("event", "store_history_gone").Uint64("after", f.At()).Msg("listing anew")
+		*listed = false
+		return nil
+	}
+	return err
+}
+
+// list reads everything. The changes since its first page follow by watch.
+func (f *Follower) list(ctx context.Context) error {
+	config, err := f.readConfig(ctx)
+	if err != nil {
+		return err
+	}
+	var items []platform.Item
+	var at uint64
+	after := ""
+	for {
+		page, err := f.page(ctx, after)
+		if err != nil {
+			return err
+		}
+		items = append(items, page.Items...)
+		if at == 0 {
+			at = page.At
+		}
+		if !page.More || len(page.Items) == 0 {
+			break
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+	f.update(func(now time.Time, s *State) error {
+		if config != nil {
+			items = append(items, *config)
+		}
+		return s.Listed(now, items, at)
+	})
+	return nil
+}
+
+// readConfig returns nil if there is no configuration yet.
+func (f *Follower) readConfig(ctx context.Context) (*platform.Item, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	item, err := f.store.Get(ctx, platform.KeyConfig)
+	if errorx.IsOfType(err, platform.ErrNotFound) {
+		return nil, nil
+	}
+	return &item, err
+}
+
+func (f *Follower) page(ctx context.Context, after string) (platform.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return f.store.Range(ctx, platform.PrefixEndpoints, after)
+}
+
+func (f *Follower) watch(ctx context.Context) error {
+	after := f.At()
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	changes, err := f.store.Watch(ctx, "", after, watchWait)
+	if err != nil {
+		return err
+	}
+	f.update(func(now time.Time, s *State) error { return applyAll(now, s, changes.Events, changes.At) })
+	return nil
+}
+
+func applyAll(now time.Time, s *State, items []platform.Item, at uint64) error {
+	var first error
+	for _, item := range items {
+		if err := s.Apply(now, item); err != nil && first == nil {
+			first = err
+		}
+	}
+	s.Advance(at)
+	return first
+}
+
+// fromPeers asks a peer for what the store does not say.
+func (f *Follower) fromPeers(ctx context.Context) {
+	if f.relay == nil {
+		return
+	}
+	items, at := f.relay.Newer(ctx, f.At())
+	if at == 0 {
+		return
+	}
+	f.log.Info().Str("event", "view_from_peer").Int("items", len(items)).Uint64("at", at).Msg("view taken from a peer")
+	f.update(func(now time.Time, s *State) error { return applyAll(now, s, items, at) })
+}
+
+// update changes the state and publishes the view if it is another.
+func (f *Follower) update(change func(time.Time, *State) error) {
+	now := time.Now()
+	f.mu.Lock()
+	err := change(now, f.state)
+	view := f.state.View(now)
+	version := f.state.ConfigVersion()
+	at := f.state.At()
+	if view != nil {
+		f.view.Store(view)
+	}
+	f.mu.Unlock()
+	if err != nil {
+		f.log.Error().Str("event", "store_item_malformed").Err(err).Msg("an item of the store was left out")
+	}
+	if view == nil {
+		return
+	}
+	f.log.Info().Str("event", "view_changed").Uint64("config", version).Uint64("at", at).
+		Int("endpoints", view.Len()).Msg("view changed")
+	f.onChange(view)
+}
+
+// expire ends the grace of lapsed endpoints.
+func (f *Follower) expire(ctx context.Context) {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f.update(func(time.Time, *State) error { return nil })
+		}
+	}
+}
+
+func (f *Follower) lost(err error) {
+	f.mu.Lock()
+	f.state.Trouble(time.Now())
+	f.mu.Unlock()
+	if f.healthy.Swap(false) {
+		f.log.Warn().Str("event", "store_lost").Err(err).Msg("the store does not answer")
+	}
+}
+
+func (f *Follower) regained() {
+	if !f.healthy.Swap(true) {
+		f.log.Info().Str("event", "store_regained").Uint64("at", f.At()).Msg("the store answers")
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/dispatch/core.go
@@ -0,0 +1,499 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+)
+
+const (
+	// prefillGuess is the time kept for the model engine's first token when
+	// the start of stages is planned.
+	prefillGuess = 150 * time.Millisecond
+	// lateWait is how long a job that has missed its objective may wait for
+	// its first piece; then it is refused, while its client can still come back.
+	lateWait = 250 * time.Millisecond
+	// deadlineShare is the part of the deadline after which stages are given up.
+	deadlineShare = 0.6
+	// retryMin is the least time after which a refused client may come back.
+	retryMin = 100 * time.Millisecond
+)
+
+// Core is the state of all jobs, stages and endpoints. It is not safe for
+// concurrent use; its shell serializes events.
+type Core struct {
+	view    *catalog.View
+	jobs    map[string]*job
+	pools   map[string]*pool
+	engines map[string]map[string]*engine
+	ordered map[string][]*engine
+	calls   map[uint64]*call
+	nextID  uint64
+	effects []Effect
+}
+
+// New returns a Core that knows no endpoints.
+func New() *Core {
+	return &Core{
+		view:    catalog.NewView(nil, nil, 0),
+		jobs:    make(map[string]*job),
+		pools:   make(map[string]*pool),
+		engines: make(map[string]map[string]*engine),
+		ordered: make(map[string][]*engine),
+		calls:   make(map[uint64]*call),
+	}
+}
+
+// Effects returns what the shell has to do since the last call.
+func (c *Core) Effects() []Effect {
+	effects := c.effects
+	c.effects = nil
+	return effects
+}
+
+func (c *Core) emit(e Effect) { c.effects = append(c.effects, e) }
+
+// Submit takes a job. It is granted or refused by a later effect.
+func (c *Core) Submit(now time.Time, j Job) error {
+	if _, ok := c.jobs[j.Ticket]; ok {
+		return ErrDuplicate.New("ticket %s", j.Ticket)
+	}
+	state := newJob(j, now)
+	c.jobs[j.Ticket] = state
+	if !c.plan(state, now) {
+		return nil
+	}
+	c.advance(state, now)
+	c.dispatch(now)
+	return nil
+}
+
+// plan checks that the job can be done at all and sets the times and domains
+// of its stages.
+func (c *Core) plan(j *job, now time.Time) bool {
+	e := choose(c.ordered[j.Service], j, nil, now)
+	if e == nil {
+		c.refuse(j, ReasonNoEndpoint, now)
+		return false
+	}
+	j.home = e.endpoint.Domain
+	for _, s := range j.stages {
+		if s.Pieces == 0 {
+			continue
+		}
+		p := c.pools[s.Service]
+		if p == nil {
+			c.refuse(j, ReasonUnknownStage, now)
+			return false
+		}
+		if p.usable() == 0 {
+			c.refuse(j, ReasonNoEndpoint, now)
+			return false
+		}
+	}
+	for _, s := range j.stages {
+		s.startBy = j.aimAt.Add(-c.remaining(j, s.index) - prefillGuess)
+	}
+	return true
+}
+
+// remaining is the expected time from the start of stage i to the end of the
+// last stage that depends on it.
+func (c *Core) remaining(j *job, i int) time.Duration {
+	var longest time.Duration
+	for _, s := range j.stages {
+		for _, a := range s.After {
+			if a == i {
+				longest = max(longest, c.remaining(j, s.index))
+			}
+		}
+	}
+	s := j.stages[i]
+	if s.Pieces == 0 {
+		return longest
+	}
+	if p := c.pools[s.Service]; p != nil {
+		longest += p.took
+	}
+	return longest
+}
+
+// advance queues the stages that have become ready, and grants the job once
+// all are done.
+func (c *Core) advance(j *job, now time.Time) {
+	if j.stagesDone() {
+		c.grant(j, now)
+		return
+	}
+	for _, s := range j.stages {
+		if s.queued || s.since != (time.Time{}) || s.Pieces == 0 || !j.ready(s) {
+			continue
+		}
+		s.since = now
+		s.inputs = j.collectInputs(s)
+		s.home = c.home(j, s)
+		c.pools[s.Service].push(s)
+	}
+}
+
+// home is the domain in which pieces of s are best made: where most of the
+// bytes of their inputs are, or, for large results without inputs, where the
+// model engine is that will read them.
+func (c *Core) home(j *job, s *stage) string {
+	bytes := make(map[string]int64)
+	for _, a := range s.After {
+		for _, r := range j.stages[a].results {
+			bytes[r.worker.endpoint.Domain] += r.bytes
+		}
+	}
+	home, most := "", int64(largeResult-1)
+	for domain, n := range bytes {
+		if n > most || n == most && domain < home {
+			home, most = domain, n
+		}
+	}
+	if home == "" && s.ResultBytes >= largeResult {
+		return j.home
+	}
+	return home
+}
+
+// dispatch starts calls at idle workers while work waits.
+func (c *Core) dispatch(now time.Time) {
+	for _, name := range c.poolNames() {
+		p := c.pools[name]
+		if len(p.queue) == 0 {
+			continue
+		}
+		for _, w := range p.byPreference() {
+			for w.idle(now) {
+				w.expire(now)
+				pieces := p.batch(w, now)
+				if len(pieces) == 0 {
+					break
+				}
+				c.start(p, w, pieces, now)
+			}
+		}
+	}
+}
+
+// byPreference lists the workers, the fastest first.
+func (p *pool) byPreference() []*worker {
+	workers := append([]*worker(nil), p.workers...)
+	sort.SliceStable(workers, func(i, j int) bool { return workers[i].speed < workers[j].speed })
+	return workers
+}
+
+func (c *Core) poolNames() []string {
+	names := make([]string, 0, len(c.pools))
+	for name := range c.pools {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// start sends one call.
+func (c *Core) start(p *pool, w *worker, pieces []placed, now time.Time) {
+	c.nextID++
+	cl := &call{id: c.nextID, worker: w, pieces: pieces, sentAt: now, expects: w.expect(len(pieces))}
+	effect := StartCall{Call: cl.id, Endpoint: w.endpoint.ID, Addr: w.endpoint.Addr}
+	for _, placed := range pieces {
+		s := placed.stage
+		s.job.started = true
+		cl.bytes += s.ResultBytes
+		piece := Piece{
+			Request:   s.job.Request,
+			Stage:     s.index,
+			Index:     placed.index,
+			Inputs:    s.inputs,
+			Remaining: s.job.deadlineAt.Sub(now),
+		}
+		if len(s.After) == 0 {
+			piece.Key = s.job.PieceKey
+		}
+		effect.Pieces = append(effect.Pieces, piece)
+	}
+	w.used += cl.bytes
+	w.calls[cl.id] = cl
+	c.calls[cl.id] = cl
+	slow := max(1, min(w.speed, timeoutFactor))
+	effect.Timeout = time.Duration(float64(cl.expects)*timeoutFactor*slow) + timeoutSlack
+	c.emit(effect)
+	_ = p
+}
+
+// CallEnded takes the answer to a StartCall; outcomes are in the order of its
+// pieces and only read if fault is CallOK.
+func (c *Core) CallEnded(now time.Time, id uint64, fault CallFault, outcomes []Outcome) {
+	cl := c.calls[id]
+	if cl == nil {
+		return
+	}
+	delete(c.calls, id)
+	w := cl.worker
+	delete(w.calls, id)
+	w.used -= cl.bytes
+	switch fault {
+	case CallOK:
+		c.callDone(cl, outcomes, now)
+	case CallRefused:
+		w.pausedUntil = now.Add(pauseRefused)
+		c.requeue(cl, now, false)
+	case CallOther:
+		w.gone = true
+		c.requeue(cl, now, false)
+	case CallLost:
+		c.bookLost(cl, now)
+		w.failed(now)
+		c.requeue(cl, now, true)
+	}
+	c.dispatch(now)
+}
+
+// bookLost keeps the room of a call that may still run: its results take
+// memory that nobody can free, until the endpoint drops them.
+func (c *Core) bookLost(cl *call, now time.Time) {
+	r := &result{bytes: cl.bytes}
+	cl.worker.used += cl.bytes
+	cl.worker.keep(r, now.Add(cl.expects))
+}
+
+// callDone takes the results of a call and moves their jobs on.
+func (c *Core) callDone(cl *call, outcomes []Outcome, now time.Time) {
+	w := cl.worker
+	took := now.Sub(cl.sentAt)
+	w.succeeded(took, cl.expects)
+	if p := c.pools[cl.pieces[0].stage.Service]; p != nil {
+		p.took += (took - p.took) / 8
+	}
+	var touched []*job
+	for i, placed := range cl.pieces {
+		s := placed.stage
+		if outcomes[i].Fault != FaultNone {
+			c.pieceFailed(w, placed, outcomes[i].Fault, now)
+			continue
+		}
+		c.pieceDone(w, placed, outcomes[i].Handle, now)
+		if n := len(touched); n == 0 || touched[n-1] != s.job {
+			touched = append(touched, s.job)
+		}
+	}
+	for _, j := range touched {
+		if j.ended || j.engine != nil {
+			continue
+		}
+		c.freeConsumed(j)
+		c.advance(j, now)
+	}
+}
+
+// pieceDone keeps one result, or gives it up if its job has ended.
+func (c *Core) pieceDone(w *worker, p placed, handle string, now time.Time) {
+	s := p.stage
+	r := &result{handle: handle, bytes: s.ResultBytes}
+	w.used += r.bytes
+	w.keep(r, now)
+	if s.job.ended || s.results[p.index] != nil {
+		c.free([]*result{r})
+		return
+	}
+	s.results[p.index] = r
+	s.left--
+}
+
+// pieceFailed queues a piece again or ends its job.
+func (c *Core) pieceFailed(w *worker, p placed, fault Fault, now time.Time) {
+	s := p.stage
+	if s.job.ended {
+		return
+	}
+	s.tries++
+	switch {
+	case fault == FaultInputs || s.tries > maxTries:
+		c.refuse(s.job, ReasonStageFailed, now)
+		return
+	case fault == FaultLate:
+		c.refuse(s.job, ReasonDeadline, now)
+		return
+	case fault == FaultRoom:
+		// The books are off: somebody else's results lie there.
+		w.pausedUntil = now.Add(pauseRefused)
+	case fault == FaultWork:
+		s.avoid = w.endpoint.ID
+	}
+	c.wait(s, []int{p.index})
+}
+
+// wait puts pieces of s back into the queue.
+func (c *Core) wait(s *stage, indices []int) {
+	p := c.pools[s.Service]
+	if p == nil {
+		return
+	}
+	p.remove(s)
+	s.waiting = append(s.waiting, indices...)
+	p.push(s)
+}
+
+// requeue puts all pieces of a call back; tried says that the endpoint may
+// have run them, which counts as a try and lets another endpoint go first.
+func (c *Core) requeue(cl *call, now time.Time, tried bool) {
+	back := make(map[*stage][]int)
+	var order []*stage
+	for _, p := range cl.pieces {
+		if back[p.stage] == nil {
+			order = append(order, p.stage)
+		}
+		back[p.stage] = append(back[p.stage], p.index)
+	}
+	for _, s := range order {
+		if s.job.ended {
+			continue
+		}
+		if tried {
+			s.tries++
+			s.avoid = cl.worker.endpoint.ID
+		}
+		if s.tries > maxTries {
+			c.refuse(s.job, ReasonStageFailed, now)
+			continue
+		}
+		c.wait(s, back[s])
+	}
+}
+
+// grant chooses the model engine, now that the results are there.
+func (c *Core) grant(j *job, now time.Time) {
+	inputs := make(map[string]int64)
+	for _, s := range j.stages {
+		if j.consumers(s.index) > 0 {
+			continue
+		}
+		for _, r := range s.results {
+			inputs[r.worker.endpoint.Domain] += r.bytes
+		}
+	}
+	e := choose(c.ordered[j.Service], j, inputs, now)
+	if e == nil {
+		c.refuse(j, ReasonNoEndpoint, now)
+		return
+	}
+	j.engine = e
+	e.begin(j, now)
+	c.emit(Grant{Ticket: j.Ticket, Endpoint: e.endpoint.ID, Addr: e.endpoint.Addr, Inputs: j.finalInputs()})
+}
+
+// freeConsumed gives up the results of stages that have been read by all
+// stages that read them. The next calls need the room.
+func (c *Core) freeConsumed(j *job) {
+	for _, s := range j.stages {
+		if s.freed || s.Pieces == 0 || !s.done() || !j.consumed(s.index) {
+			continue
+		}
+		s.freed = true
+		c.free(s.results)
+	}
+}
+
+// free gives up results that are still booked, with one effect a worker.
+func (c *Core) free(results []*result) {
+	handles := make(map[*worker][]string)
+	var order []*worker
+	for _, r := range results {
+		if r == nil || !r.worker.release(r) || r.worker.gone {
+			continue
+		}
+		if handles[r.worker] == nil {
+			order = append(order, r.worker)
+		}
+		handles[r.worker] = append(handles[r.worker], r.handle)
+	}
+	for _, w := range order {
+		c.emit(Free{Endpoint: w.endpoint.ID, Addr: w.endpoint.Addr, Handles: handles[w]})
+	}
+}
+
+// FirstEvent notes that the model engine has begun to answer: it has read the
+// prompt and fetched its inputs, so their room is free for others.
+func (c *Core) FirstEvent(now time.Time, ticket string) {
+	j := c.jobs[ticket]
+	if j == nil || j.engine == nil {
+		return
+	}
+	j.engine.firstEvent(ticket)
+	c.freeAll(j)
+	c.dispatch(now)
+}
+
+// Done ends a granted job; served says whether the engine did its part.
+func (c *Core) Done(now time.Time, ticket string, served bool) {
+	j := c.jobs[ticket]
+	if j == nil {
+		return
+	}
+	if j.engine != nil {
+		j.engine.learn(served, now)
+	}
+	c.end(j)
+	c.dispatch(now)
+}
+
+// Cancel ends a job whose client has left, or whose entry has.
+func (c *Core) Cancel(now time.Time, ticket string) {
+	if j := c.jobs[ticket]; j != nil {
+		c.end(j)
+		c.dispatch(now)
+	}
+}
+
+// refuse ends a job that is not granted.
+func (c *Core) refuse(j *job, reason Reason, now time.Time) {
+	if j.ended {
+		return
+	}
+	c.emit(Refuse{Ticket: j.Ticket, Reason: reason, RetryAfter: c.retryAfter(j)})
+	c.end(j)
+	_ = now
+}
+
+// retryAfter is about when the queues of the job's stages will have been worked off.
+func (c *Core) retryAfter(j *job) time.Duration {
+	wait := retryMin
+	for _, s := range j.stages {
+		p := c.pools[s.Service]
+		if p == nil || s.Pieces == 0 {
+			continue
+		}
+		places := max(1, p.usable()) * p.spec.Items
+		wait = max(wait, time.Duration(float64(p.took)*float64(p.waiting)/float64(places)))
+	}
+	return wait
+}
+
+// end forgets a job and gives up all that it holds.
+func (c *Core) end(j *job) {
+	if j.ended {
+		return
+	}
+	j.ended = true
+	delete(c.jobs, j.Ticket)
+	for _, s := range j.stages {
+		if p := c.pools[s.Service]; p != nil {
+			p.remove(s)
+		}
+	}
+	if j.engine != nil {
+		j.engine.end(j.Ticket)
+	}
+	c.freeAll(j)
+}
+
+func (c *Core) freeAll(j *job) {
+	for _, s := range j.stages {
+		s.freed = true
+		c.free(s.results)
+	}
+}
--- /dev/null
+++ b/dispatch/engine.go
@@ -0,0 +1,219 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mangostage/mangostage/catalog"
+)
+
+const (
+	// prefillRate is how many prompt tokens an engine reads in a millisecond,
+	// the order of magnitude of today's engines; choices compare engines of
+	// one service, so an error of half or twice hardly changes them.
+	prefillRate = 40.0
+	// decodeCost is what each running request adds to the wait for a first
+	// token, in milliseconds.
+	decodeCost = 0.6
+	// homePenalty is what inputs from another domain cost, in milliseconds for each MB.
+	homePenalty = 4.0
+	// failPenalty is what a failure rate of 1 costs, in milliseconds.
+	failPenalty = 3000.0
+	// failWeight is the share of the newest outcome in the failure rate.
+	failWeight = 0.2
+	// failHalfLife is the time in which a failure rate halves without new
+	// evidence, so that an engine that is well again is tried again.
+	failHalfLife = 4 * time.Second
+	// affinityBonus breaks ties in favour of the same engine for the same
+	// prompt, in milliseconds, also after the queue's owner has changed.
+	affinityBonus = 3.0
+	// cacheMargin is the part of an engine's memory that is taken to hold
+	// cached prefixes; the rest is for running requests.
+	cacheMargin = 0.6
+	// runMargin is how long a request is counted after its deadline if nobody
+	// says that it has ended.
+	runMargin = 2 * time.Second
+)
+
+// engine is the state of one model engine.
+type engine struct {
+	endpoint *catalog.Endpoint
+	spec     *catalog.Model
+	runs     map[string]*run
+	// prefill is the number of prompt tokens still to be read.
+	prefill int
+	// tokens is the memory of the running requests.
+	tokens int
+	cache  prefixCache
+	// failRate is as of failAt.
+	failRate float64
+	failAt   time.Time
+	// failures counts failed sends in a row.
+	failures    int
+	pausedUntil time.Time
+	gone        bool
+}
+
+// run is a request that an engine was given.
+type run struct {
+	prefill int
+	tokens  int
+	until   time.Time
+}
+
+func newEngine(e *catalog.Endpoint, spec *catalog.Model) *engine {
+	return &engine{
+		endpoint: e,
+		spec:     spec,
+		runs:     make(map[string]*run),
+		cache:    newPrefixCache(int(float64(spec.CacheTokens) * cacheMargin)),
+	}
+}
+
+// usable tells whether the engine may be given requests at all.
+func (e *engine) usable() bool { return !e.gone && !e.endpoint.Leaving }
+
+// begin counts a request.
+func (e *engine) begin(j *job, now time.Time) {
+	uncached := max(0, promptTokens(j)-e.cache.hit(j.Prefix))
+	r := &run{
+		prefill: uncached,
+		tokens:  promptTokens(j) + j.TokensOut,
+		until:   j.deadlineAt.Add(runMargin),
+	}
+	e.runs[j.Ticket] = r
+	e.prefill += r.prefill
+	e.tokens += r.tokens
+	e.cache.touch(j.Prefix, now)
+}
+
+// firstEvent notes that the prompt has been read.
+func (e *engine) firstEvent(ticket string) {
+	if r := e.runs[ticket]; r != nil {
+		e.prefill -= r.prefill
+		r.prefill = 0
+	}
+}
+
+// end forgets a request.
+func (e *engine) end(ticket string) {
+	r := e.runs[ticket]
+	if r == nil {
+		return
+	}
+	delete(e.runs, ticket)
+	e.prefill -= r.prefill
+	e.tokens -= r.tokens
+}
+
+// expire forgets requests whose end was never heard of: their entry is gone.
+func (e *engine) expire(now time.Time) {
+	for ticket, r := range e.runs {
+		if now.After(r.until) {
+			e.end(ticket)
+		}
+	}
+}
+
+// learn notes whether a request was served.
+func (e *engine) learn(ok bool, now time.Time) {
+	rate := e.rate(now)
+	if ok {
+		e.failRate = rate * (1 - failWeight)
+		e.failures = 0
+	} else {
+		e.failRate = rate + failWeight*(1-rate)
+		e.pausedUntil = now.Add(min(pauseMax, pauseFirst<<min(e.failures, 5)))
+		e.failures++
+	}
+	e.failAt = now
+}
+
+// rate is the failure rate at now.
+func (e *engine) rate(now time.Time) float64 {
+	if e.failRate == 0 {
+		return 0
+	}
+	age := now.Sub(e.failAt).Seconds() / failHalfLife.Seconds()
+	return e.failRate * math.Exp2(-age)
+}
+
+// cost is the expected wait for the first token of j, in milliseconds, with
+// penalties for failures and for inputs from another domain.
+func (e *engine) cost(j *job, inputs map[string]int64, now time.Time) float64 {
+	uncached := max(0, promptTokens(j)-e.cache.hit(j.Prefix))
+	ms := float64(e.prefill+uncached) / prefillRate
+	ms += decodeCost * float64(len(e.runs))
+	ms += failPenalty * e.rate(now)
+	for domain, bytes := range inputs {
+		if domain != e.endpoint.Domain {
+			ms += homePenalty * float64(bytes) / 1e6
+		}
+	}
+	if e.tokens+promptTokens(j)+j.TokensOut > e.spec.CacheTokens {
+		ms += failPenalty
+	}
+	if len(e.runs) >= e.spec.Slots {
+		ms += failPenalty
+	}
+	if now.Before(e.pausedUntil) {
+		ms += failPenalty
+	}
+	return ms
+}
+
+// promptTokens is the length of the whole prompt.
+func promptTokens(j *job) int {
+	n := 0
+	for _, p := range j.Prefix {
+		n += p.Tokens
+	}
+	return max(n, j.TokensIn)
+}
+
+// choose returns the engine with the least cost for j, or nil if there is none
+// that takes requests. Engines that failed the request before come last.
+func choose(engines []*engine, j *job, inputs map[string]int64, now time.Time) *engine {
+	var best *engine
+	var least float64
+	favourite := rendezvous(engines, j)
+	for _, e := range engines {
+		if !e.usable() {
+			continue
+		}
+		ms := e.cost(j, inputs, now)
+		if e == favourite {
+			ms -= affinityBonus
+		}
+		for _, id := range j.Avoid {
+			if id == e.endpoint.ID {
+				ms += 10 * failPenalty
+			}
+		}
+		if best == nil || ms < least {
+			best, least = e, ms
+		}
+	}
+	return best
+}
+
+// rendezvous returns the engine that the prompt's shared parts hash to.
+func rendezvous(engines []*engine, j *job) *engine {
+	if len(j.Prefix) < 2 {
+		return nil
+	}
+	key := j.Prefix[len(j.Prefix)-2].ID
+	var best *engine
+	var most uint64
+	for _, e := range engines {
+		if !e.usable() {
+			continue
+		}
+		if h := xxhash.Sum64String(e.endpoint.ID + "/" + key); best == nil || h > most {
+			best, most = e, h
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/dispatch/pool.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+)
+
+const (
+	// homeWait is how long large pieces wait for an endpoint in the failure
+	// domain of their inputs or of their model engine. Measured: 60 and 150 ms
+	// move five times the bytes between domains, and are no faster.
+	homeWait = 300 * time.Millisecond
+	// largeResult is the size in bytes from which the domain of a result matters.
+	largeResult = 30_000
+	// timeoutFactor over its expected time makes a call overdue; endpoints of
+	// one service differ in speed by less.
+	timeoutFactor = 2.2
+	// timeoutSlack is added for connections and the fetch of inputs.
+	timeoutSlack = 150 * time.Millisecond
+	// maxTries bounds how often pieces of one stage of a job may fail.
+	maxTries = 4
+)
+
+// pool is one service that runs stages, with its queue.
+type pool struct {
+	name    string
+	spec    *catalog.Batch
+	workers []*worker
+	// queue holds the stages with waiting pieces, by startBy.
+	queue []*stage
+	// waiting counts the waiting pieces.
+	waiting int
+	// took is a moving average of the time that calls take.
+	took time.Duration
+}
+
+func newPool(name string, spec *catalog.Batch) *pool {
+	return &pool{name: name, spec: spec, took: fullCall(spec)}
+}
+
+// fullCall is the nominal time of a call with all its places taken.
+func fullCall(spec *catalog.Batch) time.Duration {
+	return spec.CallTime + time.Duration(spec.Items)*spec.ItemTime
+}
+
+// push queues the waiting pieces of s.
+func (p *pool) push(s *stage) {
+	if s.queued || len(s.waiting) == 0 {
+		return
+	}
+	s.queued = true
+	p.waiting += len(s.waiting)
+	at := sort.Search(len(p.queue), func(i int) bool { return p.queue[i].startBy.After(s.startBy) })
+	p.queue = append(p.queue, nil)
+	copy(p.queue[at+1:], p.queue[at:])
+	p.queue[at] = s
+}
+
+// remove takes s out of the queue.
+func (p *pool) remove(s *stage) {
+	if !s.queued {
+		return
+	}
+	s.queued = false
+	p.waiting -= len(s.waiting)
+	for i, q := range p.queue {
+		if q == s {
+			p.queue = append(p.queue[:i], p.queue[i+1:]...)
+			return
+		}
+	}
+}
+
+// worker returns the worker of the endpoint, or nil.
+func (p *pool) worker(endpoint string) *worker {
+	for _, w := range p.workers {
+		if w.endpoint.ID == endpoint {
+			return w
+		}
+	}
+	return nil
+}
+
+// usable counts the workers that may get calls.
+func (p *pool) usable() int {
+	n := 0
+	for _, w := range p.workers {
+		if w.usable() {
+			n++
+		}
+	}
+	return n
+}
+
+// hasHome tells whether a usable worker is in the domain.
+func (p *pool) hasHome(domain string) bool {
+	for _, w := range p.workers {
+		if w.usable() && w.endpoint.Domain == domain {
+			return true
+		}
+	}
+	return false
+}
+
+// batch takes pieces off the queue for one call to w. Jobs that can still meet
+// their objective, or have pieces made already, go before those that cannot:
+// half-made jobs hold room at endpoints, and to put them off stalls everything.
+func (p *pool) batch(w *worker, now time.Time) []placed {
+	pick := picker{pool: p, worker: w, now: now, room: w.room(), places: p.spec.Items}
+	pick.pass(func(s *stage) bool { return s.job.started || !s.startBy.Before(now) })
+	pick.pass(func(s *stage) bool { return !s.job.started && s.startBy.Before(now) })
+	pick.sweep()
+	return pick.taken
+}
+
+// picker fills one call.
+type picker struct {
+	pool   *pool
+	worker *worker
+	now    time.Time
+	room   int64
+	places int
+	taken  []placed
+}
+
+// pass walks the queue once for the stages that fit.
+func (k *picker) pass(want func(*stage) bool) {
+	for _, s := range k.pool.queue {
+		if k.places == 0 {
+			return
+		}
+		if want(s) && k.fits(s) {
+			k.take(s)
+		}
+	}
+}
+
+// fits tells whether pieces of s may be made at the worker now.
+func (k *picker) fits(s *stage) bool {
+	if len(s.waiting) == 0 || s.ResultBytes > k.room {
+		return false
+	}
+	if s.avoid == k.worker.endpoint.ID && k.pool.usable() > 1 {
+		return false
+	}
+	if s.home == "" || s.home == k.worker.endpoint.Domain {
+		return true
+	}
+	return k.now.Sub(s.since) >= homeWait || !k.pool.hasHome(s.home)
+}
+
+// take moves waiting pieces of s into the call.
+func (k *picker) take(s *stage) {
+	n := min(len(s.waiting), k.places)
+	if s.ResultBytes > 0 {
+		n = min(n, int(k.room/s.ResultBytes))
+	}
+	for _, index := range s.waiting[:n] {
+		k.taken = append(k.taken, placed{stage: s, index: index})
+	}
+	s.waiting = s.waiting[n:]
+	k.pool.waiting -= n
+	k.places -= n
+	k.room -= int64(n) * s.ResultBytes
+}
+
+// sweep drops stages from the queue that have no waiting pieces left.
+func (k *picker) sweep() {
+	if len(k.taken) == 0 {
+		return
+	}
+	kept := k.pool.queue[:0]
+	for _, s := range k.pool.queue {
+		if len(s.waiting) > 0 {
+			kept = append(kept, s)
+			continue
+		}
+		s.queued = false
+	}
+	clear(k.pool.queue[len(kept):])
+	k.pool.queue = kept
+}
--- /dev/null
+++ b/dispatch/tick.go
@@ -0,0 +1,169 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+)
+
+// Tick ends what has waited in vain, drops bookings that have run out, and
+// starts calls at workers whose pause is over. The shell calls it about every
+// 20 ms while there are jobs.
+func (c *Core) Tick(now time.Time) {
+	for _, p := range c.pools {
+		for _, w := range p.workers {
+			w.expire(now)
+		}
+	}
+	for _, engines := range c.engines {
+		for _, e := range engines {
+			e.expire(now)
+		}
+	}
+	for _, j := range c.tickets() {
+		c.giveUp(j, now)
+	}
+	c.dispatch(now)
+}
+
+// tickets lists the jobs in a fixed order, so that a run can be repeated.
+func (c *Core) tickets() []*job {
+	jobs := make([]*job, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(a, b int) bool { return jobs[a].Ticket < jobs[b].Ticket })
+	return jobs
+}
+
+// giveUp refuses a job that has no hope left. To hold it until its deadline
+// would serve nobody: its client could come back meanwhile.
+func (c *Core) giveUp(j *job, now time.Time) {
+	if j.engine != nil {
+		return
+	}
+	limit := j.deadlineAt.Add(-time.Duration((1 - deadlineShare) * float64(j.Deadline)))
+	if now.After(limit) {
+		c.refuse(j, ReasonDeadline, now)
+		return
+	}
+	if j.started {
+		return
+	}
+	for _, s := range j.stages {
+		if s.queued && now.Sub(s.startBy) > lateWait && now.Sub(s.since) > lateWait {
+			c.refuse(j, ReasonOverload, now)
+			return
+		}
+	}
+}
+
+// SetView takes a new configuration or list of endpoints. Endpoints that are
+// gone lose their calls' pieces to others; the jobs go on.
+func (c *Core) SetView(now time.Time, view *catalog.View) {
+	c.view = view
+	if view.Index == nil {
+		return
+	}
+	for i := range view.Index.Config.Services {
+		s := &view.Index.Config.Services[i]
+		if s.Batch != nil {
+			c.setPool(s, view)
+		}
+		if s.Model != nil {
+			c.setEngines(s, view)
+		}
+	}
+	c.dispatch(now)
+}
+
+func (c *Core) setPool(s *catalog.Service, view *catalog.View) {
+	p := c.pools[s.Name]
+	if p == nil {
+		p = newPool(s.Name, s.Batch)
+		c.pools[s.Name] = p
+	}
+	p.spec = s.Batch
+	var workers []*worker
+	for _, e := range view.Endpoints(s.Name) {
+		w := p.worker(e.ID)
+		if w == nil {
+			w = newWorker(e, s.Batch)
+		}
+		w.endpoint = e
+		w.spec = s.Batch
+		w.gone = false
+		workers = append(workers, w)
+	}
+	for _, w := range p.workers {
+		if view.Endpoint(w.endpoint.ID) == nil {
+			w.gone = true
+		}
+	}
+	p.workers = workers
+}
+
+func (c *Core) setEngines(s *catalog.Service, view *catalog.View) {
+	known := c.engines[s.Name]
+	engines := make(map[string]*engine)
+	var ordered []*engine
+	for _, ep := range view.Endpoints(s.Name) {
+		e := known[ep.ID]
+		if e == nil {
+			e = newEngine(ep, s.Model)
+		}
+		e.endpoint = ep
+		e.spec = s.Model
+		e.gone = false
+		engines[ep.ID] = e
+		ordered = append(ordered, e)
+	}
+	for id, e := range known {
+		if engines[id] == nil {
+			e.gone = true
+		}
+	}
+	c.engines[s.Name] = engines
+	c.ordered[s.Name] = ordered
+}
+
+// Stats is the state of the queues for metrics and logs.
+type Stats struct {
+	Jobs  int         `json:"jobs"`
+	Calls int         `json:"calls"`
+	Pools []PoolStats `json:"pools"`
+}
+
+// PoolStats is the state of one stage service.
+type PoolStats struct {
+	Service string `json:"service"`
+	Waiting int    `json:"waiting"`
+	Workers int    `json:"workers"`
+	Busy    int    `json:"busy"`
+	// RoomUsed is the part of the workers' memory that is booked.
+	RoomUsed float64       `json:"room_used"`
+	Took     time.Duration `json:"took"`
+}
+
+// Stats returns the present state.
+func (c *Core) Stats() Stats {
+	stats := Stats{Jobs: len(c.jobs), Calls: len(c.calls)}
+	for _, name := range c.poolNames() {
+		p := c.pools[name]
+		s := PoolStats{Service: name, Waiting: p.waiting, Workers: p.usable(), Took: p.took}
+		var used, room int64
+		for _, w := range p.workers {
+			if len(w.calls) > 0 {
+				s.Busy++
+			}
+			used += w.used
+			room += w.spec.Room
+		}
+		if room > 0 {
+			s.RoomUsed = float64(used) / float64(room)
+		}
+		stats.Pools = append(stats.Pools, s)
+	}
+	return stats
+}
--- /dev/null
+++ b/dispatch/worker.go
@@ -0,0 +1,126 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+)
+
+const (
+	// speedWeight is the share of the newest call in a worker's speed. Three
+	// calls move it by half, so that a slow endpoint shows within a second.
+	speedWeight = 0.25
+	// speedMax bounds the factor, so that one stalled call is forgotten in a few good ones.
+	speedMax = 8
+	// pauseFirst and pauseMax bound the time without calls after a failure;
+	// it doubles with each one in a row.
+	pauseFirst = 100 * time.Millisecond
+	pauseMax   = 2 * time.Second
+	// pauseRefused is shorter: the endpoint is alive and busy with somebody
+	// else's call, which takes about this long.
+	pauseRefused = 60 * time.Millisecond
+	// ttlMargin is added to the time after which an endpoint drops a result by
+	// itself, so that room is not counted as free before it is.
+	ttlMargin = 200 * time.Millisecond
+)
+
+// worker is the state of one endpoint of a stage's service.
+type worker struct {
+	endpoint *catalog.Endpoint
+	spec     *catalog.Batch
+	calls    map[uint64]*call
+	// used is the memory of results that are kept, made or expected, in bytes.
+	used    int64
+	results map[*result]struct{}
+	// speed is the measured time of a call over the expected one.
+	speed float64
+	// failures counts failed calls in a row, pausedUntil follows from it.
+	failures    int
+	pausedUntil time.Time
+	gone        bool
+}
+
+// call is one call in flight.
+type call struct {
+	id      uint64
+	worker  *worker
+	pieces  []placed
+	bytes   int64
+	sentAt  time.Time
+	expects time.Duration
+}
+
+// placed is a piece in a call.
+type placed struct {
+	stage *stage
+	index int
+}
+
+func newWorker(e *catalog.Endpoint, spec *catalog.Batch) *worker {
+	return &worker{
+		endpoint: e,
+		spec:     spec,
+		calls:    make(map[uint64]*call),
+		results:  make(map[*result]struct{}),
+		speed:    1,
+	}
+}
+
+// idle tells whether the worker takes a call at now.
+func (w *worker) idle(now time.Time) bool {
+	return w.usable() && len(w.calls) < w.spec.Slots && !now.Before(w.pausedUntil)
+}
+
+// usable tells whether the worker may get calls at all.
+func (w *worker) usable() bool { return !w.gone && !w.endpoint.Leaving }
+
+// room is the memory that is free for results, in bytes.
+func (w *worker) room() int64 { return w.spec.Room - w.used }
+
+// expect is how long a call with n pieces should take at the nominal speed.
+func (w *worker) expect(n int) time.Duration {
+	return w.spec.CallTime + time.Duration(n)*w.spec.ItemTime
+}
+
+// succeeded learns from a call that took a time.
+func (w *worker) succeeded(took, expected time.Duration) {
+	w.failures = 0
+	factor := min(speedMax, float64(took)/float64(expected))
+	w.speed += speedWeight * (factor - w.speed)
+}
+
+// failed pauses the worker after a call without an answer.
+func (w *worker) failed(now time.Time) {
+	pause := min(pauseMax, pauseFirst<<min(w.failures, 5))
+	w.failures++
+	w.pausedUntil = now.Add(pause)
+}
+
+// keep books a result until it is released or the endpoint drops it by itself.
+// The memory was reserved with the call.
+func (w *worker) keep(r *result, now time.Time) {
+	r.worker = w
+	r.until = now.Add(w.spec.ResultTTL + ttlMargin)
+	w.results[r] = struct{}{}
+}
+
+// release ends a result's booking and tells whether it was still booked.
+func (w *worker) release(r *result) bool {
+	if _, ok := w.results[r]; !ok {
+		return false
+	}
+	delete(w.results, r)
+	w.used -= r.bytes
+	return true
+}
+
+// expire ends the bookings of results that the endpoint has dropped by itself.
+// Without it, results of lost calls would fill the books for good and the
+// worker would stand idle while work waits.
+func (w *worker) expire(now time.Time) {
+	for r := range w.results {
+		if !now.Before(r.until) {
+			w.release(r)
+		}
+	}
+}
--- /dev/null
+++ b/fleet/core.go
@@ -0,0 +1,265 @@
+// Package fleet knows the other entries that live, and which of them owns the
+// queue. There is no shared state and no agreement: each process judges by the
+// heartbeats that it hears, and two owners at once do no harm.
+package fleet
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// BeatEvery is the interval of heartbeats with the queue's owner.
+	BeatEvery = 200 * time.Millisecond
+	// silence is how long an owner may say nothing until another is chosen:
+	// three heartbeats and the jitter of a busy VM.
+	silence = 700 * time.Millisecond
+	// idleBeats is how many intervals lie between heartbeats of processes
+	// neither of which owns the queue.
+	idleBeats = 5
+	// forgetAfter is how long a silent member is still dialled.
+	forgetAfter = 15 * time.Second
+)
+
+// Member is one process of the fleet.
+type Member struct {
+	Name string `json:"name"`
+	// Incarnation differs with each start.
+	Incarnation string `json:"incarnation"`
+	// Addr is where it listens for peers.
+	Addr   string `json:"addr"`
+	Domain string `json:"domain"`
+	// Cores is its share of a processor core; a weak process owns nothing
+	// while a stronger one lives.
+	Cores float64 `json:"cores"`
+}
+
+// Claim says who owns the queue. Of two claims that with the higher term
+// holds, so that all processes that hear of each other end up with one owner.
+type Claim struct {
+	Term  uint64 `json:"term"`
+	Owner string `json:"owner"`
+	// Incarnation is the owner's.
+	Incarnation string `json:"incarnation"`
+}
+
+// newer tells whether c takes the place of o.
+func (c Claim) newer(o Claim) bool {
+	if c.Term != o.Term {
+		return c.Term > o.Term
+	}
+	return c.Owner < o.Owner
+}
+
+// Beat is one heartbeat.
+type Beat struct {
+	From    Member `json:"from"`
+	Leaving bool   `json:"leaving,omitempty"`
+	Claim   Claim  `json:"claim"`
+	// Peers are addresses of other members that From has heard.
+	Peers []string `json:"peers,omitempty"`
+	// StoreAt is the store's revision that From knows.
+	StoreAt uint64 `json:"store_at,omitempty"`
+}
+
+// peerState is what is known of one member.
+type peerState struct {
+	Member
+	heard   time.Time
+	leaving bool
+	down    bool
+	storeAt uint64
+}
+
+// Core judges who lives and who owns the queue. It does no I/O and is not
+// safe for concurrent use.
+type Core struct {
+	self    Member
+	peers   map[string]*peerState
+	addrs   map[string]time.Time
+	claim   Claim
+	leaving bool
+	started time.Time
+}
+
+// NewCore returns the core of self; seeds are addresses to try first.
+func NewCore(self Member, seeds []string, now time.Time) *Core {
+	c := &Core{self: self, peers: make(map[string]*peerState), addrs: make(map[string]time.Time), started: now}
+	for _, addr := range seeds {
+		// Seeds are never forgotten: they are all that a cut-off process has.
+		if addr != self.Addr {
+			c.addrs[addr] = time.Time{}
+		}
+	}
+	return c
+}
+
+// Heard takes a heartbeat. It tells whether the owner has changed.
+func (c *Core) Heard(now time.Time, b Beat) bool {
+	if b.From.Name == c.self.Name || b.From.Name == "" {
+		return false
+	}
+	c.peers[b.From.Name] = &peerState{Member: b.From, heard: now, leaving: b.Leaving, storeAt: b.StoreAt}
+	c.learn(now, b.From.Addr)
+	for _, addr := range b.Peers {
+		c.learn(now, addr)
+	}
+	before := c.claim
+	if b.Claim.newer(c.claim) && c.alive(now, b.Claim) {
+		c.claim = b.Claim
+	}
+	return c.claim != before
+}
+
+func (c *Core) learn(now time.Time, addr string) {
+	if addr == "" || addr == c.self.Addr {
+		return
+	}
+	if at, ok := c.addrs[addr]; ok && at.IsZero() {
+		return
+	}
+	c.addrs[addr] = now
+}
+
+// Down notes that the connection to a member has ended.
+func (c *Core) Down(name, incarnation string) {
+	if p := c.peers[name]; p != nil && p.Incarnation == incarnation {
+		p.down = true
+	}
+}
+
+// Leave notes that this process will stop: it owns nothing from now on.
+func (c *Core) Leave() { c.leaving = true }
+
+// alive tells whether a claim's owner can own the queue, as far as is known.
+func (c *Core) alive(now time.Time, claim Claim) bool {
+	if claim.Owner == c.self.Name {
+		return claim.Incarnation == c.self.Incarnation && !c.leaving
+	}
+	p := c.peers[claim.Owner]
+	return p != nil && p.Incarnation == claim.Incarnation && p.live(now)
+}
+
+// live tells whether a member may own the queue.
+func (p *peerState) live(now time.Time) bool {
+	return !p.down && !p.leaving && now.Sub(p.heard) < p.patience()
+}
+
+// patience is how long a member may be silent. Members that own nothing beat
+// less often.
+func (p *peerState) patience() time.Duration { return silence + idleBeats*BeatEvery }
+
+// Owner returns the queue's owner; self is true if it is this process. An
+// owner that is silent, lost or leaving is replaced first.
+func (c *Core) Owner(now time.Time) (owner Member, self bool) {
+	if !c.alive(now, c.claim) || c.ownerSilent(now) {
+		c.replace(now)
+	}
+	if c.claim.Owner == c.self.Name {
+		return c.self, true
+	}
+	return c.peers[c.claim.Owner].Member, false
+}
+
+// ownerSilent tells whether the owner, another process, has missed its heartbeats.
+func (c *Core) ownerSilent(now time.Time) bool {
+	p := c.peers[c.claim.Owner]
+	return p != nil && now.Sub(p.heard) >= silence && now.Sub(c.started) >= silence
+}
+
+// replace chooses the owner by rank among the live members. All processes
+// rank alike, so that those who lose the owner together choose the same.
+func (c *Core) replace(now time.Time) {
+	lost := c.claim.Owner
+	best := c.self
+	found := !c.leaving
+	for _, p := range c.peers {
+		if !p.live(now) || p.Name == lost && now.Sub(p.heard) >= silence {
+			continue
+		}
+		if !found || outranks(p.Member, best) {
+			best, found = p.Member, true
+		}
+	}
+	term := c.claim.Term
+	if len(c.peers) > 0 {
+		term++
+	}
+	c.claim = Claim{Term: term, Owner: best.Name, Incarnation: best.Incarnation}
+}
+
+// outranks orders members: the most processor time first, then by hash.
+func outranks(a, b Member) bool {
+	if a.Cores != b.Cores {
+		return a.Cores > b.Cores
+	}
+	ha, hb := xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)
+	if ha != hb {
+		return ha > hb
+	}
+	return a.Name < b.Name
+}
+
+// Beat returns the heartbeat to send.
+func (c *Core) Beat(now time.Time, storeAt uint64) Beat {
+	b := Beat{From: c.self, Leaving: c.leaving, Claim: c.claim, StoreAt: storeAt}
+	for _, p := range c.peers {
+		if p.live(now) {
+			b.Peers = append(b.Peers, p.Addr)
+		}
+	}
+	sort.Strings(b.Peers)
+	return b
+}
+
+// Due tells whether a member at addr gets the heartbeat of this round.
+func (c *Core) Due(addr string, round int) bool {
+	if c.claim.Owner == c.self.Name || round%idleBeats == 0 {
+		return true
+	}
+	p := c.peers[c.claim.Owner]
+	return p != nil && p.Addr == addr
+}
+
+// Addrs lists the addresses to hold connections to.
+func (c *Core) Addrs(now time.Time) []string {
+	var addrs []string
+	for addr, at := range c.addrs {
+		if !at.IsZero() && now.Sub(at) > forgetAfter {
+			delete(c.addrs, addr)
+			continue
+		}
+		addrs = append(addrs, addr)
+	}
+	sort.Strings(addrs)
+	return addrs
+}
+
+// Live lists the live members, this process included, by name.
+func (c *Core) Live(now time.Time) []Member {
+	members := []Member{c.self}
+	for _, p := range c.peers {
+		if p.live(now) {
+			members = append(members, p.Member)
+		}
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+	return members
+}
+
+// Ahead returns the address of the live member that knows the highest revision
+// of the store above after; empty if none does.
+func (c *Core) Ahead(now time.Time, after uint64) string {
+	addr, most := "", after
+	for _, p := range c.peers {
+		if p.storeAt > most && !p.down && now.Sub(p.heard) < p.patience() {
+			addr, most = p.Addr, p.storeAt
+		}
+	}
+	return addr
+}
+
+// Claim returns the present claim.
+func (c *Core) Claim() Claim { return c.claim }
--- /dev/null
+++ b/fleet/service.go
@@ -0,0 +1,250 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"github.com/mangostage/mangostage/peer"
+	"github.com/mangostage/mangostage/wire"
+)
+
+// MethodBeat is the notification that carries a heartbeat.
+const MethodBeat = "fleet.beat"
+
+const (
+	// redialEvery is the pause after a dial that failed.
+	redialEvery = 500 * time.Millisecond
+	// dialTimeout bounds one dial; a VM that is cut off does not answer.
+	dialTimeout = time.Second
+)
+
+// Config is what a Service is made of.
+type Config struct {
+	Self  Member
+	Seeds []string
+	Mux   *peer.Mux
+	Log   zerolog.Logger
+	// StoreAt returns the store's revision that this process knows.
+	StoreAt func() uint64
+}
+
+// Service holds connections to all members and beats.
+type Service struct {
+	cfg  Config
+	node *peer.Node
+
+	mu    sync.Mutex
+	core  *Core
+	conns map[string]*link
+	owner string
+	// changed is closed, and made anew, when the owner is another.
+	changed chan struct{}
+}
+
+// link is the dialled connection to one address.
+type link struct {
+	conn *peer.Conn
+	// tried is when the last dial began; dialling while one is under way.
+	tried   time.Time
+	dialing bool
+}
+
+// New returns a Service; Start lets it run.
+func New(cfg Config) *Service {
+	cfg.Self.Incarnation = uuid.NewString()
+	s := &Service{cfg: cfg, conns: make(map[string]*link), changed: make(chan struct{})}
+	s.core = NewCore(cfg.Self, cfg.Seeds, time.Now())
+	peer.HandleNote(cfg.Mux, MethodBeat, s.heard)
+	s.node = peer.NewNode(peer.Config{
+		Hello:   s.hello,
+		OnClose: s.closed,
+	}, cfg.Mux)
+	return s
+}
+
+func (s *Service) hello() wire.Hello {
+	return wire.Hello{Process: wire.Process{
+		Name:        s.cfg.Self.Name,
+		Incarnation: s.cfg.Self.Incarnation,
+		Role:        wire.RoleEntry,
+		Domain:      s.cfg.Self.Domain,
+	}}
+}
+
+// Start listens and beats until ctx ends.
+func (s *Service) Start(ctx context.Context) error {
+	if _, err := s.node.Listen(s.cfg.Self.Addr); err != nil {
+		return err
+	}
+	go s.run(ctx)
+	return nil
+}
+
+// Close ends all connections.
+func (s *Service) Close() { s.node.Close() }
+
+// Leave tells all members that this process stops.
+func (s *Service) Leave() {
+	s.mu.Lock()
+	s.core.Leave()
+	s.mu.Unlock()
+	s.beat(0)
+}
+
+func (s *Service) run(ctx context.Context) {
+	ticker := time.NewTicker(BeatEvery)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		s.beat(round)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// beat dials what is not connected and sends the heartbeats of one round.
+func (s *Service) beat(round int) {
+	now := time.Now()
+	at := s.cfg.StoreAt()
+	s.mu.Lock()
+	s.ownerLocked(now)
+	beat := s.core.Beat(now, at)
+	var due []*peer.Conn
+	for _, addr := range s.core.Addrs(now) {
+		l := s.linkLocked(addr)
+		if l.conn == nil {
+			s.dialLocked(addr, l, now)
+			continue
+		}
+		if round == 0 || s.core.Due(addr, round) {
+			due = append(due, l.conn)
+		}
+	}
+	s.mu.Unlock()
+	for _, conn := range due {
+		// Each in its own goroutine: a peer that is frozen with a full socket
+		// buffer must not keep heartbeats from the others. A connection that
+		// fails here is closed, and OnClose follows.
+		go func() { _ = conn.Notify(MethodBeat, beat) }()
+	}
+}
+
+func (s *Service) linkLocked(addr string) *link {
+	l := s.conns[addr]
+	if l == nil {
+		l = &link{}
+		s.conns[addr] = l
+	}
+	return l
+}
+
+func (s *Service) dialLocked(addr string, l *link, now time.Time) {
+	if l.dialing || now.Sub(l.tried) < redialEvery {
+		return
+	}
+	l.dialing = true
+	l.tried = now
+	go s.dial(addr)
+}
+
+func (s *Service) dial(addr string) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := s.node.Dial(ctx, addr)
+	now := time.Now()
+	at := s.cfg.StoreAt()
+	s.mu.Lock()
+	l := s.linkLocked(addr)
+	l.dialing = false
+	if err != nil {
+		s.mu.Unlock()
+		return
+	}
+	l.conn = conn
+	beat := s.core.Beat(now, at)
+	s.mu.Unlock()
+	s.cfg.Log.Info().Str("event", "peer_connected").Str("addr", addr).Str("peer", conn.Peer().Process.Name).Msg("connected to a peer")
+	_ = conn.Notify(MethodBeat, beat)
+}
+
+func (s *Service) heard(_ *peer.Conn, b Beat) {
+	now := time.Now()
+	s.mu.Lock()
+	s.core.Heard(now, b)
+	s.ownerLocked(now)
+	s.mu.Unlock()
+}
+
+// closed forgets a connection; a member whose connection ends is taken for
+// lost until it is heard again.
+func (s *Service) closed(conn *peer.Conn) {
+	p := conn.Peer().Process
+	s.mu.Lock()
+	for _, l := range s.conns {
+		if l.conn == conn {
+			l.conn = nil
+		}
+	}
+	s.core.Down(p.Name, p.Incarnation)
+	s.ownerLocked(time.Now())
+	s.mu.Unlock()
+	s.cfg.Log.Info().Str("event", "peer_lost").Str("peer", p.Name).Msg("connection to a peer ended")
+}
+
+// ownerLocked looks who owns the queue and tells of a change.
+func (s *Service) ownerLocked(now time.Time) (Member, bool) {
+	owner, self := s.core.Owner(now)
+	id := owner.Name + "/" + owner.Incarnation
+	if id != s.owner {
+		s.owner = id
+		close(s.changed)
+		s.changed = make(chan struct{})
+		s.cfg.Log.Info().Str("event", "owner_changed").Str("owner", owner.Name).Bool("self", self).
+			Uint64("term", s.core.Claim().Term).Msg("the queue has another owner")
+	}
+	return owner, self
+}
+
+// OwnerConn returns the connection to the queue's owner; nil if this process
+// owns it or the owner cannot be reached.
+func (s *Service) OwnerConn() *peer.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owner, self := s.ownerLocked(time.Now())
+	if l := s.conns[owner.Addr]; l != nil && !self {
+		return l.conn
+	}
+	return nil
+}
+
+// OwnerChanged is closed when the owner is another than now.
+func (s *Service) OwnerChanged() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Ahead returns the connection to a member that knows more of the store than
+// the revision; nil if none does.
+func (s *Service) Ahead(after uint64) *peer.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addr := s.core.Ahead(time.Now(), after)
+	if l := s.conns[addr]; l != nil {
+		return l.conn
+	}
+	return nil
+}
+
+// Size is the number of live members.
+func (s *Service) Size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.core.Live(time.Now()))
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mangostage/mangostage/balance"
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/retry"
+	"github.com/mangostage/mangostage/scheduler"
+)
+
+const (
+	// slackShare is the part of the fleet's slack for repeated sends that is
+	// used; the rest is for members that are not seen.
+	slackShare = 0.7
+	// ratioShare is the same for the ratio.
+	ratioShare = 0.8
+	// notReadyRetry is when a client may come back to a process that does not
+	// know the configuration yet.
+	notReadyRetry = 500 * time.Millisecond
+)
+
+// Config is what a Gateway is made of.
+type Config struct {
+	Domain string
+	Bounds platform.Bounds
+	// View returns the present view of the deployment.
+	View func() *catalog.View
+	// FleetSize returns the number of live gateways, this one included.
+	FleetSize func() int
+	Scheduler *scheduler.Client
+	Transport http.RoundTripper
+	Log       zerolog.Logger
+	Metrics   *Metrics
+}
+
+// Gateway is the handler of client requests.
+type Gateway struct {
+	cfg     Config
+	balance *balance.Balancer
+	repeats *retry.Window
+	leaving atomic.Bool
+}
+
+// New returns a Gateway.
+func New(cfg Config) *Gateway {
+	return &Gateway{
+		cfg:     cfg,
+		balance: balance.New(cfg.Domain),
+		repeats: retry.NewWindow(cfg.Bounds.RetryWindow, cfg.Bounds.RetryRatio*ratioShare),
+	}
+}
+
+// SetView passes on a new view.
+func (g *Gateway) SetView(view *catalog.View) { g.balance.Forget(view) }
+
+// Leave makes the process unready and lets clients open new connections elsewhere.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+// Ready answers the balancer's question whether to send new connections here.
+func (g *Gateway) Ready(w http.ResponseWriter, _ *http.Request) {
+	if g.leaving.Load() || !g.cfg.View().Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// ServeHTTP serves one request of a client.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req, p := g.admit(r)
+	if p == nil {
+		defer req.cancel()
+		p = g.readBody(w, req)
+	}
+	if p == nil {
+		p = g.serve(w, req)
+	}
+	if p != nil {
+		g.refuse(w, req, p)
+	}
+}
+
+// serve sends the request and relays the answer; it returns a problem if it
+// has answered nothing.
+func (g *Gateway) serve(w http.ResponseWriter, req *request) *problem {
+	if req.service != nil && req.service.Model != nil {
+		return g.serveModel(w, req)
+	}
+	return g.servePlain(w, req)
+}
+
+// slack is this process's share of the fleet's slack for repeated sends.
+func (g *Gateway) slack() float64 {
+	return float64(g.cfg.Bounds.RetrySlack) * slackShare / float64(max(1, g.cfg.FleetSize()))
+}
--- /dev/null
+++ b/gateway/model.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/dispatch"
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/scheduler"
+)
+
+// modelRequest is the state of one request for a model engine over its sends.
+type modelRequest struct {
+	*request
+	tries attempts
+	lease *scheduler.Lease
+	// submits counts the jobs made of the request.
+	submits int
+	// head is set once the client has got status and headers; from then on
+	// only events may follow.
+	head bool
+	last string
+}
+
+// serveModel has the stages of a request run and sends it to a model engine.
+func (g *Gateway) serveModel(w http.ResponseWriter, req *request) *problem {
+	m := &modelRequest{request: req, tries: attempts{avoid: make(map[string]bool)}, last: req.LastEvent}
+	for {
+		lease, p := g.lease(m)
+		if p != nil {
+			return g.endModel(m, p)
+		}
+		m.lease = lease
+		again, p := g.serveLease(w, m)
+		if !again {
+			return g.endModel(m, p)
+		}
+	}
+}
+
+// endModel answers with a problem, or breaks off a stream that has begun.
+func (g *Gateway) endModel(m *modelRequest, p *problem) *problem {
+	if p != nil && m.head {
+		g.broken(m.request, &catalog.Endpoint{}, errBroken.New("stream ended: %s", p.reason))
+	}
+	return p
+}
+
+// lease has the stages run and an engine chosen.
+func (g *Gateway) lease(m *modelRequest) (*scheduler.Lease, *problem) {
+	m.submits++
+	lease, err := g.cfg.Scheduler.Submit(m.ctx, m.job(g.cfg.Domain))
+	switch {
+	case err != nil && m.ctx.Err() != nil:
+		return nil, ended(m.request, "deadline_in_stages", busyRetry)
+	case err != nil:
+		return nil, ended(m.request, "queue_unreachable", busyRetry)
+	case lease.Refuse != nil:
+		return nil, ended(m.request, string(lease.Refuse.Reason), lease.Refuse.RetryAfter)
+	}
+	return lease, nil
+}
+
+// job is what the queue's owner needs to know.
+func (m *modelRequest) job(domain string) dispatch.Job {
+	j := dispatch.Job{
+		Ticket:    m.ID + "#" + strconv.Itoa(m.submits),
+		Request:   m.ID,
+		Service:   m.serviceName,
+		Route:     m.route.Name,
+		Account:   m.accountName(),
+		Domain:    domain,
+		PieceKey:  m.PieceKey,
+		Prefix:    m.Prefix,
+		TokensIn:  m.TokensIn,
+		TokensOut: m.TokensOut,
+		Priority:  m.priority(),
+		Objective: m.route.Objective - time.Since(m.arrived),
+		Deadline:  m.left(),
+	}
+	for i, s := range m.route.Stages {
+		work := dispatch.StageWork{Service: s.Service, After: s.After, ResultBytes: s.ResultBytes}
+		if i < len(m.Pieces) {
+			work.Pieces = m.Pieces[i]
+		}
+		j.Stages = append(j.Stages, work)
+	}
+	for id := range m.tries.avoid {
+		j.Avoid = append(j.Avoid, id)
+	}
+	return j
+}
+
+// serveLease sends the request with the results of its stages. It tells
+// whether the request may be given to the queue again.
+func (g *Gateway) serveLease(w http.ResponseWriter, m *modelRequest) (again bool, p *problem) {
+	served := false
+	defer func() { m.lease.Done(served) }()
+	for {
+		e := g.engine(m)
+		if e == nil {
+			return false, ended(m.request, "no_endpoint_served", busyRetry)
+		}
+		g.countSend(m.request, &m.tries)
+		result := g.tryModel(w, m, e)
+		switch result {
+		case streamServed:
+			served = true
+			return false, nil
+		case streamInputsGone:
+			if g.again(m.request, &m.tries, resultNotRun) {
+				return true, nil
+			}
+		case streamNotRun:
+			if g.again(m.request, &m.tries, resultNotRun) {
+				continue
+			}
+		case streamFailed:
+			if !g.again(m.request, &m.tries, resultFailed) {
+				break
+			}
+			// Once events have come the results are given up: the stages
+			// have to run again before the stream can go on elsewhere.
+			if m.head {
+				return true, nil
+			}
+			continue
+		}
+		return false, ended(m.request, "no_endpoint_served", busyRetry)
+	}
+}
+
+// engine is the one that the queue's owner chose, if it has not left
+// meanwhile and has not failed this request already; else another one.
+func (g *Gateway) engine(m *modelRequest) *catalog.Endpoint {
+	view := g.cfg.View()
+	e := view.Endpoint(m.lease.Grant.Endpoint)
+	if e != nil && !e.Leaving && !m.tries.avoid[e.ID] {
+		return e
+	}
+	return g.balance.Pick(time.Now(), view.Endpoints(m.serviceName), m.tries.avoid)
+}
+
+// streamResult is how one send to a model engine ended.
+type streamResult int
+
+const (
+	streamServed streamResult = iota
+	streamNotRun
+	streamInputsGone
+	streamFailed
+)
+
+// tryModel makes one send and relays the stream.
+func (g *Gateway) tryModel(w http.ResponseWriter, m *modelRequest, e *catalog.Endpoint) streamResult {
+	m.tries.avoid[e.ID] = true
+	m.offered = true
+	sent := time.Now()
+	priority := min(9, max(0, m.priority()))
+	ctx, cancel := context.WithCancel(m.ctx)
+	defer cancel()
+	a, err := g.send(ctx, m.request, e, platform.Send{
+		Inputs:    m.lease.Grant.Inputs,
+		Priority:  &priority,
+		LastEvent: m.last,
+	})
+	if err != nil {
+		g.logSend(m.request, e, 0, time.Since(sent), err)
+		if errorx.IsOfType(err, errNotSent) {
+			return streamNotRun
+		}
+		m.mayHaveRun = true
+		return streamFailed
+	}
+	defer func() { _ = a.Body.Close() }()
+	g.logSend(m.request, e, a.StatusCode, time.Since(sent), nil)
+	if a.NotRun {
+		if a.StatusCode == http.StatusConflict {
+			return streamInputsGone
+		}
+		return streamNotRun
+	}
+	m.mayHaveRun = true
+	if !a.usable() {
+		return streamFailed
+	}
+	if a.StatusCode > 299 {
+		return g.relayFailure(w, m, a)
+	}
+	return g.relayStream(w, m, e, a)
+}
+
+// relayFailure passes on an engine's own error, unless another engine may try.
+func (g *Gateway) relayFailure(w http.ResponseWriter, m *modelRequest, a *answer) streamResult {
+	if m.head || m.route.Repeatable() && m.tries.runs+1 < m.route.MaxAttempts {
+		return streamFailed
+	}
+	b := &bufferedAnswer{answer: a}
+	var early bool
+	if b.body, b.whole, early = a.buffer(); early || !b.whole {
+		return streamFailed
+	}
+	b.write(w)
+	m.head = true
+	g.done(m.request, a.StatusCode, "endpoint_error")
+	return streamServed
+}
+
+// relayStream passes events on as they come.
+func (g *Gateway) relayStream(w http.ResponseWriter, m *modelRequest, e *catalog.Endpoint, a *answer) streamResult {
+	flusher := http.NewResponseController(w)
+	stream := newEvents(a.Body)
+	first := true
+	for {
+		data, err := stream.next()
+		if first && (len(data) > 0 || err == nil) {
+			first = false
+			m.lease.FirstEvent()
+			g.cfg.Metrics.firstEvent(m.request)
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return g.streamBroke(m, e, err)
+		}
+		if !m.head {
+			m.head = true
+			a.head(w)
+		}
+		if len(data) > 0 {
+			if _, werr := w.Write(data); werr != nil {
+				return streamServed
+			}
+			if stream.last != "" {
+				m.last = stream.last
+			}
+		}
+		if err != nil {
+			g.done(m.request, a.StatusCode, "relayed")
+			return streamServed
+		}
+		if ferr := flusher.Flush(); ferr != nil {
+			return streamServed
+		}
+	}
+}
+
+// streamBroke ends a stream that cannot go on elsewhere.
+func (g *Gateway) streamBroke(m *modelRequest, e *catalog.Endpoint, err error) streamResult {
+	if m.ctx.Err() != nil || m.head && !m.route.Repeatable() {
+		g.broken(m.request, e, err)
+	}
+	return streamFailed
+}
--- /dev/null
+++ b/gateway/request.go
@@ -0,0 +1,159 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/platform"
+)
+
+// defaultDeadline holds for requests that say nothing of their deadline on
+// routes without a timeout.
+const defaultDeadline = 30 * time.Second
+
+// request is one request of a client.
+type request struct {
+	platform.Request
+	http    *http.Request
+	route   *catalog.Route
+	service *catalog.Service
+	// serviceName is the route's service that the request goes to.
+	serviceName string
+	account     *catalog.Account
+	body        []byte
+	arrived     time.Time
+	// deadline is when the client or the route's timeout gives up.
+	deadline time.Time
+	// version is the configuration that decided.
+	version uint64
+	ctx     context.Context
+	cancel  context.CancelFunc
+	// offered is set once an endpoint was sent the request; mayHaveRun once
+	// one may have run it.
+	offered    bool
+	mayHaveRun bool
+}
+
+// admit finds the request's route and account.
+func (g *Gateway) admit(r *http.Request) (*request, *problem) {
+	now := time.Now()
+	req := &request{Request: platform.DecodeRequest(r.Header), http: r, arrived: now}
+	view := g.cfg.View()
+	if !view.Ready() {
+		return req, unavailable("not_ready", notReadyRetry)
+	}
+	index := view.Index
+	req.version = index.Config.Version
+	req.route = index.Route(hostOf(r), r.URL.EscapedPath())
+	if req.route == nil {
+		return req, &problem{status: http.StatusNotFound, reason: "no_route"}
+	}
+	req.account = index.Account(req.Key)
+	if req.account == nil && index.HasAccounts() && !req.route.Public {
+		return req, &problem{status: http.StatusUnauthorized, reason: "unknown_key"}
+	}
+	req.serviceName = pickShare(req.route, req.ID)
+	req.service = index.Service(req.serviceName)
+	req.deadline = now.Add(timeLeft(req))
+	req.ctx, req.cancel = context.WithDeadline(r.Context(), req.deadline)
+	return req, nil
+}
+
+// hostOf is the request's host without a port.
+func hostOf(r *http.Request) string {
+	if host, _, err := net.SplitHostPort(r.Host); err == nil {
+		return strings.ToLower(host)
+	}
+	return strings.ToLower(r.Host)
+}
+
+// timeLeft is the shorter of the client's deadline and the route's timeout.
+func timeLeft(req *request) time.Duration {
+	left := defaultDeadline
+	if req.route.Timeout > 0 {
+		left = req.route.Timeout
+	}
+	if req.Deadline > 0 {
+		left = min(left, req.Deadline)
+	}
+	return left
+}
+
+// pickShare chooses the route's service by weight. The choice follows from
+// the request's ID, so that it does not change between attempts.
+func pickShare(r *catalog.Route, id string) string {
+	total := 0
+	for _, s := range r.Split {
+		total += max(0, s.Weight)
+	}
+	if total == 0 {
+		return r.Split[0].Service
+	}
+	n := int(xxhash.Sum64String(id) % uint64(total))
+	for _, s := range r.Split {
+		if n -= max(0, s.Weight); n < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[0].Service
+}
+
+// readBody reads the whole body: only then can it be sent, whole, more than once.
+func (g *Gateway) readBody(w http.ResponseWriter, req *request) *problem {
+	limit := g.cfg.View().Index.Config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = 4 << 20
+	}
+	body := http.MaxBytesReader(w, req.http.Body, limit)
+	var buffer bytes.Buffer
+	if n := req.http.ContentLength; n > 0 && n <= limit {
+		buffer.Grow(int(n) + bytes.MinRead)
+	}
+	_, err := io.Copy(&buffer, body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &problem{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+	case err != nil:
+		// The client broke off or its chunks are malformed.
+		return &problem{status: http.StatusBadRequest, reason: "body_unreadable", close: true}
+	}
+	req.body = buffer.Bytes()
+	return nil
+}
+
+// left is the time that the request has left.
+func (req *request) left() time.Duration { return time.Until(req.deadline) }
+
+// expired tells whether the request's own time has run out, and not its client left.
+func (req *request) expired() bool {
+	return errors.Is(req.ctx.Err(), context.DeadlineExceeded)
+}
+
+// gone tells whether the client has left.
+func (req *request) gone() bool { return req.http.Context().Err() != nil }
+
+// priority is the account's, or else the route's.
+func (req *request) priority() int {
+	if req.account != nil && req.account.Priority != nil {
+		return *req.account.Priority
+	}
+	return req.route.Priority
+}
+
+// accountName is what endpoints get to see of the client account.
+func (req *request) accountName() string {
+	if req.account == nil {
+		return ""
+	}
+	return req.account.Name
+}
--- a/kernel/bus.go
+++ b/kernel/bus.go
@@ -25,6 +25,8 @@
 	TopicBundle Topic = "bundle"
 	// TopicMember carries a MemberEvent for each change of the view of VMs.
 	TopicMember Topic = "member"
+	// TopicView carries a ViewEvent for each change of a gateway's view.
+	TopicView Topic = "view"
 	// TopicRecord carries a ledger.Record for each fact about a request.
 	TopicRecord Topic = "record"
 )
@@ -48,6 +50,12 @@
 	Reason   string `json:"reason"`
 }
 
+// ViewEvent tells that a gateway knows another configuration or other endpoints.
+type ViewEvent struct {
+	// Revision is the view's number in this process.
+	Revision uint64 `json:"revision"`
+}
+
 // Bus delivers events between the parts of one process, each handler in a
 // goroutine of its own. It carries no stage calls: those need a reply, an
 // order and back pressure that a broadcast does not give.
--- /dev/null
+++ b/scheduler/remote.go
@@ -0,0 +1,151 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"github.com/mangostage/mangostage/dispatch"
+	"github.com/mangostage/mangostage/peer"
+)
+
+// Methods between processes.
+const (
+	MethodSubmit = "dispatch.submit"
+	MethodCancel = "dispatch.cancel"
+	MethodFirst  = "dispatch.first"
+	MethodDone   = "dispatch.done"
+)
+
+// Note is what an entry tells the owner of a job.
+type Note struct {
+	Ticket string `json:"ticket"`
+	// Served says whether the model engine did its part; only read when done.
+	Served bool `json:"served,omitempty"`
+}
+
+// Serve registers the methods by which other processes use the scheduler.
+func Serve(mux *peer.Mux, s *Scheduler) {
+	peer.HandleCall(mux, MethodSubmit, func(ctx context.Context, _ *peer.Conn, j dispatch.Job) (Verdict, error) {
+		return s.Submit(ctx, j)
+	})
+	peer.HandleNote(mux, MethodCancel, func(_ *peer.Conn, n Note) { s.Cancel(n.Ticket) })
+	peer.HandleNote(mux, MethodFirst, func(_ *peer.Conn, n Note) { s.FirstEvent(n.Ticket) })
+	peer.HandleNote(mux, MethodDone, func(_ *peer.Conn, n Note) { s.Done(n.Ticket, n.Served) })
+}
+
+// Owners tells who owns the queue.
+type Owners interface {
+	// OwnerConn returns the connection to the owner; nil if this process owns
+	// the queue or does not reach the owner.
+	OwnerConn() *peer.Conn
+	// OwnerChanged is closed when the owner is another than at the call.
+	OwnerChanged() <-chan struct{}
+}
+
+// Client gives jobs to the owner of the queue, wherever it is.
+type Client struct {
+	local  *Scheduler
+	owners Owners
+	log    zerolog.Logger
+}
+
+// NewClient returns a client; jobs go to local when no other owner is reached.
+func NewClient(local *Scheduler, owners Owners, log zerolog.Logger) *Client {
+	return &Client{local: local, owners: owners, log: log}
+}
+
+// Lease is a granted job: the owner is told how it goes on.
+type Lease struct {
+	Verdict
+	client *Client
+	ticket string
+	// conn is nil if this process owns the queue.
+	conn *peer.Conn
+	once sync.Once
+}
+
+// Submit gives the job to the owner and waits for its verdict. If the owner is
+// lost or replaced, the job is given to the next one: pieces may be made
+// again. The time that has passed is taken off the job's limits.
+func (c *Client) Submit(ctx context.Context, j dispatch.Job) (*Lease, error) {
+	began := time.Now()
+	objective, deadline := j.Objective, j.Deadline
+	base := j.Ticket
+	for try := 0; ; try++ {
+		passed := time.Since(began)
+		j.Objective = objective - passed
+		j.Deadline = deadline - passed
+		if try > 0 {
+			j.Ticket = base + "+" + string(rune('a'+min(try, 25)))
+		}
+		changed := c.owners.OwnerChanged()
+		conn := c.owners.OwnerConn()
+		v, err := c.submit(ctx, conn, changed, j)
+		if err == nil {
+			return &Lease{Verdict: v, client: c, ticket: j.Ticket, conn: conn}, nil
+		}
+		if ctx.Err() != nil || conn == nil {
+			return nil, err
+		}
+		c.log.Info().Str("event", "owner_lost").Str("request", j.Request).Str("ticket", j.Ticket).
+			Err(err).Msg("the job goes to another owner of the queue")
+	}
+}
+
+// submit sends the job to one owner.
+func (c *Client) submit(ctx context.Context, conn *peer.Conn, changed <-chan struct{}, j dispatch.Job) (Verdict, error) {
+	if conn == nil {
+		return c.local.Submit(ctx, j)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-stop:
+		}
+	}()
+	var v Verdict
+	err := conn.Call(ctx, MethodSubmit, j, &v)
+	if err != nil && !errorx.IsOfType(err, peer.ErrNotWritten) {
+		// The old owner may still be there, or wake up later: it must not
+		// hold room for a job that has gone elsewhere.
+		go func() { _ = conn.Notify(MethodCancel, Note{Ticket: j.Ticket}) }()
+	}
+	return v, err
+}
+
+// FirstEvent tells the owner that the model engine has begun to answer.
+func (l *Lease) FirstEvent() {
+	if l.conn == nil {
+		l.client.local.FirstEvent(l.ticket)
+		return
+	}
+	l.notify(MethodFirst, Note{Ticket: l.ticket})
+}
+
+// Done tells the owner that the job has ended; only the first call counts.
+func (l *Lease) Done(served bool) {
+	l.once.Do(func() {
+		if l.conn == nil {
+			l.client.local.Done(l.ticket, served)
+			return
+		}
+		l.notify(MethodDone, Note{Ticket: l.ticket, Served: served})
+	})
+}
+
+// notify may find the owner gone: then it has forgotten the job anyway, or
+// drops it when the job's time has run out.
+func (l *Lease) notify(method string, n Note) {
+	if err := l.conn.Notify(method, n); err != nil {
+		l.client.log.Debug().Str("event", "owner_not_told").Str("ticket", l.ticket).Err(err).Msg(method)
+	}
+}
--- /dev/null
+++ b/settings/gateway.go
@@ -0,0 +1,54 @@
+package settings
+
+import (
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mangostage/mangostage/finding"
+	"github.com/mangostage/mangostage/platform"
+)
+
+// Gateway are the settings of mangostage-gateway. Its addresses and its
+// failure domain come from the platform's settings file.
+type Gateway struct {
+	NodeFile    string `arg:"--node-file,env:MANGOSTAGE_NODE_FILE" help:"settings file of the users' platform"`
+	LogLevel    string `arg:"--log-level,env:MANGOSTAGE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	MetricsPort int    `arg:"--metrics-port,env:MANGOSTAGE_METRICS_PORT" default:"9464" help:"port of /metrics on this VM's address; 0 for none"`
+}
+
+// LoadedGateway are the checked values that Gateway's text stands for.
+type LoadedGateway struct {
+	Platform platform.Settings
+	LogLevel zerolog.Level
+}
+
+// Load checks g and reads the platform's file.
+func (g *Gateway) Load(findings *finding.List) LoadedGateway {
+	var loaded LoadedGateway
+	if g.NodeFile == "" {
+		findings.Add(flag("--node-file"), "is missing; %s names it too", platform.SettingsVariable)
+	} else {
+		loaded.Platform = platform.LoadSettings(g.NodeFile, findings)
+	}
+	if g.MetricsPort < 0 || g.MetricsPort > 65535 {
+		findings.Add(flag("--metrics-port"), "%d is no port", g.MetricsPort)
+	}
+	level, err := zerolog.ParseLevel(g.LogLevel)
+	if err != nil {
+		findings.Add(flag("--log-level"), "%v", err)
+	}
+	loaded.LogLevel = level
+	return loaded
+}
+
+// Changed tells whether the platform's file says something else than loaded;
+// the findings tell what is wrong with it, if anything is.
+func (g *Gateway) Changed(loaded LoadedGateway) (changed bool, findings finding.List) {
+	if _, err := os.Stat(g.NodeFile); err != nil {
+		findings.Add(flag("--node-file"), "%v", err)
+		return false, findings
+	}
+	now := platform.LoadSettings(g.NodeFile, &findings)
+	return len(findings) == 0 && !now.Equal(loaded.Platform), findings
+}
