Keep the ownership of the queue from wandering

Cause: a member that owns nothing beats once a second, and the silence after which an owner is replaced (700 ms) was counted from its last heartbeat: a newly chosen owner was replaced at once by whoever had not heard it lately, and each change cancelled all waiting jobs (term 249 within 18 s of a rolling stop; 2,151 results never used). Ruled out: lost connections; each pair held two throughout. Change: silence counts from the claim; a replaced owner finishes its jobs, only a lost one has them taken away; a first claim is confirmed by term 1.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -16,9 +16,15 @@
 	// silence is how long an owner may say nothing until another is chosen:
 	// three heartbeats and the jitter of a busy VM.
 	silence = 700 * time.Millisecond
+	// closedSilence is the same after a connection to it has ended, as when its
+	// process is killed: one heartbeat and some jitter. A member that lives on
+	// is heard of in that time over its own connection.
+	closedSilence = 300 * time.Millisecond
 	// idleBeats is how many intervals lie between heartbeats of processes
 	// neither of which owns the queue.
 	idleBeats = 5
+	// ownedSpan is how long a former owner may have jobs: longer than any deadline.
+	ownedSpan = 20 * time.Second
 	// forgetAfter is how long a silent member is still dialled.
 	forgetAfter = 15 * time.Second
 )
@@ -69,24 +75,28 @@
 	Member
 	heard   time.Time
 	leaving bool
-	down    bool
 	storeAt uint64
+	// closed is when a connection to the member ended; zero once it is heard again.
+	closed time.Time
 }
 
 // Core judges who lives and who owns the queue. It does no I/O and is not
 // safe for concurrent use.
 type Core struct {
-	self    Member
-	peers   map[string]*peerState
-	addrs   map[string]time.Time
-	claim   Claim
+	self  Member
+	peers map[string]*peerState
+	addrs map[string]time.Time
+	claim Claim
+	// claimed is when the claim was taken up.
+	claimed time.Time
+	// owned is when this process last owned the queue.
+	owned   time.Time
 	leaving bool
-	started time.Time
 }
 
 // NewCore returns the core of self; seeds are addresses to try first.
-func NewCore(self Member, seeds []string, now time.Time) *Core {
-	c := &Core{self: self, peers: make(map[string]*peerState), addrs: make(map[string]time.Time), started: now}
+func NewCore(self Member, seeds []string) *Core {
+	c := &Core{self: self, peers: make(map[string]*peerState), addrs: make(map[string]time.Time)}
 	for _, addr := range seeds {
 		// Seeds are never forgotten: they are all that a cut-off process has.
 		if addr != self.Addr {
@@ -107,8 +117,9 @@
 		c.learn(now, addr)
 	}
 	before := c.claim
+	c.confirm(now, b.Claim)
 	if b.Claim.newer(c.claim) && c.alive(now, b.Claim) {
-		c.claim = b.Claim
+		c.take(now, b.Claim)
 	}
 	return c.claim != before
 }
@@ -123,10 +134,26 @@
 	c.addrs[addr] = now
 }
 
-// Down notes that the connection to a member has ended.
-func (c *Core) Down(name, incarnation string) {
-	if p := c.peers[name]; p != nil && p.Incarnation == incarnation {
-		p.down = true
+// confirm raises the first term of a claim that another process shares. A
+// process that starts claims the queue for itself with term 0 until it has
+// heard of the owner; without this its claim could displace an owner at work.
+func (c *Core) confirm(now time.Time, theirs Claim) {
+	if c.claim.Term == 0 && c.claim.Owner == c.self.Name && theirs == c.claim {
+		c.take(now, Claim{Term: 1, Owner: c.claim.Owner, Incarnation: c.claim.Incarnation})
+	}
+}
+
+// take puts another claim into force.
+func (c *Core) take(now time.Time, claim Claim) {
+	c.claim = claim
+	c.claimed = now
+}
+
+// Closed notes that a connection to a member has ended.
+func (c *Core) Closed(now time.Time, name, incarnation string) {
+	p := c.peers[name]
+	if p != nil && p.Incarnation == incarnation && p.closed.IsZero() {
+		p.closed = now
 	}
 }
 
@@ -144,7 +171,12 @@
 
 // live tells whether a member may own the queue.
 func (p *peerState) live(now time.Time) bool {
-	return !p.down && !p.leaving && now.Sub(p.heard) < p.patience()
+	return !p.leaving && !p.dead(now) && now.Sub(p.heard) < p.patience()
+}
+
+// dead tells whether nothing was heard of a member since its connection ended.
+func (p *peerState) dead(now time.Time) bool {
+	return !p.closed.IsZero() && now.Sub(p.closed) >= closedSilence
 }
 
 // patience is how long a member may be silent. Members that own nothing beat
@@ -158,15 +190,40 @@
 		c.replace(now)
 	}
 	if c.claim.Owner == c.self.Name {
+		c.owned = now
 		return c.self, true
 	}
 	return c.peers[c.claim.Owner].Member, false
 }
 
-// ownerSilent tells whether the owner, another process, has missed its heartbeats.
+// ownerSilent tells whether the owner, another process, has missed its
+// heartbeats. Those are due only from when the claim was taken up: a process
+// that owned nothing before has beaten less often, and to replace it for that
+// would let the ownership wander through the fleet for seconds.
 func (c *Core) ownerSilent(now time.Time) bool {
 	p := c.peers[c.claim.Owner]
-	return p != nil && now.Sub(p.heard) >= silence && now.Sub(c.started) >= silence
+	if p == nil {
+		return false
+	}
+	since := p.heard
+	if c.claimed.After(since) {
+		since = c.claimed
+	}
+	return now.Sub(since) >= silence
+}
+
+// Silent tells whether a member that owns or owned the queue has missed its
+// heartbeats, so that jobs given to it have to go elsewhere.
+func (c *Core) Silent(now time.Time, name, incarnation string) bool {
+	p := c.peers[name]
+	if p == nil || p.Incarnation != incarnation {
+		return true
+	}
+	since := p.heard
+	if c.claim.Owner == name && c.claimed.After(since) {
+		since = c.claimed
+	}
+	return now.Sub(since) >= silence
 }
 
 // replace chooses the owner by rank among the live members. All processes
@@ -187,7 +244,7 @@
 	if len(c.peers) > 0 {
 		term++
 	}
-	c.claim = Claim{Term: term, Owner: best.Name, Incarnation: best.Incarnation}
+	c.take(now, Claim{Term: term, Owner: best.Name, Incarnation: best.Incarnation})
 }
 
 // outranks orders members: the most processor time first, then by hash.
@@ -214,9 +271,10 @@
 	return b
 }
 
-// Due tells whether a member at addr gets the heartbeat of this round.
-func (c *Core) Due(addr string, round int) bool {
-	if c.claim.Owner == c.self.Name || round%idleBeats == 0 {
+// Due tells whether a member at addr gets the heartbeat of this round. One
+// that owned the queue a short time ago still has jobs, whose givers listen.
+func (c *Core) Due(now time.Time, addr string, round int) bool {
+	if now.Sub(c.owned) < ownedSpan && !c.owned.IsZero() || round%idleBeats == 0 {
 		return true
 	}
 	p := c.peers[c.claim.Owner]
@@ -254,7 +312,7 @@
 func (c *Core) Ahead(now time.Time, after uint64) string {
 	addr, most := "", after
 	for _, p := range c.peers {
-		if p.storeAt > most && !p.down && now.Sub(p.heard) < p.patience() {
+		if p.storeAt > most && !p.dead(now) && now.Sub(p.heard) < p.patience() {
 			addr, most = p.Addr, p.storeAt
 		}
 	}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 
+	"github.com/mangostage/mangostage/internal/dialer"
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/wire"
 )
@@ -22,6 +23,14 @@
 	dialTimeout = time.Second
 )
 
+// peerLimits end a connection that has gone silent in one direction while the
+// other side is still heard over its own: heartbeats go unacknowledged.
+var peerLimits = dialer.Limits{
+	Dial:           dialTimeout,
+	Unacknowledged: 1500 * time.Millisecond,
+	Probe:          2 * time.Second,
+}
+
 // Config is what a Service is made of.
 type Config struct {
 	Self  Member
@@ -41,8 +50,9 @@
 	core  *Core
 	conns map[string]*link
 	owner string
-	// changed is closed, and made anew, when the owner is another.
-	changed chan struct{}
+	// lost holds, for connections with jobs, what is closed when the other
+	// side is taken for lost.
+	lost map[*peer.Conn]chan struct{}
 }
 
 // link is the dialled connection to one address.
@@ -56,10 +66,11 @@
 // New returns a Service; Start lets it run.
 func New(cfg Config) *Service {
 	cfg.Self.Incarnation = uuid.NewString()
-	s := &Service{cfg: cfg, conns: make(map[string]*link), changed: make(chan struct{})}
-	s.core = NewCore(cfg.Self, cfg.Seeds, time.Now())
+	s := &Service{cfg: cfg, conns: make(map[string]*link), lost: make(map[*peer.Conn]chan struct{})}
+	s.core = NewCore(cfg.Self, cfg.Seeds)
 	peer.HandleNote(cfg.Mux, MethodBeat, s.heard)
 	s.node = peer.NewNode(peer.Config{
+		Dial:    peerLimits.DialContext,
 		Hello:   s.hello,
 		OnClose: s.closed,
 	}, cfg.Mux)
@@ -114,6 +125,9 @@
 	at := s.cfg.StoreAt()
 	s.mu.Lock()
 	s.ownerLocked(now)
+	for conn := range s.lost {
+		s.checkLostLocked(now, conn)
+	}
 	beat := s.core.Beat(now, at)
 	var due []*peer.Conn
 	for _, addr := range s.core.Addrs(now) {
@@ -122,7 +136,7 @@
 			s.dialLocked(addr, l, now)
 			continue
 		}
-		if round == 0 || s.core.Due(addr, round) {
+		if round == 0 || s.core.Due(now, addr, round) {
 			due = append(due, l.conn)
 		}
 	}
@@ -191,7 +205,7 @@
 			l.conn = nil
 		}
 	}
-	s.core.Down(p.Name, p.Incarnation)
+	s.core.Closed(time.Now(), p.Name, p.Incarnation)
 	s.ownerLocked(time.Now())
 	s.mu.Unlock()
 	s.cfg.Log.Info().Str("event", "peer_lost").Str("peer", p.Name).Msg("connection to a peer ended")
@@ -203,8 +217,6 @@
 	id := owner.Name + "/" + owner.Incarnation
 	if id != s.owner {
 		s.owner = id
-		close(s.changed)
-		s.changed = make(chan struct{})
 		s.cfg.Log.Info().Str("event", "owner_changed").Str("owner", owner.Name).Bool("self", self).
 			Uint64("term", s.core.Claim().Term).Msg("the queue has another owner")
 	}
@@ -223,11 +235,34 @@
 	return nil
 }
 
-// OwnerChanged is closed when the owner is another than now.
-func (s *Service) OwnerChanged() <-chan struct{} {
+// Lost returns a channel that is closed when the process at the other end of
+// the connection is taken for lost: it is silent, or the connection has ended.
+// An owner that is merely replaced is not lost and finishes its jobs.
+func (s *Service) Lost(conn *peer.Conn) <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.changed
+	lost := s.lost[conn]
+	if lost == nil {
+		lost = make(chan struct{})
+		s.lost[conn] = lost
+		s.checkLostLocked(time.Now(), conn)
+	}
+	return lost
+}
+
+// checkLostLocked closes what waits for the loss of a connection's other end.
+func (s *Service) checkLostLocked(now time.Time, conn *peer.Conn) {
+	ended := false
+	select {
+	case <-conn.Done():
+		ended = true
+	default:
+	}
+	p := conn.Peer().Process
+	if ended || s.core.Silent(now, p.Name, p.Incarnation) {
+		close(s.lost[conn])
+		delete(s.lost, conn)
+	}
 }
 
 // Ahead returns the connection to a member that knows more of the store than
--- a/peer/node.go
+++ b/peer/node.go
@@ -42,6 +42,8 @@
 type Config struct {
 	// TLS is the base of both server and client configuration; nil means plain TCP.
 	TLS *tls.Config
+	// Dial opens plain connections; nil means one without further time limits.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Hello returns what this process says of itself at the start of a connection.
 	Hello func() wire.Hello
 	// OnConnect and OnClose are called once for each authenticated connection.
@@ -198,6 +200,9 @@
 }
 
 func (n *Node) dialConn(ctx context.Context, addr string) (net.Conn, error) {
+	if n.cfg.Dial != nil {
+		return n.cfg.Dial(ctx, "tcp", addr)
+	}
 	dialer := &net.Dialer{Timeout: helloTimeout, KeepAlive: keepAlive}
 	if n.cfg.TLS == nil {
 		return dialer.DialContext(ctx, "tcp", addr)
--- a/scheduler/remote.go
+++ b/scheduler/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -37,13 +38,26 @@
 	peer.HandleNote(mux, MethodDone, func(_ *peer.Conn, n Note) { s.Done(n.Ticket, n.Served) })
 }
 
+// resubmitPause keeps a job that finds no owner from spinning.
+const resubmitPause = 20 * time.Millisecond
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // Owners tells who owns the queue.
 type Owners interface {
 	// OwnerConn returns the connection to the owner; nil if this process owns
 	// the queue or does not reach the owner.
 	OwnerConn() *peer.Conn
-	// OwnerChanged is closed when the owner is another than at the call.
-	OwnerChanged() <-chan struct{}
+	// Lost returns what is closed when the process at the other end is taken
+	// for lost.
+	Lost(conn *peer.Conn) <-chan struct{}
 }
 
 // Client gives jobs to the owner of the queue, wherever it is.
@@ -69,8 +83,7 @@
 }
 
 // Submit gives the job to the owner and waits for its verdict. If the owner is
-// lost or replaced, the job is given to the next one: pieces may be made
-// again. The time that has passed is taken off the job's limits.
+// lost, the job is given to the next one: pieces may be made again. The time that has passed is taken off the job's limits.
 func (c *Client) Submit(ctx context.Context, j dispatch.Job) (*Lease, error) {
 	began := time.Now()
 	objective, deadline := j.Objective, j.Deadline
@@ -80,36 +93,35 @@
 		j.Objective = objective - passed
 		j.Deadline = deadline - passed
 		if try > 0 {
-			j.Ticket = base + "+" + string(rune('a'+min(try, 25)))
+			j.Ticket = base + "+" + strconv.Itoa(try)
 		}
-		changed := c.owners.OwnerChanged()
 		conn := c.owners.OwnerConn()
-		v, err := c.submit(ctx, conn, changed, j)
+		v, err := c.submit(ctx, conn, j)
 		if err == nil {
 			return &Lease{Verdict: v, client: c, ticket: j.Ticket, conn: conn}, nil
 		}
 		if ctx.Err() != nil || conn == nil {
 			return nil, err
 		}
+		pause(ctx, resubmitPause)
 		c.log.Info().Str("event", "owner_lost").Str("request", j.Request).Str("ticket", j.Ticket).
 			Err(err).Msg("the job goes to another owner of the queue")
 	}
 }
 
 // submit sends the job to one owner.
-func (c *Client) submit(ctx context.Context, conn *peer.Conn, changed <-chan struct{}, j dispatch.Job) (Verdict, error) {
+func (c *Client) submit(ctx context.Context, conn *peer.Conn, j dispatch.Job) (Verdict, error) {
 	if conn == nil {
 		return c.local.Submit(ctx, j)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := make(chan struct{})
-	defer close(stop)
+	lost := c.owners.Lost(conn)
 	go func() {
 		select {
-		case <-changed:
+		case <-lost:
 			cancel()
-		case <-stop:
+		case <-ctx.Done():
 		}
 	}()
 	var v Verdict
