Decide before the first piece which jobs are taken

Change: a job that cannot start its stages in time, given the accepted backlog against the pool's places and memory, makes less urgent or smaller ones give way, or goes late, or is refused at once with the time after which the queue is worked off; clients that come back are told from new ones.

--- /dev/null
+++ b/dispatch/admit.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"time"
+)
+
+const (
+	// fillShare is the part of a pool's places that calls use in practice.
+	fillShare = 0.9
+	// lateShare is the part of its remaining deadline within which the backlog
+	// must be worked off for a job that misses its objective to be taken. A
+	// client that was refused before has only this try left.
+	lateShare      = 0.10
+	lateShareAgain = 0.35
+	// freeShare is the part of the objective up to which a refusal costs the
+	// client nothing: it can still come back in time.
+	freeShare = 0.125
+	// holdWeight is the share of the newest result in a pool's hold time.
+	holdWeight = 0.1
+	// sizeWeight is the share of the newest job in the mean size of its route.
+	sizeWeight = 0.05
+)
+
+// backlog is work that is accepted and not yet at an endpoint.
+type backlog struct {
+	pieces int
+	bytes  int64
+}
+
+func (b *backlog) add(s *stage) {
+	b.pieces += len(s.waiting)
+	b.bytes += int64(len(s.waiting)) * s.ResultBytes
+}
+
+// clear is the time that the pool needs for the backlog: by the places of its
+// calls, or by the memory that results take until they are read.
+func (p *pool) clear(b backlog) time.Duration {
+	workers := p.usable()
+	if workers == 0 {
+		return time.Hour
+	}
+	places := float64(workers*p.spec.Items) * fillShare
+	calls := time.Duration(float64(p.took) * float64(b.pieces) / places)
+	room := float64(p.spec.Room) * float64(workers)
+	if room <= 0 {
+		return calls
+	}
+	return max(calls, time.Duration(float64(p.hold)*float64(b.bytes)/room))
+}
+
+// ahead is the backlog of pool p that goes before a stage that must start by
+// the time: that of jobs in time, and also that of late ones if late is set.
+func (c *Core) ahead(p *pool, by time.Time, late bool) backlog {
+	var b backlog
+	for _, j := range c.jobs {
+		if j.engine != nil || j.late && !late {
+			continue
+		}
+		for _, s := range j.stages {
+			if s.Service == p.name && (late || !s.startBy.After(by)) {
+				b.add(s)
+			}
+		}
+	}
+	return b
+}
+
+// tight returns the first pool in which the job would start too late to meet
+// its objective, or nil.
+func (c *Core) tight(j *job, now time.Time) *pool {
+	for _, s := range j.stages {
+		if s.Pieces == 0 {
+			continue
+		}
+		p := c.pools[s.Service]
+		if now.Add(p.clear(c.ahead(p, s.startBy, false))).After(s.startBy) {
+			return p
+		}
+	}
+	return nil
+}
+
+// admit decides, before the first piece, whether the job is taken, so that no
+// work is done for requests that end in vain. Of jobs that cannot all meet
+// their objectives the less urgent, and of those the smaller, give way.
+func (c *Core) admit(j *job, now time.Time) bool {
+	for {
+		p := c.tight(j, now)
+		if p == nil {
+			return true
+		}
+		victim := c.victim(j, p)
+		if victim == nil {
+			break
+		}
+		c.giveWay(victim, now)
+	}
+	return c.takeLate(j, now)
+}
+
+// victim is the job that gives way to j in the pool: one without any piece
+// made that is worth less for its place. Nil if there is none.
+func (c *Core) victim(j *job, p *pool) *job {
+	var worst *job
+	for _, o := range c.jobs {
+		if o == j || o.late || o.started || o.engine != nil || !o.uses(p.name) || !j.outweighs(o) {
+			continue
+		}
+		if worst == nil || worst.outweighs(o) || !o.outweighs(worst) && o.Ticket < worst.Ticket {
+			worst = o
+		}
+	}
+	return worst
+}
+
+// uses tells whether the job has pieces for the service.
+func (j *job) uses(service string) bool {
+	for _, s := range j.stages {
+		if s.Service == service && s.Pieces > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// outweighs tells whether j goes before o where not both can be served: by
+// urgency, then by size against the usual size on the route.
+func (j *job) outweighs(o *job) bool {
+	if j.Priority != o.Priority {
+		return j.Priority < o.Priority
+	}
+	return j.weight > o.weight*weightMargin
+}
+
+// weightMargin keeps jobs of about the same size from displacing each other.
+const weightMargin = 1.5
+
+// giveWay puts a job behind those in time, or refuses it while that costs its
+// client nothing.
+func (c *Core) giveWay(j *job, now time.Time) {
+	j.late = true
+	if now.Sub(j.submitted) <= time.Duration(freeShare*float64(j.Objective)) && !c.takeLate(j, now) {
+		c.refuse(j, ReasonOverload, now)
+	}
+}
+
+// takeLate tells whether a job that misses its objective can still be served
+// well within its deadline.
+func (c *Core) takeLate(j *job, now time.Time) bool {
+	j.late = true
+	share := lateShare
+	if j.Again {
+		share = lateShareAgain
+	}
+	limit := time.Duration(share * float64(j.deadlineAt.Sub(now)))
+	for _, s := range j.stages {
+		if s.Pieces == 0 {
+			continue
+		}
+		p := c.pools[s.Service]
+		if p.clear(c.ahead(p, s.startBy, true)) > limit {
+			return false
+		}
+	}
+	return true
+}
+
+// weigh sets the job's size against the usual size on its route.
+func (c *Core) weigh(j *job) {
+	size := float64(promptTokens(j) + outputWeight*j.TokensOut)
+	mean := c.sizes[j.Route]
+	if mean == 0 {
+		mean = size
+	}
+	mean += sizeWeight * (size - mean)
+	c.sizes[j.Route] = mean
+	j.weight = 1
+	if mean > 0 {
+		j.weight = size / mean
+	}
+}
+
+// outputWeight is what an output token costs against one of the prompt.
+const outputWeight = 10
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -29,6 +29,8 @@
 	engines map[string]map[string]*engine
 	ordered map[string][]*engine
 	calls   map[uint64]*call
+	// sizes is the usual size of the jobs of each route, in weighted tokens.
+	sizes   map[string]float64
 	nextID  uint64
 	effects []Effect
 }
@@ -42,6 +44,7 @@
 		engines: make(map[string]map[string]*engine),
 		ordered: make(map[string][]*engine),
 		calls:   make(map[uint64]*call),
+		sizes:   make(map[string]float64),
 	}
 }
 
@@ -95,6 +98,11 @@
 	for _, s := range j.stages {
 		s.startBy = j.aimAt.Add(-c.remaining(j, s.index) - prefillGuess)
 	}
+	c.weigh(j)
+	if !c.admit(j, now) {
+		c.refuse(j, ReasonOverload, now)
+		return false
+	}
 	return true
 }
 
@@ -276,7 +284,7 @@
 			c.pieceFailed(w, placed, outcomes[i].Fault, now)
 			continue
 		}
-		c.pieceDone(w, placed, outcomes[i].Handle, now)
+		c.pieceDone(w, placed, outcomes[i].Handle, cl.sentAt, now)
 		if n := len(touched); n == 0 || touched[n-1] != s.job {
 			touched = append(touched, s.job)
 		}
@@ -285,19 +293,19 @@
 		if j.ended || j.engine != nil {
 			continue
 		}
-		c.freeConsumed(j)
+		c.freeConsumed(j, now)
 		c.advance(j, now)
 	}
 }
 
 // pieceDone keeps one result, or gives it up if its job has ended.
-func (c *Core) pieceDone(w *worker, p placed, handle string, now time.Time) {
+func (c *Core) pieceDone(w *worker, p placed, handle string, sentAt, now time.Time) {
 	s := p.stage
-	r := &result{handle: handle, bytes: s.ResultBytes}
+	r := &result{handle: handle, bytes: s.ResultBytes, since: sentAt}
 	w.used += r.bytes
 	w.keep(r, now)
 	if s.job.ended || s.results[p.index] != nil {
-		c.free([]*result{r})
+		c.free([]*result{r}, now)
 		return
 	}
 	s.results[p.index] = r
@@ -388,22 +396,26 @@
 
 // freeConsumed gives up the results of stages that have been read by all
 // stages that read them. The next calls need the room.
-func (c *Core) freeConsumed(j *job) {
+func (c *Core) freeConsumed(j *job, now time.Time) {
 	for _, s := range j.stages {
 		if s.freed || s.Pieces == 0 || !s.done() || !j.consumed(s.index) {
 			continue
 		}
 		s.freed = true
-		c.free(s.results)
+		c.free(s.results, now)
 	}
 }
 
 // free gives up results that are still booked, with one effect a worker.
-func (c *Core) free(results []*result) {
+func (c *Core) free(results []*result, now time.Time) {
 	handles := make(map[*worker][]string)
 	var order []*worker
 	for _, r := range results {
-		if r == nil || !r.worker.release(r) || r.worker.gone {
+		if r == nil || !r.worker.release(r) {
+			continue
+		}
+		c.held(r, now)
+		if r.worker.gone {
 			continue
 		}
 		if handles[r.worker] == nil {
@@ -424,7 +436,7 @@
 		return
 	}
 	j.engine.firstEvent(ticket)
-	c.freeAll(j)
+	c.freeAll(j, now)
 	c.dispatch(now)
 }
 
@@ -437,14 +449,14 @@
 	if j.engine != nil {
 		j.engine.learn(served, now)
 	}
-	c.end(j)
+	c.end(j, now)
 	c.dispatch(now)
 }
 
 // Cancel ends a job whose client has left, or whose entry has.
 func (c *Core) Cancel(now time.Time, ticket string) {
 	if j := c.jobs[ticket]; j != nil {
-		c.end(j)
+		c.end(j, now)
 		c.dispatch(now)
 	}
 }
@@ -455,8 +467,7 @@
 		return
 	}
 	c.emit(Refuse{Ticket: j.Ticket, Reason: reason, RetryAfter: c.retryAfter(j)})
-	c.end(j)
-	_ = now
+	c.end(j, now)
 }
 
 // retryAfter is about when the queues of the job's stages will have been worked off.
@@ -474,7 +485,7 @@
 }
 
 // end forgets a job and gives up all that it holds.
-func (c *Core) end(j *job) {
+func (c *Core) end(j *job, now time.Time) {
 	if j.ended {
 		return
 	}
@@ -488,12 +499,19 @@
 	if j.engine != nil {
 		j.engine.end(j.Ticket)
 	}
-	c.freeAll(j)
+	c.freeAll(j, now)
+}
+
+// held learns how long results take up memory.
+func (c *Core) held(r *result, now time.Time) {
+	if p := c.pools[r.worker.endpoint.Service]; p != nil {
+		p.hold += time.Duration(holdWeight * float64(now.Sub(r.since)-p.hold))
+	}
 }
 
-func (c *Core) freeAll(j *job) {
+func (c *Core) freeAll(j *job, now time.Time) {
 	for _, s := range j.stages {
 		s.freed = true
-		c.free(s.results)
+		c.free(s.results, now)
 	}
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -31,6 +31,8 @@
 	// Objective and Deadline are what is left of them.
 	Objective time.Duration `json:"objective"`
 	Deadline  time.Duration `json:"deadline"`
+	// Again is set for a client that has been refused before.
+	Again bool `json:"again,omitempty"`
 	// Avoid lists model engines that have failed the request before.
 	Avoid []string `json:"avoid,omitempty"`
 }
@@ -53,7 +55,13 @@
 	stages     []*stage
 	// home is the failure domain of the model engine that was thought of at
 	// the start; large results are made there.
-	home string
+	home      string
+	submitted time.Time
+	// late is set when the job will miss its objective; it then goes behind
+	// those that can meet theirs.
+	late bool
+	// weight is the job's size against the usual size on its route.
+	weight float64
 	// started is set when the first piece is sent.
 	started bool
 	// engine is set when the job is granted.
@@ -93,6 +101,8 @@
 	worker *worker
 	handle string
 	bytes  int64
+	// since is when the memory was reserved.
+	since time.Time
 	// until is when the endpoint drops the result by itself.
 	until time.Time
 }
@@ -101,6 +111,7 @@
 func newJob(j Job, now time.Time) *job {
 	state := &job{
 		Job:        j,
+		submitted:  now,
 		aimAt:      now.Add(j.Objective),
 		deadlineAt: now.Add(j.Deadline),
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -34,10 +34,13 @@
 	waiting int
 	// took is a moving average of the time that calls take.
 	took time.Duration
+	// hold is a moving average of the time from the call that makes a result
+	// until its memory is free again.
+	hold time.Duration
 }
 
 func newPool(name string, spec *catalog.Batch) *pool {
-	return &pool{name: name, spec: spec, took: fullCall(spec)}
+	return &pool{name: name, spec: spec, took: fullCall(spec), hold: 2 * fullCall(spec)}
 }
 
 // fullCall is the nominal time of a call with all its places taken.
@@ -109,8 +112,8 @@
 // half-made jobs hold room at endpoints, and to put them off stalls everything.
 func (p *pool) batch(w *worker, now time.Time) []placed {
 	pick := picker{pool: p, worker: w, now: now, room: w.room(), places: p.spec.Items}
-	pick.pass(func(s *stage) bool { return s.job.started || !s.startBy.Before(now) })
-	pick.pass(func(s *stage) bool { return !s.job.started && s.startBy.Before(now) })
+	pick.pass(func(s *stage) bool { return s.job.started || !s.job.late && !s.startBy.Before(now) })
+	pick.pass(func(s *stage) bool { return !s.job.started && (s.job.late || s.startBy.Before(now)) })
 	pick.sweep()
 	return pick.taken
 }
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -41,6 +41,10 @@
 // would serve nobody: its client could come back meanwhile.
 func (c *Core) giveUp(j *job, now time.Time) {
 	if j.engine != nil {
+		if now.After(j.deadlineAt.Add(runMargin)) {
+			// Its entry is gone and will not tell.
+			c.end(j, now)
+		}
 		return
 	}
 	limit := j.deadlineAt.Add(-time.Duration((1 - deadlineShare) * float64(j.Deadline)))
@@ -48,7 +52,7 @@
 		c.refuse(j, ReasonDeadline, now)
 		return
 	}
-	if j.started {
+	if j.started || j.late {
 		return
 	}
 	for _, s := range j.stages {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,7 @@
 	cfg     Config
 	balance *balance.Balancer
 	repeats *retry.Window
+	ages    *ages
 	leaving atomic.Bool
 }
 
@@ -52,6 +53,7 @@
 	return &Gateway{
 		cfg:     cfg,
 		balance: balance.New(cfg.Domain),
+		ages:    newAges(),
 		repeats: retry.NewWindow(cfg.Bounds.RetryWindow, cfg.Bounds.RetryRatio*ratioShare),
 	}
 }
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -82,8 +82,9 @@
 		TokensIn:  m.TokensIn,
 		TokensOut: m.TokensOut,
 		Priority:  m.priority(),
-		Objective: m.route.Objective - time.Since(m.arrived),
+		Objective: m.route.Objective - m.age - time.Since(m.arrived),
 		Deadline:  m.left(),
+		Again:     m.age > 0,
 	}
 	for i, s := range m.route.Stages {
 		work := dispatch.StageWork{Service: s.Service, After: s.After, ResultBytes: s.ResultBytes}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -33,6 +33,9 @@
 	arrived     time.Time
 	// deadline is when the client or the route's timeout gives up.
 	deadline time.Time
+	// age is how long ago the client sent the request for the first time, as
+	// far as can be told.
+	age time.Duration
 	// version is the configuration that decided.
 	version uint64
 	ctx     context.Context
@@ -64,6 +67,7 @@
 	req.serviceName = pickShare(req.route, req.ID)
 	req.service = index.Service(req.serviceName)
 	req.deadline = now.Add(timeLeft(req))
+	req.age = g.ages.of(req.route.Name, req.Deadline)
 	req.ctx, req.cancel = context.WithDeadline(r.Context(), req.deadline)
 	return req, nil
 }
