--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -17,6 +17,8 @@
 	freeShare = 0.125
 	// holdWeight is the share of the newest result in a pool's hold time.
 	holdWeight = 0.1
+	// biasWeight is the share of the newest stage in a pool's forecast error.
+	biasWeight = 0.08
 	// sizeWeight is the share of the newest job in the mean size of its route.
 	sizeWeight = 0.05
 )
@@ -73,13 +75,37 @@
 			continue
 		}
 		p := c.pools[s.Service]
-		if now.Add(p.clear(c.ahead(p, s.startBy, false))).After(s.startBy) {
+		s.forecast = now.Add(p.clear(c.ahead(p, s.startBy, false)))
+		for _, a := range s.After {
+			if before := j.stages[a]; before.Pieces > 0 {
+				s.forecast = later(s.forecast, before.forecast.Add(c.pools[before.Service].took))
+			}
+		}
+		if s.forecast.Add(p.bias).After(s.startBy) {
 			return p
 		}
 	}
 	return nil
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// began learns how far the forecast of a stage's start was off: what it does
+// not see are calls under way, pieces that fit no idle endpoint, and the jobs
+// that went before although they came later.
+func (p *pool) began(s *stage, now time.Time) {
+	if s.forecast.IsZero() || s.job.late {
+		return
+	}
+	off := now.Sub(s.forecast)
+	p.bias = max(0, p.bias+time.Duration(biasWeight*float64(off-p.bias)))
+}
+
 // admit decides, before the first piece, whether the job is taken, so that no
 // work is done for requests that end in vain. Of jobs that cannot all meet
 // their objectives the less urgent, and of those the smaller, give way.
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// prefillGuess is the time kept for the model engine's first token when
-	// the start of stages is planned.
-	prefillGuess = 150 * time.Millisecond
+	// firstGuess is the time kept for the model engine's first event on a route
+	// from which none was heard yet; firstWeight the share of the newest one.
+	firstGuess  = 150 * time.Millisecond
+	firstWeight = 0.05
 	// lateWait is how long a job that has missed its objective may wait for
 	// its first piece; then it is refused, while its client can still come back.
 	lateWait = 250 * time.Millisecond
@@ -33,7 +34,9 @@
 	ordered map[string][]*engine
 	calls   map[uint64]*call
 	// sizes is the usual size of the jobs of each route, in weighted tokens.
-	sizes   map[string]float64
+	sizes map[string]float64
+	// firsts is the usual time of each route from the grant to the first event.
+	firsts  map[string]time.Duration
 	nextID  uint64
 	effects []Effect
 }
@@ -48,6 +51,7 @@
 		ordered: make(map[string][]*engine),
 		calls:   make(map[uint64]*call),
 		sizes:   make(map[string]float64),
+		firsts:  make(map[string]time.Duration),
 	}
 }
 
@@ -99,7 +103,7 @@
 		}
 	}
 	for _, s := range j.stages {
-		s.startBy = j.aimAt.Add(-c.remaining(j, s.index) - prefillGuess)
+		s.startBy = j.aimAt.Add(-c.remaining(j, s.index) - c.first(j.Route))
 	}
 	c.weigh(j)
 	if !c.admit(j, now) {
@@ -210,7 +214,7 @@
 func (c *Core) start(p *pool, w *worker, pieces []placed, now time.Time) {
 	c.nextID++
 	cl := &call{id: c.nextID, worker: w, pieces: pieces, sentAt: now, expects: w.expect(len(pieces))}
-	effect := StartCall{Call: cl.id, Endpoint: w.endpoint.ID, Addr: w.endpoint.Addr}
+	effect := StartCall{Call: cl.id, Service: p.name, Waiting: p.waiting, Endpoint: w.endpoint.ID, Addr: w.endpoint.Addr}
 	for _, placed := range pieces {
 		s := placed.stage
 		s.job.started = true
@@ -233,7 +237,6 @@
 	slow := max(1, min(w.speed, timeoutFactor))
 	effect.Timeout = time.Duration(float64(cl.expects)*timeoutFactor*slow) + timeoutSlack
 	c.emit(effect)
-	_ = p
 }
 
 // CallEnded takes the answer to a StartCall; outcomes are in the order of its
@@ -393,8 +396,25 @@
 		return
 	}
 	j.engine = e
+	j.granted = now
 	e.begin(j, now)
-	c.emit(Grant{Ticket: j.Ticket, Endpoint: e.endpoint.ID, Addr: e.endpoint.Addr, Inputs: j.finalInputs()})
+	c.emit(Grant{
+		Ticket:   j.Ticket,
+		Endpoint: e.endpoint.ID,
+		Addr:     e.endpoint.Addr,
+		Inputs:   j.finalInputs(),
+		Waited:   now.Sub(j.submitted),
+		Slack:    j.aimAt.Sub(now) - c.first(j.Route),
+		Late:     j.late,
+	})
+}
+
+// first is the usual time from the grant to the first event.
+func (c *Core) first(route string) time.Duration {
+	if d, ok := c.firsts[route]; ok {
+		return d
+	}
+	return firstGuess
 }
 
 // freeConsumed gives up the results of stages that have been read by all
@@ -439,6 +459,8 @@
 		return
 	}
 	j.engine.firstEvent(ticket)
+	usual := c.first(j.Route)
+	c.firsts[j.Route] = usual + time.Duration(firstWeight*float64(now.Sub(j.granted)-usual))
 	c.freeAll(j, now)
 	c.dispatch(now)
 }
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -9,11 +9,14 @@
 // answers with CallEnded.
 type StartCall struct {
 	Call     uint64
+	Service  string
 	Endpoint string
 	Addr     string
 	Pieces   []Piece
 	// Timeout is when the endpoint is taken for silent.
 	Timeout time.Duration
+	// Waiting is the number of pieces left in the service's queue.
+	Waiting int
 }
 
 // Piece is one piece of a call.
@@ -32,6 +35,12 @@
 	Endpoint string   `json:"endpoint"`
 	Addr     string   `json:"addr"`
 	Inputs   []string `json:"inputs,omitempty"`
+	// Waited is the time since the job came, Slack what is left until its
+	// objective beyond the usual time to a first event. Late jobs were
+	// forecast to miss it.
+	Waited time.Duration `json:"waited"`
+	Slack  time.Duration `json:"slack"`
+	Late   bool          `json:"late,omitempty"`
 }
 
 // Refuse ends a job that was not granted.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -64,6 +64,8 @@
 	weight float64
 	// started is set when the first piece is sent.
 	started bool
+	// granted is when the engine was chosen.
+	granted time.Time
 	// engine is set when the job is granted.
 	engine *engine
 	ended  bool
@@ -86,7 +88,9 @@
 	since time.Time
 	// startBy is when the pieces must start for the job to meet its objective.
 	startBy time.Time
-	queued  bool
+	// forecast is when its last pieces were expected to start at admission.
+	forecast time.Time
+	queued   bool
 	// avoid is an endpoint that has just failed pieces of this stage.
 	avoid string
 	tries int
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -37,6 +37,8 @@
 	// hold is a moving average of the time from the call that makes a result
 	// until its memory is free again.
 	hold time.Duration
+	// bias is a moving average of how much later than forecast stages start.
+	bias time.Duration
 }
 
 func newPool(name string, spec *catalog.Batch) *pool {
@@ -167,6 +169,9 @@
 	k.pool.waiting -= n
 	k.places -= n
 	k.room -= int64(n) * s.ResultBytes
+	if len(s.waiting) == 0 {
+		k.pool.began(s, k.now)
+	}
 }
 
 // sweep drops stages from the queue that have no waiting pieces left.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -70,6 +70,9 @@
 	case lease.Refuse != nil:
 		return nil, ended(m.request, string(lease.Refuse.Reason), lease.Refuse.RetryAfter)
 	}
+	g.cfg.Log.Info().Str("event", "granted").Str("request", m.ID).Str("route", m.route.Name).
+		Str("endpoint", lease.Grant.Endpoint).Dur("waited_ms", lease.Grant.Waited).
+		Dur("slack_ms", lease.Grant.Slack).Bool("late", lease.Grant.Late).Msg("stages done, engine chosen")
 	return lease, nil
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -215,8 +215,8 @@
 	if err != nil {
 		line = s.log.Warn().Err(err)
 	}
-	line.Str("event", "stage_call").Uint64("call", e.Call).Str("endpoint", e.Endpoint).
-		Int("pieces", len(pieces)).Int("failed", failed).Str("fault", string(fault)).
+	line.Str("event", "stage_call").Uint64("call", e.Call).Str("service", e.Service).Str("endpoint", e.Endpoint).
+		Int("waiting", e.Waiting).Int("pieces", len(pieces)).Int("failed", failed).Str("fault", string(fault)).
 		Dur("took_ms", time.Since(sent)).Msg("call for a stage ended")
 	s.event(func(now time.Time, c *dispatch.Core) { c.CallEnded(now, e.Call, fault, outcomes) })
 }
