--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -19,6 +19,9 @@
 	timeoutFactor = 2.2
 	// timeoutSlack is added for connections and the fetch of inputs.
 	timeoutSlack = 150 * time.Millisecond
+	// startTolerance is how much later than planned a stage may start for its
+	// job to count as one that can still meet its objective.
+	startTolerance = 50 * time.Millisecond
 	// maxTries bounds how often pieces of one stage of a job may fail.
 	maxTries = 4
 )
@@ -114,8 +117,10 @@
 // half-made jobs hold room at endpoints, and to put them off stalls everything.
 func (p *pool) batch(w *worker, now time.Time) []placed {
 	pick := picker{pool: p, worker: w, now: now, room: w.room(), places: p.spec.Items}
-	pick.pass(func(s *stage) bool { return s.job.started || !s.job.late && !s.startBy.Before(now) })
-	pick.pass(func(s *stage) bool { return !s.job.started && (s.job.late || s.startBy.Before(now)) })
+	hopeful := func(s *stage) bool { return !s.job.late && !s.startBy.Add(startTolerance).Before(now) }
+	pick.pass(hopeful)
+	pick.pass(func(s *stage) bool { return !hopeful(s) && s.job.started })
+	pick.pass(func(s *stage) bool { return !hopeful(s) && !s.job.started })
 	pick.sweep()
 	return pick.taken
 }
