--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 )
 
@@ -19,6 +20,8 @@
 	holdWeight = 0.1
 	// biasWeight is the share of the newest stage in a pool's forecast error.
 	biasWeight = 0.08
+	// biasHalfLife is the time in which the error halves without new evidence.
+	biasHalfLife = time.Second
 	// sizeWeight is the share of the newest job in the mean size of its route.
 	sizeWeight = 0.05
 )
@@ -81,7 +84,7 @@
 				s.forecast = later(s.forecast, before.forecast.Add(c.pools[before.Service].took))
 			}
 		}
-		if s.forecast.Add(p.bias).After(s.startBy) {
+		if s.forecast.Add(p.biasAt(now)).After(s.startBy) {
 			return p
 		}
 	}
@@ -102,8 +105,17 @@
 	if s.forecast.IsZero() || s.job.late {
 		return
 	}
+	bias := p.biasAt(now)
 	off := now.Sub(s.forecast)
-	p.bias = max(0, p.bias+time.Duration(biasWeight*float64(off-p.bias)))
+	p.bias = max(0, bias+time.Duration(biasWeight*float64(off-bias)))
+	p.biasFrom = now
+}
+
+// biasAt is the forecast error at now. It fades without new evidence: a large
+// one keeps all jobs out that could show that it no longer holds.
+func (p *pool) biasAt(now time.Time) time.Duration {
+	age := now.Sub(p.biasFrom).Seconds() / biasHalfLife.Seconds()
+	return time.Duration(float64(p.bias) * math.Exp2(-age))
 }
 
 // admit decides, before the first piece, whether the job is taken, so that no
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -42,6 +42,8 @@
 	hold time.Duration
 	// bias is a moving average of how much later than forecast stages start.
 	bias time.Duration
+	// biasFrom is when bias was last learned.
+	biasFrom time.Time
 }
 
 func newPool(name string, spec *catalog.Batch) *pool {
@@ -117,8 +119,9 @@
 // half-made jobs hold room at endpoints, and to put them off stalls everything.
 func (p *pool) batch(w *worker, now time.Time) []placed {
 	pick := picker{pool: p, worker: w, now: now, room: w.room(), places: p.spec.Items}
-	hopeful := func(s *stage) bool { return !s.job.late && !s.startBy.Add(startTolerance).Before(now) }
-	pick.pass(hopeful)
+	hopeful := func(s *stage) bool { return !s.startBy.Add(startTolerance).Before(now) }
+	pick.pass(func(s *stage) bool { return hopeful(s) && !s.job.late })
+	pick.pass(func(s *stage) bool { return hopeful(s) && s.job.late })
 	pick.pass(func(s *stage) bool { return !hopeful(s) && s.job.started })
 	pick.pass(func(s *stage) bool { return !hopeful(s) && !s.job.started })
 	pick.sweep()
