--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -126,12 +126,11 @@
 	return err
 }
 
-// list reads everything. The changes since its first page follow by watch.
+// list reads everything. The changes since its first page follow by watch, so
+// that page is read before anything else: a configuration that was read before
+// it and changed in between would be missed for good, since the watch begins
+// behind the change.
 func (f *Follower) list(ctx context.Context) error {
-	config, err := f.readConfig(ctx)
-	if err != nil {
-		return err
-	}
 	var items []platform.Item
 	var at uint64
 	after := ""
@@ -149,6 +148,10 @@
 		}
 		after = page.Items[len(page.Items)-1].Key
 	}
+	config, err := f.readConfig(ctx)
+	if err != nil {
+		return err
+	}
 	f.update(func(now time.Time, s *State) error {
 		if config != nil {
 			items = append(items, *config)
