--- /dev/null
+++ b/gateway/harness_test.go
@@ -0,0 +1,196 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/gateway"
+	"github.com/mangostage/mangostage/peer"
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/platform/standin"
+	"github.com/mangostage/mangostage/scheduler"
+)
+
+// patience bounds each wait of these tests.
+const patience = 10 * time.Second
+
+// alone is a fleet of one process.
+type alone struct{ settled chan struct{} }
+
+func (a alone) OwnerConn() *peer.Conn           { return nil }
+func (a alone) Lost(*peer.Conn) <-chan struct{} { return nil }
+func (a alone) Settled() <-chan struct{}        { return a.settled }
+func newAlone() alone                           { a := alone{make(chan struct{})}; close(a.settled); return a }
+func addrOf(s *httptest.Server) string          { return strings.TrimPrefix(s.URL, "http://") }
+func serve(t *testing.T, h http.Handler) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return addrOf(s)
+}
+
+// rig is a gateway with its endpoints.
+type rig struct {
+	t         *testing.T
+	gateway   *gateway.Gateway
+	scheduler *scheduler.Scheduler
+	url       string
+	config    catalog.Config
+
+	mu        sync.Mutex
+	view      *catalog.View
+	endpoints []*catalog.Endpoint
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{t: t, view: catalog.NewView(nil, nil, 0)}
+	r.config = catalog.Config{
+		Version: 1,
+		Routes: []catalog.Route{
+			route("once", catalog.RouteOnce, "plain"),
+			route("idem", catalog.RouteIdempotent, "plain"),
+			route("stream", catalog.RouteStream, "model"),
+			route("resume", catalog.RouteStream, "model"),
+			route("staged", catalog.RouteStream, "model"),
+		},
+		Services: []catalog.Service{
+			{Name: "plain"},
+			{Name: "model", Model: &catalog.Model{Slots: 8, CacheTokens: 100_000}},
+			{Name: "stage", Batch: &catalog.Batch{
+				Slots: 1, Items: 8, CallTime: time.Second, ItemTime: time.Millisecond,
+				Room: 1 << 20, ResultTTL: time.Minute,
+			}},
+		},
+		Accounts: []catalog.Account{{Name: "acme", Keys: []string{"k1"}}},
+		Limits:   catalog.Limits{BodyBytes: 1 << 10},
+	}
+	r.config.Routes[3].Resumable = true
+	r.config.Routes[4].Stages = []catalog.Stage{{Service: "stage", ResultBytes: 100}}
+	transport := gateway.NewTransport()
+	t.Cleanup(transport.CloseIdleConnections)
+	r.scheduler = scheduler.New(platform.NewStages(&http.Client{Transport: transport}), zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { r.scheduler.Run(ctx) })
+	r.gateway = gateway.New(gateway.Config{
+		Domain: "north",
+		Bounds: platform.Bounds{RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 20},
+		View: func() *catalog.View {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return r.view
+		},
+		FleetSize: func() int { return 1 },
+		Scheduler: scheduler.NewClient(r.scheduler, newAlone(), zerolog.Nop()),
+		Transport: transport,
+		Log:       zerolog.Nop(),
+		Metrics:   gateway.NewMetrics(),
+	})
+	server := httptest.NewServer(r.gateway)
+	r.url = server.URL
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		cancel()
+		running.Wait()
+	})
+	return r
+}
+
+func route(name string, kind catalog.RouteKind, service string) catalog.Route {
+	return catalog.Route{
+		Name: name, Host: "a.example", Prefix: "/" + name + "/", Kind: kind, MaxAttempts: 2,
+		Timeout: 5 * time.Second, Objective: 3 * time.Second,
+		Split: []catalog.Share{{Service: service, Weight: 1}},
+	}
+}
+
+// add lists an endpoint of a service.
+func (r *rig) add(service, id, addr string) {
+	r.mu.Lock()
+	r.endpoints = append(r.endpoints, &catalog.Endpoint{ID: id, Service: service, Addr: addr, Domain: "north", Slots: 4})
+	r.view = catalog.NewView(catalog.NewIndex(&r.config), r.endpoints, uint64(len(r.endpoints)))
+	view := r.view
+	r.mu.Unlock()
+	r.scheduler.SetView(view)
+	r.gateway.SetView(view)
+}
+
+// endpoint starts and lists a stand-in.
+func (r *rig) endpoint(service, id string, answer func(http.ResponseWriter, standin.Run)) *standin.Endpoint {
+	e := &standin.Endpoint{ID: id, Answer: answer}
+	r.add(service, id, serve(r.t, e))
+	return e
+}
+
+var requests struct {
+	sync.Mutex
+	n int
+}
+
+// request is a client's request to a route with a fresh ID and a known key.
+func (r *rig) request(method, path, body string) *http.Request {
+	r.t.Helper()
+	requests.Lock()
+	requests.n++
+	id := fmt.Sprintf("req-%d", requests.n)
+	requests.Unlock()
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	req, err := http.NewRequest(method, r.url+path, reader)
+	assert.NilError(r.t, err)
+	req.Host = "a.example"
+	req.Header.Set("Mangostage-Attempt-Id", id)
+	req.Header.Set("Mangostage-Deadline-Ms", "4000")
+	req.Header.Set("Authorization", "Token k1")
+	return req
+}
+
+// answered is what a client got; err is set if the answer is not whole.
+type answered struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (r *rig) do(req *http.Request) answered {
+	r.t.Helper()
+	client := &http.Client{Timeout: patience}
+	defer client.CloseIdleConnections()
+	resp, err := client.Do(req)
+	if err != nil {
+		return answered{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answered{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// waitFor polls until ok holds, within patience.
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition did not come to hold")
+		}
+		<-ticker.C
+	}
+}
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -124,6 +124,8 @@
 			served = true
 			return false, nil
 		case streamInputsGone:
+			// The engine is not at fault and may serve the next try.
+			delete(m.tries.avoid, e.ID)
 			if g.again(m.request, &m.tries, resultNotRun) {
 				return true, nil
 			}
--- /dev/null
+++ b/gateway/model_test.go
@@ -0,0 +1,159 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/platform/standin"
+)
+
+// pieces is what a client gets of a stream of n events.
+func pieces(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestStreamIsRelayed(t *testing.T) {
+	r := newRig(t)
+	r.endpoint("model", "m-1", func(w http.ResponseWriter, _ standin.Run) {
+		standin.Seal(w)
+		standin.Events(w, 1, 5)
+	})
+	got := r.do(r.request(http.MethodPost, "/stream/", "prompt"))
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, pieces(5))
+	assert.Equal(t, got.header.Get("Mangostage-Server-Seal"), "seal")
+}
+
+// An engine crashes in the middle of an event of a fitting note that may go on
+// elsewhere: the client must get each event once and whole.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	r := newRig(t)
+	var once sync.Once
+	answer := func(w http.ResponseWriter, run standin.Run) {
+		standin.Seal(w)
+		crash := false
+		once.Do(func() { crash = true })
+		if crash {
+			standin.Events(w, 1, 3)
+			_, _ = fmt.Fprint(w, "id: 4\ndata: pie")
+			_ = http.NewResponseController(w).Flush()
+			standin.Break()
+		}
+		last, err := strconv.Atoi(run.Header.Get("Last-Event-Id"))
+		if err != nil {
+			return
+		}
+		standin.Events(w, last+1, 6)
+	}
+	r.endpoint("model", "m-1", answer)
+	r.endpoint("model", "m-2", answer)
+	got := r.do(r.request(http.MethodPost, "/resume/", "prompt"))
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, pieces(6))
+}
+
+// The same on a route whose streams may not go on: the answer must not look
+// complete, and no other engine may run it.
+func TestStreamBreaksOff(t *testing.T) {
+	r := newRig(t)
+	answer := func(w http.ResponseWriter, _ standin.Run) {
+		standin.Seal(w)
+		standin.Events(w, 1, 3)
+		standin.Break()
+	}
+	one, two := r.endpoint("model", "m-1", answer), r.endpoint("model", "m-2", answer)
+	got := r.do(r.request(http.MethodPost, "/stream/", "prompt"))
+	assert.Assert(t, got.err != nil, "body %q looks whole", got.body)
+	assert.Equal(t, len(one.Runs())+len(two.Runs()), 1)
+}
+
+// A request with a stage: its pieces are made, the engine gets their results,
+// and they are given up once the engine has begun.
+func TestStagesRunFirst(t *testing.T) {
+	r := newRig(t)
+	stage := &standin.StageEndpoint{ID: "s-1", Addr: "s"}
+	r.add("stage", "s-1", serve(t, stage))
+	e := &standin.Endpoint{ID: "m-1", NeedsInputs: true, Answer: func(w http.ResponseWriter, _ standin.Run) {
+		standin.Seal(w)
+		standin.Events(w, 1, 2)
+	}}
+	r.add("model", "m-1", serve(t, e))
+	req := r.request(http.MethodPost, "/staged/", "prompt")
+	req.Header.Set("Mangostage-Segments", "3")
+	req.Header.Set("Mangostage-Segment-Key", "key")
+	got := r.do(req)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, pieces(2))
+	assert.Equal(t, len(stage.Made()), 3)
+	for i, p := range stage.Made() {
+		assert.Equal(t, p.ID, req.Header.Get("Mangostage-Attempt-Id"))
+		assert.Equal(t, p.Key, "key")
+		assert.Equal(t, p.Segment, i)
+	}
+	assert.Equal(t, len(strings.Split(e.Runs()[0].Header.Get("Mangostage-Inputs"), ",")), 3)
+	waitFor(t, func() bool { return stage.Kept() == 0 })
+}
+
+// The results are gone when the engine fetches them (it says so, and that it
+// has not run the request): the stages run once more.
+func TestInputsGone(t *testing.T) {
+	r := newRig(t)
+	stage := &standin.StageEndpoint{ID: "s-1", Addr: "s"}
+	r.add("stage", "s-1", serve(t, stage))
+	var mu sync.Mutex
+	tries := 0
+	r.add("model", "m-1", serve(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set("Mangostage-Attempt-Id", req.Header.Get("Mangostage-Attempt-Id"))
+		mu.Lock()
+		tries++
+		first := tries == 1
+		mu.Unlock()
+		if first {
+			w.Header().Set("Mangostage-Not-Executed", "1")
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
+		standin.Seal(w)
+		standin.Events(w, 1, 2)
+	})))
+	req := r.request(http.MethodPost, "/staged/", "prompt")
+	req.Header.Set("Mangostage-Segments", "1")
+	got := r.do(req)
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, pieces(2))
+	assert.Equal(t, len(stage.Made()), 2)
+}
+
+// The process stops while a request waits for its stages: it is refused with
+// when to come back, so that what runs can end within the grace.
+func TestStopRefusesWhatWaits(t *testing.T) {
+	r := newRig(t)
+	called := make(chan struct{})
+	r.add("stage", "s-1", serve(t, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		// The server notices that a caller has left only once the body is read.
+		_, _ = io.Copy(io.Discard, req.Body)
+		close(called)
+		<-req.Context().Done()
+	})))
+	r.endpoint("model", "m-1", nil)
+	go func() {
+		<-called
+		r.gateway.Stop()
+	}()
+	req := r.request(http.MethodPost, "/staged/", "prompt")
+	req.Header.Set("Mangostage-Segments", "1")
+	got := r.do(req)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+}
