Two or three members read the store for the fleet

Change: the first members by hash read the store; the others wait for changes at one of them and ask the store themselves when none answers or reaches it.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -21,6 +21,9 @@
 	// that the history is gone. Measured: 1 s for 2 s costs 0.002 of the worth
 	// of a calm day, a wait of 10 s missed a configuration for 5 s.
 	watchShare = 0.5
+	// followShare divides the wait for a call to a peer, so that a silent peer
+	// leaves time to ask the store within the bound.
+	followShare = 2
 	// watchSlack is how long an answer may take beyond its wait. Store answers
 	// take milliseconds; a slow store takes some hundred.
 	watchSlack = 1500 * time.Millisecond
@@ -38,6 +41,9 @@
 	// Newer returns items that changed after the revision and the peer's own
 	// revision; at is 0 if no peer knows more.
 	Newer(ctx context.Context, after uint64) (items []platform.Item, at uint64)
+	// Follow waits for changes at a peer that reads the store for the fleet;
+	// ok is false if this process has to read the store itself.
+	Follow(ctx context.Context, after uint64, wait time.Duration) (items []platform.Item, at uint64, ok bool)
 }
 
 // Follower keeps a State up to date from the store.
@@ -51,6 +57,8 @@
 	mu    sync.Mutex
 	state *State
 	view  atomic.Pointer[catalog.View]
+	// changed is closed, and made anew, when the state has advanced.
+	changed chan struct{}
 	// healthy is true while the store answers.
 	healthy  atomic.Bool
 	onChange func(*catalog.View)
@@ -59,7 +67,7 @@
 // NewFollower returns a follower. A configuration must be in force within
 // apply; onChange is called with each new view.
 func NewFollower(store *platform.Store, relay Relay, apply time.Duration, log zerolog.Logger, onChange func(*catalog.View)) *Follower {
-	f := &Follower{store: store, relay: relay, log: log, state: NewState(), onChange: onChange}
+	f := &Follower{store: store, relay: relay, log: log, state: NewState(), changed: make(chan struct{}), onChange: onChange}
 	f.wait = min(platform.MaxWatch, time.Duration(float64(apply)*watchShare))
 	f.view.Store(catalog.NewView(nil, nil, 0))
 	return f
@@ -108,8 +116,14 @@
 	}
 }
 
-// step makes one call, or the calls of one list.
+// step makes one call, or the calls of one list. Most members of a fleet
+// follow one that reads the store: if each watched it itself, the calls would
+// grow with the fleet, and each change would set off one for each member.
 func (f *Follower) step(ctx context.Context, listed *bool) error {
+	if f.follow(ctx) {
+		*listed = true
+		return nil
+	}
 	if !*listed {
 		if err := f.list(ctx); err != nil {
 			return err
@@ -201,6 +215,46 @@
 	return first
 }
 
+// follow takes the changes from a peer that reads the store, if it should.
+func (f *Follower) follow(ctx context.Context) bool {
+	if f.relay == nil {
+		return false
+	}
+	items, at, ok := f.relay.Follow(ctx, f.At(), f.wait/followShare)
+	if ok && at > 0 {
+		f.update(func(now time.Time, s *State) error { return applyAll(now, s, items, at) })
+	}
+	return ok && at > 0
+}
+
+// Await waits until the state has advanced past the revision, at most for
+// wait, and returns what changed after it, and the own revision.
+func (f *Follower) Await(ctx context.Context, after uint64, wait time.Duration) ([]platform.Item, uint64) {
+	f.await(ctx, after, wait)
+	return f.Since(after)
+}
+
+// await returns when the state has advanced past the revision, or after wait.
+func (f *Follower) await(ctx context.Context, after uint64, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		newer, changed := f.state.At() > after, f.changed
+		f.mu.Unlock()
+		if newer {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // fromPeers asks a peer for what the store does not say.
 func (f *Follower) fromPeers(ctx context.Context) {
 	if f.relay == nil {
@@ -218,7 +272,12 @@
 func (f *Follower) update(change func(time.Time, *State) error) {
 	now := time.Now()
 	f.mu.Lock()
+	before := f.state.At()
 	err := change(now, f.state)
+	if f.state.At() != before {
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
 	view := f.state.View(now)
 	version := f.state.ConfigVersion()
 	at := f.state.At()
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,6 +133,10 @@
 
 func (r relay) Newer(context.Context, uint64) ([]platform.Item, uint64) { return r.items, r.at }
 
+func (r relay) Follow(context.Context, uint64, time.Duration) ([]platform.Item, uint64, bool) {
+	return nil, 0, false
+}
+
 // A key that was taken away still opens one gateway: the store turns this
 // process away and serves the others. It learns from a peer.
 func TestStoreTurnsThisProcessAway(t *testing.T) {
@@ -156,3 +161,45 @@
 	_, views := follow(t, store, nil)
 	await(t, views, func(v *catalog.View) bool { return v.Endpoint("good") != nil && v.Endpoint("bad") == nil })
 }
+
+// reader is a peer that reads the store for the fleet, until it is lost.
+type reader struct {
+	follower *discovery.Follower
+	lost     *atomic.Bool
+}
+
+func (r reader) Newer(context.Context, uint64) ([]platform.Item, uint64) { return nil, 0 }
+
+func (r reader) Follow(ctx context.Context, after uint64, wait time.Duration) ([]platform.Item, uint64, bool) {
+	if r.lost.Load() {
+		return nil, 0, false
+	}
+	items, at := r.follower.Await(ctx, after, wait)
+	return items, at, true
+}
+
+// A fleet's store calls must not grow with its members, and a member whose
+// reader is lost must learn of changes from the store itself.
+func TestFollowsAReader(t *testing.T) {
+	store := standin.NewStore()
+	putConfig(store, 1)
+	putEndpoint(store, "a")
+	first, views := follow(t, store, nil)
+	await(t, views, hasVersion(1))
+
+	idle := standin.NewStore()
+	var lost atomic.Bool
+	_, views = follow(t, idle, reader{follower: first, lost: &lost})
+	await(t, views, hasVersion(1))
+	putConfig(store, 2)
+	await(t, views, hasVersion(2))
+	store.Remove(platform.PrefixEndpoints + "a")
+	await(t, views, func(v *catalog.View) bool { return v.Endpoint("a") == nil })
+	assert.Equal(t, idle.Calls(), 0)
+
+	for range 20 {
+		putConfig(idle, 3)
+	}
+	lost.Store(true)
+	await(t, views, hasVersion(3))
+}
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -11,39 +11,47 @@
 // MethodNewer is the call by which a process reads a peer's view.
 const MethodNewer = "discovery.newer"
 
-// relayTimeout bounds one call to a peer.
-const relayTimeout = 500 * time.Millisecond
+// relayTimeout bounds one call to a peer beyond its wait.
+const relayTimeout = 300 * time.Millisecond
 
-// newerQuery asks for what changed after a revision of the store.
+// newerQuery asks for what changed after a revision of the store, and to wait
+// for it.
 type newerQuery struct {
-	After uint64 `json:"after"`
+	After uint64        `json:"after"`
+	Wait  time.Duration `json:"wait,omitempty"`
 }
 
 type newerReply struct {
 	Items []platform.Item `json:"items"`
 	At    uint64          `json:"at"`
+	// Healthy is false if the peer does not reach the store itself.
+	Healthy bool `json:"healthy"`
 }
 
-// ServePeers answers peers that do not reach the store.
+// ServePeers answers peers that do not read the store themselves.
 func ServePeers(mux *peer.Mux, f *Follower) {
-	peer.HandleCall(mux, MethodNewer, func(_ context.Context, _ *peer.Conn, q newerQuery) (newerReply, error) {
-		items, at := f.Since(q.After)
-		return newerReply{Items: items, At: at}, nil
+	peer.HandleCall(mux, MethodNewer, func(ctx context.Context, _ *peer.Conn, q newerQuery) (newerReply, error) {
+		items, at := f.Await(ctx, q.After, q.Wait)
+		return newerReply{Items: items, At: at, Healthy: f.Healthy()}, nil
 	})
 }
 
-// PeerFinder finds a peer that knows more than a revision; nil without one.
-type PeerFinder interface {
+// Peers finds the peers to read from.
+type Peers interface {
+	// Ahead returns a peer that knows more than a revision; nil without one.
 	Ahead(after uint64) *peer.Conn
+	// Readers returns the peers that read the store for the fleet; self is
+	// true if this process has to read it.
+	Readers() (conns []*peer.Conn, self bool)
 }
 
 // PeerRelay reads from peers.
 type PeerRelay struct {
-	peers PeerFinder
+	peers Peers
 }
 
-// NewPeerRelay returns a Relay over the peers that peers finds.
-func NewPeerRelay(peers PeerFinder) *PeerRelay { return &PeerRelay{peers: peers} }
+// NewPeerRelay returns a Relay over the peers.
+func NewPeerRelay(peers Peers) *PeerRelay { return &PeerRelay{peers: peers} }
 
 // Newer implements Relay.
 func (r *PeerRelay) Newer(ctx context.Context, after uint64) ([]platform.Item, uint64) {
@@ -51,12 +59,32 @@
 	if conn == nil {
 		return nil, 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-	defer cancel()
-	var reply newerReply
-	// A peer that does not answer knows nothing: the next try asks again.
-	if err := conn.Call(ctx, MethodNewer, newerQuery{After: after}, &reply); err != nil {
+	reply, ok := ask(ctx, conn, newerQuery{After: after})
+	if !ok {
 		return nil, 0
 	}
 	return reply.Items, reply.At
 }
+
+// Follow implements Relay.
+func (r *PeerRelay) Follow(ctx context.Context, after uint64, wait time.Duration) ([]platform.Item, uint64, bool) {
+	conns, self := r.peers.Readers()
+	if self {
+		return nil, 0, false
+	}
+	reply, ok := ask(ctx, conns[0], newerQuery{After: after, Wait: wait})
+	if !ok || !reply.Healthy || reply.At < after {
+		return nil, 0, false
+	}
+	return reply.Items, reply.At, true
+}
+
+// ask calls a peer. One that does not answer knows nothing; the store is asked
+// instead.
+func ask(ctx context.Context, conn *peer.Conn, q newerQuery) (newerReply, bool) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+relayTimeout)
+	defer cancel()
+	var reply newerReply
+	err := conn.Call(ctx, MethodNewer, q, &reply)
+	return reply, err == nil
+}
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -307,6 +307,28 @@
 	return members
 }
 
+const (
+	// smallFleet is the size up to which two members read the store for all;
+	// larger fleets have a third, so that the loss of two is not felt.
+	smallFleet    = 8
+	readersSmall  = 2
+	readersLarger = 3
+)
+
+// Readers lists the live members that read the store for the fleet: the first
+// by hash. All processes that see the same members name the same.
+func (c *Core) Readers(now time.Time) []Member {
+	members := c.Live(now)
+	sort.Slice(members, func(i, j int) bool {
+		return xxhash.Sum64String(members[i].Name) > xxhash.Sum64String(members[j].Name)
+	})
+	n := readersSmall
+	if len(members) > smallFleet {
+		n = readersLarger
+	}
+	return members[:min(n, len(members))]
+}
+
 // Ahead returns the address of the live member that knows the highest revision
 // of the store above after; empty if none does.
 func (c *Core) Ahead(now time.Time, after uint64) string {
