--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -8,11 +8,12 @@
 const (
 	// fillShare is the part of a pool's places that calls use in practice.
 	fillShare = 0.9
-	// lateShare is the part of its remaining deadline within which the backlog
-	// must be worked off for a job that misses its objective to be taken. A
-	// client that was refused before has only this try left.
-	lateShare      = 0.10
-	lateShareAgain = 0.35
+	// lateFactor over the route's objective is the time within which the backlog
+	// of equal or more urgent work must be worked off for a job that misses its
+	// objective to be taken. It does not grow with the deadline, which is
+	// longest for the least urgent. A client that was refused before has only
+	// this try left: then deadlineShare bounds it.
+	lateFactor = 0.4
 	// freeShare is the part of the objective up to which a refusal costs the
 	// client nothing: it can still come back in time.
 	freeShare = 0.125
@@ -53,16 +54,32 @@
 	return max(calls, time.Duration(float64(p.hold)*float64(b.bytes)/room))
 }
 
-// ahead is the backlog of pool p that goes before a stage that must start by
-// the time: that of jobs in time, and also that of late ones if late is set.
-func (c *Core) ahead(p *pool, by time.Time, late bool) backlog {
+// ahead is the backlog of pool p of jobs in time that must start by the time.
+func (c *Core) ahead(p *pool, by time.Time) backlog {
 	var b backlog
 	for _, j := range c.jobs {
-		if j.engine != nil || j.late && !late {
+		if j.engine != nil || j.late {
 			continue
 		}
 		for _, s := range j.stages {
-			if s.Service == p.name && (late || !s.startBy.After(by)) {
+			if s.Service == p.name && !s.startBy.After(by) {
+				b.add(s)
+			}
+		}
+	}
+	return b
+}
+
+// aheadLate is the backlog of pool p of all jobs but late ones that are less
+// urgent than the priority.
+func (c *Core) aheadLate(p *pool, priority int) backlog {
+	var b backlog
+	for _, j := range c.jobs {
+		if j.engine != nil || j.late && j.Priority > priority {
+			continue
+		}
+		for _, s := range j.stages {
+			if s.Service == p.name {
 				b.add(s)
 			}
 		}
@@ -78,7 +95,7 @@
 			continue
 		}
 		p := c.pools[s.Service]
-		s.forecast = now.Add(p.clear(c.ahead(p, s.startBy, false)))
+		s.forecast = now.Add(p.clear(c.ahead(p, s.startBy)))
 		for _, a := range s.After {
 			if before := j.stages[a]; before.Pieces > 0 {
 				s.forecast = later(s.forecast, before.forecast.Add(c.pools[before.Service].took))
@@ -186,17 +203,16 @@
 // well within its deadline.
 func (c *Core) takeLate(j *job, now time.Time) bool {
 	j.late = true
-	share := lateShare
+	limit := time.Duration(lateFactor * float64(j.Usual))
 	if j.Again {
-		share = lateShareAgain
+		limit = time.Duration(deadlineShare * float64(j.deadlineAt.Sub(now)))
 	}
-	limit := time.Duration(share * float64(j.deadlineAt.Sub(now)))
 	for _, s := range j.stages {
 		if s.Pieces == 0 {
 			continue
 		}
 		p := c.pools[s.Service]
-		if p.clear(c.ahead(p, s.startBy, true)) > limit {
+		if p.clear(c.aheadLate(p, j.Priority)) > limit {
 			return false
 		}
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -20,8 +20,10 @@
 	lateGiveUp = 0.3
 	// deadlineShare is the part of the deadline after which stages are given up.
 	deadlineShare = 0.6
-	// retryMin is the least time after which a refused client may come back.
-	retryMin = 100 * time.Millisecond
+	// retryShare is the part of its deadline after which a refused client may
+	// come back at the earliest: a job that finds no place now finds none
+	// sooner than a burst lasts, and its client has only one try left.
+	retryShare = 0.3
 )
 
 // Core is the state of all jobs, stages and endpoints. It is not safe for
@@ -495,7 +497,7 @@
 
 // retryAfter is about when the queues of the job's stages will have been worked off.
 func (c *Core) retryAfter(j *job) time.Duration {
-	wait := retryMin
+	wait := time.Duration(retryShare * float64(j.Deadline))
 	for _, s := range j.stages {
 		p := c.pools[s.Service]
 		if p == nil || s.Pieces == 0 {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -28,9 +28,11 @@
 	TokensOut int                  `json:"tokens_out,omitempty"`
 	// Priority ranks the job; 0 is the most urgent.
 	Priority int `json:"priority"`
-	// Objective and Deadline are what is left of them.
+	// Objective and Deadline are what is left of them, Usual is the objective
+	// of a first try.
 	Objective time.Duration `json:"objective"`
 	Deadline  time.Duration `json:"deadline"`
+	Usual     time.Duration `json:"usual"`
 	// Again is set for a client that has been refused before.
 	Again bool `json:"again,omitempty"`
 	// Avoid lists model engines that have failed the request before.
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -57,7 +57,7 @@
 			{Service: serviceLight, After: []int{1}, Pieces: 8, ResultBytes: 60_000},
 		},
 		TokensIn: 1000, TokensOut: 50,
-		Objective: 1500 * time.Millisecond, Deadline: 6 * time.Second,
+		Objective: 1500 * time.Millisecond, Usual: 1500 * time.Millisecond, Deadline: 6 * time.Second,
 	}
 }
 
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -92,6 +92,7 @@
 		Priority:  m.priority(),
 		Objective: m.route.Objective - m.age - time.Since(m.arrived),
 		Deadline:  m.left(),
+		Usual:     m.route.Objective,
 		Again:     m.age > 0,
 	}
 	for i, s := range m.route.Stages {
