--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -17,6 +17,10 @@
 	// freeShare is the part of the objective up to which a refusal costs the
 	// client nothing: it can still come back in time.
 	freeShare = 0.125
+	// takenHalfLife is the time in which the count of pieces that were taken
+	// halves; spareMin keeps the quotient finite.
+	takenHalfLife = time.Second
+	spareMin      = 0.02
 	// holdWeight is the share of the newest result in a pool's hold time.
 	holdWeight = 0.1
 	// biasWeight is the share of the newest stage in a pool's forecast error.
@@ -54,6 +58,33 @@
 	return max(calls, time.Duration(float64(p.hold)*float64(b.bytes)/room))
 }
 
+// countTaken notes the pieces of a job that is taken to be in time.
+func (c *Core) countTaken(j *job, now time.Time) {
+	for _, s := range j.stages {
+		if s.Pieces > 0 {
+			p := c.pools[s.Service]
+			p.taken = p.takenAt(now) + float64(s.Pieces)
+			p.takenFrom = now
+		}
+	}
+}
+
+// takenAt is the decaying count of pieces of jobs in time.
+func (p *pool) takenAt(now time.Time) float64 {
+	age := now.Sub(p.takenFrom).Seconds() / takenHalfLife.Seconds()
+	return p.taken * math.Exp2(-age)
+}
+
+// spare is the part of the pool's calls that jobs in time leave to late ones.
+func (p *pool) spare(now time.Time) float64 {
+	places := float64(p.usable()*p.spec.Items) * fillShare / p.took.Seconds()
+	rate := p.takenAt(now) * math.Ln2 / takenHalfLife.Seconds()
+	if places <= 0 {
+		return spareMin
+	}
+	return max(spareMin, 1-rate/places)
+}
+
 // ahead is the backlog of pool p of jobs in time that must start by the time.
 func (c *Core) ahead(p *pool, by time.Time) backlog {
 	var b backlog
@@ -142,6 +173,7 @@
 	for {
 		p := c.tight(j, now)
 		if p == nil {
+			c.countTaken(j, now)
 			return true
 		}
 		victim := c.victim(j, p)
@@ -158,10 +190,10 @@
 func (c *Core) victim(j *job, p *pool) *job {
 	var worst *job
 	for _, o := range c.jobs {
-		if o == j || o.late || o.started || o.engine != nil || !o.uses(p.name) || !j.outweighs(o) {
+		if o == j || o.late || o.started || o.engine != nil || !o.uses(p.name) || !j.outweighs(o, p) {
 			continue
 		}
-		if worst == nil || worst.outweighs(o) || !o.outweighs(worst) && o.Ticket < worst.Ticket {
+		if worst == nil || worst.outweighs(o, p) || !o.outweighs(worst, p) && o.Ticket < worst.Ticket {
 			worst = o
 		}
 	}
@@ -178,15 +210,30 @@
 	return false
 }
 
-// outweighs tells whether j goes before o where not both can be served: by
-// urgency, then by size against the usual size on the route.
-func (j *job) outweighs(o *job) bool {
+// outweighs tells whether j goes before o where the pool cannot serve both: by
+// urgency, then by size against the usual size on the route for each piece.
+func (j *job) outweighs(o *job, p *pool) bool {
 	if j.Priority != o.Priority {
 		return j.Priority < o.Priority
 	}
-	return j.weight > o.weight*weightMargin
+	return j.density(p) > o.density(p)*weightMargin
+}
+
+// density is the job's weight for each piece that the pool makes for it.
+func (j *job) density(p *pool) float64 {
+	pieces := 0
+	for _, s := range j.stages {
+		if s.Service == p.name {
+			pieces += s.Pieces
+		}
+	}
+	return (baseWeight + j.weight) / float64(max(1, pieces))
 }
 
+// baseWeight is what any job counts beside its size, in usual sizes: a small
+// answer is worth more to its user than its share of the tokens.
+const baseWeight = 0.43
+
 // weightMargin keeps jobs of about the same size from displacing each other.
 const weightMargin = 1.5
 
@@ -212,7 +259,7 @@
 			continue
 		}
 		p := c.pools[s.Service]
-		if p.clear(c.aheadLate(p, j.Priority)) > limit {
+		if time.Duration(float64(p.clear(c.aheadLate(p, j.Priority)))/p.spare(now)) > limit {
 			return false
 		}
 	}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -42,6 +42,9 @@
 	hold time.Duration
 	// bias is a moving average of how much later than forecast stages start.
 	bias time.Duration
+	// taken is the decaying count of pieces of jobs in time, as of takenFrom.
+	taken     float64
+	takenFrom time.Time
 	// biasFrom is when bias was last learned.
 	biasFrom time.Time
 }
