Refuse the less urgent first

Cause: frame-advice, the most urgent, was refused most on the grown site: jobs that had begun cannot give way, and late ones with long deadlines were taken. Change: each step of priority needs 80 ms more to spare at admission; clients that come back are taken within 1.6 objectives of backlog, whatever their deadline.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -12,8 +12,12 @@
 	// of equal or more urgent work must be worked off for a job that misses its
 	// objective to be taken. It does not grow with the deadline, which is
 	// longest for the least urgent. A client that was refused before has only
-	// this try left: then deadlineShare bounds it.
-	lateFactor = 0.4
+	// this try left.
+	lateFactor      = 0.4
+	lateFactorAgain = 1.6
+	// urgencyMargin is what each step of priority adds to the time that a job
+	// must have to spare, so that the less urgent are refused first.
+	urgencyMargin = 80 * time.Millisecond
 	// freeShare is the part of the objective up to which a refusal costs the
 	// client nothing: it can still come back in time.
 	freeShare = 0.125
@@ -132,7 +136,8 @@
 				s.forecast = later(s.forecast, before.forecast.Add(c.pools[before.Service].took))
 			}
 		}
-		if s.forecast.Add(p.biasAt(now)).After(s.startBy) {
+		margin := p.biasAt(now) + time.Duration(j.Priority)*urgencyMargin
+		if s.forecast.Add(margin).After(s.startBy) {
 			return p
 		}
 	}
@@ -252,7 +257,7 @@
 	j.late = true
 	limit := time.Duration(lateFactor * float64(j.Usual))
 	if j.Again {
-		limit = time.Duration(deadlineShare * float64(j.deadlineAt.Sub(now)))
+		limit = min(time.Duration(lateFactorAgain*float64(j.Usual)), time.Duration(deadlineShare*float64(j.deadlineAt.Sub(now))))
 	}
 	for _, s := range j.stages {
 		if s.Pieces == 0 {
