--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -138,6 +138,8 @@
 		}
 		margin := p.biasAt(now) + time.Duration(j.Priority)*urgencyMargin
 		if s.forecast.Add(margin).After(s.startBy) {
+			j.queue = p.name
+			j.behind = s.forecast.Add(margin).Sub(s.startBy)
 			return p
 		}
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -491,7 +491,7 @@
 	if j.ended {
 		return
 	}
-	c.emit(Refuse{Ticket: j.Ticket, Reason: reason, RetryAfter: c.retryAfter(j)})
+	c.emit(Refuse{Ticket: j.Ticket, Reason: reason, RetryAfter: c.retryAfter(j), Queue: j.queue, Behind: j.behind})
 	c.end(j, now)
 }
 
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -49,6 +49,10 @@
 	Reason Reason `json:"reason"`
 	// RetryAfter is when another try may succeed.
 	RetryAfter time.Duration `json:"retry_after"`
+	// Queue is the service whose queue was too long, if that is the reason,
+	// and Behind how much too late the job would have started there.
+	Queue  string        `json:"queue,omitempty"`
+	Behind time.Duration `json:"behind,omitempty"`
 }
 
 // Move gives a job without any piece made back to its entry, which gives it to
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -62,6 +62,9 @@
 	// late is set when the job will miss its objective; it then goes behind
 	// those that can meet theirs.
 	late bool
+	// queue is the first service whose queue made the job late, behind how late.
+	queue  string
+	behind time.Duration
 	// weight is the job's size against the usual size on its route.
 	weight float64
 	// started is set when the first piece is sent.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -68,11 +68,13 @@
 	case err != nil:
 		return nil, ended(m.request, "queue_unreachable", busyRetry)
 	case lease.Refuse != nil:
-		return nil, ended(m.request, string(lease.Refuse.Reason), lease.Refuse.RetryAfter)
+		p := ended(m.request, string(lease.Refuse.Reason), lease.Refuse.RetryAfter)
+		p.queue, p.behind = lease.Refuse.Queue, lease.Refuse.Behind
+		return nil, p
 	}
 	g.cfg.Log.Info().Str("event", "granted").Str("request", m.ID).Str("route", m.route.Name).
 		Str("endpoint", lease.Grant.Endpoint).Dur("waited_ms", lease.Grant.Waited).
-		Dur("slack_ms", lease.Grant.Slack).Bool("late", lease.Grant.Late).Msg("stages done, engine chosen")
+		Str("owner", lease.Owner).Dur("slack_ms", lease.Grant.Slack).Bool("late", lease.Grant.Late).Msg("stages done, engine chosen")
 	return lease, nil
 }
 
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -15,6 +15,9 @@
 	reason string
 	// retryAfter is set where the request has not run and may come back.
 	retryAfter time.Duration
+	// queue and behind say which queue was too long, and by how much.
+	queue  string
+	behind time.Duration
 	// close ends the connection after the answer.
 	close bool
 }
@@ -54,7 +57,7 @@
 	g.cfg.Log.Info().Str("event", "answered").Str("request", req.ID).Str("route", routeName(req)).
 		Int("status", p.status).Str("reason", p.reason).Bool("offered", req.offered).
 		Bool("may_have_run", req.mayHaveRun).Bool("client_left", req.gone()).Uint64("config", req.version).
-		Dur("retry_after_ms", p.retryAfter).Dur("took_ms", time.Since(req.arrived)).Msg("own answer")
+		Str("queue", p.queue).Dur("behind_ms", p.behind).Dur("retry_after_ms", p.retryAfter).Dur("took_ms", time.Since(req.arrived)).Msg("own answer")
 	if req.gone() {
 		panic(http.ErrAbortHandler)
 	}
--- a/scheduler/remote.go
+++ b/scheduler/remote.go
@@ -77,6 +77,8 @@
 // Lease is a granted job: the owner is told how it goes on.
 type Lease struct {
 	Verdict
+	// Owner is the process that decided; empty if it was this one.
+	Owner  string
 	client *Client
 	ticket string
 	// conn is nil if this process owns the queue.
@@ -109,7 +111,7 @@
 			pause(ctx, resubmitPause)
 		}
 		if err == nil && !v.Moved {
-			return &Lease{Verdict: v, client: c, ticket: j.Ticket, conn: conn}, nil
+			return &Lease{Verdict: v, Owner: ownerName(conn), client: c, ticket: j.Ticket, conn: conn}, nil
 		}
 		if ctx.Err() != nil || err != nil && conn == nil {
 			return nil, ErrLeft.Wrap(err, "ticket %s", j.Ticket)
@@ -122,6 +124,13 @@
 	}
 }
 
+func ownerName(conn *peer.Conn) string {
+	if conn == nil {
+		return ""
+	}
+	return conn.Peer().Process.Name
+}
+
 // submit sends the job to one owner.
 func (c *Client) submit(ctx context.Context, conn *peer.Conn, j dispatch.Job) (Verdict, error) {
 	if conn == nil {
