--- a/fleet/core.go
+++ b/fleet/core.go
@@ -163,15 +163,30 @@
 // alive tells whether a claim's owner can own the queue, as far as is known.
 func (c *Core) alive(now time.Time, claim Claim) bool {
 	if claim.Owner == c.self.Name {
-		return claim.Incarnation == c.self.Incarnation && !c.leaving
+		return claim.Incarnation == c.self.Incarnation && (!c.leaving || !c.someoneStays(now))
 	}
 	p := c.peers[claim.Owner]
-	return p != nil && p.Incarnation == claim.Incarnation && p.live(now)
+	return p != nil && p.Incarnation == claim.Incarnation && p.live(now) && (!p.leaving || !c.someoneStays(now))
 }
 
-// live tells whether a member may own the queue.
+// someoneStays tells whether a live member, this one included, is not leaving.
+// Where all are, as when a whole fleet is stopped in turn, one of those that
+// leave owns the queue: otherwise each would own it for itself.
+func (c *Core) someoneStays(now time.Time) bool {
+	if !c.leaving {
+		return true
+	}
+	for _, p := range c.peers {
+		if p.live(now) && !p.leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// live tells whether a member is heard of.
 func (p *peerState) live(now time.Time) bool {
-	return !p.leaving && !p.dead(now) && now.Sub(p.heard) < p.patience()
+	return !p.dead(now) && now.Sub(p.heard) < p.patience()
 }
 
 // dead tells whether nothing was heard of a member since its connection ended.
@@ -231,9 +246,10 @@
 func (c *Core) replace(now time.Time) {
 	lost := c.claim.Owner
 	best := c.self
-	found := !c.leaving
+	stays := c.someoneStays(now)
+	found := !c.leaving || !stays
 	for _, p := range c.peers {
-		if !p.live(now) || p.Name == lost && now.Sub(p.heard) >= silence {
+		if !p.live(now) || p.leaving && stays || p.Name == lost && now.Sub(p.heard) >= silence {
 			continue
 		}
 		if !found || outranks(p.Member, best) {
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -152,6 +152,23 @@
 	assert.Equal(t, w.oneOwner(t), owner)
 }
 
+// The whole fleet is stopped within seconds. Each process that was leaving
+// owned the queue for itself, and the terms rose to 250: requests that were
+// still served in that time found the endpoints full. One of them must own it.
+func TestAllLeaving(t *testing.T) {
+	w := newWorld("a", "b", "c", "d")
+	w.steps(2 * idleBeats)
+	for _, name := range []string{"a", "b", "c", "d"} {
+		w.cores[name].Leave()
+		w.step()
+	}
+	w.steps(2 * idleBeats)
+	w.oneOwner(t)
+	for _, c := range w.cores {
+		assert.Assert(t, c.Claim().Term < 8, "term %d", c.Claim().Term)
+	}
+}
+
 // A weak VM must not own the queue of a fleet that has stronger ones.
 func TestStrongerOwnsAfterALoss(t *testing.T) {
 	w := newWorld()
