A process that wakes does not claim the queue

Cause: a process that stood still had heard nobody for seconds and took all others for lost; its claim had the higher term and the fleet followed it. Change: a gap between two uses of the core is taken off the others' silence. The test fails without it.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -23,6 +23,9 @@
 	// idleBeats is how many intervals lie between heartbeats of processes
 	// neither of which owns the queue.
 	idleBeats = 5
+	// pauseGap between two uses of the core means that this process stood
+	// still: it is used with every heartbeat.
+	pauseGap = 2 * BeatEvery
 	// ownedSpan is how long a former owner may have jobs: longer than any deadline.
 	ownedSpan = 20 * time.Second
 	// forgetAfter is how long a silent member is still dialled.
@@ -89,6 +92,8 @@
 	claim Claim
 	// claimed is when the claim was taken up.
 	claimed time.Time
+	// last is when the core was last used.
+	last time.Time
 	// owned is when this process last owned the queue.
 	owned   time.Time
 	leaving bool
@@ -108,6 +113,7 @@
 
 // Heard takes a heartbeat. It tells whether the owner has changed.
 func (c *Core) Heard(now time.Time, b Beat) bool {
+	c.resume(now)
 	if b.From.Name == c.self.Name || b.From.Name == "" {
 		return false
 	}
@@ -124,6 +130,23 @@
 	return c.claim != before
 }
 
+// resume takes a pause of this process off the others' silence. A process that
+// wakes from a freeze has heard nobody for seconds; without this it takes all
+// others for lost, claims the queue for itself with a higher term, and the
+// whole fleet follows a process that knows nothing of the queue.
+func (c *Core) resume(now time.Time) {
+	gap := now.Sub(c.last)
+	if !c.last.IsZero() && gap > pauseGap {
+		for _, p := range c.peers {
+			p.heard = p.heard.Add(gap)
+		}
+		c.claimed = c.claimed.Add(gap)
+	}
+	if now.After(c.last) {
+		c.last = now
+	}
+}
+
 func (c *Core) learn(now time.Time, addr string) {
 	if addr == "" || addr == c.self.Addr {
 		return
@@ -201,6 +224,7 @@
 // Owner returns the queue's owner; self is true if it is this process. An
 // owner that is silent, lost or leaving is replaced first.
 func (c *Core) Owner(now time.Time) (owner Member, self bool) {
+	c.resume(now)
 	if !c.alive(now, c.claim) || c.ownerSilent(now) {
 		c.replace(now)
 	}
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -124,6 +124,29 @@
 	assert.Equal(t, w.oneOwner(t), next)
 }
 
+// A VM freezes that does not own the queue. On waking it has heard nobody for
+// seconds; it took all others for lost, claimed the queue with a higher term,
+// and the whole fleet followed it.
+func TestWokenProcessDoesNotClaimTheQueue(t *testing.T) {
+	w := newWorld("a", "b", "c", "d")
+	w.steps(2 * idleBeats)
+	owner := w.oneOwner(t)
+	for name := range w.cores {
+		if name != owner {
+			w.frozen[name] = true
+			break
+		}
+	}
+	w.steps(20)
+	for name := range w.frozen {
+		// It looks for the owner before it has read what waits in its sockets.
+		w.cores[name].Owner(w.now)
+	}
+	clear(w.frozen)
+	w.steps(2 * idleBeats)
+	assert.Equal(t, w.oneOwner(t), owner)
+}
+
 // The owner's process is killed and its connections end: the others wait for
 // little more than one heartbeat.
 func TestClosedConnectionShortensTheWait(t *testing.T) {
