Weigh shared parts of prompts that would be read again

Cause: a shared part that another engine had read went to a new engine for a few ms of backlog; each of 12 engines read the 4 large parts anew. Change: such a token weighs as three in the choice of an engine.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -14,6 +14,9 @@
 	// the order of magnitude of today's engines; choices compare engines of
 	// one service, so an error of half or twice hardly changes them.
 	prefillRate = 40.0
+	// sharedWeight is what a token of a shared part that has to be read again
+	// costs, in tokens read: it takes the engine from others, too.
+	sharedWeight = 3.0
 	// decodeCost is what each running request adds to the wait for a first
 	// token, in milliseconds.
 	decodeCost = 0.6
@@ -146,8 +149,11 @@
 // cost is the expected wait for the first token of j, in milliseconds, with
 // penalties for failures and for inputs from another domain.
 func (e *engine) cost(j *job, inputs map[string]int64, now time.Time) float64 {
-	uncached := max(0, promptTokens(j)-e.cache.hit(j.Prefix))
-	ms := float64(e.prefill+uncached) / prefillRate
+	shared := sharedTokens(j)
+	hit := e.cache.hit(j.Prefix)
+	again := float64(max(0, shared-hit))
+	own := float64(promptTokens(j) - max(shared, hit))
+	ms := (float64(e.prefill) + sharedWeight*again + own) / prefillRate
 	ms += decodeCost * float64(len(e.runs))
 	ms += failPenalty * e.rate(now)
 	for domain, bytes := range inputs {
@@ -167,6 +173,16 @@
 	return ms
 }
 
+// sharedTokens is the length of the parts that other requests may share: all
+// but the last, which is the request's own.
+func sharedTokens(j *job) int {
+	n := 0
+	for _, p := range j.Prefix[:max(0, len(j.Prefix)-1)] {
+		n += p.Tokens
+	}
+	return n
+}
+
 // promptTokens is the length of the whole prompt.
 func promptTokens(j *job) int {
 	n := 0
