A fault soak with real processes, and the panic it found

The queue now stays open and Close only signals. A blocked reader of standard output blocks nothing.

--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -31,6 +31,7 @@
 	t      testing.TB
 	binary string
 	args   []string
+	env    []string
 	log    logBuffer
 
 	mu  sync.Mutex
@@ -53,7 +54,7 @@
 	cmd := exec.Command(p.binary, p.args...)
 	cmd.Stdout = &p.log
 	cmd.Stderr = &p.log
-	cmd.Env = append(os.Environ(), "GOTRACEBACK=all")
+	cmd.Env = append(append(os.Environ(), "GOTRACEBACK=all"), p.env...)
 	cmd.SysProcAttr = childAttributes()
 	if err := cmd.Start(); err != nil {
 		return errorx.Decorate(err, "start %s", p.Name)
@@ -97,6 +98,12 @@
 	}
 }
 
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) {
+	p.t.Helper()
+	p.signal(s)
+}
+
 // Stop freezes the process with SIGSTOP; Cont wakes it.
 func (p *Process) Stop() {
 	p.t.Helper()
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -28,13 +28,16 @@
 	out     io.Writer
 	queue   chan []byte
 	dropped atomic.Int64
+	// closing is closed by Close. The queue itself stays open: goroutines that
+	// end after the sink still write to it, which would be a panic.
+	closing chan struct{}
 	done    chan struct{}
 	once    sync.Once
 }
 
 // New returns a sink to out.
 func New(out io.Writer) *Sink {
-	s := &Sink{out: out, queue: make(chan []byte, queueLength), done: make(chan struct{})}
+	s := &Sink{out: out, queue: make(chan []byte, queueLength), closing: make(chan struct{}), done: make(chan struct{})}
 	go s.run()
 	return s
 }
@@ -55,7 +58,7 @@
 
 // Close writes what is queued and waits for it, for at most timeout.
 func (s *Sink) Close(timeout time.Duration) {
-	s.once.Do(func() { close(s.queue) })
+	s.once.Do(func() { close(s.closing) })
 	select {
 	case <-s.done:
 	case <-time.After(timeout):
@@ -64,25 +67,38 @@
 
 func (s *Sink) run() {
 	defer close(s.done)
-	for line := range s.queue {
-		// A reader that is gone is no reason to stop: lines are then lost.
-		_, _ = s.out.Write(s.collect(line))
+	for {
+		select {
+		case line := <-s.queue:
+			s.write(line)
+			continue
+		case <-s.closing:
+		}
+		select {
+		case line := <-s.queue:
+			s.write(line)
+		default:
+			return
+		}
 	}
 }
 
+// write writes the line and those that come within linger. A reader that is
+// gone is no reason to stop: lines are then lost.
+func (s *Sink) write(line []byte) { _, _ = s.out.Write(s.collect(line)) }
+
 // collect adds the lines that come within linger.
 func (s *Sink) collect(batch []byte) []byte {
 	timer := time.NewTimer(linger)
 	defer timer.Stop()
 	for len(batch) < batchBytes {
 		select {
-		case line, open := <-s.queue:
-			if !open {
-				return batch
-			}
+		case line := <-s.queue:
 			batch = append(batch, line...)
 		case <-timer.C:
 			return batch
+		case <-s.closing:
+			return batch
 		}
 	}
 	return batch
--- /dev/null
+++ b/soak/rig_test.go
@@ -0,0 +1,299 @@
+// Package soak runs real gateways as processes against stand-ins and injects
+// faults from outside: proxies that cut, silence, delay and reset connections,
+// signals that freeze, kill and stop processes, and changes of the
+// configuration and the list of endpoints. Clients and endpoints check the
+// product's promises while it runs.
+//
+//	go test ./soak -race                                  a few seeds, as in CI
+//	go test ./soak -args -soak.seeds 50 -soak.first 100   fifty seeds from 100 on
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/internal/harness"
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/platform/standin"
+)
+
+const (
+	gateways = 3
+	// events is the length of each stream.
+	events = 6
+	// patience bounds each wait.
+	patience = 20 * time.Second
+	key      = "k1"
+)
+
+// endpoint is one server; it may be started anew under another ID.
+type endpoint struct {
+	service string
+	link    *harness.Link
+	addr    string
+
+	mu      sync.Mutex
+	id      string
+	reject  bool
+	leftAt  time.Time
+	started int
+}
+
+// gateway is one process.
+type gateway struct {
+	*harness.Process
+	name, frontend, ready string
+	toStore               *harness.Link
+
+	mu sync.Mutex
+	// version is the highest configuration seen in force in this incarnation.
+	version int
+	// inRotation is what the balancer believes.
+	inRotation bool
+	// life numbers the incarnations.
+	life int
+	// down is set from a kill until the restart.
+	down bool
+}
+
+// rig is a deployment.
+type rig struct {
+	t         *testing.T
+	rng       *rand.Rand
+	store     *standin.Store
+	endpoints []*endpoint
+	gateways  []*gateway
+	book      *book
+
+	mu      sync.Mutex
+	version int
+}
+
+func newRig(t *testing.T, seed uint64) *rig {
+	r := &rig{t: t, rng: rand.New(rand.NewPCG(seed, seed)), store: standin.NewStore(), book: newBook()}
+	r.publish()
+	for _, service := range []string{"plain", "plain", "plain", "model", "model", "model", "stage", "stage"} {
+		r.addEndpoint(service)
+	}
+	storeAddr := r.serve(r.store)
+	var seeds []string
+	for range gateways {
+		seeds = append(seeds, harness.FreePort(t))
+	}
+	for i := range gateways {
+		r.addGateway(i, seeds, storeAddr)
+	}
+	r.awaitReady()
+	return r
+}
+
+func (r *rig) serve(h http.Handler) string {
+	s := httptest.NewServer(h)
+	r.t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// publish writes the next configuration. Each version has a route of its own.
+func (r *rig) publish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.version++
+	route := func(name, kind, service, more string) string {
+		return fmt.Sprintf(`{"name":%q,"host":"a.example","prefix":"/%s/","route_kind":%q,"timeout_ms":4000,"slo_ms":1500,
+			"service":%q,"max_attempts":2%s}`, name, name, kind, service, more)
+	}
+	routes := []string{
+		route("once", "non_idempotent", "plain", ""),
+		route("idem", "idempotent", "plain", ""),
+		route("stream", "streaming", "model", `,"sticky":true`),
+		route("resume", "streaming", "model", `,"sticky":true,"resumable":true`),
+		route("staged", "streaming", "model", `,"sticky":true,"stages":[{"service":"stage","byte_count":1000},{"service":"stage","after":[0],"byte_count":100}]`),
+	}
+	for v := 1; v <= r.version; v++ {
+		routes = append(routes, route("v"+strconv.Itoa(v), "idempotent", "plain", ""))
+	}
+	r.store.Put(platform.KeyConfig, fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[
+		{"name":"plain"},{"name":"model","engine":{"slots":16,"kv_capacity":100000}},
+		{"name":"stage","segments":{"slots":1,"queue":2,"batch":8,"call_ms":20,"item_ms":2,"headroom_mb":1,"handle_ttl_s":3}}],
+		"limits":{"max_body_bytes":65536},"tenants":[{"name":"acme","api_keys":[%q]}]}`,
+		r.version, strings.Join(routes, ","), key))
+}
+
+func (r *rig) currentVersion() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
+func (r *rig) addEndpoint(service string) {
+	e := &endpoint{service: service}
+	e.link, e.addr = harness.NewLink(r.t, fmt.Sprintf("%s-%d", service, len(r.endpoints)), r.serve(r.handler(e)))
+	r.endpoints = append(r.endpoints, e)
+	r.register(e)
+}
+
+// register starts a new incarnation and lists it.
+func (r *rig) register(e *endpoint) {
+	e.mu.Lock()
+	e.started++
+	e.id = fmt.Sprintf("i-%s-%s-%d", e.service, e.addr[strings.LastIndex(e.addr, ":")+1:], e.started)
+	e.leftAt = time.Time{}
+	e.mu.Unlock()
+	r.list(e, "ready")
+}
+
+func (r *rig) list(e *endpoint, state string) {
+	r.store.Put(platform.PrefixEndpoints+e.id, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"z%d","slots":8,"state":%q}`, e.service, e.addr, len(e.addr)%2, state))
+}
+
+// handler is the endpoint's server, for whatever incarnation it is.
+func (r *rig) handler(e *endpoint) http.Handler {
+	if e.service == "stage" {
+		return r.stageHandler(e)
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		e.mu.Lock()
+		id, reject, leftAt := e.id, e.reject, e.leftAt
+		e.mu.Unlock()
+		inner := &standin.Endpoint{ID: id, Answer: func(w http.ResponseWriter, run standin.Run) {
+			r.book.ran(run, id, leftAt)
+			answer(w, run, e.service)
+		}}
+		inner.Reject(reject)
+		inner.ServeHTTP(w, req)
+	})
+}
+
+// answer writes what the run's client expects.
+func answer(w http.ResponseWriter, run standin.Run, service string) {
+	standin.Seal(w)
+	if service == "plain" {
+		_, _ = io.WriteString(w, plainBody(run.ID, string(run.Body)))
+		return
+	}
+	last := 0
+	if text := run.Header.Get("Last-Event-Id"); text != "" {
+		last, _ = strconv.Atoi(text)
+	}
+	flusher := http.NewResponseController(w)
+	for i := last + 1; i <= events; i++ {
+		_, _ = io.WriteString(w, event(run.ID, i))
+		if flusher.Flush() != nil {
+			return
+		}
+		time.Sleep(5 * time.Millisecond) // the time that an engine takes for an event
+	}
+}
+
+func plainBody(id, body string) string { return "answer to " + id + ": " + body }
+
+func event(id string, i int) string { return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", i, id, i) }
+
+// stageHandler makes pieces whose handles name their request, and checks that
+// the inputs of a piece are the request's own.
+func (r *rig) stageHandler(e *endpoint) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		e.mu.Lock()
+		id, addr := e.id, e.addr
+		e.mu.Unlock()
+		if req.Header.Get("Mangostage-Expect-Instance") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		var message struct {
+			Entries []standin.Piece `json:"entries"`
+		}
+		if err := json.NewDecoder(req.Body).Decode(&message); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		entries := make([]map[string]string, len(message.Entries))
+		for i, p := range message.Entries {
+			r.book.piece(p)
+			entries[i] = map[string]string{"handle": fmt.Sprintf("%s/%s.%d.%d", addr, p.ID, p.Phase, p.Segment)}
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(map[string]any{"entries": entries})
+	})
+}
+
+func (r *rig) addGateway(i int, peers []string, storeAddr string) {
+	g := &gateway{name: fmt.Sprintf("g%d", i), frontend: harness.FreePort(r.t), ready: harness.FreePort(r.t), life: 1}
+	var toStore string
+	g.toStore, toStore = harness.NewLink(r.t, "store-"+g.name, storeAddr)
+	quoted := `"` + strings.Join(peers, `","`) + `"`
+	file := filepath.Join(r.t.TempDir(), "boot.toml")
+	text := fmt.Sprintf(`node_name = %q
+zone = "z0"
+ip = "127.0.0.1"
+seeds = [%s]
+[listen]
+frontend = %q
+ready = %q
+control_plane = %q
+[limits]
+cpu_quota = 1.0
+[bounds]
+drain_ms = 2000
+grace_s = 8
+config_apply_ms = 2000
+retry_ratio = 0.5
+retry_window_s = 10
+retry_slack = 200
+[platform]
+address = %q
+`, g.name, quoted, g.frontend, g.ready, peers[i], toStore)
+	assert.NilError(r.t, os.WriteFile(file, []byte(text), 0o600))
+	g.Process = harness.NewProcess(r.t, g.name, harness.Binary(r.t, "mangostage-gateway", true),
+		[]string{"--metrics-port", "0"}, []string{platform.SettingsVariable + "=" + file})
+	r.gateways = append(r.gateways, g)
+}
+
+// awaitReady waits until all gateways are ready.
+func (r *rig) awaitReady() {
+	r.t.Helper()
+	for _, g := range r.gateways {
+		harness.Wait(r.t, patience, func() error {
+			if !g.probe() {
+				return fmt.Errorf("%s is not ready", g.name)
+			}
+			return nil
+		})
+	}
+}
+
+var probes = &http.Client{
+	Timeout:   500 * time.Millisecond,
+	Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: 300 * time.Millisecond}).DialContext},
+}
+
+// probe asks as the balancer does.
+func (g *gateway) probe() bool {
+	resp, err := probes.Get("http://" + g.ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	g.mu.Lock()
+	g.inRotation = resp.StatusCode == http.StatusOK
+	g.mu.Unlock()
+	return resp.StatusCode == http.StatusOK
+}
