Tell first tries by the most frequent deadline of their route

Cause: the longest deadline seen on a route was taken for that of a first try; 4 in 100 clients wait longer, so on the grown site half of all jobs counted as coming back, with seconds of their objective gone.

--- a/gateway/ages.go
+++ b/gateway/ages.go
@@ -11,17 +11,29 @@
 	ageShare = 0.03
 	// maxRoutes bounds the routes whose usual deadline is kept.
 	maxRoutes = 4096
+	// maxDeadlines bounds the different deadlines that are counted on a route.
+	// When it is full all counts are halved and what falls to 0 goes.
+	maxDeadlines = 32
 )
 
 // ages tells requests that come back from new ones. Clients say how long they
-// still wait; the longest wait seen on a route is that of a first try, and what
-// a request lacks of it has passed since its own.
+// still wait. Most first tries on a route say the same; a request that comes
+// back says what is left, which is hardly ever the same twice. What it lacks of
+// the most frequent deadline has passed since its first try. The longest
+// deadline would not do: a few clients wait longer than all others, and made
+// every other request look as if it came back.
 type ages struct {
-	mu    sync.Mutex
-	usual map[string]time.Duration
+	mu     sync.Mutex
+	routes map[string]*deadlines
 }
 
-func newAges() *ages { return &ages{usual: make(map[string]time.Duration)} }
+// deadlines counts the deadlines that were seen on one route.
+type deadlines struct {
+	counts map[time.Duration]int
+	usual  time.Duration
+}
+
+func newAges() *ages { return &ages{routes: make(map[string]*deadlines)} }
 
 // of returns the time since the client's first try; 0 for a first try.
 func (a *ages) of(route string, deadline time.Duration) time.Duration {
@@ -30,17 +42,38 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	usual := a.usual[route]
-	if deadline > usual {
-		if usual == 0 && len(a.usual) >= maxRoutes {
-			clear(a.usual)
+	d := a.routes[route]
+	if d == nil {
+		if len(a.routes) >= maxRoutes {
+			clear(a.routes)
 		}
-		a.usual[route] = deadline
-		return 0
+		d = &deadlines{counts: make(map[time.Duration]int)}
+		a.routes[route] = d
 	}
-	age := usual - deadline
-	if float64(age) < ageShare*float64(usual) {
+	d.count(deadline)
+	age := d.usual - deadline
+	if float64(age) < ageShare*float64(d.usual) {
 		return 0
 	}
 	return age
 }
+
+func (d *deadlines) count(deadline time.Duration) {
+	if len(d.counts) >= maxDeadlines && d.counts[deadline] == 0 {
+		d.halve()
+	}
+	d.counts[deadline]++
+	if d.counts[deadline] >= d.counts[d.usual] {
+		d.usual = deadline
+	}
+}
+
+func (d *deadlines) halve() {
+	for deadline, n := range d.counts {
+		if n /= 2; n == 0 {
+			delete(d.counts, deadline)
+		} else {
+			d.counts[deadline] = n
+		}
+	}
+}
