--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,130 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mangostage/mangostage/catalog"
+)
+
+var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func endpoints(domains ...string) []*catalog.Endpoint {
+	var list []*catalog.Endpoint
+	for i, d := range domains {
+		list = append(list, &catalog.Endpoint{ID: fmt.Sprint(i), Domain: d, Slots: 2})
+	}
+	return list
+}
+
+func pick(b *Balancer, list []*catalog.Endpoint, avoid ...string) string {
+	not := make(map[string]bool)
+	for _, id := range avoid {
+		not[id] = true
+	}
+	if e := b.Pick(epoch, list, not); e != nil {
+		return e.ID
+	}
+	return ""
+}
+
+func TestPickPrefersItsOwnDomain(t *testing.T) {
+	assert.Equal(t, pick(New("north"), endpoints("south", "north", "east")), "1")
+}
+
+func TestPickSpreadsOwnRequests(t *testing.T) {
+	b := New("north")
+	list := endpoints("north", "north")
+	assert.Assert(t, pick(b, list) != pick(b, list))
+}
+
+func TestPickAvoidsAndSkipsLeaving(t *testing.T) {
+	b := New("north")
+	list := endpoints("north", "north")
+	list[0].Leaving = true
+	assert.Equal(t, pick(b, list), "1")
+	assert.Equal(t, pick(b, list, "1"), "")
+}
+
+// An endpoint fails every request while its health check is good. Users must
+// be sent elsewhere after a few of them, and come back when it is well.
+func TestFailingEndpointIsLeftAndTriedAgain(t *testing.T) {
+	b := New("north")
+	list := endpoints("north", "south")
+	for range 3 {
+		b.Pick(epoch, list[:1], nil)
+		b.Ended(epoch, "0", Failed, time.Millisecond, -1)
+	}
+	assert.Equal(t, pick(b, list), "1")
+	b.Ended(epoch, "1", Served, latencyGuess, -1)
+	later := epoch.Add(30 * time.Second)
+	assert.Equal(t, b.Pick(later, list, nil).ID, "0")
+}
+
+// A client that leaves says nothing about the endpoint.
+func TestAbandonedRequestsDoNotCount(t *testing.T) {
+	b := New("north")
+	list := endpoints("north", "south")
+	for range 10 {
+		b.Pick(epoch, list[:1], nil)
+		b.Ended(epoch, "0", Abandoned, time.Second, -1)
+	}
+	assert.Equal(t, pick(b, list), "0")
+}
+
+func TestReportedLoadCountsForAWhile(t *testing.T) {
+	b := New("north")
+	list := endpoints("north", "south")
+	b.Pick(epoch, list[:1], nil)
+	b.Ended(epoch, "0", Served, latencyGuess, 20)
+	assert.Equal(t, pick(b, list), "1")
+	b.Ended(epoch, "1", Served, latencyGuess, 0)
+	assert.Equal(t, b.Pick(epoch.Add(2*loadSpan), list, nil).ID, "0")
+}
+
+// The choice is that of the naive comparison of all costs, and requests in
+// flight are never counted below zero.
+func TestPickAsTheNaiveOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New("north")
+		list := endpoints("north", "south", "north", "east")
+		now := epoch
+		var flying []string
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			if len(flying) > 0 && rapid.Bool().Draw(t, "end") {
+				o := Outcome(rapid.IntRange(int(Served), int(Abandoned)).Draw(t, "outcome"))
+				b.Ended(now, flying[0], o, time.Duration(rapid.IntRange(1, 300).Draw(t, "took"))*time.Millisecond, rapid.IntRange(-1, 9).Draw(t, "load"))
+				flying = flying[1:]
+				continue
+			}
+			least := time.Duration(-1)
+			for _, e := range list {
+				if cost := b.cost(now, e); least < 0 || cost < least {
+					least = cost
+				}
+			}
+			var costs []time.Duration
+			for _, e := range list {
+				costs = append(costs, b.cost(now, e))
+			}
+			chosen := b.Pick(now, list, nil)
+			for i, e := range list {
+				if e == chosen {
+					assert.Equal(t, costs[i], least)
+				}
+			}
+			flying = append(flying, chosen.ID)
+		}
+		for _, id := range flying {
+			b.Ended(now, id, Served, time.Millisecond, -1)
+		}
+		for id, s := range b.states {
+			assert.Equal(t, s.inFlight, 0, id)
+		}
+	})
+}
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,62 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mangostage/mangostage/retry"
+)
+
+func TestWindowSlides(t *testing.T) {
+	w := retry.NewWindow(10*time.Second, 0.2)
+	now := time.Now()
+	for range 10 {
+		w.First("s", now)
+	}
+	assert.Assert(t, w.Take("s", 0, now))
+	assert.Assert(t, w.Take("s", 0, now))
+	assert.Assert(t, !w.Take("s", 0, now), "2 of 10")
+	assert.Assert(t, w.Take("s", 1, now), "the slack")
+	assert.Assert(t, !w.Take("other", 0, now))
+	assert.Assert(t, !w.Take("s", 0, now.Add(11*time.Second)), "the first sends are forgotten too")
+}
+
+// Whenever a repeat is allowed, the window that ends there has no more repeats
+// than the ratio of its first sends and the slack. The naive counterpart keeps
+// all times.
+func TestWindowKeepsItsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span, ratio, slack = 10 * time.Second, 0.2, 5.0
+		w := retry.NewWindow(span, ratio)
+		start := time.Now()
+		now := start
+		var firsts, repeats []time.Time
+		for range rapid.IntRange(1, 150).Draw(t, "sends") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 2).Draw(t, "kind") == 0 {
+				w.First("s", now)
+				firsts = append(firsts, now)
+				continue
+			}
+			if !w.Take("s", slack, now) {
+				continue
+			}
+			repeats = append(repeats, now)
+			in := func(times []time.Time, span time.Duration) int {
+				n := 0
+				for _, at := range times {
+					if now.Sub(at) < span {
+						n++
+					}
+				}
+				return n
+			}
+			// Parts leave as a whole, so the count may reach back one part less.
+			allowed := ratio*float64(in(firsts, span)) + slack
+			assert.Assert(t, float64(in(repeats, span-span/10)) <= allowed)
+		}
+	})
+}
--- /dev/null
+++ b/scheduler/remote_test.go
@@ -0,0 +1,255 @@
+package scheduler_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/dispatch"
+	"github.com/mangostage/mangostage/peer"
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/platform/standin"
+	"github.com/mangostage/mangostage/scheduler"
+	"github.com/mangostage/mangostage/wire"
+)
+
+// patience bounds each wait of these tests.
+const patience = 10 * time.Second
+
+// process is one member of a fleet with a queue.
+type process struct {
+	node      *peer.Node
+	scheduler *scheduler.Scheduler
+	addr      string
+}
+
+func newProcess(t *testing.T, name string) *process {
+	t.Helper()
+	mux := peer.NewMux()
+	p := &process{scheduler: scheduler.New(platform.NewStages(http.DefaultClient), zerolog.Nop())}
+	scheduler.Serve(mux, p.scheduler)
+	p.node = peer.NewNode(peer.Config{Hello: func() wire.Hello {
+		return wire.Hello{Process: wire.Process{Name: name, Incarnation: name}}
+	}}, mux)
+	addr, err := p.node.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	p.addr = addr.String()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { p.scheduler.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		p.node.Close()
+	})
+	return p
+}
+
+func (p *process) dial(t *testing.T, to *process) *peer.Conn {
+	t.Helper()
+	conn, err := p.node.Dial(context.Background(), to.addr)
+	assert.NilError(t, err)
+	return conn
+}
+
+// owners is who owns the queue, as the test says.
+type owners struct {
+	mu   sync.Mutex
+	conn *peer.Conn
+	lost chan struct{}
+}
+
+func newOwners(conn *peer.Conn) *owners { return &owners{conn: conn, lost: make(chan struct{})} }
+
+func (o *owners) OwnerConn() *peer.Conn {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.conn
+}
+
+func (o *owners) Lost(*peer.Conn) <-chan struct{} {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lost
+}
+
+func (o *owners) Settled() <-chan struct{} {
+	settled := make(chan struct{})
+	close(settled)
+	return settled
+}
+
+// set names another owner; lose takes the former for lost.
+func (o *owners) set(conn *peer.Conn, lose bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.conn = conn
+	if lose {
+		close(o.lost)
+		o.lost = make(chan struct{})
+	}
+}
+
+// view has a model engine and one endpoint of a stage.
+func view(stageAddr string) *catalog.View {
+	c := &catalog.Config{Version: 1, Services: []catalog.Service{
+		{Name: "model", Model: &catalog.Model{Slots: 8, CacheTokens: 1000}},
+		{Name: "stage", Batch: &catalog.Batch{Slots: 1, Items: 4, CallTime: time.Second, ItemTime: time.Millisecond, Room: 1000, ResultTTL: time.Minute}},
+	}}
+	return catalog.NewView(catalog.NewIndex(c), []*catalog.Endpoint{
+		{ID: "m-1", Service: "model", Addr: "m"},
+		{ID: "s-1", Service: "stage", Addr: stageAddr},
+	}, 1)
+}
+
+func job(ticket string) dispatch.Job {
+	return dispatch.Job{
+		Ticket: ticket, Request: ticket, Service: "model", Route: "r", PieceKey: "k",
+		Stages:    []dispatch.StageWork{{Service: "stage", Pieces: 1, ResultBytes: 10}},
+		Objective: 5 * time.Second, Usual: 5 * time.Second, Deadline: 8 * time.Second,
+	}
+}
+
+func stageServer(t *testing.T, h http.Handler) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestJobGoesToTheOwner(t *testing.T) {
+	a, b := newProcess(t, "a"), newProcess(t, "b")
+	stage := &standin.StageEndpoint{ID: "s-1", Addr: "s"}
+	b.scheduler.SetView(view(stageServer(t, stage)))
+	client := scheduler.NewClient(a.scheduler, newOwners(a.dial(t, b)), zerolog.Nop())
+	lease, err := client.Submit(context.Background(), job("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, lease.Grant.Endpoint, "m-1")
+	assert.Equal(t, lease.Owner, "b")
+	assert.Equal(t, len(lease.Grant.Inputs), 1)
+	lease.FirstEvent()
+	lease.Done(true)
+	deadline := time.Now().Add(patience)
+	for stage.Kept() > 0 {
+		assert.Assert(t, time.Now().Before(deadline), "the result was not given up")
+	}
+}
+
+// The owner's VM freezes while a request waits for its stages: the job must go
+// to the next owner, and the request must not wait for its deadline.
+func TestLostOwner(t *testing.T) {
+	a, b, c := newProcess(t, "a"), newProcess(t, "b"), newProcess(t, "c")
+	began := make(chan struct{})
+	var once sync.Once
+	hangs := stageServer(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		// The server notices that a caller has left only once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		once.Do(func() { close(began) })
+		<-r.Context().Done()
+	}))
+	b.scheduler.SetView(view(hangs))
+	c.scheduler.SetView(view(stageServer(t, &standin.StageEndpoint{ID: "s-1", Addr: "s"})))
+	who := newOwners(a.dial(t, b))
+	next := a.dial(t, c)
+	client := scheduler.NewClient(a.scheduler, who, zerolog.Nop())
+	go func() {
+		<-began
+		who.set(next, true)
+	}()
+	lease, err := client.Submit(context.Background(), job("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, lease.Owner, "c")
+	b.node.DropAll()
+}
+
+// The owner is replaced as planned: jobs without a piece go to the next one.
+func TestHandOverMovesJobs(t *testing.T) {
+	a, b, c := newProcess(t, "a"), newProcess(t, "b"), newProcess(t, "c")
+	began := make(chan struct{}, 8)
+	release := make(chan struct{})
+	inner := &standin.StageEndpoint{ID: "s-1", Addr: "s"}
+	b.scheduler.SetView(view(stageServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		<-release
+		inner.ServeHTTP(w, r)
+	}))))
+	c.scheduler.SetView(view(stageServer(t, &standin.StageEndpoint{ID: "s-1", Addr: "s"})))
+	who := newOwners(a.dial(t, b))
+	next := a.dial(t, c)
+	client := scheduler.NewClient(a.scheduler, who, zerolog.Nop())
+	granted := make(chan string, 2)
+	submit := func(ticket string) {
+		lease, err := client.Submit(context.Background(), job(ticket))
+		if err == nil && lease.Grant != nil {
+			granted <- ticket + " " + lease.Owner
+		}
+	}
+	go submit("first")
+	<-began
+	go submit("second")
+	waitFor(t, func() bool { return b.scheduler.Stats().Jobs == 2 })
+	who.set(next, false)
+	b.scheduler.HandOver()
+	assert.Equal(t, <-granted, "second c")
+	close(release)
+	assert.Equal(t, <-granted, "first b")
+}
+
+// waitFor polls until ok holds, within patience.
+func waitFor(t *testing.T, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for !ok() {
+		assert.Assert(t, time.Now().Before(deadline), "the condition did not come to hold")
+		<-ticker.C
+	}
+}
+
+// Nobody owns the queue but this process: it serves its own requests.
+func TestAlone(t *testing.T) {
+	a := newProcess(t, "a")
+	a.scheduler.SetView(view(stageServer(t, &standin.StageEndpoint{ID: "s-1", Addr: "s"})))
+	client := scheduler.NewClient(a.scheduler, newOwners(nil), zerolog.Nop())
+	lease, err := client.Submit(context.Background(), job("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, lease.Owner, "")
+	assert.Assert(t, lease.Grant != nil)
+}
+
+// The client leaves while its pieces run: nothing is left at the owner, and the
+// result that comes later is given up.
+func TestCallerLeaves(t *testing.T) {
+	a := newProcess(t, "a")
+	began, left := make(chan struct{}, 4), make(chan struct{})
+	inner := &standin.StageEndpoint{ID: "s-1", Addr: "s"}
+	a.scheduler.SetView(view(stageServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "stage-run") {
+			began <- struct{}{}
+			<-left
+		}
+		inner.ServeHTTP(w, r)
+	}))))
+	client := scheduler.NewClient(a.scheduler, newOwners(nil), zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-began
+		cancel()
+	}()
+	_, err := client.Submit(ctx, job("1"))
+	assert.Assert(t, errorx.IsOfType(err, scheduler.ErrLeft))
+	assert.Equal(t, a.scheduler.Stats().Jobs, 0)
+	close(left)
+	waitFor(t, func() bool { return len(inner.Made()) == 1 && inner.Kept() == 0 })
+}
