--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -26,7 +26,7 @@
 			wait(20 * time.Millisecond)
 			continue
 		}
-		route := []string{"once", "idem", "stream", "resume", "staged", "staged", "version"}[rng.IntN(7)]
+		route := []string{"once", "idem", "stream", "resume", "staged", "staged", "version", "long"}[rng.IntN(8)]
 		r.ask(transport, g, route, fmt.Sprintf("c%d-%d-%d", seed, n, i))
 	}
 }
--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -33,8 +33,12 @@
 
 const (
 	gateways = 3
-	// events is the length of each stream.
-	events = 6
+	// events is the length of a stream, eventTime what an engine takes for one.
+	events    = 6
+	eventTime = 5 * time.Millisecond
+	// longTime is the same on the route "long", whose answers take most of their
+	// deadline: they are still under way when a planned stop ends.
+	longTime = 620 * time.Millisecond
 	// patience bounds each wait.
 	patience = 20 * time.Second
 	key      = "k1"
@@ -123,6 +127,7 @@
 		route("once", "non_idempotent", "plain", ""),
 		route("idem", "idempotent", "plain", ""),
 		route("stream", "streaming", "model", `,"sticky":true`),
+		route("long", "streaming", "model", `,"sticky":true`),
 		route("resume", "streaming", "model", `,"sticky":true,"resumable":true`),
 		route("staged", "streaming", "model", `,"sticky":true,"stages":[{"service":"stage","byte_count":1000},{"service":"stage","after":[0],"byte_count":100}]`),
 	}
@@ -193,13 +198,17 @@
 	if text := run.Header.Get("Last-Event-Id"); text != "" {
 		last, _ = strconv.Atoi(text)
 	}
+	pace := eventTime
+	if strings.HasPrefix(run.Target, "/long/") {
+		pace = longTime
+	}
 	flusher := http.NewResponseController(w)
 	for i := last + 1; i <= events; i++ {
 		_, _ = io.WriteString(w, event(run.ID, i))
 		if flusher.Flush() != nil {
 			return
 		}
-		time.Sleep(5 * time.Millisecond) // the time that an engine takes for an event
+		wait(pace)
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,7 @@
 )
 
 const (
-	clients = 8
+	clients = 24
 	// quiet is how long the rig runs on after the last fault, so that late
 	// copies of requests arrive and processes catch up.
 	quiet = 2 * time.Second
