--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -233,3 +233,19 @@
 	w.submit(j)
 	assert.Equal(t, w.ends["a"], string(ReasonUnknownStage))
 }
+
+// The queue has a new owner, which knows nothing of what engines keep. Told by
+// the entries, it sends a prompt to the engine that has read it.
+func TestPlacedPromptsAreFoundAgain(t *testing.T) {
+	w := newWorld(testView([]string{"north"}, 8))
+	prefix := []catalog.PrefixPart{{ID: "shared", Tokens: 4000}, {ID: "own", Tokens: 100}}
+	w.core.Placed(w.now, []Placement{
+		{Service: serviceModel, Endpoint: "model-north-5", Prefix: prefix},
+		{Service: serviceModel, Endpoint: "gone", Prefix: prefix},
+	})
+	j := testJob("a")
+	j.Stages = nil
+	j.Prefix = []catalog.PrefixPart{{ID: "shared", Tokens: 4000}, {ID: "other", Tokens: 100}}
+	w.submit(j)
+	assert.Equal(t, w.grants["a"].Endpoint, "model-north-5")
+}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -82,7 +82,7 @@
 func (e *engine) usable() bool { return !e.gone && !e.endpoint.Leaving }
 
 // begin counts a request.
-func (e *engine) begin(j *job, now time.Time) {
+func (e *engine) begin(j *job) {
 	uncached := max(0, promptTokens(j)-e.cache.hit(j.Prefix))
 	r := &run{
 		prefill: uncached,
@@ -92,7 +92,6 @@
 	e.runs[j.Ticket] = r
 	e.prefill += r.prefill
 	e.tokens += r.tokens
-	e.cache.touch(j.Prefix, now)
 }
 
 // firstEvent notes that the prompt has been read.
@@ -232,11 +231,17 @@
 
 // read notes that an engine reads the prompt of j.
 func (es *engines) read(e *engine, j *job, now time.Time) {
-	e.begin(j, now)
+	e.begin(j)
+	es.keep(e, j.Prefix, now)
+}
+
+// keep notes that an engine keeps a prompt.
+func (es *engines) keep(e *engine, prefix []catalog.PrefixPart, now time.Time) {
+	e.cache.touch(prefix, now)
 	if len(es.all) <= compareAll {
 		return
 	}
-	for _, p := range j.Prefix {
+	for _, p := range prefix {
 		es.remember(p.ID, e)
 	}
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -49,6 +49,13 @@
 	ResultBytes int64 `json:"result_bytes"`
 }
 
+// Placement says that a model engine has read a prompt.
+type Placement struct {
+	Service  string               `json:"service"`
+	Endpoint string               `json:"endpoint"`
+	Prefix   []catalog.PrefixPart `json:"prefix"`
+}
+
 // job is the state of a Job.
 type job struct {
 	Job
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -81,6 +81,18 @@
 	}
 }
 
+// Placed notes what engines have read by the word of the entries, for an owner
+// that takes over.
+func (c *Core) Placed(now time.Time, placements []Placement) {
+	for _, p := range placements {
+		es := c.engines[p.Service]
+		if es == nil || es.byID[p.Endpoint] == nil {
+			continue
+		}
+		es.keep(es.byID[p.Endpoint], p.Prefix, now)
+	}
+}
+
 // SetView takes a new configuration or list of endpoints. Endpoints that are
 // gone lose their calls' pieces to others; the jobs go on.
 func (c *Core) SetView(now time.Time, view *catalog.View) {
--- a/scheduler/remote.go
+++ b/scheduler/remote.go
@@ -19,6 +19,7 @@
 	MethodCancel = "dispatch.cancel"
 	MethodFirst  = "dispatch.first"
 	MethodDone   = "dispatch.done"
+	MethodPlaced = "dispatch.placed"
 )
 
 // Note is what an entry tells the owner of a job.
@@ -35,6 +36,7 @@
 	})
 	peer.HandleNote(mux, MethodCancel, func(_ *peer.Conn, n Note) { s.Cancel(n.Ticket) })
 	peer.HandleNote(mux, MethodFirst, func(_ *peer.Conn, n Note) { s.FirstEvent(n.Ticket) })
+	peer.HandleNote(mux, MethodPlaced, func(_ *peer.Conn, p []dispatch.Placement) { s.Placed(p) })
 	peer.HandleNote(mux, MethodDone, func(_ *peer.Conn, n Note) { s.Done(n.Ticket, n.Served) })
 }
 
@@ -67,6 +69,7 @@
 	local  *Scheduler
 	owners Owners
 	log    zerolog.Logger
+	placed placements
 }
 
 // NewClient returns a client; jobs go to local when no other owner is reached.
@@ -105,11 +108,15 @@
 			j.Ticket = base + "+" + strconv.Itoa(try)
 		}
 		conn := c.owners.OwnerConn()
+		c.tell(conn)
 		v, err := c.submit(ctx, conn, j)
 		if err == nil && v.Moved && conn == c.owners.OwnerConn() {
 			// The owner has not heard yet, or this process has not.
 			pause(ctx, resubmitPause)
 		}
+		if err == nil && v.Grant != nil {
+			c.placed.add(j, v.Grant.Endpoint, time.Now())
+		}
 		if err == nil && !v.Moved {
 			return &Lease{Verdict: v, Owner: ownerName(conn), client: c, ticket: j.Ticket, conn: conn}, nil
 		}
@@ -124,6 +131,21 @@
 	}
 }
 
+// tell tells an owner that has just taken over where this process's requests
+// were sent.
+func (c *Client) tell(conn *peer.Conn) {
+	news := c.placed.news(conn, time.Now())
+	switch {
+	case len(news) == 0:
+	case conn == nil:
+		c.local.Placed(news)
+	default:
+		if err := conn.Notify(MethodPlaced, news); err != nil {
+			c.log.Debug().Str("event", "owner_not_told").Err(err).Msg(MethodPlaced)
+		}
+	}
+}
+
 func ownerName(conn *peer.Conn) string {
 	if conn == nil {
 		return ""
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -144,6 +144,11 @@
 	s.event(func(now time.Time, c *dispatch.Core) { c.Done(now, ticket, served) })
 }
 
+// Placed notes what engines have read by the word of the entries.
+func (s *Scheduler) Placed(placements []dispatch.Placement) {
+	s.event(func(now time.Time, c *dispatch.Core) { c.Placed(now, placements) })
+}
+
 // HandOver gives the jobs that have not begun back to their entries: another
 // process owns the queue.
 func (s *Scheduler) HandOver() {
