--- a/balance/balance.go
+++ b/balance/balance.go
@@ -4,11 +4,11 @@
 package balance
 
 import (
-	"math"
 	"sync"
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/internal/health"
 )
 
 const (
@@ -32,6 +32,9 @@
 	// not answer comes last.
 	pauseFirst = 200 * time.Millisecond
 	pauseMax   = 3 * time.Second
+	// pauseFull is the same for one that refused a request without running it:
+	// about the time in which one of its requests ends.
+	pauseFull = 50 * time.Millisecond
 )
 
 // Outcome is how a request at an endpoint ended.
@@ -61,14 +64,11 @@
 type state struct {
 	inFlight int
 	latency  time.Duration
-	failRate float64
-	failAt   time.Time
+	failures health.Rate
+	pause    health.Pause
 	// waiting is the load that the endpoint reported at loadAt, less our own share of it.
-	waiting     int
-	loadAt      time.Time
-	silences    int
-	pausedUntil time.Time
-	used        time.Time
+	waiting int
+	loadAt  time.Time
 }
 
 // New returns a balancer for a process in the failure domain.
@@ -92,9 +92,7 @@
 		}
 	}
 	if best != nil {
-		s := b.state(best.ID)
-		s.inFlight++
-		s.used = now
+		b.state(best.ID).inFlight++
 	}
 	return best
 }
@@ -108,11 +106,11 @@
 	}
 	slots := max(1, e.Slots)
 	cost := s.latency + s.latency*time.Duration(load)/time.Duration(slots)
-	cost += time.Duration(float64(failCost) * s.rate(now))
+	cost += time.Duration(float64(failCost) * s.failures.At(failHalfLife, now))
 	if e.Domain != b.domain {
 		cost += remoteCost
 	}
-	if now.Before(s.pausedUntil) {
+	if s.pause.Active(now) {
 		cost += failCost
 	}
 	return cost
@@ -127,13 +125,6 @@
 	return s
 }
 
-func (s *state) rate(now time.Time) float64 {
-	if s.failRate == 0 {
-		return 0
-	}
-	return s.failRate * math.Exp2(-now.Sub(s.failAt).Seconds()/failHalfLife.Seconds())
-}
-
 // Ended takes the outcome of a request that Pick counted. load is what the
 // endpoint said of its running and waiting requests; negative if nothing.
 func (b *Balancer) Ended(now time.Time, id string, outcome Outcome, took time.Duration, load int) {
@@ -148,24 +139,22 @@
 	switch outcome {
 	case Served:
 		s.latency += time.Duration(latencyWeight * float64(took-s.latency))
-		s.learn(now, 0)
-		s.silences = 0
+		s.learn(now, false)
+		s.pause.Clear()
 	case Failed:
-		s.learn(now, 1)
-		s.silences = 0
+		s.learn(now, true)
+		s.pause.Clear()
 	case Full:
-		s.pausedUntil = now.Add(pauseFirst / 4)
+		s.pause.Hold(pauseFull, now)
 	case Silent:
-		s.learn(now, 1)
-		s.pausedUntil = now.Add(min(pauseMax, pauseFirst<<min(s.silences, 5)))
-		s.silences++
+		s.learn(now, true)
+		s.pause.Fail(pauseFirst, pauseMax, now)
 	case Abandoned:
 	}
 }
 
-func (s *state) learn(now time.Time, failed float64) {
-	s.failRate = s.rate(now) + failWeight*(failed-s.rate(now))
-	s.failAt = now
+func (s *state) learn(now time.Time, failed bool) {
+	s.failures.Learn(failed, failWeight, failHalfLife, now)
 }
 
 // Forget drops the state of endpoints that are gone.
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/internal/sleep"
 	"github.com/mangostage/mangostage/platform"
 )
 
@@ -135,7 +136,7 @@
 		}
 		f.lost(err)
 		f.fromPeers(ctx)
-		pause(ctx, retries.NextBackOff())
+		sleep.For(ctx, retries.NextBackOff())
 	}
 }
 
@@ -348,12 +349,3 @@
 		f.log.Info().Str("event", "store_regained").Uint64("at", f.At()).Msg("the store answers")
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -217,18 +216,22 @@
 	// After follow, so that the store's calls end before its server does.
 	t.Cleanup(func() { close(release) })
 	await(t, views, hasVersion(1))
-	for !f.Fresh() {
-		// The answer to the list is noted right after the view is told of.
-		runtime.Gosched()
-	}
+	// The answer to the list is noted right after the view is told of.
+	eventually(t, f.Fresh)
 	store.Before(func(string) bool {
 		<-release
 		return true
 	})
-	deadline := time.Now().Add(patience)
-	for f.Fresh() {
-		assert.Assert(t, time.Now().Before(deadline), "still fresh")
-		runtime.Gosched()
-	}
+	eventually(t, func() bool { return !f.Fresh() })
 	assert.Assert(t, f.Healthy(), "it must not count as fresh before its call has timed out")
 }
+
+// eventually polls until ok holds, within patience.
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for deadline := time.Now().Add(patience); !ok(); <-ticker.C {
+		assert.Assert(t, time.Now().Before(deadline), "the condition did not come to hold")
+	}
+}
--- /dev/null
+++ b/dispatch/calls.go
@@ -0,0 +1,172 @@
+package dispatch
+
+import "time"
+
+// start sends one call.
+func (c *Core) start(p *pool, w *worker, pieces []placed, now time.Time) {
+	c.nextID++
+	cl := &call{id: c.nextID, worker: w, pieces: pieces, sentAt: now, expects: w.expect(len(pieces))}
+	effect := StartCall{Call: cl.id, Service: p.name, Waiting: p.waiting, Endpoint: w.endpoint.ID, Addr: w.endpoint.Addr}
+	for _, placed := range pieces {
+		s := placed.stage
+		s.job.started = true
+		cl.bytes += s.ResultBytes
+		piece := Piece{
+			Request:   s.job.Request,
+			Stage:     s.index,
+			Index:     placed.index,
+			Inputs:    s.inputs,
+			Remaining: s.job.deadlineAt.Sub(now),
+		}
+		if len(s.After) == 0 {
+			piece.Key = s.job.PieceKey
+		}
+		effect.Pieces = append(effect.Pieces, piece)
+	}
+	w.used += cl.bytes
+	w.calls[cl.id] = cl
+	c.calls[cl.id] = cl
+	slow := max(1, min(w.speed, timeoutFactor))
+	effect.Timeout = time.Duration(float64(cl.expects)*timeoutFactor*slow) + timeoutSlack
+	c.emit(effect)
+}
+
+// CallEnded takes the answer to a StartCall; outcomes are in the order of its
+// pieces and only read if fault is CallOK.
+func (c *Core) CallEnded(now time.Time, id uint64, fault CallFault, outcomes []Outcome) {
+	cl := c.calls[id]
+	if cl == nil {
+		return
+	}
+	delete(c.calls, id)
+	w := cl.worker
+	delete(w.calls, id)
+	w.used -= cl.bytes
+	switch fault {
+	case CallOK:
+		c.callDone(cl, outcomes, now)
+	case CallRefused:
+		w.pause.Hold(pauseRefused, now)
+		c.requeue(cl, now, false)
+	case CallOther:
+		w.gone = true
+		c.requeue(cl, now, false)
+	case CallLost:
+		c.bookLost(cl, now)
+		w.pause.Fail(pauseFirst, pauseMax, now)
+		c.requeue(cl, now, true)
+	}
+	c.dispatch(now)
+}
+
+// bookLost keeps the room of a call that may still run: its results take
+// memory that nobody can free, until the endpoint drops them.
+func (c *Core) bookLost(cl *call, now time.Time) {
+	r := &result{bytes: cl.bytes}
+	cl.worker.used += cl.bytes
+	cl.worker.keep(r, now.Add(cl.expects))
+}
+
+// callDone takes the results of a call and moves their jobs on.
+func (c *Core) callDone(cl *call, outcomes []Outcome, now time.Time) {
+	w := cl.worker
+	took := now.Sub(cl.sentAt)
+	w.succeeded(took, cl.expects)
+	if p := c.pools[cl.pieces[0].stage.Service]; p != nil {
+		p.took += (took - p.took) / 8
+	}
+	var touched []*job
+	for i, placed := range cl.pieces {
+		s := placed.stage
+		if outcomes[i].Fault != FaultNone {
+			c.pieceFailed(w, placed, outcomes[i].Fault, now)
+			continue
+		}
+		c.pieceDone(w, placed, outcomes[i].Handle, cl.sentAt, now)
+		if n := len(touched); n == 0 || touched[n-1] != s.job {
+			touched = append(touched, s.job)
+		}
+	}
+	for _, j := range touched {
+		if j.ended || j.engine != nil {
+			continue
+		}
+		c.freeConsumed(j, now)
+		c.advance(j, now)
+	}
+}
+
+// pieceDone keeps one result, or gives it up if its job has ended.
+func (c *Core) pieceDone(w *worker, p placed, handle string, sentAt, now time.Time) {
+	s := p.stage
+	r := &result{handle: handle, bytes: s.ResultBytes, since: sentAt}
+	w.used += r.bytes
+	w.keep(r, now)
+	if s.job.ended || s.results[p.index] != nil {
+		c.free([]*result{r}, now)
+		return
+	}
+	s.results[p.index] = r
+	s.left--
+}
+
+// pieceFailed queues a piece again or ends its job.
+func (c *Core) pieceFailed(w *worker, p placed, fault Fault, now time.Time) {
+	s := p.stage
+	if s.job.ended {
+		return
+	}
+	s.tries++
+	switch {
+	case fault == FaultInputs || s.tries > maxTries:
+		c.refuse(s.job, ReasonStageFailed, now)
+		return
+	case fault == FaultLate:
+		c.refuse(s.job, ReasonDeadline, now)
+		return
+	case fault == FaultRoom:
+		// The books are off: somebody else's results lie there.
+		w.pause.Hold(pauseRefused, now)
+	case fault == FaultWork:
+		s.avoid = w.endpoint.ID
+	}
+	c.wait(s, []int{p.index})
+}
+
+// wait puts pieces of s back into the queue.
+func (c *Core) wait(s *stage, indices []int) {
+	p := c.pools[s.Service]
+	if p == nil {
+		return
+	}
+	p.remove(s)
+	s.waiting = append(s.waiting, indices...)
+	p.push(s)
+}
+
+// requeue puts all pieces of a call back; tried says that the endpoint may
+// have run them, which counts as a try and lets another endpoint go first.
+func (c *Core) requeue(cl *call, now time.Time, tried bool) {
+	back := make(map[*stage][]int)
+	var order []*stage
+	for _, p := range cl.pieces {
+		if back[p.stage] == nil {
+			order = append(order, p.stage)
+		}
+		back[p.stage] = append(back[p.stage], p.index)
+	}
+	for _, s := range order {
+		if s.job.ended {
+			continue
+		}
+		if tried {
+			s.tries++
+			s.avoid = cl.worker.endpoint.ID
+		}
+		if s.tries > maxTries {
+			c.refuse(s.job, ReasonStageFailed, now)
+			continue
+		}
+		c.wait(s, back[s])
+	}
+}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -1,12 +1,12 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/internal/health"
 )
 
 const (
@@ -50,15 +50,12 @@
 	// prefill is the number of prompt tokens still to be read.
 	prefill int
 	// tokens is the memory of the running requests.
-	tokens int
-	cache  prefixCache
-	// failRate is as of failAt.
-	failRate float64
-	failAt   time.Time
-	// failures counts failed sends in a row.
-	failures    int
-	pausedUntil time.Time
-	gone        bool
+	tokens   int
+	cache    prefixCache
+	failures health.Rate
+	// pause is under way after failed requests.
+	pause health.Pause
+	gone  bool
 }
 
 // run is a request that an engine was given.
@@ -124,25 +121,12 @@
 
 // learn notes whether a request was served.
 func (e *engine) learn(ok bool, now time.Time) {
-	rate := e.rate(now)
+	e.failures.Learn(!ok, failWeight, failHalfLife, now)
 	if ok {
-		e.failRate = rate * (1 - failWeight)
-		e.failures = 0
+		e.pause.Clear()
 	} else {
-		e.failRate = rate + failWeight*(1-rate)
-		e.pausedUntil = now.Add(min(pauseMax, pauseFirst<<min(e.failures, 5)))
-		e.failures++
+		e.pause.Fail(pauseFirst, pauseMax, now)
 	}
-	e.failAt = now
-}
-
-// rate is the failure rate at now.
-func (e *engine) rate(now time.Time) float64 {
-	if e.failRate == 0 {
-		return 0
-	}
-	age := now.Sub(e.failAt).Seconds() / failHalfLife.Seconds()
-	return e.failRate * math.Exp2(-age)
 }
 
 // cost is the expected wait for the first token of j, in milliseconds, with
@@ -154,7 +138,7 @@
 	own := float64(promptTokens(j) - max(shared, hit))
 	ms := (float64(e.prefill) + sharedWeight*again + own) / prefillRate
 	ms += decodeCost * float64(len(e.runs))
-	ms += failPenalty * e.rate(now)
+	ms += failPenalty * e.failures.At(failHalfLife, now)
 	for domain, bytes := range inputs {
 		if domain != e.endpoint.Domain {
 			ms += homePenalty * float64(bytes) / 1e6
@@ -166,7 +150,7 @@
 	if len(e.runs) >= e.spec.Slots {
 		ms += failPenalty
 	}
-	if now.Before(e.pausedUntil) {
+	if e.pause.Active(now) {
 		ms += failPenalty
 	}
 	return ms
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/internal/health"
 )
 
 const (
@@ -34,10 +35,9 @@
 	results map[*result]struct{}
 	// speed is the measured time of a call over the expected one.
 	speed float64
-	// failures counts failed calls in a row, pausedUntil follows from it.
-	failures    int
-	pausedUntil time.Time
-	gone        bool
+	// pause is under way after failed and refused calls.
+	pause health.Pause
+	gone  bool
 }
 
 // call is one call in flight.
@@ -68,7 +68,7 @@
 
 // idle tells whether the worker takes a call at now.
 func (w *worker) idle(now time.Time) bool {
-	return w.usable() && len(w.calls) < w.spec.Slots && !now.Before(w.pausedUntil)
+	return w.usable() && len(w.calls) < w.spec.Slots && !w.pause.Active(now)
 }
 
 // usable tells whether the worker may get calls at all.
@@ -84,18 +84,11 @@
 
 // succeeded learns from a call that took a time.
 func (w *worker) succeeded(took, expected time.Duration) {
-	w.failures = 0
+	w.pause.Clear()
 	factor := min(speedMax, float64(took)/float64(expected))
 	w.speed += speedWeight * (factor - w.speed)
 }
 
-// failed pauses the worker after a call without an answer.
-func (w *worker) failed(now time.Time) {
-	pause := min(pauseMax, pauseFirst<<min(w.failures, 5))
-	w.failures++
-	w.pausedUntil = now.Add(pause)
-}
-
 // keep books a result until it is released or the endpoint drops it by itself.
 // The memory was reserved with the call.
 func (w *worker) keep(r *result, now time.Time) {
--- /dev/null
+++ b/internal/sleep/sleep.go
@@ -0,0 +1,17 @@
+// Package sleep waits for a time that a context can cut short.
+package sleep
+
+import (
+	"context"
+	"time"
+)
+
+// For returns after d, or when ctx ends.
+func For(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/scheduler/remote.go
+++ b/scheduler/remote.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mangostage/mangostage/dispatch"
+	"github.com/mangostage/mangostage/internal/sleep"
 	"github.com/mangostage/mangostage/peer"
 )
 
@@ -43,15 +44,6 @@
 // resubmitPause keeps a job that finds no owner from spinning.
 const resubmitPause = 20 * time.Millisecond
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Owners tells who owns the queue.
 type Owners interface {
 	// OwnerConn returns the connection to the owner; nil if this process owns
@@ -112,7 +104,7 @@
 		v, err := c.submit(ctx, conn, j)
 		if err == nil && v.Moved && conn == c.owners.OwnerConn() {
 			// The owner has not heard yet, or this process has not.
-			pause(ctx, resubmitPause)
+			sleep.For(ctx, resubmitPause)
 		}
 		if err == nil && v.Grant != nil {
 			c.placed.add(j, v.Grant.Endpoint, time.Now())
@@ -124,7 +116,7 @@
 			return nil, ErrLeft.Wrap(err, "ticket %s", j.Ticket)
 		}
 		if err != nil {
-			pause(ctx, resubmitPause)
+			sleep.For(ctx, resubmitPause)
 		}
 		c.log.Info().Str("event", "job_moves").Str("request", j.Request).Str("ticket", j.Ticket).
 			Bool("moved", v.Moved).Err(err).Msg("the job goes to another owner of the queue")
