--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -39,7 +39,9 @@
 func TestPickSpreadsOwnRequests(t *testing.T) {
 	b := New("north")
 	list := endpoints("north", "north")
-	assert.Assert(t, pick(b, list) != pick(b, list))
+	first := pick(b, list)
+	second := pick(b, list)
+	assert.Assert(t, first != second)
 }
 
 func TestPickAvoidsAndSkipsLeaving(t *testing.T) {
--- a/dispatch/cache.go
+++ b/dispatch/cache.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"time"
 
 	"github.com/mangostage/mangostage/catalog"
 )
@@ -19,7 +18,6 @@
 type cachedPart struct {
 	id     string
 	tokens int
-	used   time.Time
 }
 
 func newPrefixCache(capacity int) prefixCache {
@@ -40,14 +38,13 @@
 }
 
 // touch notes that an engine reads a prompt.
-func (c *prefixCache) touch(prefix []catalog.PrefixPart, now time.Time) {
+func (c *prefixCache) touch(prefix []catalog.PrefixPart) {
 	for _, p := range prefix {
 		if e, ok := c.parts[p.ID]; ok {
-			e.Value.(*cachedPart).used = now
 			c.order.MoveToFront(e)
 			continue
 		}
-		c.parts[p.ID] = c.order.PushFront(&cachedPart{id: p.ID, tokens: p.Tokens, used: now})
+		c.parts[p.ID] = c.order.PushFront(&cachedPart{id: p.ID, tokens: p.Tokens})
 		c.tokens += p.Tokens
 	}
 	for c.tokens > c.capacity && c.order.Len() > 0 {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -3,8 +3,6 @@
 import (
 	"sort"
 	"time"
-
-	"github.com/mangostage/mangostage/catalog"
 )
 
 const (
@@ -29,7 +27,6 @@
 // Core is the state of all jobs, stages and endpoints. It is not safe for
 // concurrent use; its shell serializes events.
 type Core struct {
-	view    *catalog.View
 	jobs    map[string]*job
 	pools   map[string]*pool
 	engines map[string]*engines
@@ -45,7 +42,6 @@
 // New returns a Core that knows no endpoints.
 func New() *Core {
 	return &Core{
-		view:    catalog.NewView(nil, nil, 0),
 		jobs:    make(map[string]*job),
 		pools:   make(map[string]*pool),
 		engines: make(map[string]*engines),
@@ -228,7 +224,7 @@
 	}
 	j.engine = e
 	j.granted = now
-	c.engines[j.Service].read(e, j, now)
+	c.engines[j.Service].read(e, j)
 	c.emit(Grant{
 		Ticket:   j.Ticket,
 		Endpoint: e.endpoint.ID,
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -82,8 +82,8 @@
 	assert.Assert(t, w.grants["a"].Ticket == "a")
 }
 
-// Results of lost calls fill the books of room, and a queue stands still for a
-// whole day while its endpoints are idle: each booking needs an end of its own.
+// Results of lost calls fill the books of room, and a queue stands still for
+// good while its endpoints are idle: each booking needs an end of its own.
 func TestLostResultsLeaveTheBooks(t *testing.T) {
 	w := newWorld(testView([]string{"north"}, 1))
 	w.fate = func(StartCall) (CallFault, Fault) { return CallLost, FaultNone }
@@ -100,7 +100,7 @@
 	assert.Equal(t, w.grants["after"].Ticket, "after")
 }
 
-// A piece whose input is gone span at 20,000 calls a day: made again as it is,
+// A piece whose input is gone span thousands of times: made again as it is,
 // it fails again. Its job ends instead, at once.
 func TestGoneInputEndsTheJob(t *testing.T) {
 	w := newWorld(testView([]string{"north"}, 1))
@@ -239,7 +239,7 @@
 func TestPlacedPromptsAreFoundAgain(t *testing.T) {
 	w := newWorld(testView([]string{"north"}, 8))
 	prefix := []catalog.PrefixPart{{ID: "shared", Tokens: 4000}, {ID: "own", Tokens: 100}}
-	w.core.Placed(w.now, []Placement{
+	w.core.Placed([]Placement{
 		{Service: serviceModel, Endpoint: "model-north-5", Prefix: prefix},
 		{Service: serviceModel, Endpoint: "gone", Prefix: prefix},
 	})
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -214,14 +214,14 @@
 }
 
 // read notes that an engine reads the prompt of j.
-func (es *engines) read(e *engine, j *job, now time.Time) {
+func (es *engines) read(e *engine, j *job) {
 	e.begin(j)
-	es.keep(e, j.Prefix, now)
+	es.keep(e, j.Prefix)
 }
 
 // keep notes that an engine keeps a prompt.
-func (es *engines) keep(e *engine, prefix []catalog.PrefixPart, now time.Time) {
-	e.cache.touch(prefix, now)
+func (es *engines) keep(e *engine, prefix []catalog.PrefixPart) {
+	e.cache.touch(prefix)
 	if len(es.all) <= compareAll {
 		return
 	}
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -188,7 +188,7 @@
 		}
 		for i := range rapid.IntRange(0, 30).Draw(t, "before") {
 			j := draw(fmt.Sprint(i))
-			es.read(es.choose(j, nil, epoch), j, epoch)
+			es.read(es.choose(j, nil, epoch), j)
 		}
 		for _, e := range es.all {
 			if rapid.IntRange(0, 4).Draw(t, "failed") == 0 {
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -83,20 +83,19 @@
 
 // Placed notes what engines have read by the word of the entries, for an owner
 // that takes over.
-func (c *Core) Placed(now time.Time, placements []Placement) {
+func (c *Core) Placed(placements []Placement) {
 	for _, p := range placements {
 		es := c.engines[p.Service]
 		if es == nil || es.byID[p.Endpoint] == nil {
 			continue
 		}
-		es.keep(es.byID[p.Endpoint], p.Prefix, now)
+		es.keep(es.byID[p.Endpoint], p.Prefix)
 	}
 }
 
 // SetView takes a new configuration or list of endpoints. Endpoints that are
 // gone lose their calls' pieces to others; the jobs go on.
 func (c *Core) SetView(now time.Time, view *catalog.View) {
-	c.view = view
 	if view.Index == nil {
 		return
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,7 +36,7 @@
 }
 
 // count counts an answer and its latency.
-func (m *Metrics) count(req *request, _ int, reason string) {
+func (m *Metrics) count(req *request, reason string) {
 	m.Answers.Add(routeName(req)+" "+reason, 1)
 	m.record("answer "+routeName(req), time.Since(req.arrived))
 }
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -16,6 +16,9 @@
 	"github.com/mangostage/mangostage/scheduler"
 )
 
+// leastUrgent is the last priority that model engines know; 0 is the first.
+const leastUrgent = 9
+
 // modelRequest is the state of one request for a model engine over its sends.
 type modelRequest struct {
 	*request
@@ -177,7 +180,7 @@
 	m.tries.avoid[e.ID] = true
 	m.offered = true
 	sent := time.Now()
-	priority := min(9, max(0, m.priority()))
+	priority := min(leastUrgent, max(0, m.priority()))
 	ctx, cancel := context.WithCancel(m.ctx)
 	defer cancel()
 	a, err := g.send(ctx, m.request, e, platform.Send{
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -53,7 +53,7 @@
 
 // refuse answers the client, if it is still there.
 func (g *Gateway) refuse(w http.ResponseWriter, req *request, p *problem) {
-	g.cfg.Metrics.count(req, p.status, p.reason)
+	g.cfg.Metrics.count(req, p.reason)
 	g.cfg.Log.Info().Str("event", "answered").Str("request", req.ID).Str("route", routeName(req)).
 		Int("status", p.status).Str("reason", p.reason).Bool("offered", req.offered).
 		Bool("may_have_run", req.mayHaveRun).Bool("client_left", req.gone()).Uint64("config", req.version).
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -20,6 +20,9 @@
 // routes without a timeout.
 const defaultDeadline = 30 * time.Second
 
+// defaultBody bounds bodies in bytes where the configuration does not.
+const defaultBody = 4 << 20
+
 // request is one request of a client.
 type request struct {
 	platform.Request
@@ -115,7 +118,7 @@
 func (g *Gateway) readBody(w http.ResponseWriter, req *request) *problem {
 	limit := g.cfg.View().Index.Config.Limits.BodyBytes
 	if limit <= 0 {
-		limit = 4 << 20
+		limit = defaultBody
 	}
 	body := http.MaxBytesReader(w, req.http.Body, limit)
 	var buffer bytes.Buffer
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -146,7 +146,7 @@
 
 // Placed notes what engines have read by the word of the entries.
 func (s *Scheduler) Placed(placements []dispatch.Placement) {
-	s.event(func(now time.Time, c *dispatch.Core) { c.Placed(now, placements) })
+	s.event(func(_ time.Time, c *dispatch.Core) { c.Placed(placements) })
 }
 
 // HandOver gives the jobs that have not begun back to their entries: another
