--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -41,6 +41,8 @@
 	logBusEnded   = "event_bus_ended"
 	logHTTPEnded  = "http_ended"
 	logNotApplied = "bundle_not_applied"
+	// logSettingsRead is the gateway's: its settings file was read again.
+	logSettingsRead = "settings_read"
 )
 
 // timeFormat has the milliseconds that order the lines of several processes.
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -195,7 +195,7 @@
 			return
 		case <-hups:
 			changed, findings := g.own.Changed(g.loaded)
-			g.log.Info().Str("event", "settings_read").Bool("changed", changed).
+			g.log.Info().Str("event", logSettingsRead).Bool("changed", changed).
 				Err(findings.Err()).Msg("settings file read again")
 		}
 	}
--- a/daemon/page_test.go
+++ b/daemon/page_test.go
@@ -66,6 +66,35 @@
 	assert.DeepEqual(t, onPage, inCode)
 }
 
+// gatewayPackages are those that write log lines in a gateway, beside daemon.
+var gatewayPackages = []string{"discovery", "fleet", "scheduler", "gateway"}
+
+// The page that leads from a request's ID to its cause names each event that a
+// gateway writes.
+func TestOperationsPageListsEveryEvent(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	onPage := make(map[string]bool)
+	for line := range strings.Lines(string(page)) {
+		cell, ok := strings.CutPrefix(line, "| `")
+		if !ok {
+			continue
+		}
+		cell, _, _ = strings.Cut("`"+cell, " | ")
+		for _, m := range word.FindAllStringSubmatch(cell, -1) {
+			onPage[m[1]] = true
+		}
+	}
+	for _, dir := range gatewayPackages {
+		text := source(t, dir)
+		uses, lines := len(eventUse.FindAllString(text, -1)), len(lineEnd.FindAllString(text, -1))
+		assert.Equal(t, uses, lines, "%s writes log lines without the name of an event", dir)
+		for _, m := range eventNames.FindAllStringSubmatch(text, -1) {
+			assert.Assert(t, onPage[m[2]], "the page lacks %s", m[2])
+		}
+	}
+}
+
 // namesIn returns the values of the constants of a type.
 func namesIn(text, typeName string) []string {
 	var names []string
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -158,7 +158,7 @@
 	}
 	err := f.watch(ctx)
 	if errorx.IsOfType(err, platform.ErrCompacted) {
-		f.log.Info().Str("event", "store_history_gone").Uint64("after", f.At()).Msg("listing anew")
+		f.log.Info().Str("event", logStoreHistoryGone).Uint64("after", f.At()).Msg("listing anew")
 		*listed = false
 		return nil
 	}
@@ -289,7 +289,7 @@
 	if at == 0 {
 		return
 	}
-	f.log.Info().Str("event", "view_from_peer").Int("items", len(items)).Uint64("at", at).Msg("view taken from a peer")
+	f.log.Info().Str("event", logViewFromPeer).Int("items", len(items)).Uint64("at", at).Msg("view taken from a peer")
 	f.update(func(now time.Time, s *State) error { return applyAll(now, s, items, at) })
 }
 
@@ -311,12 +311,12 @@
 	}
 	f.mu.Unlock()
 	if err != nil {
-		f.log.Error().Str("event", "store_item_malformed").Err(err).Msg("an item of the store was left out")
+		f.log.Error().Str("event", logStoreItemMalformed).Err(err).Msg("an item of the store was left out")
 	}
 	if view == nil {
 		return
 	}
-	f.log.Info().Str("event", "view_changed").Uint64("config", version).Uint64("at", at).
+	f.log.Info().Str("event", logViewChanged).Uint64("config", version).Uint64("at", at).
 		Int("endpoints", view.Len()).Msg("view changed")
 	f.onChange(view)
 }
@@ -340,13 +340,13 @@
 	f.state.Trouble(time.Now())
 	f.mu.Unlock()
 	if f.healthy.Swap(false) {
-		f.log.Warn().Str("event", "store_lost").Err(err).Msg("the store does not answer")
+		f.log.Warn().Str("event", logStoreLost).Err(err).Msg("the store does not answer")
 	}
 }
 
 func (f *Follower) regained() {
 	f.answered.Store(int64(time.Since(f.began)))
 	if !f.healthy.Swap(true) {
-		f.log.Info().Str("event", "store_regained").Uint64("at", f.At()).Msg("the store answers")
+		f.log.Info().Str("event", logStoreRegained).Uint64("at", f.At()).Msg("the store answers")
 	}
 }
--- /dev/null
+++ b/discovery/lognames.go
@@ -0,0 +1,11 @@
+package discovery
+
+// Event names of the log lines.
+const (
+	logStoreHistoryGone   = "store_history_gone"
+	logStoreItemMalformed = "store_item_malformed"
+	logStoreLost          = "store_lost"
+	logStoreRegained      = "store_regained"
+	logViewChanged        = "view_changed"
+	logViewFromPeer       = "view_from_peer"
+)
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -217,7 +217,7 @@
 	l.conn = conn
 	beat := s.core.Beat(now, at)
 	s.mu.Unlock()
-	s.cfg.Log.Info().Str("event", "peer_connected").Str("addr", addr).Str("peer", conn.Peer().Process.Name).Msg("connected to a peer")
+	s.cfg.Log.Info().Str("event", logPeerConnected).Str("addr", addr).Str("peer", conn.Peer().Process.Name).Msg("connected to a peer")
 	_ = conn.Notify(MethodBeat, beat)
 }
 
@@ -247,7 +247,7 @@
 	s.core.Closed(time.Now(), p.Name, p.Incarnation)
 	s.ownerLocked(time.Now())
 	s.mu.Unlock()
-	s.cfg.Log.Info().Str("event", "peer_lost").Str("peer", p.Name).Msg("connection to a peer ended")
+	s.cfg.Log.Info().Str("event", logPeerLost).Str("peer", p.Name).Msg("connection to a peer ended")
 }
 
 // ownerLocked looks who owns the queue and tells of a change.
@@ -260,7 +260,7 @@
 			go s.cfg.OnDemoted()
 		}
 		s.owning = self
-		s.cfg.Log.Info().Str("event", "owner_changed").Str("owner", owner.Name).Bool("self", self).
+		s.cfg.Log.Info().Str("event", logOwnerChanged).Str("owner", owner.Name).Bool("self", self).
 			Uint64("term", s.core.Claim().Term).Msg("the queue has another owner")
 	}
 	return owner, self
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -75,7 +75,7 @@
 		p.queue, p.behind = lease.Refuse.Queue, lease.Refuse.Behind
 		return nil, p
 	}
-	g.cfg.Log.Info().Str("event", "granted").Str("request", m.ID).Str("route", m.route.Name).
+	g.cfg.Log.Info().Str("event", logGranted).Str("request", m.ID).Str("route", m.route.Name).
 		Str("endpoint", lease.Grant.Endpoint).Dur("waited_ms", lease.Grant.Waited).
 		Str("owner", lease.Owner).Dur("slack_ms", lease.Grant.Slack).Bool("late", lease.Grant.Late).Msg("stages done, engine chosen")
 	return lease, nil
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		line = g.cfg.Log.Warn().Err(err)
 	}
-	line.Str("event", "sent").Str("request", req.ID).Str("route", req.route.Name).Str("endpoint", e.ID).
+	line.Str("event", logSent).Str("request", req.ID).Str("route", req.route.Name).Str("endpoint", e.ID).
 		Int("status", status).Uint64("config", req.version).Dur("took_ms", took).Msg("sent to an endpoint")
 }
 
@@ -212,7 +212,7 @@
 // broken ends the client's connection after an answer that ended early.
 func (g *Gateway) broken(req *request, e *catalog.Endpoint, err error) {
 	g.cfg.Metrics.count(req, "broken_off")
-	g.cfg.Log.Warn().Str("event", "answered").Str("request", req.ID).Str("route", req.route.Name).
+	g.cfg.Log.Warn().Str("event", logAnswered).Str("request", req.ID).Str("route", req.route.Name).
 		Str("endpoint", e.ID).Str("reason", "broken_off").Bool("client_left", req.gone()).
 		Bool("expired", req.expired()).Err(err).Dur("took_ms", time.Since(req.arrived)).Msg("answer broken off")
 	panic(http.ErrAbortHandler)
@@ -221,7 +221,7 @@
 // done writes the line for an answer that was relayed whole.
 func (g *Gateway) done(req *request, status int, reason string) {
 	g.cfg.Metrics.count(req, reason)
-	g.cfg.Log.Info().Str("event", "answered").Str("request", req.ID).Str("route", req.route.Name).
+	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", req.route.Name).
 		Int("status", status).Str("reason", reason).Uint64("config", req.version).
 		Dur("took_ms", time.Since(req.arrived)).Msg("answered")
 }
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -54,7 +54,7 @@
 // refuse answers the client, if it is still there.
 func (g *Gateway) refuse(w http.ResponseWriter, req *request, p *problem) {
 	g.cfg.Metrics.count(req, p.reason)
-	g.cfg.Log.Info().Str("event", "answered").Str("request", req.ID).Str("route", routeName(req)).
+	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", routeName(req)).
 		Int("status", p.status).Str("reason", p.reason).Bool("offered", req.offered).
 		Bool("may_have_run", req.mayHaveRun).Bool("client_left", req.gone()).Uint64("config", req.version).
 		Str("queue", p.queue).Dur("behind_ms", p.behind).Dur("retry_after_ms", p.retryAfter).Dur("took_ms", time.Since(req.arrived)).Msg("own answer")
--- a/scheduler/remote.go
+++ b/scheduler/remote.go
@@ -118,7 +118,7 @@
 		if err != nil {
 			sleep.For(ctx, resubmitPause)
 		}
-		c.log.Info().Str("event", "job_moves").Str("request", j.Request).Str("ticket", j.Ticket).
+		c.log.Info().Str("event", logJobMoves).Str("request", j.Request).Str("ticket", j.Ticket).
 			Bool("moved", v.Moved).Err(err).Msg("the job goes to another owner of the queue")
 	}
 }
@@ -133,7 +133,7 @@
 		c.local.Placed(news)
 	default:
 		if err := conn.Notify(MethodPlaced, news); err != nil {
-			c.log.Debug().Str("event", "owner_not_told").Err(err).Msg(MethodPlaced)
+			c.log.Debug().Str("event", logOwnerNotTold).Err(err).Msg(MethodPlaced)
 		}
 	}
 }
@@ -194,6 +194,6 @@
 // drops it when the job's time has run out.
 func (l *Lease) notify(method string, n Note) {
 	if err := l.conn.Notify(method, n); err != nil {
-		l.client.log.Debug().Str("event", "owner_not_told").Str("ticket", l.ticket).Err(err).Msg(method)
+		l.client.log.Debug().Str("event", logOwnerNotTold).Str("ticket", l.ticket).Err(err).Msg(method)
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -220,7 +220,7 @@
 	if err != nil {
 		line = s.log.Warn().Err(err)
 	}
-	line.Str("event", "stage_call").Uint64("call", e.Call).Str("service", e.Service).Str("endpoint", e.Endpoint).
+	line.Str("event", logStageCall).Uint64("call", e.Call).Str("service", e.Service).Str("endpoint", e.Endpoint).
 		Int("waiting", e.Waiting).Int("pieces", len(pieces)).Int("failed", failed).Str("fault", string(fault)).
 		Dur("took_ms", time.Since(sent)).Msg("call for a stage ended")
 	s.event(func(now time.Time, c *dispatch.Core) { c.CallEnded(now, e.Call, fault, outcomes) })
@@ -261,7 +261,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, freeTimeout)
 	defer cancel()
 	if err := s.stages.Free(ctx, e.Endpoint, e.Addr, e.Handles); err != nil {
-		s.log.Warn().Str("event", "free_failed").Str("endpoint", e.Endpoint).Int("results", len(e.Handles)).
+		s.log.Warn().Str("event", logFreeFailed).Str("endpoint", e.Endpoint).Int("results", len(e.Handles)).
 			Err(err).Msg("results were not given up")
 	}
 }
