--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -57,19 +57,23 @@
 	metrics   *gateway.Metrics
 	front     *http.Server
 	side      []*http.Server
-	stop      context.CancelFunc
-	running   sync.WaitGroup
+	// hups carries SIGHUP from the first moment on: its default ends the process.
+	hups    chan os.Signal
+	stop    context.CancelFunc
+	running sync.WaitGroup
 }
 
 // StartGateway starts the process; log lines go to sink.
 func StartGateway(own settings.Gateway, loaded settings.LoadedGateway, sink *logsink.Sink) (*Gateway, error) {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
 	p := loaded.Platform
 	log := zerolog.New(sink).Level(loaded.LogLevel).With().Timestamp().Str("process", p.Name).Logger()
 	bus, err := kernel.NewBus(log)
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{own: own, loaded: loaded, log: log, sink: sink, bus: bus, metrics: gateway.NewMetrics()}
+	g := &Gateway{own: own, loaded: loaded, log: log, sink: sink, bus: bus, metrics: gateway.NewMetrics(), hups: hups}
 	ctx, stop := context.WithCancel(context.Background())
 	g.stop = stop
 	g.assemble()
@@ -186,14 +190,11 @@
 // change while the process runs but what the process does not use; a change
 // is logged and no request is cut.
 func (g *Gateway) watchSettings(ctx context.Context) {
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	defer signal.Stop(hups)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hups:
+		case <-g.hups:
 			changed, findings := g.own.Changed(g.loaded)
 			g.log.Info().Str("event", logSettingsRead).Bool("changed", changed).
 				Err(findings.Err()).Msg("settings file read again")
