End the balancer's count of a model request that it placed

Cause: when the engine that the queue's owner chose has left or failed the request, the gateway takes the balancer's pick, which counts a request in flight, and nobody ended that count. Each fallback left one request counted for good, so later fallbacks went to worse engines, and the state of an engine that is gone was never forgotten. Ruled out: counting in the owner; the owner does not know of the fallback. Before: of 4 fallbacks 2 went to the second-best engine (the new test); after: all 4 to the best one. Found by reading; no run had shown it.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -10,6 +10,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/mangostage/mangostage/balance"
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/platform"
@@ -119,13 +120,12 @@
 	served := false
 	defer func() { m.lease.Done(served) }()
 	for {
-		e := g.engine(m)
+		e, picked := g.engine(m)
 		if e == nil {
 			return false, ended(m.request, "no_endpoint_served", busyRetry)
 		}
 		g.countSend(m.request, &m.tries)
-		result := g.tryModel(w, m, e)
-		switch result {
+		switch g.tryEngine(w, m, e, picked) {
 		case streamServed:
 			served = true
 			return false, nil
@@ -155,14 +155,35 @@
 }
 
 // engine is the one that the queue's owner chose, if it has not left
-// meanwhile and has not failed this request already; else another one.
-func (g *Gateway) engine(m *modelRequest) *catalog.Endpoint {
+// meanwhile and has not failed this request already; else another one, which
+// the balancer picked and counts until it hears of the end.
+func (g *Gateway) engine(m *modelRequest) (e *catalog.Endpoint, picked bool) {
 	view := g.cfg.View()
-	e := view.Endpoint(m.lease.Grant.Endpoint)
+	e = view.Endpoint(m.lease.Grant.Endpoint)
 	if e != nil && !e.Leaving && !m.tries.avoid[e.ID] {
-		return e
+		return e, false
 	}
-	return g.balance.Pick(time.Now(), view.Endpoints(m.serviceName), m.tries.avoid)
+	e = g.balance.Pick(time.Now(), view.Endpoints(m.serviceName), m.tries.avoid)
+	return e, e != nil
+}
+
+// tryEngine makes one send. For an engine that the balancer picked it also
+// ends the balancer's count, also when the client's connection is broken off:
+// counts that never end would keep later requests from that engine for good.
+func (g *Gateway) tryEngine(w http.ResponseWriter, m *modelRequest, e *catalog.Endpoint, picked bool) streamResult {
+	outcome := balance.Abandoned
+	sent := time.Now()
+	if picked {
+		defer func() { g.balance.Ended(time.Now(), e.ID, outcome, time.Since(sent), -1) }()
+	}
+	result := g.tryModel(w, m, e)
+	switch {
+	case result == streamNotRun:
+		outcome = balance.Full
+	case result == streamFailed && !m.gone():
+		outcome = balance.Silent
+	}
+	return result
 }
 
 // streamResult is how one send to a model engine ended.
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -157,3 +157,26 @@
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
 	assert.Assert(t, got.header.Get("Retry-After") != "")
 }
+
+// The engine that the queue's owner chose refuses every request, so each goes
+// to the balancer's choice. Counts of those that have ended must not stay, or
+// the engine that served them looks busier with each and is left for a worse one.
+func TestFallbackIsNotCountedForGood(t *testing.T) {
+	r := newRig(t)
+	r.endpoint("model", "m-1", func(w http.ResponseWriter, _ standin.Run) {
+		w.Header().Set("Mangostage-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	answer := func(w http.ResponseWriter, _ standin.Run) {
+		standin.Seal(w)
+		standin.Events(w, 1, 2)
+	}
+	near, far := r.endpoint("model", "m-2", answer), r.endpoint("model", "m-3", answer)
+	for range 4 {
+		got := r.do(r.request(http.MethodPost, "/stream/", "prompt"))
+		assert.NilError(t, got.err)
+		assert.Equal(t, got.body, pieces(2))
+	}
+	assert.Equal(t, len(near.Runs()), 4)
+	assert.Equal(t, len(far.Runs()), 0)
+}
