Look at bookings and removed endpoints only when there is something to end

Cause: each tick of 20 ms walked all results that endpoints keep, built the whole statistics only to learn whether anything is left, and discovery walked all known endpoints ten times a second. A worker now remembers the earliest end of a booking, the core tells by itself whether it is idle, and discovery keeps the removed endpoints apart.

--- a/discovery/state.go
+++ b/discovery/state.go
@@ -37,17 +37,22 @@
 // State merges what the store and peers say. It does no I/O and is not safe
 // for concurrent use.
 type State struct {
-	at       uint64
-	config   platform.Item
-	index    *catalog.Index
-	entries  map[string]*entry
+	at      uint64
+	config  platform.Item
+	index   *catalog.Index
+	entries map[string]*entry
+	// gone holds the entries that are no longer listed, by endpoint ID. It is
+	// looked at ten times a second, while a fleet has thousands of entries.
+	gone     map[string]*entry
 	trouble  time.Time
 	revision uint64
 	dirty    bool
 }
 
 // NewState returns a State that knows nothing.
-func NewState() *State { return &State{entries: make(map[string]*entry)} }
+func NewState() *State {
+	return &State{entries: make(map[string]*entry), gone: make(map[string]*entry)}
+}
 
 // At is the store's revision up to which the state is complete.
 func (s *State) At() uint64 { return s.at }
@@ -108,6 +113,7 @@
 		return err
 	}
 	s.entries[id] = &entry{item: item, endpoint: endpoint}
+	delete(s.gone, id)
 	s.dirty = true
 	return nil
 }
@@ -116,7 +122,9 @@
 func (s *State) remove(now time.Time, id string, item platform.Item) {
 	known := s.entries[id]
 	if known == nil {
-		s.entries[id] = &entry{item: item, goneAt: now}
+		known = &entry{item: item, goneAt: now}
+		s.entries[id] = known
+		s.gone[id] = known
 		return
 	}
 	if !known.goneAt.IsZero() {
@@ -126,6 +134,7 @@
 	known.item = item
 	known.goneAt = now
 	known.until = now
+	s.gone[id] = known
 	if now.Sub(s.trouble) < troubleSpan && !known.endpoint.Leaving {
 		known.until = now.Add(lapseGrace)
 	}
@@ -157,16 +166,14 @@
 
 // Expire ends the grace of lapsed endpoints and forgets old removals.
 func (s *State) Expire(now time.Time) {
-	for id, e := range s.entries {
-		if e.goneAt.IsZero() {
-			continue
-		}
+	for id, e := range s.gone {
 		if e.endpoint != nil && !now.Before(e.until) {
 			e.endpoint = nil
 			s.dirty = true
 		}
 		if now.Sub(e.goneAt) > tombstoneSpan {
 			delete(s.entries, id)
+			delete(s.gone, id)
 		}
 	}
 }
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -52,3 +52,23 @@
 		})
 	}
 }
+
+// BenchmarkTick measures one look at all that waits, with as many results kept
+// as the endpoints of one service have room for.
+func BenchmarkTick(b *testing.B) {
+	for _, results := range []int{100, 1000, 10000} {
+		b.Run(fmt.Sprint(results), func(b *testing.B) {
+			c := New()
+			c.SetView(epoch, testView([]string{"north", "south"}, 1))
+			p := c.pools[serviceLight]
+			for i := range results {
+				w := p.workers[i%len(p.workers)]
+				w.keep(&result{bytes: 1}, epoch)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Tick(epoch)
+			}
+		})
+	}
+}
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -200,3 +200,41 @@
 		assert.Assert(t, chosen.cost(j, nil, epoch) <= naiveChoose(es, j, epoch)+affinityBonus)
 	})
 }
+
+// Bookings end at their time and not before, in whatever order they were made
+// and given up. The naive counterpart looks at all of them each time.
+func TestBookingsExpireAsTheNaiveOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		spec := heavySpec
+		w := newWorker(&catalog.Endpoint{}, &spec)
+		kept := make(map[*result]bool)
+		now := epoch
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				r := &result{bytes: 10}
+				w.used += r.bytes
+				// The result of a lost call is kept from the time at which the call should have ended.
+				w.keep(r, now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "later"))*time.Millisecond))
+				kept[r] = true
+			case 2:
+				for r := range kept {
+					w.release(r)
+					delete(kept, r)
+					break
+				}
+			case 3:
+				spec.ResultTTL = time.Duration(rapid.IntRange(1, 6).Draw(t, "ttl")) * time.Second
+			}
+			w.expire(now)
+			for r := range kept {
+				if !now.Before(r.until) {
+					delete(kept, r)
+				}
+			}
+			assert.Equal(t, len(w.results), len(kept))
+			assert.Equal(t, w.used, int64(10*len(kept)))
+		}
+	})
+}
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -27,6 +27,9 @@
 	c.dispatch(now)
 }
 
+// Idle tells whether no time has to pass: there are no jobs and no calls.
+func (c *Core) Idle() bool { return len(c.jobs) == 0 && len(c.calls) == 0 }
+
 // tickets lists the jobs in a fixed order, so that a run can be repeated.
 func (c *Core) tickets() []*job {
 	jobs := make([]*job, 0, len(c.jobs))
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -33,6 +33,8 @@
 	// used is the memory of results that are kept, made or expected, in bytes.
 	used    int64
 	results map[*result]struct{}
+	// firstExpiry is not after the earliest end of a booking.
+	firstExpiry time.Time
 	// speed is the measured time of a call over the expected one.
 	speed float64
 	// pause is under way after failed and refused calls.
@@ -94,6 +96,9 @@
 func (w *worker) keep(r *result, now time.Time) {
 	r.worker = w
 	r.until = now.Add(w.spec.ResultTTL + ttlMargin)
+	if len(w.results) == 0 || r.until.Before(w.firstExpiry) {
+		w.firstExpiry = r.until
+	}
 	w.results[r] = struct{}{}
 }
 
@@ -109,11 +114,21 @@
 
 // expire ends the bookings of results that the endpoint has dropped by itself.
 // Without it, results of lost calls would fill the books for good and the
-// worker would stand idle while work waits.
+// worker would stand idle while work waits. It looks at the bookings only once
+// the first of them can have run out.
 func (w *worker) expire(now time.Time) {
+	if now.Before(w.firstExpiry) {
+		return
+	}
+	first := true
 	for r := range w.results {
 		if !now.Before(r.until) {
 			w.release(r)
+			continue
+		}
+		if first || r.until.Before(w.firstExpiry) {
+			w.firstExpiry = r.until
 		}
+		first = false
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -88,11 +88,11 @@
 func (s *Scheduler) tick(now time.Time) bool {
 	s.mu.Lock()
 	s.core.Tick(now)
-	stats := s.core.Stats()
+	idle := s.core.Idle()
 	effects := s.core.Effects()
 	s.mu.Unlock()
 	s.carryOut(effects)
-	return stats.Jobs == 0 && stats.Calls == 0
+	return idle
 }
 
 // SetView passes on a new view.
