--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -238,3 +238,49 @@
 		}
 	})
 }
+
+// Users wait in a queue while an endpoint stands idle that could work for them:
+// an event that frees room or a place must start the next call. After each tick
+// no idle endpoint may have a waiting piece that fits, so none waits in vain
+// for longer than a tick.
+func TestNoPieceWaitsForAnIdleEndpoint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(testView([]string{"north", "south"}, rapid.IntRange(1, 2).Draw(t, "endpoints")))
+		w.fate = func(StartCall) (CallFault, Fault) {
+			switch rapid.IntRange(0, 9).Draw(t, "fate") {
+			case 0:
+				return CallLost, FaultNone
+			case 1:
+				return CallRefused, FaultNone
+			case 2:
+				return CallOK, FaultRoom
+			}
+			return CallOK, FaultNone
+		}
+		w.afterTick = func() { assertNobodyWaits(t, w) }
+		for i := range rapid.IntRange(1, 25).Draw(t, "jobs") {
+			j := testJob(fmt.Sprint(i))
+			j.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
+			w.submit(j)
+			w.run(time.Duration(rapid.IntRange(0, 30).Draw(t, "gap")) * 10 * time.Millisecond)
+			if rapid.IntRange(0, 5).Draw(t, "leaves") == 0 {
+				w.core.Cancel(w.now, j.Ticket)
+				w.drain()
+			}
+		}
+		w.run(3 * time.Second)
+	})
+}
+
+// assertNobodyWaits compares with the naive batch, which moves nothing.
+func assertNobodyWaits(t assert.TestingT, w *world) {
+	for _, p := range w.core.pools {
+		for _, worker := range p.workers {
+			if !worker.idle(w.now) {
+				continue
+			}
+			fits := naiveBatch(p, worker, w.now)
+			assert.Assert(t, len(fits) == 0, "%s is idle while %v wait for %s", worker.endpoint.ID, fits, p.name)
+		}
+	}
+}
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -78,6 +78,8 @@
 	answers map[string]time.Time
 	// slow stretches the calls of an endpoint.
 	slow map[string]float64
+	// afterTick, if set, is called after each tick.
+	afterTick func()
 }
 
 type flying struct {
@@ -145,6 +147,9 @@
 		w.answer()
 		w.core.Tick(w.now)
 		w.drain()
+		if w.afterTick != nil {
+			w.afterTick()
+		}
 	}
 }
 
--- /dev/null
+++ b/gateway/fuzz_test.go
@@ -0,0 +1,102 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/platform/standin"
+)
+
+// frontPatience bounds the exchange of one fuzzed connection: the front closes
+// it itself when the bytes end, and only a request that lacks bytes waits.
+const frontPatience = 200 * time.Millisecond
+
+// sentRequests reads the requests in the bytes of a client, up to the first
+// that is malformed, with the body that each of them has.
+func sentRequests(data []byte) []standin.Run {
+	var sent []standin.Run
+	reader := bufio.NewReader(bytes.NewReader(data))
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return sent
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return sent
+		}
+		sent = append(sent, standin.Run{
+			ID: req.Header.Get("Mangostage-Attempt-Id"), Method: req.Method, Target: req.RequestURI, Body: body,
+		})
+	}
+}
+
+func head(id, rest string) string {
+	return "POST /once/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token k1\r\nMangostage-Attempt-Id: " + id + "\r\n" + rest
+}
+
+// A client's bytes hide a second request in a body, give two lengths, break off
+// in a chunk or are no request at all. Endpoints must run nothing but the
+// requests that are there, each with its own method, target and body, and the
+// gateway must go on serving others.
+func FuzzFront(f *testing.F) {
+	hidden := head("inner", "Content-Length: 0\r\n\r\n")
+	f.Add([]byte(head("a", "Content-Length: 3\r\n\r\nabc")))
+	f.Add([]byte(head("a", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n") + head("b", "Content-Length: 0\r\n\r\n")))
+	f.Add([]byte(head("a", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(hidden), hidden))))
+	f.Add([]byte(head("a", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+hidden)))
+	f.Add([]byte(head("a", "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabc"+hidden)))
+	f.Add([]byte(head("a", "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n3\r\nabc\r\n0\r\n\r\n")))
+	f.Add([]byte(head("a", "Transfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nabc")))
+	f.Add([]byte(head("a", "Transfer-Encoding: chunked\r\n\r\n3;x=\n\r\nabc\r\n0\r\nTrailer: x\r\n\r\n")))
+	f.Add([]byte(head("a", "Mangostage-Deadline-Ms: -1\r\nMangostage-Segments: 9999999999\r\nContent-Length: 0\r\n\r\n")))
+	f.Add([]byte("GET /idem/?q=%zz HTTP/1.1\r\nHost: a.example:80\r\nAuthorization: Token k1\r\nMangostage-Attempt-Id: g\r\n\r\n"))
+	f.Add([]byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"))
+	r := newRig(f)
+	e := r.endpoint("plain", "p-1", nil)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r.t = t
+		before := len(e.Runs())
+		exchange(t, r.url, data)
+		assert.Equal(t, r.do(r.request(http.MethodPost, "/once/", "after")).body, "ok")
+		ran := e.Runs()[before:]
+		ran = ran[:len(ran)-1]
+		sent := sentRequests(data)
+		for _, run := range ran {
+			at := indexOfRun(sent, run)
+			assert.Assert(t, at >= 0, "%s %s %q with body %q ran and was not sent", run.Method, run.Target, run.ID, run.Body)
+			sent = append(sent[:at], sent[at+1:]...)
+		}
+	})
+}
+
+func indexOfRun(sent []standin.Run, run standin.Run) int {
+	for i, s := range sent {
+		if s.ID == run.ID && s.Method == run.Method && s.Target == run.Target && bytes.Equal(s.Body, run.Body) {
+			return i
+		}
+	}
+	return -1
+}
+
+// exchange sends bytes on a connection of its own and reads until it ends.
+func exchange(t *testing.T, url string, data []byte) {
+	t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(frontPatience)))
+	// The front may close in the middle of bytes that it does not take.
+	_, _ = conn.Write(data)
+	_ = conn.(*net.TCPConn).CloseWrite()
+	_, _ = io.Copy(io.Discard, conn)
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -33,7 +33,7 @@
 func (a alone) Settled() <-chan struct{}        { return a.settled }
 func newAlone() alone                           { a := alone{make(chan struct{})}; close(a.settled); return a }
 func addrOf(s *httptest.Server) string          { return strings.TrimPrefix(s.URL, "http://") }
-func serve(t *testing.T, h http.Handler) string {
+func serve(t testing.TB, h http.Handler) string {
 	t.Helper()
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
@@ -42,7 +42,7 @@
 
 // rig is a gateway with its endpoints.
 type rig struct {
-	t         *testing.T
+	t         testing.TB
 	gateway   *gateway.Gateway
 	scheduler *scheduler.Scheduler
 	url       string
@@ -53,7 +53,7 @@
 	endpoints []*catalog.Endpoint
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t testing.TB) *rig {
 	t.Helper()
 	r := &rig{t: t, view: catalog.NewView(nil, nil, 0)}
 	r.config = catalog.Config{
