Large fleets connect to hubs instead of each member to each other

Members beyond 64 now hold connections to five hubs (those that rank first), the seeds and the queue's owner; who is not dialled back answers on the connection that it accepted; a first heartbeat names 16 members, not all. Up to 64 members nothing changes. A gateway can advertise another peer address than it listens on, by which the soak now cuts, silences, delays and resets the ways between gateways, too, and runs with any number of processes.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net"
@@ -95,7 +96,8 @@
 	stages := platform.NewStages(&http.Client{Transport: gateway.NewTransport()})
 	g.scheduler = scheduler.New(stages, g.log)
 	g.fleet = fleet.New(fleet.Config{
-		Self:    fleet.Member{Name: p.Name, Addr: p.Peer, Domain: p.Domain, Cores: p.Cores},
+		Self:    fleet.Member{Name: p.Name, Addr: cmp.Or(g.own.Advertise, p.Peer), Domain: p.Domain, Cores: p.Cores},
+		Listen:  p.Peer,
 		Seeds:   p.Seeds,
 		Mux:     mux,
 		Log:     g.log,
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -71,6 +71,10 @@
 	Peers []string `json:"peers,omitempty"`
 	// StoreAt is the store's revision that From knows.
 	StoreAt uint64 `json:"store_at,omitempty"`
+	// Hears is the number of members that From hears itself, From included.
+	Hears int `json:"hears,omitempty"`
+	// Hubs are the members that From ranks first, in a fleet that is no full mesh.
+	Hubs []Member `json:"hubs,omitempty"`
 }
 
 // peerState is what is known of one member.
@@ -79,6 +83,8 @@
 	heard   time.Time
 	leaving bool
 	storeAt uint64
+	// hears is the number of members that it hears itself.
+	hears int
 	// closed is when a connection to the member ended; zero once it is heard again.
 	closed time.Time
 }
@@ -89,8 +95,18 @@
 	self  Member
 	peers map[string]*peerState
 	addrs map[string]time.Time
-	// named is where the next heartbeat begins to name members.
-	named int
+	// next is where the next heartbeat begins to name members.
+	next int
+	// mesh is set while the fleet is small enough for each member to hold a
+	// connection to each other; partners are the addresses to connect to.
+	mesh     bool
+	partners map[string]bool
+	// named holds the hubs that were heard of, by name.
+	named map[string]hub
+	// stray is the last known address that was dialled for lack of hubs.
+	stray int
+	// began is when the core was first used.
+	began time.Time
 	claim Claim
 	// claimed is when the claim was taken up.
 	claimed time.Time
@@ -103,11 +119,19 @@
 
 // NewCore returns the core of self; seeds are addresses to try first.
 func NewCore(self Member, seeds []string) *Core {
-	c := &Core{self: self, peers: make(map[string]*peerState), addrs: make(map[string]time.Time)}
+	c := &Core{
+		self:     self,
+		peers:    make(map[string]*peerState),
+		addrs:    make(map[string]time.Time),
+		mesh:     true,
+		partners: make(map[string]bool),
+		named:    make(map[string]hub),
+	}
 	for _, addr := range seeds {
 		// Seeds are never forgotten: they are all that a cut-off process has.
 		if addr != self.Addr {
 			c.addrs[addr] = time.Time{}
+			c.partners[addr] = true
 		}
 	}
 	return c
@@ -119,7 +143,8 @@
 	if b.From.Name == c.self.Name || b.From.Name == "" {
 		return false
 	}
-	c.peers[b.From.Name] = &peerState{Member: b.From, heard: now, leaving: b.Leaving, storeAt: b.StoreAt}
+	c.peers[b.From.Name] = &peerState{Member: b.From, heard: now, leaving: b.Leaving, storeAt: b.StoreAt, hears: b.Hears}
+	c.hearOfHubs(now, b)
 	c.learn(now, b.From.Addr)
 	for _, addr := range b.Peers {
 		c.learn(now, addr)
@@ -144,6 +169,9 @@
 		}
 		c.claimed = c.claimed.Add(gap)
 	}
+	if c.last.IsZero() {
+		c.began = now
+	}
 	if now.After(c.last) {
 		c.last = now
 	}
@@ -157,6 +185,9 @@
 		return
 	}
 	c.addrs[addr] = now
+	if c.mesh {
+		c.partners[addr] = true
+	}
 }
 
 // confirm raises the first term of a claim that another process shares. A
@@ -301,25 +332,26 @@
 	return a.Name < b.Name
 }
 
-// Introduction returns the first heartbeat on a connection: it names all live
-// members.
+// Introduction returns the first heartbeat on a connection.
 func (c *Core) Introduction(now time.Time, storeAt uint64) Beat {
-	return c.beat(now, storeAt, len(c.peers))
+	return c.beat(now, storeAt, introduced, true)
 }
 
-// Beat returns the heartbeat to send. It names a few members, others each
-// time: to name all in each would cost bytes and processor time by the square
-// of the fleet, 1.6 MB a second and 70% of a core for each of 300 members.
-func (c *Core) Beat(now time.Time, storeAt uint64) Beat {
-	return c.beat(now, storeAt, namedPeers)
+// Beat returns the heartbeat to send in a round. It names a few members, others
+// each time: to name all in each would cost bytes and processor time by the
+// square of the fleet, 1.6 MB a second and 70% of a core for each of 300 members.
+func (c *Core) Beat(now time.Time, storeAt uint64, round int) Beat {
+	hubs := round%hubRounds == 0 || round%idleBeats == 0 && now.Sub(c.began) < youngSpan
+	return c.beat(now, storeAt, namedPeers, hubs)
 }
 
 // namedPeers is how many members a heartbeat names. Members name different
 // ones, so that one who knows a single member knows all within seconds.
 const namedPeers = 3
 
-func (c *Core) beat(now time.Time, storeAt uint64, named int) Beat {
-	b := Beat{From: c.self, Leaving: c.leaving, Claim: c.claim, StoreAt: storeAt}
+// beat names some members, and the hubs if the fleet is no full mesh.
+func (c *Core) beat(now time.Time, storeAt uint64, named int, hubs bool) Beat {
+	b := Beat{From: c.self, Leaving: c.leaving, Claim: c.claim, StoreAt: storeAt, Hears: c.heardSize(now)}
 	for _, p := range c.peers {
 		if p.live(now) {
 			b.Peers = append(b.Peers, p.Addr)
@@ -327,8 +359,11 @@
 	}
 	sort.Strings(b.Peers)
 	if n := len(b.Peers); n > named {
-		c.named = (c.named + named) % n
-		b.Peers = append(b.Peers[c.named:], b.Peers[:c.named]...)[:named]
+		c.next = (c.next + named) % n
+		b.Peers = append(b.Peers[c.next:], b.Peers[:c.next]...)[:named]
+	}
+	if hubs && !c.mesh {
+		b.Hubs = c.nameHubs(now)
 	}
 	return b
 }
@@ -343,14 +378,16 @@
 	return p != nil && p.Addr == addr
 }
 
-// Addrs lists the addresses to hold connections to.
+// Addrs chooses and lists the addresses to hold connections to.
 func (c *Core) Addrs(now time.Time) []string {
-	var addrs []string
 	for addr, at := range c.addrs {
 		if !at.IsZero() && now.Sub(at) > forgetAfter {
 			delete(c.addrs, addr)
-			continue
 		}
+	}
+	c.choosePartners(now)
+	addrs := make([]string, 0, len(c.partners))
+	for addr := range c.partners {
 		addrs = append(addrs, addr)
 	}
 	sort.Strings(addrs)
@@ -381,6 +418,9 @@
 // by hash. All processes that see the same members name the same.
 func (c *Core) Readers(now time.Time) []Member {
 	members := c.Live(now)
+	if !c.mesh {
+		members = c.hubs(now)
+	}
 	sort.Slice(members, func(i, j int) bool {
 		return xxhash.Sum64String(members[i].Name) > xxhash.Sum64String(members[j].Name)
 	})
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		c.Owner(w.now)
-		beat := c.Beat(w.now, 0)
+		beat := c.Beat(w.now, 0, w.round)
 		for to, other := range w.cores {
 			if from == to || w.frozen[to] || w.cut[from+to] || w.cut[to+from] || !c.Due(w.now, to, w.round) {
 				continue
@@ -105,7 +105,7 @@
 		w.round++
 		w.now = w.now.Add(BeatEvery)
 		for _, c := range w.cores {
-			beat := c.Beat(w.now, 0)
+			beat := c.Beat(w.now, 0, w.round)
 			assert.Assert(t, len(beat.Peers) <= namedPeers)
 			for _, to := range c.Addrs(w.now) {
 				w.cores[to].Heard(w.now, beat)
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -41,7 +41,10 @@
 
 // Config is what a Service is made of.
 type Config struct {
-	Self  Member
+	// Self is this process; its address is the one that others dial.
+	Self Member
+	// Listen is the address to listen on.
+	Listen string
 	Seeds []string
 	Mux   *peer.Mux
 	Log   zerolog.Logger
@@ -70,9 +73,12 @@
 	heardAny bool
 }
 
-// link is the dialled connection to one address.
+// link is the way to one address.
 type link struct {
+	// conn is the connection that this process dialled, back the one by which
+	// the other side was last heard; either may be nil.
 	conn *peer.Conn
+	back *peer.Conn
 	// tried is when the last dial began; dialling while one is under way.
 	tried   time.Time
 	dialing bool
@@ -103,7 +109,7 @@
 
 // Start listens and beats until ctx ends.
 func (s *Service) Start(ctx context.Context) error {
-	if _, err := s.node.Listen(s.cfg.Self.Addr); err != nil {
+	if _, err := s.node.Listen(s.cfg.Listen); err != nil {
 		return err
 	}
 	go s.run(ctx)
@@ -162,7 +168,24 @@
 	for conn := range s.lost {
 		s.checkLostLocked(now, conn)
 	}
-	beat := s.core.Beat(now, at)
+	beat := s.core.Beat(now, at, round)
+	due := s.dueLocked(now, round)
+	unwanted := s.unwantedLocked()
+	s.mu.Unlock()
+	for _, conn := range due {
+		// Each in its own goroutine: a peer that is frozen with a full socket
+		// buffer must not keep heartbeats from the others. A connection that
+		// fails here is closed, and OnClose follows.
+		go func() { _ = conn.Notify(MethodBeat, beat) }()
+	}
+	for _, conn := range unwanted {
+		conn.Close()
+	}
+}
+
+// dueLocked lists the connections that get the heartbeat of this round, and
+// dials partners that are not connected.
+func (s *Service) dueLocked(now time.Time, round int) []*peer.Conn {
 	var due []*peer.Conn
 	for _, addr := range s.core.Addrs(now) {
 		l := s.linkLocked(addr)
@@ -174,13 +197,26 @@
 			due = append(due, l.conn)
 		}
 	}
-	s.mu.Unlock()
-	for _, conn := range due {
-		// Each in its own goroutine: a peer that is frozen with a full socket
-		// buffer must not keep heartbeats from the others. A connection that
-		// fails here is closed, and OnClose follows.
-		go func() { _ = conn.Notify(MethodBeat, beat) }()
+	for addr, l := range s.conns {
+		// Others have chosen this process as their partner.
+		if l.back != nil && !s.core.Partner(addr) && s.core.Due(now, addr, round) {
+			due = append(due, l.back)
+		}
+	}
+	return due
+}
+
+// unwantedLocked takes the dialled connections out that are left over from
+// when the fleet was smaller, or others were hubs.
+func (s *Service) unwantedLocked() []*peer.Conn {
+	var unwanted []*peer.Conn
+	for addr, l := range s.conns {
+		if l.conn != nil && !s.core.Partner(addr) && s.lost[l.conn] == nil {
+			unwanted = append(unwanted, l.conn)
+			l.conn = nil
+		}
 	}
+	return unwanted
 }
 
 func (s *Service) linkLocked(addr string) *link {
@@ -221,30 +257,56 @@
 	_ = conn.Notify(MethodBeat, beat)
 }
 
-func (s *Service) heard(_ *peer.Conn, b Beat) {
+func (s *Service) heard(conn *peer.Conn, b Beat) {
 	now := time.Now()
+	at := s.cfg.StoreAt()
 	s.mu.Lock()
 	s.core.Heard(now, b)
 	s.settleLocked()
 	s.ownerLocked(now)
-	if l := s.linkLocked(b.From.Addr); l.conn == nil {
+	l := s.linkLocked(b.From.Addr)
+	first := l.back != conn && !conn.Dialed()
+	if first {
+		l.back = conn
+	}
+	var answer *Beat
+	switch {
+	case l.conn != nil:
+	case s.core.Partner(b.From.Addr):
 		// It has just started or come back: no need to wait for the next round.
 		s.dialLocked(b.From.Addr, l, now)
+	case first:
+		intro := s.core.Introduction(now, at)
+		answer = &intro
 	}
 	s.mu.Unlock()
+	if answer != nil {
+		_ = conn.Notify(MethodBeat, *answer)
+	}
 }
 
 // closed forgets a connection; a member whose connection ends is taken for
-// lost until it is heard again.
+// lost until it is heard again. In a fleet that is no full mesh members close
+// connections that they no longer need, so only the last one tells of a loss.
 func (s *Service) closed(conn *peer.Conn) {
 	p := conn.Peer().Process
 	s.mu.Lock()
+	reached := false
 	for _, l := range s.conns {
+		if l.conn != conn && l.back != conn {
+			continue
+		}
 		if l.conn == conn {
 			l.conn = nil
 		}
+		if l.back == conn {
+			l.back = nil
+		}
+		reached = l.conn != nil || l.back != nil
+	}
+	if !reached || s.core.Mesh() {
+		s.core.Closed(time.Now(), p.Name, p.Incarnation)
 	}
-	s.core.Closed(time.Now(), p.Name, p.Incarnation)
 	s.ownerLocked(time.Now())
 	s.mu.Unlock()
 	s.cfg.Log.Info().Str("event", logPeerLost).Str("peer", p.Name).Msg("connection to a peer ended")
@@ -348,5 +410,5 @@
 func (s *Service) Size() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.core.Live(time.Now()))
+	return s.core.Size(time.Now())
 }
--- a/settings/gateway.go
+++ b/settings/gateway.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net/netip"
 	"os"
 
 	"github.com/rs/zerolog"
@@ -14,6 +15,7 @@
 type Gateway struct {
 	NodeFile    string `arg:"--node-file,env:MANGOSTAGE_NODE_FILE" help:"settings file of the users' platform"`
 	LogLevel    string `arg:"--log-level,env:MANGOSTAGE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	Advertise   string `arg:"--advertise,env:MANGOSTAGE_ADVERTISE" help:"ip:port at which peers reach this process, if that is another address than the one it listens on"`
 	MetricsPort int    `arg:"--metrics-port,env:MANGOSTAGE_METRICS_PORT" default:"9464" help:"port of /metrics on this VM's address; 0 for none"`
 }
 
@@ -34,6 +36,11 @@
 	if g.MetricsPort < 0 || g.MetricsPort > 65535 {
 		findings.Add(flag("--metrics-port"), "%d is no port", g.MetricsPort)
 	}
+	if g.Advertise != "" {
+		if _, err := netip.ParseAddrPort(g.Advertise); err != nil {
+			findings.Add(flag("--advertise"), "%q is no ip:port: %v", g.Advertise, err)
+		}
+	}
 	level, err := zerolog.ParseLevel(g.LogLevel)
 	if err != nil {
 		findings.Add(flag("--log-level"), "%v", err)
--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -6,6 +6,7 @@
 //
 //	go test ./soak -race                                  a few seeds, as in CI
 //	go test ./soak -args -soak.seeds 50 -soak.first 100   fifty seeds from 100 on
+//	go test ./soak -timeout 30m -args -soak.gateways 100 -soak.seeds 1
 package soak
 
 import (
@@ -32,7 +33,6 @@
 )
 
 const (
-	gateways = 3
 	// events is the length of a stream, eventTime what an engine takes for one.
 	events    = 6
 	eventTime = 5 * time.Millisecond
@@ -62,6 +62,8 @@
 	*harness.Process
 	name, frontend, ready string
 	toStore               *harness.Link
+	// toPeer is the way of the other gateways to this one.
+	toPeer *harness.Link
 
 	mu sync.Mutex
 	// version is the highest configuration seen in force in this incarnation.
@@ -95,11 +97,17 @@
 	}
 	storeAddr := r.serve(r.store)
 	var seeds []string
-	for range gateways {
-		seeds = append(seeds, harness.FreePort(t))
+	var links []*harness.Link
+	var listens []string
+	for i := range *gateways {
+		listens = append(listens, harness.FreePort(t))
+		link, addr := harness.NewLink(t, fmt.Sprintf("peer-%d", i), listens[i])
+		links = append(links, link)
+		seeds = append(seeds, addr)
 	}
-	for i := range gateways {
-		r.addGateway(i, seeds, storeAddr)
+	for i := range *gateways {
+		r.addGateway(i, listens[i], seeds, storeAddr)
+		r.gateways[i].toPeer = links[i]
 	}
 	r.awaitReady()
 	return r
@@ -244,11 +252,14 @@
 	})
 }
 
-func (r *rig) addGateway(i int, peers []string, storeAddr string) {
+// maxSeeds is how many addresses of others a process is told at its start.
+const maxSeeds = 3
+
+func (r *rig) addGateway(i int, listen string, peers []string, storeAddr string) {
 	g := &gateway{name: fmt.Sprintf("g%d", i), frontend: harness.FreePort(r.t), ready: harness.FreePort(r.t), life: 1}
 	var toStore string
 	g.toStore, toStore = harness.NewLink(r.t, "store-"+g.name, storeAddr)
-	quoted := `"` + strings.Join(peers, `","`) + `"`
+	quoted := `"` + strings.Join(peers[:min(maxSeeds, len(peers))], `","`) + `"`
 	file := filepath.Join(r.t.TempDir(), "boot.toml")
 	text := fmt.Sprintf(`node_name = %q
 zone = "z0"
@@ -269,10 +280,10 @@
 retry_slack = 200
 [platform]
 address = %q
-`, g.name, quoted, g.frontend, g.ready, peers[i], toStore)
+`, g.name, quoted, g.frontend, g.ready, listen, toStore)
 	assert.NilError(r.t, os.WriteFile(file, []byte(text), 0o600))
 	g.Process = harness.NewProcess(r.t, g.name, harness.Binary(r.t, "mangostage-gateway", true),
-		[]string{"--metrics-port", "0"}, []string{platform.SettingsVariable + "=" + file})
+		[]string{"--metrics-port", "0", "--advertise", peers[i]}, []string{platform.SettingsVariable + "=" + file})
 	r.gateways = append(r.gateways, g)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,7 +18,9 @@
 	first = flag.Uint64("soak.first", 1, "first seed")
 	// length is that of the series of faults of one seed.
 	length = flag.Duration("soak.length", 6*time.Second, "how long faults are injected")
-	clean  = flag.Bool("soak.clean", false, "inject planned work only: stops, reloads, changes")
+	// gateways is the number of processes; some runs by hand have a hundred.
+	gateways = flag.Int("soak.gateways", 3, "number of gateway processes")
+	clean    = flag.Bool("soak.clean", false, "inject planned work only: stops, reloads, changes")
 )
 
 const (
@@ -160,6 +162,11 @@
 		func() { r.onLink(g.toStore, d, (*harness.Link).Cut) },
 		func() { r.onLink(g.toStore, d, func(l *harness.Link) { l.Drop() }) },
 		func() { r.refuse(e, d) },
+		func() { r.onLink(g.toPeer, d, (*harness.Link).Cut) },
+		func() { r.onLink(g.toPeer, d, func(l *harness.Link) { l.Drop() }) },
+		func() { r.onLink(g.toPeer, d, func(l *harness.Link) { l.Drop(harness.Upstream) }) },
+		func() { r.onLink(g.toPeer, d, func(l *harness.Link) { l.Delay(300 * time.Millisecond) }) },
+		func() { r.onLink(g.toPeer, d, (*harness.Link).Reset) },
 	)
 	return faults[r.rng.IntN(len(faults))]
 }
