Refuse content that has crashed three engines one after the other

A request that crashes each engine that begins to run it came back through its client's tries and our own, under other IDs and at other gateways, and took the requests beside it along. Content (method, host, target, account, body) under which connections broke at three endpoints that were gone soon after, at three different moments, is refused with 503 and when to come back; any whole answer clears it; gateways tell each other. Ruled out: a connection to the endpoint as proof of a crash (priced, and a reset connection is none); counting crashes at one moment (endpoints that crash together have another cause).

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -109,19 +109,38 @@
 	discovery.ServePeers(mux, g.follower)
 	scheduler.Serve(mux, g.scheduler)
 	g.gateway = gateway.New(gateway.Config{
-		Domain:    p.Domain,
-		Bounds:    p.Bounds,
-		View:      g.follower.View,
-		FleetSize: g.fleet.Size,
-		Scheduler: scheduler.NewClient(g.scheduler, g.fleet, g.log),
-		Transport: gateway.NewTransport(),
-		Log:       g.log,
-		Metrics:   g.metrics,
+		Domain:      p.Domain,
+		Bounds:      p.Bounds,
+		View:        g.follower.View,
+		FleetSize:   g.fleet.Size,
+		Scheduler:   scheduler.NewClient(g.scheduler, g.fleet, g.log),
+		Transport:   gateway.NewTransport(),
+		Log:         g.log,
+		Metrics:     g.metrics,
+		TellCrashes: func(found []gateway.Crash) { g.fleet.Tell(methodCrashed, found) },
 	})
+	peer.HandleNote(mux, methodCrashed, func(_ *peer.Conn, found []gateway.Crash) { g.heardCrashes(found) })
 	kernel.Handle(g.bus, "scheduler", kernel.TopicView, func(kernel.ViewEvent) { g.scheduler.SetView(g.follower.View()) })
 	kernel.Handle(g.bus, "gateway", kernel.TopicView, func(kernel.ViewEvent) { g.gateway.SetView(g.follower.View()) })
 }
 
+// methodCrashed is the notification of endpoints that crashed under requests.
+const methodCrashed = "gateway.crashed"
+
+// heardCrashes takes crashes that another gateway saw. Where members are
+// connected to a few others only, what is news is passed on.
+func (g *Gateway) heardCrashes(found []gateway.Crash) {
+	var news []gateway.Crash
+	for _, c := range found {
+		if g.gateway.HeardCrash(c) {
+			news = append(news, c)
+		}
+	}
+	if len(news) > 0 && !g.fleet.Mesh() {
+		g.fleet.Tell(methodCrashed, news)
+	}
+}
+
 func storeTransport() *http.Transport {
 	t := gateway.NewTransport()
 	t.IdleConnTimeout = storeIdleTimeout
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -328,6 +329,30 @@
 	return owner, self
 }
 
+// Tell sends a notification to all members that this process is connected to,
+// each in its own goroutine: a peer that does not read must not hold it up.
+func (s *Service) Tell(method string, params any) {
+	s.mu.Lock()
+	var conns []*peer.Conn
+	for _, l := range s.conns {
+		if conn := cmp.Or(l.conn, l.back); conn != nil {
+			conns = append(conns, conn)
+		}
+	}
+	s.mu.Unlock()
+	for _, conn := range conns {
+		// A connection that fails here is closed, and OnClose follows.
+		go func() { _ = conn.Notify(method, params) }()
+	}
+}
+
+// Mesh tells whether each member is connected to each other.
+func (s *Service) Mesh() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Mesh()
+}
+
 // Ownership tells who owns the queue in the eyes of this process.
 type Ownership struct {
 	Owner string `json:"owner"`
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,6 +38,9 @@
 	Transport http.RoundTripper
 	Log       zerolog.Logger
 	Metrics   *Metrics
+	// TellCrashes passes on crashes that this process saw; nil if there is
+	// nobody to tell.
+	TellCrashes func([]Crash)
 }
 
 // Gateway is the handler of client requests.
@@ -46,6 +49,7 @@
 	balance *balance.Balancer
 	repeats *retry.Window
 	ages    *ages
+	crashes *crashes
 	leaving atomic.Bool
 	// stopping ends with Stop: requests that still wait for their stages are
 	// refused then, so that those that run can end within the grace.
@@ -62,12 +66,26 @@
 		cfg:      cfg,
 		balance:  balance.New(cfg.Domain),
 		ages:     newAges(),
+		crashes:  newCrashes(),
 		repeats:  retry.NewWindow(cfg.Bounds.RetryWindow, cfg.Bounds.RetryRatio*ratioShare),
 	}
 }
 
 // SetView passes on a new view.
-func (g *Gateway) SetView(view *catalog.View) { g.balance.Forget(view) }
+func (g *Gateway) SetView(view *catalog.View) {
+	g.balance.Forget(view)
+	found := g.crashes.gone(time.Now(), view)
+	for _, c := range found {
+		g.cfg.Log.Warn().Str("event", logCrashed).Uint64("content", c.Content).Str("endpoint", c.Endpoint).
+			Msg("an endpoint crashed under a request with this content")
+	}
+	if len(found) > 0 && g.cfg.TellCrashes != nil {
+		g.cfg.TellCrashes(found)
+	}
+}
+
+// HeardCrash takes a crash that another gateway saw; it tells whether it is news.
+func (g *Gateway) HeardCrash(c Crash) bool { return g.crashes.heard(time.Now(), c) }
 
 // Endpoints tells what the process believes of the endpoints of plain services.
 func (g *Gateway) Endpoints() []balance.Stats { return g.balance.Stats(time.Now()) }
@@ -97,6 +115,9 @@
 		defer req.cancel()
 		p = g.readBody(w, req)
 	}
+	if p == nil {
+		p = g.screen(req)
+	}
 	if p == nil {
 		p = g.serve(w, req)
 	}
@@ -105,6 +126,15 @@
 	}
 }
 
+// screen refuses content that has crashed endpoint after endpoint.
+func (g *Gateway) screen(req *request) *problem {
+	req.content = contentOf(req)
+	if left, refused := g.crashes.refused(time.Now(), req.content); refused {
+		return unavailable("crashes_endpoints", left)
+	}
+	return nil
+}
+
 // serve sends the request and relays the answer; it returns a problem if it
 // has answered nothing.
 func (g *Gateway) serve(w http.ResponseWriter, req *request) *problem {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -130,6 +131,17 @@
 	r.gateway.SetView(view)
 }
 
+// remove takes an endpoint off the list.
+func (r *rig) remove(id string) {
+	r.mu.Lock()
+	r.endpoints = slices.DeleteFunc(r.endpoints, func(e *catalog.Endpoint) bool { return e.ID == id })
+	r.view = catalog.NewView(catalog.NewIndex(&r.config), r.endpoints, r.view.Revision+1)
+	view := r.view
+	r.mu.Unlock()
+	r.scheduler.SetView(view)
+	r.gateway.SetView(view)
+}
+
 // endpoint starts and lists a stand-in.
 func (r *rig) endpoint(service, id string, answer func(http.ResponseWriter, standin.Run)) *standin.Endpoint {
 	e := &standin.Endpoint{ID: id, Answer: answer}
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -215,6 +215,7 @@
 			return streamNotRun
 		}
 		m.mayHaveRun = true
+		g.noteBroken(m.request, e)
 		return streamFailed
 	}
 	defer func() { _ = a.Body.Close() }()
@@ -290,6 +291,7 @@
 
 // streamBroke ends a stream that cannot go on elsewhere.
 func (g *Gateway) streamBroke(m *modelRequest, e *catalog.Endpoint, err error) streamResult {
+	g.noteBroken(m.request, e)
 	if m.ctx.Err() != nil || m.head && !m.route.Repeatable() {
 		g.broken(m.request, e, err)
 	}
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -180,3 +181,45 @@
 	assert.Equal(t, len(near.Runs()), 4)
 	assert.Equal(t, len(far.Runs()), 0)
 }
+
+// apart is a little more than the gap between crashes that count.
+const apart = 350 * time.Millisecond
+
+// A report crashes each engine that begins to run it, and its client sends it
+// again, each time under another ID. The engines' other requests must not pay
+// for that: after three engines the content is refused, with when to come back.
+func TestRequestThatCrashesEngines(t *testing.T) {
+	r := newRig(t)
+	crash := func(w http.ResponseWriter, run standin.Run) {
+		if string(run.Body) == "poison" {
+			standin.Break()
+		}
+		standin.Seal(w)
+		standin.Events(w, 1, 2)
+	}
+	engines := make([]*standin.Endpoint, 5)
+	for i := range engines {
+		engines[i] = r.endpoint("model", fmt.Sprintf("m-%d", i), crash)
+	}
+	var got answered
+	crashed := 0
+	for range len(engines) {
+		got = r.do(r.request(http.MethodPost, "/stream/", "poison"))
+		for i, e := range engines {
+			if e != nil && len(e.Runs()) > 0 {
+				engines[i] = nil
+				crashed++
+				// The engine's entry goes some time after its connections.
+				r.remove(fmt.Sprintf("m-%d", i))
+			}
+		}
+		// Crashes count apart only if some time lies between them.
+		timer := time.NewTimer(apart)
+		<-timer.C
+	}
+	assert.Equal(t, crashed, 3)
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	fine := r.do(r.request(http.MethodPost, "/stream/", "prompt"))
+	assert.Equal(t, fine.body, pieces(2))
+}
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -84,6 +84,7 @@
 		notSent := errorx.IsOfType(err, errNotSent)
 		if !notSent {
 			req.mayHaveRun = true
+			g.noteBroken(req, e)
 		}
 		g.plainEnded(req, e, nil, g.silentUnlessLeft(req), took, err)
 		if notSent {
@@ -103,6 +104,7 @@
 	switch {
 	case early || !a.usable():
 		_ = a.Body.Close()
+		g.noteBroken(req, e)
 		g.plainEnded(req, e, a, g.silentUnlessLeft(req), took, errBroken.New("unusable answer with status %d", a.StatusCode))
 		return nil, resultFailed
 	case a.StatusCode >= http.StatusInternalServerError:
@@ -117,6 +119,14 @@
 	return b, resultRelay
 }
 
+// noteBroken notes a connection that broke under a request, by no doing of its
+// client and not for lack of time.
+func (g *Gateway) noteBroken(req *request, e *catalog.Endpoint) {
+	if req.ctx.Err() == nil {
+		g.crashes.broke(time.Now(), req.content, e)
+	}
+}
+
 // silentUnlessLeft tells a silent endpoint from a client that left.
 func (g *Gateway) silentUnlessLeft(req *request) balance.Outcome {
 	if req.gone() {
@@ -220,6 +230,7 @@
 
 // done writes the line for an answer that was relayed whole.
 func (g *Gateway) done(req *request, status int, reason string) {
+	g.crashes.served(req.content)
 	g.cfg.Metrics.count(req, reason)
 	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", req.route.Name).
 		Int("status", status).Str("reason", reason).Uint64("config", req.version).
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -33,7 +33,10 @@
 	serviceName string
 	account     *catalog.Account
 	body        []byte
-	arrived     time.Time
+	// content is the hash of what stays the same when a client sends the
+	// request again.
+	content uint64
+	arrived time.Time
 	// deadline is when the client or the route's timeout gives up.
 	deadline time.Time
 	// age is how long ago the client sent the request for the first time, as
