Book the memory of results until it is free, and learn how much of it fits

The books counted a result's memory as free when the message was sent, while the next call travels on another connection; and results are only about as large as the configuration says, so full books overflow by a piece. Now memory is free when the endpoint has answered, and a piece without room takes 1% off the share that is booked, a call without one gives 0.05% back.

--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -74,6 +74,7 @@
 	w.succeeded(took, cl.expects)
 	if p := c.pools[cl.pieces[0].stage.Service]; p != nil {
 		p.took += (took - p.took) / 8
+		p.learnRoom(withoutRoom(outcomes))
 	}
 	var touched []*job
 	for i, placed := range cl.pieces {
@@ -96,6 +97,16 @@
 	}
 }
 
+func withoutRoom(outcomes []Outcome) int {
+	n := 0
+	for _, o := range outcomes {
+		if o.Fault == FaultRoom {
+			n++
+		}
+	}
+	return n
+}
+
 // pieceDone keeps one result, or gives it up if its job has ended.
 func (c *Core) pieceDone(w *worker, p placed, handle string, sentAt, now time.Time) {
 	s := p.stage
@@ -125,7 +136,9 @@
 		c.refuse(s.job, ReasonDeadline, now)
 		return
 	case fault == FaultRoom:
-		// The books are off: somebody else's results lie there.
+		// The books are off: somebody else's results lie there. It counts as a
+		// try: after a loss of all gateways that lasts for seconds, and to keep
+		// such jobs until they can be served cost a tenth of that day's worth.
 		w.pause.Hold(pauseRefused, now)
 	case fault == FaultWork:
 		s.avoid = w.endpoint.ID
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -31,6 +31,8 @@
 	pools   map[string]*pool
 	engines map[string]*engines
 	calls   map[uint64]*call
+	// frees are the results given up whose endpoints have not answered yet.
+	frees map[uint64][]*result
 	// sizes is the usual size of the jobs of each route, in weighted tokens.
 	sizes map[string]float64
 	// firsts is the usual time of each route from the grant to the first event.
@@ -46,6 +48,7 @@
 		pools:   make(map[string]*pool),
 		engines: make(map[string]*engines),
 		calls:   make(map[uint64]*call),
+		frees:   make(map[uint64][]*result),
 		sizes:   make(map[string]float64),
 		firsts:  make(map[string]time.Duration),
 	}
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -249,3 +249,65 @@
 	w.submit(j)
 	assert.Equal(t, w.grants["a"].Endpoint, "model-north-5")
 }
+
+// The message that gives results up and the next call travel on two
+// connections, and the call may overtake it: its pieces find no room, and their
+// users wait for one more call. Room counts as free when the endpoint has said so.
+func TestRoomIsFreeWhenTheEndpointSaysSo(t *testing.T) {
+	w := newWorld(testView([]string{"north"}, 1))
+	w.submit(testJob("a"))
+	for range 200 {
+		if _, granted := w.grants["a"]; granted {
+			break
+		}
+		w.run(10 * time.Millisecond)
+	}
+	heavy := w.core.pools[serviceHeavy].workers[0]
+	booked := heavy.used
+	assert.Assert(t, booked > 0)
+	w.core.FirstEvent(w.now, "a")
+	frees := 0
+	for _, e := range w.core.Effects() {
+		free, ok := e.(Free)
+		if !ok || free.Endpoint != heavy.endpoint.ID {
+			continue
+		}
+		frees++
+		assert.Equal(t, heavy.used, booked)
+		w.core.FreeEnded(w.now, free.ID, true)
+	}
+	assert.Equal(t, frees, 1)
+	assert.Equal(t, heavy.used, int64(0))
+}
+
+// The answer to a message that gives results up is lost: their room stays
+// booked until the endpoint drops them by itself, and not for good.
+func TestRoomOfALostFreeRunsOut(t *testing.T) {
+	w := newWorld(testView([]string{"north"}, 1))
+	w.freesFail = func() bool { return true }
+	w.submit(testJob("a"))
+	w.run(2 * time.Second)
+	w.core.Done(w.now, "a", true)
+	w.drain()
+	assert.Assert(t, w.core.pools[serviceHeavy].workers[0].used > 0)
+	w.run(heavySpec.ResultTTL + ttlMargin)
+	assertBooksEmpty(t, w.core)
+}
+
+// Results are a little larger than the configuration says, so full books
+// overflow. The share that is booked must fall, and come back with good calls.
+func TestRoomShareFollowsWhatFits(t *testing.T) {
+	p := newPool(serviceLight, &lightSpec)
+	for range 5 {
+		p.learnRoom(1)
+	}
+	assert.Assert(t, p.roomShare < 0.96 && p.roomShare > 0.94, "%v", p.roomShare)
+	for range 100 {
+		p.learnRoom(1)
+	}
+	assert.Equal(t, p.roomShare, roomShareMin)
+	for range 1000 {
+		p.learnRoom(0)
+	}
+	assert.Equal(t, p.roomShare, 1.0)
+}
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -61,8 +61,9 @@
 	Ticket string
 }
 
-// Free gives up results at an endpoint.
+// Free gives up results at an endpoint. The shell answers with FreeEnded.
 type Free struct {
+	ID       uint64
 	Endpoint string
 	Addr     string
 	Handles  []string
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -121,6 +121,8 @@
 	since time.Time
 	// until is when the endpoint drops the result by itself.
 	until time.Time
+	// givenUp is set once the endpoint has been told to drop it.
+	givenUp bool
 }
 
 // newJob returns the state of j at now.
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -108,7 +108,7 @@
 		return stages[i].startBy.Before(stages[j].startBy)
 	})
 	taken := make(map[string]int)
-	room, places := w.room(), p.spec.Items
+	room, places := w.room(p.roomShare), p.spec.Items
 	for _, s := range stages {
 		elsewhere := s.home != "" && s.home != w.endpoint.Domain && now.Sub(s.since) < homeWait && p.hasHome(s.home)
 		if elsewhere || s.avoid == w.endpoint.ID && p.usable() > 1 {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -47,10 +47,33 @@
 	takenFrom time.Time
 	// biasFrom is when bias was last learned.
 	biasFrom time.Time
+	// roomShare is the part of the endpoints' memory that calls may book. The
+	// sizes of results are known about, so books that are full to the last byte
+	// overflow, and a piece that finds no room is made one call later.
+	roomShare float64
+}
+
+const (
+	// roomShareMin bounds how far the share falls, also while results of an
+	// earlier owner of the queue take up memory.
+	roomShareMin = 0.8
+	// roomShareLoss is what a piece that finds no room takes off the share, and
+	// roomShareGain what a call without one gives back.
+	roomShareLoss = 0.01
+	roomShareGain = 0.0005
+)
+
+// learnRoom takes how many pieces of a call found no room.
+func (p *pool) learnRoom(without int) {
+	if without > 0 {
+		p.roomShare = max(roomShareMin, p.roomShare-roomShareLoss)
+		return
+	}
+	p.roomShare = min(1, p.roomShare+roomShareGain)
 }
 
 func newPool(name string, spec *catalog.Batch) *pool {
-	return &pool{name: name, spec: spec, took: fullCall(spec), hold: 2 * fullCall(spec)}
+	return &pool{name: name, spec: spec, took: fullCall(spec), hold: 2 * fullCall(spec), roomShare: 1}
 }
 
 // fullCall is the nominal time of a call with all its places taken.
@@ -121,7 +144,7 @@
 // their objective, or have pieces made already, go before those that cannot:
 // half-made jobs hold room at endpoints, and to put them off stalls everything.
 func (p *pool) batch(w *worker, now time.Time) []placed {
-	pick := picker{pool: p, worker: w, now: now, room: w.room(), places: p.spec.Items}
+	pick := picker{pool: p, worker: w, now: now, room: w.room(p.roomShare), places: p.spec.Items}
 	hopeful := func(s *stage) bool { return !s.startBy.Add(startTolerance).Before(now) }
 	pick.pass(func(s *stage) bool { return hopeful(s) && !s.job.late })
 	pick.pass(func(s *stage) bool { return hopeful(s) && s.job.late })
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -14,28 +14,57 @@
 	}
 }
 
-// free gives up results that are still booked, with one effect a worker.
+// free gives up results that are still booked, with one effect a worker. Their
+// memory stays booked until the endpoint has answered: a call that was sent
+// meanwhile overtook the message, and 1 to 2 in 100 pieces of a busy day found
+// no room and were made one call later.
 func (c *Core) free(results []*result, now time.Time) {
-	handles := make(map[*worker][]string)
+	given := make(map[*worker][]*result)
 	var order []*worker
 	for _, r := range results {
-		if r == nil || !r.worker.release(r) {
+		if r == nil || r.givenUp || !r.worker.keeps(r) {
 			continue
 		}
+		r.givenUp = true
 		c.held(r, now)
 		if r.worker.gone {
+			r.worker.release(r)
 			continue
 		}
-		if handles[r.worker] == nil {
+		if given[r.worker] == nil {
 			order = append(order, r.worker)
 		}
-		handles[r.worker] = append(handles[r.worker], r.handle)
+		given[r.worker] = append(given[r.worker], r)
 	}
 	for _, w := range order {
-		c.emit(Free{Endpoint: w.endpoint.ID, Addr: w.endpoint.Addr, Handles: handles[w]})
+		c.nextID++
+		c.frees[c.nextID] = given[w]
+		c.emit(Free{ID: c.nextID, Endpoint: w.endpoint.ID, Addr: w.endpoint.Addr, Handles: handlesOf(given[w])})
 	}
 }
 
+func handlesOf(results []*result) []string {
+	handles := make([]string, len(results))
+	for i, r := range results {
+		handles[i] = r.handle
+	}
+	return handles
+}
+
+// FreeEnded takes the answer to a Free. Results that the endpoint may still
+// keep stay booked until it drops them by itself.
+func (c *Core) FreeEnded(now time.Time, id uint64, ok bool) {
+	results := c.frees[id]
+	delete(c.frees, id)
+	if !ok {
+		return
+	}
+	for _, r := range results {
+		r.worker.release(r)
+	}
+	c.dispatch(now)
+}
+
 // held learns how long results take up memory.
 func (c *Core) held(r *result, now time.Time) {
 	if p := c.pools[r.worker.endpoint.Service]; p != nil {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -76,8 +76,11 @@
 // usable tells whether the worker may get calls at all.
 func (w *worker) usable() bool { return !w.gone && !w.endpoint.Leaving }
 
-// room is the memory that is free for results, in bytes.
-func (w *worker) room() int64 { return w.spec.Room - w.used }
+// room is the memory that is free for results, in bytes, if only a share of all
+// of it can be used.
+func (w *worker) room(share float64) int64 {
+	return int64(share*float64(w.spec.Room)) - w.used
+}
 
 // expect is how long a call with n pieces should take at the nominal speed.
 func (w *worker) expect(n int) time.Duration {
@@ -102,6 +105,12 @@
 	w.results[r] = struct{}{}
 }
 
+// keeps tells whether a result is booked.
+func (w *worker) keeps(r *result) bool {
+	_, ok := w.results[r]
+	return ok
+}
+
 // release ends a result's booking and tells whether it was still booked.
 func (w *worker) release(r *result) bool {
 	if _, ok := w.results[r]; !ok {
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -78,6 +78,8 @@
 	answers map[string]time.Time
 	// slow stretches the calls of an endpoint.
 	slow map[string]float64
+	// freesFail, if set, tells whether the answer to a Free is lost.
+	freesFail func() bool
 	// afterTick, if set, is called after each tick.
 	afterTick func()
 }
@@ -111,9 +113,15 @@
 	w.drain()
 }
 
-// drain takes the effects.
+// drain takes the effects, and those that follow at once.
 func (w *world) drain() {
-	for _, e := range w.core.Effects() {
+	for effects := w.core.Effects(); len(effects) > 0; effects = w.core.Effects() {
+		w.take(effects)
+	}
+}
+
+func (w *world) take(effects []Effect) {
+	for _, e := range effects {
 		switch e := e.(type) {
 		case StartCall:
 			spec := heavySpec
@@ -134,6 +142,7 @@
 			for _, h := range e.Handles {
 				w.freed[h]++
 			}
+			w.core.FreeEnded(w.now, e.ID, w.freesFail == nil || !w.freesFail())
 		}
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -272,7 +272,9 @@
 func (s *Scheduler) free(e dispatch.Free) {
 	ctx, cancel := context.WithTimeout(s.ctx, freeTimeout)
 	defer cancel()
-	if err := s.stages.Free(ctx, e.Endpoint, e.Addr, e.Handles); err != nil {
+	err := s.stages.Free(ctx, e.Endpoint, e.Addr, e.Handles)
+	s.event(func(now time.Time, c *dispatch.Core) { c.FreeEnded(now, e.ID, err == nil) })
+	if err != nil {
 		s.log.Warn().Str("event", logFreeFailed).Str("endpoint", e.Endpoint).Int("results", len(e.Handles)).
 			Err(err).Msg("results were not given up")
 	}
