A member that froze with the queue's owner does not take its place

Half of the silence after the owner's last heartbeat all members beat to each other in every round, and only who is heard since then can take its place. Ruled out: heartbeats of all members five times a second at all times, by the square of the fleet; a shorter silence, which does not tell the two apart.

--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -72,10 +72,11 @@
 
 // Due tells whether a member at addr gets the heartbeat of this round. One
 // that owned the queue a short time ago still has jobs, whose givers listen.
+// While the owner is silent all hear each other, to know who can take its place.
 // In a large fleet the owner's members beat like others: hundreds of them at
 // each round would be 0.7 MB a second for the owner, which needs none of it.
 func (c *Core) Due(now time.Time, addr string, round int) bool {
-	if now.Sub(c.owned) < ownedSpan && !c.owned.IsZero() || round%idleBeats == 0 {
+	if now.Sub(c.owned) < ownedSpan && !c.owned.IsZero() || round%idleBeats == 0 || c.alarmed(now) {
 		return true
 	}
 	p := c.peers[c.claim.Owner]
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -16,6 +16,10 @@
 	// silence is how long an owner may say nothing until another is chosen:
 	// three heartbeats and the jitter of a busy VM.
 	silence = 700 * time.Millisecond
+	// alarm is how long an owner may say nothing until all members beat to each
+	// other in every round, and how recently a member must have been heard then
+	// to take the owner's place.
+	alarm = silence / 2
 	// closedSilence is the same after a connection to it has ended, as when its
 	// process is killed: one heartbeat and some jitter. A member that lives on
 	// is heard of in that time over its own connection.
@@ -259,14 +263,35 @@
 // would let the ownership wander through the fleet for seconds.
 func (c *Core) ownerSilent(now time.Time) bool {
 	p := c.peers[c.claim.Owner]
-	if p == nil {
-		return false
-	}
-	since := p.heard
+	return p != nil && c.ownerQuiet(now, p) >= silence
+}
+
+// ownerQuiet is how long the owner has said nothing since the claim.
+func (c *Core) ownerQuiet(now time.Time, owner *peerState) time.Duration {
+	since := owner.heard
 	if c.claimed.After(since) {
 		since = c.claimed
 	}
-	return now.Sub(since) >= silence
+	return now.Sub(since)
+}
+
+// heardInAlarm tells whether an owner that is silent is to be replaced by a
+// member that was heard since the alarm; false if there was none, or if nobody was.
+//
+// The failure that it guards against: two VMs freeze at the same moment, one of
+// them the owner. The other, which owns nothing and beats once a second, still
+// counts as live, takes the owner's place and is found silent in its turn;
+// users wait twice as long for their stages.
+func (c *Core) heardInAlarm(now time.Time) bool {
+	if !c.alarmed(now) {
+		return false
+	}
+	for _, p := range c.peers {
+		if p.live(now) && !p.leaving && now.Sub(p.heard) < alarm {
+			return true
+		}
+	}
+	return false
 }
 
 // Silent tells whether a member that owns or owned the queue has missed its
@@ -276,11 +301,16 @@
 	if p == nil || p.Incarnation != incarnation {
 		return true
 	}
-	since := p.heard
-	if c.claim.Owner == name && c.claimed.After(since) {
-		since = c.claimed
+	if c.claim.Owner == name {
+		return c.ownerQuiet(now, p) >= silence
 	}
-	return now.Sub(since) >= silence
+	return now.Sub(p.heard) >= silence
+}
+
+// alarmed tells whether the owner, another process, has begun to be silent.
+func (c *Core) alarmed(now time.Time) bool {
+	p := c.peers[c.claim.Owner]
+	return p != nil && c.ownerQuiet(now, p) >= alarm
 }
 
 // replace chooses the owner by rank among the live members. All processes
@@ -289,11 +319,15 @@
 	lost := c.claim.Owner
 	best := c.self
 	stays := c.someoneStays(now)
+	recent := c.heardInAlarm(now)
 	found := !c.leaving || !stays
 	for _, p := range c.peers {
 		if !p.live(now) || p.leaving && stays || p.Name == lost && now.Sub(p.heard) >= silence {
 			continue
 		}
+		if recent && now.Sub(p.heard) >= alarm {
+			continue
+		}
 		if !found || outranks(p.Member, best) {
 			best, found = p.Member, true
 		}
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"testing"
 	"time"
 
@@ -279,3 +280,36 @@
 		assert.Equal(t, w.oneOwner(t), owner)
 	})
 }
+
+// The owner and the member that ranks next freeze at the same moment. Users
+// wait for their stages until a member that lives owns the queue: it must be
+// the next one at once, not after the frozen one was found silent, too.
+func TestOwnerIsNotReplacedByAFrozenMember(t *testing.T) {
+	for round := range idleBeats {
+		w := newWorld("a", "b", "c", "d", "e")
+		w.steps(4*idleBeats + round)
+		first := w.oneOwner(t)
+		w.frozen[first] = true
+		next := w.ranked()[0]
+		w.frozen[next] = true
+		w.steps(int(silence/BeatEvery) + 2)
+		owner := w.oneOwner(t)
+		assert.Assert(t, owner != first && owner != next, "round %d: %s is frozen", round, owner)
+	}
+}
+
+// ranked lists the members that are not frozen, the first by rank first.
+func (w *world) ranked() []string {
+	var members []Member
+	for name, c := range w.cores {
+		if !w.frozen[name] {
+			members = append(members, c.self)
+		}
+	}
+	sort.Slice(members, func(i, j int) bool { return outranks(members[i], members[j]) })
+	names := make([]string, len(members))
+	for i, m := range members {
+		names[i] = m.Name
+	}
+	return names
+}
