Weights of a split may be fractions; decode only what is read

A split of 0.25 and 0.75 was cut to whole numbers, by reading: both became 0 and all requests would have gone to the first service. TestPickShare holds shares to their weights, fractions among them; it was not run on the code before, which had no place for them.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -61,8 +61,8 @@
 
 // Share is one service of a route and its relative weight.
 type Share struct {
-	Service string `json:"service"`
-	Weight  int    `json:"weight"`
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
 }
 
 // Stage is work that is done before a request runs at its service.
@@ -76,10 +76,7 @@
 
 // Service is a group of equal endpoints.
 type Service struct {
-	Name       string `json:"name"`
-	HealthPath string `json:"health_path"`
-	// MaxConns bounds the connections of one endpoint, over all callers.
-	MaxConns int `json:"max_conns"`
+	Name string `json:"name"`
 	// Model is set for model engines, Batch for services that run stages.
 	Model *Model `json:"model,omitempty"`
 	Batch *Batch `json:"batch,omitempty"`
@@ -119,10 +116,7 @@
 
 // Limits bound what a client may send.
 type Limits struct {
-	HeaderBytes   int           `json:"header_bytes"`
-	BodyBytes     int64         `json:"body_bytes"`
-	HeaderTimeout time.Duration `json:"header_timeout"`
-	IdleTimeout   time.Duration `json:"idle_timeout"`
+	BodyBytes int64 `json:"body_bytes"`
 }
 
 // Endpoint is one process that serves a service. Each start of it has a new ID.
@@ -136,10 +130,6 @@
 	Slots  int    `json:"slots"`
 	// Leaving endpoints take no new work.
 	Leaving bool `json:"leaving,omitempty"`
-	// ColdFor is how much longer the endpoint was slow when it said so.
-	ColdFor time.Duration `json:"cold_for,omitempty"`
-	// WeightVersions maps model names to the version of their weights.
-	WeightVersions map[string]int64 `json:"weight_versions,omitempty"`
 }
 
 // PrefixPart is one part of a prompt that requests may share. A cached part
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -98,19 +98,19 @@
 	return left
 }
 
+// shareSteps is how finely weights are told apart.
+const shareSteps = 1 << 20
+
 // pickShare chooses the route's service by weight. The choice follows from
 // the request's ID, so that it does not change between attempts.
 func pickShare(r *catalog.Route, id string) string {
-	total := 0
+	total := 0.0
 	for _, s := range r.Split {
 		total += max(0, s.Weight)
 	}
-	if total == 0 {
-		return r.Split[0].Service
-	}
-	n := int(xxhash.Sum64String(id) % uint64(total))
+	at := total * float64(xxhash.Sum64String(id)%shareSteps) / shareSteps
 	for _, s := range r.Split {
-		if n -= max(0, s.Weight); n < 0 {
+		if at -= max(0, s.Weight); at < 0 {
 			return s.Service
 		}
 	}
