--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/discovery"
+	"github.com/mangostage/mangostage/internal/testwait"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/platform/standin"
 )
@@ -217,21 +218,11 @@
 	t.Cleanup(func() { close(release) })
 	await(t, views, hasVersion(1))
 	// The answer to the list is noted right after the view is told of.
-	eventually(t, f.Fresh)
+	testwait.For(t, patience, f.Fresh)
 	store.Before(func(string) bool {
 		<-release
 		return true
 	})
-	eventually(t, func() bool { return !f.Fresh() })
+	testwait.For(t, patience, func() bool { return !f.Fresh() })
 	assert.Assert(t, f.Healthy(), "it must not count as fresh before its call has timed out")
 }
-
-// eventually polls until ok holds, within patience.
-func eventually(t *testing.T, ok func() bool) {
-	t.Helper()
-	ticker := time.NewTicker(time.Millisecond)
-	defer ticker.Stop()
-	for deadline := time.Now().Add(patience); !ok(); <-ticker.C {
-		assert.Assert(t, time.Now().Before(deadline), "the condition did not come to hold")
-	}
-}
--- a/fake/fake_test.go
+++ b/fake/fake_test.go
@@ -9,12 +9,11 @@
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-	"gotest.tools/v3/poll"
-
 	"github.com/mangostage/mangostage/confsvc"
 	"github.com/mangostage/mangostage/endpoint"
 	"github.com/mangostage/mangostage/fake"
+	"github.com/mangostage/mangostage/internal/testwait"
+	"gotest.tools/v3/assert"
 )
 
 const loopback = "127.0.0.1:0"
@@ -50,16 +49,8 @@
 	return f, p
 }
 
-// eventually waits until the condition holds.
-func eventually(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if holds() {
-			return poll.Success()
-		}
-		return poll.Continue("%s", what)
-	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(10*time.Second))
-}
+// patience bounds each wait of these tests.
+const patience = 10 * time.Second
 
 func TestExpectedIgnoresEncoding(t *testing.T) {
 	a := fake.Expected("s", json.RawMessage(`{"a": "<"}`), nil)
@@ -118,7 +109,7 @@
 	var wg sync.WaitGroup
 	for i := range 2 {
 		wg.Go(func() { _, _ = p.Run(ctx, call(fmt.Sprint(i)), nil) })
-		eventually(t, "arrived", func() bool { h, _ := p.Health(ctx); return h.InFlight+h.Queued == i+1 })
+		testwait.For(t, patience, func() bool { h, _ := p.Health(ctx); return h.InFlight+h.Queued == i+1 })
 	}
 	_, err := p.Run(ctx, call("third"), nil)
 	var failed *endpoint.Error
@@ -126,7 +117,7 @@
 	assert.Assert(t, failed.Refused)
 	cancel()
 	wg.Wait()
-	eventually(t, "idle", func() bool { h, _ := p.Health(within(t)); return h.InFlight+h.Queued == 0 })
+	testwait.For(t, patience, func() bool { h, _ := p.Health(within(t)); return h.InFlight+h.Queued == 0 })
 	assert.Equal(t, f.Counts().TotalFinishes, 0)
 }
 
@@ -139,7 +130,7 @@
 	assert.NilError(t, remote.Apply(within(t), fake.Control{CrashOn: ptr("poison")}))
 	_, err = p.Run(within(t), call("poison"), nil)
 	assert.Assert(t, err != nil)
-	eventually(t, "back", func() bool {
+	testwait.For(t, patience, func() bool {
 		_, err := p.Run(within(t), call("after"), nil)
 		return err == nil
 	})
@@ -170,7 +161,7 @@
 	ctx, cancel := context.WithCancel(within(t))
 	var wg sync.WaitGroup
 	wg.Go(func() { _, _ = p.Run(ctx, call("x"), nil) })
-	eventually(t, "started", func() bool { return f.Counts().TotalStarts == 1 })
+	testwait.For(t, patience, func() bool { return f.Counts().TotalStarts == 1 })
 	h, err := p.Health(ctx)
 	assert.NilError(t, err)
 	assert.Equal(t, h.InFlight, 0)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -194,17 +194,3 @@
 	body, err := io.ReadAll(resp.Body)
 	return answered{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
 }
-
-// waitFor polls until ok holds, within patience.
-func waitFor(t *testing.T, ok func() bool) {
-	t.Helper()
-	deadline := time.Now().Add(patience)
-	ticker := time.NewTicker(5 * time.Millisecond)
-	defer ticker.Stop()
-	for !ok() {
-		if time.Now().After(deadline) {
-			t.Fatal("the condition did not come to hold")
-		}
-		<-ticker.C
-	}
-}
--- a/gateway/logs_test.go
+++ b/gateway/logs_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mangostage/mangostage/internal/testwait"
 	"github.com/mangostage/mangostage/platform/standin"
 	"github.com/mangostage/mangostage/reqlog"
 )
@@ -72,7 +73,7 @@
 				id = ask(test.path, test.body)
 			}
 			// The line is written after the last byte of the answer.
-			waitFor(t, func() bool { return r.story(id).Verdict == test.want })
+			testwait.For(t, patience, func() bool { return r.story(id).Verdict == test.want })
 			var events []string
 			for _, line := range r.story(id).Lines {
 				events = append(events, line.Event)
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mangostage/mangostage/internal/testwait"
 	"github.com/mangostage/mangostage/platform/standin"
 )
 
@@ -103,7 +104,7 @@
 		assert.Equal(t, p.Segment, i)
 	}
 	assert.Equal(t, len(strings.Split(e.Runs()[0].Header.Get("Mangostage-Inputs"), ",")), 3)
-	waitFor(t, func() bool { return stage.Kept() == 0 })
+	testwait.For(t, patience, func() bool { return stage.Kept() == 0 })
 }
 
 // The results are gone when the engine fetches them (it says so, and that it
--- a/scheduler/remote_test.go
+++ b/scheduler/remote_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/dispatch"
+	"github.com/mangostage/mangostage/internal/testwait"
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/platform/standin"
@@ -197,7 +198,7 @@
 	go submit("first")
 	<-began
 	go submit("second")
-	waitFor(t, func() bool { return b.scheduler.Stats().Jobs == 2 })
+	testwait.For(t, patience, func() bool { return b.scheduler.Stats().Jobs == 2 })
 	who.set(next, false)
 	b.scheduler.HandOver()
 	assert.Equal(t, <-granted, "second c")
@@ -205,18 +206,6 @@
 	assert.Equal(t, <-granted, "first b")
 }
 
-// waitFor polls until ok holds, within patience.
-func waitFor(t *testing.T, ok func() bool) {
-	t.Helper()
-	deadline := time.Now().Add(patience)
-	ticker := time.NewTicker(5 * time.Millisecond)
-	defer ticker.Stop()
-	for !ok() {
-		assert.Assert(t, time.Now().Before(deadline), "the condition did not come to hold")
-		<-ticker.C
-	}
-}
-
 // Nobody owns the queue but this process: it serves its own requests.
 func TestAlone(t *testing.T) {
 	a := newProcess(t, "a")
@@ -251,5 +240,5 @@
 	assert.Assert(t, errorx.IsOfType(err, scheduler.ErrLeft))
 	assert.Equal(t, a.scheduler.Stats().Jobs, 0)
 	close(left)
-	waitFor(t, func() bool { return len(inner.Made()) == 1 && inner.Kept() == 0 })
+	testwait.For(t, patience, func() bool { return len(inner.Made()) == 1 && inner.Kept() == 0 })
 }
