Call the one check for a silent engine; drop a result that nobody reads

The count of an engine that the balancer picked judged its outcome beside silentUnlessLeft, which says the same; worker.release told whether a result was booked, which only keeps is asked for since room is freed on the endpoint's word. Behaviour is the same.

--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -111,14 +111,13 @@
 	return ok
 }
 
-// release ends a result's booking and tells whether it was still booked.
-func (w *worker) release(r *result) bool {
-	if _, ok := w.results[r]; !ok {
-		return false
+// release ends a result's booking, if it is still booked.
+func (w *worker) release(r *result) {
+	if !w.keeps(r) {
+		return
 	}
 	delete(w.results, r)
 	w.used -= r.bytes
-	return true
 }
 
 // expire ends the bookings of results that the endpoint has dropped by itself.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -177,11 +177,11 @@
 		defer func() { g.balance.Ended(time.Now(), e.ID, outcome, time.Since(sent), -1) }()
 	}
 	result := g.tryModel(w, m, e)
-	switch {
-	case result == streamNotRun:
+	switch result {
+	case streamNotRun:
 		outcome = balance.Full
-	case result == streamFailed && !m.gone():
-		outcome = balance.Silent
+	case streamFailed:
+		outcome = g.silentUnlessLeft(m.request)
 	}
 	return result
 }
