Say what a stopping gateway takes and what it cuts

Cause of the change: after a stream was cut at a planned stop, logs could not tell whether its connection was an old one (past the balancer) or a new one (by the balancer's choice), how long after SIGTERM it came, or what was cut at the end. Change: a line taken_while_stopping for each such request, and cut in stopped.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -202,6 +202,7 @@
 		Handler:           g.gateway,
 		ReadHeaderTimeout: clientHeaderTimeout,
 		IdleTimeout:       clientIdleTimeout,
+		ConnContext:       gateway.ConnContext,
 	}, addr, g.log)
 	g.front = server
 	return err
@@ -241,13 +242,14 @@
 	case <-timer.C:
 	}
 	err := g.front.Shutdown(ctx)
+	cut := g.gateway.InFlight()
 	for _, server := range g.side {
 		_ = server.Close()
 	}
 	g.stop()
 	// Peers that do not answer must not hold up the end of the process.
 	go g.fleet.Close()
-	g.log.Info().Str("event", logStopped).Dur("took_ms", time.Since(began)).Err(err).Msg("stopped")
+	g.log.Info().Str("event", logStopped).Dur("took_ms", time.Since(began)).Int64("cut", cut).Err(err).Msg("stopped")
 	g.sink.Close(stopReserve / 2)
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,7 +50,10 @@
 	repeats *retry.Window
 	ages    *ages
 	crashes *crashes
-	leaving atomic.Bool
+	// leftAt is when the process began to stop; nil until then.
+	leftAt atomic.Pointer[time.Time]
+	// inFlight is the number of requests that have no whole answer yet.
+	inFlight atomic.Int64
 	// stopping ends with Stop: requests that still wait for their stages are
 	// refused then, so that those that run can end within the grace.
 	stopping context.Context
@@ -91,14 +94,20 @@
 func (g *Gateway) Endpoints() []balance.Stats { return g.balance.Stats(time.Now()) }
 
 // Leave makes the process unready and lets clients open new connections elsewhere.
-func (g *Gateway) Leave() { g.leaving.Store(true) }
+func (g *Gateway) Leave() {
+	now := time.Now()
+	g.leftAt.Store(&now)
+}
+
+// InFlight is the number of requests that have no whole answer yet.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
 // Stop refuses the requests that still wait for their stages.
 func (g *Gateway) Stop() { g.stop() }
 
 // Ready answers the balancer's question whether to send new connections here.
 func (g *Gateway) Ready(w http.ResponseWriter, _ *http.Request) {
-	if g.leaving.Load() || !g.cfg.View().Ready() {
+	if g.leftAt.Load() != nil || !g.cfg.View().Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -107,10 +116,14 @@
 
 // ServeHTTP serves one request of a client.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.leaving.Load() {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	earlier := earlierRequests(r.Context())
+	req, p := g.admit(r)
+	if left := g.leftAt.Load(); left != nil {
 		w.Header().Set("Connection", "close")
+		g.logTakenLate(req, *left, earlier)
 	}
-	req, p := g.admit(r)
 	if p == nil {
 		defer req.cancel()
 		p = g.readBody(w, req)
@@ -126,6 +139,14 @@
 	}
 }
 
+// logTakenLate writes the line for a request that came after the process had
+// begun to stop: how long after, and whether its connection was an old one.
+func (g *Gateway) logTakenLate(req *request, left time.Time, earlier int64) {
+	g.cfg.Log.Info().Str("event", logTakenLate).Str("request", req.ID).Str("route", routeName(req)).
+		Dur("stopping_ms", req.arrived.Sub(left)).Int64("earlier_on_connection", earlier).
+		Msg("request came while stopping")
+}
+
 // screen refuses content that has crashed endpoint after endpoint.
 func (g *Gateway) screen(req *request) *problem {
 	req.content = contentOf(req)
--- a/gateway/lognames.go
+++ b/gateway/lognames.go
@@ -6,4 +6,6 @@
 	logCrashed  = "endpoint_crashed"
 	logGranted  = "granted"
 	logSent     = "sent"
+	// logTakenLate is a request that came after the process had begun to stop.
+	logTakenLate = "taken_while_stopping"
 )
