--- /dev/null
+++ b/integration/gateway_stop_test.go
@@ -0,0 +1,202 @@
+package integration
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/internal/harness"
+	"github.com/mangostage/mangostage/internal/testwait"
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/platform/standin"
+)
+
+// stopConfig has one route of streams that cannot be resumed.
+const stopConfig = `{"version":1,"routes":[
+{"name":"chat","host":"shop.example","prefix":"/chat/","route_kind":"streaming","timeout_ms":15000,"slo_ms":1400,"service":"llm","max_attempts":2}],
+"services":[{"name":"llm","engine":{"slots":16,"kv_capacity":100000}}],
+"tenants":[{"name":"acme","api_keys":["k1"]}]}`
+
+// stopSettings is the users' settings file.
+const stopSettings = `node_name = "g1"
+zone = "z0"
+ip = "127.0.0.1"
+[listen]
+frontend = %q
+ready = %q
+control_plane = %q
+[limits]
+cpu_quota = 1.0
+[bounds]
+drain_ms = 2000
+grace_s = %v
+config_apply_ms = 2000
+retry_ratio = 0.5
+retry_window_s = 10
+retry_slack = 50
+[platform]
+address = %q
+`
+
+// plainBinary: with the race detector a process goes on for a second after its
+// end, and its streams with it.
+const plainBinary = true
+
+// stopGrace is the time between SIGTERM and SIGKILL, the users' own.
+const stopGrace = 8 * time.Second
+
+// stopRig is a gateway process before one engine whose streams last as long as streamFor.
+type stopRig struct {
+	process  *harness.Process
+	engine   *standin.Endpoint
+	frontend string
+	ready    string
+}
+
+func startStopRig(t *testing.T, streamFor time.Duration) *stopRig {
+	t.Helper()
+	engine := &standin.Endpoint{ID: "m-1", Answer: func(w http.ResponseWriter, _ standin.Run) {
+		standin.Seal(w)
+		slowEvents(w, streamFor)
+	}}
+	store := standin.NewStore()
+	store.Put(platform.KeyConfig, []byte(stopConfig))
+	store.Put(platform.PrefixEndpoints+"m-1", fmt.Appendf(nil,
+		`{"service":"llm","address":%q,"zone":"z0","slots":16,"state":"ready"}`, listenHTTP(t, engine)))
+	r := &stopRig{engine: engine, frontend: harness.FreePort(t), ready: harness.FreePort(t)}
+	file := filepath.Join(t.TempDir(), "boot.toml")
+	text := fmt.Sprintf(stopSettings, r.frontend, r.ready, harness.FreePort(t), stopGrace.Seconds(), listenHTTP(t, store))
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	r.process = harness.NewProcess(t, "g1", harness.Binary(t, "mangostage-gateway", plainBinary),
+		[]string{"--metrics-port", "0"}, []string{platform.SettingsVariable + "=" + file})
+	testwait.For(t, patience, r.isReady)
+	return r
+}
+
+// slowEvents writes a stream of ten events over d.
+func slowEvents(w http.ResponseWriter, d time.Duration) {
+	const events = 10
+	ticker := time.NewTicker(d / events)
+	defer ticker.Stop()
+	for i := 1; i <= events; i++ {
+		standin.Events(w, i, i)
+		<-ticker.C
+	}
+}
+
+// isReady asks as the platform's balancer does.
+func (r *stopRig) isReady() bool {
+	resp, err := http.Get("http://" + r.ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// ran tells whether the engine began to run the request.
+func (r *stopRig) ran(id string) bool {
+	return slices.ContainsFunc(r.engine.Runs(), func(run standin.Run) bool { return run.ID == id })
+}
+
+// client is one connection of a client that is kept open between requests.
+type client struct {
+	conn net.Conn
+	in   *bufio.Reader
+	// id is that of the latest request.
+	id string
+	n  int
+}
+
+func (r *stopRig) dial(t *testing.T) *client {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.frontend)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return &client{conn: conn, in: bufio.NewReader(conn)}
+}
+
+// ask sends one request and reads its answer; err is set if no whole answer came.
+func (c *client) ask(t *testing.T) (status int, body string, err error) {
+	t.Helper()
+	c.n++
+	c.id = fmt.Sprintf("%s-%d", c.conn.LocalAddr(), c.n)
+	assert.NilError(t, c.conn.SetDeadline(time.Now().Add(2*stopGrace)))
+	_, err = fmt.Fprintf(c.conn, "POST /chat/ HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token k1\r\n"+
+		"Mangostage-Attempt-Id: %s\r\nMangostage-Deadline-Ms: 15000\r\nMangostage-Token-Usage: 700,280\r\nContent-Length: 1\r\n\r\nx", c.id)
+	if err != nil {
+		return 0, "", err
+	}
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data), err
+}
+
+// A customer's chat, a stream that cannot be sent again, breaks off in the
+// middle although the gateway was stopped as planned. Its client had kept a
+// connection open from before SIGTERM and used it again 3 s later. The gateway
+// took the request without asking whether the stream can end within the grace,
+// waited for its stages, and was gone before its end. The users' record shows the SIGTERM, the
+// request 3.1 s after it and the cut at the end of the grace.
+func TestStopTakesNoStreamThatItCannotFinish(t *testing.T) {
+	const streamFor = 4800 * time.Millisecond
+	r := startStopRig(t, streamFor)
+	// One stream before, so that it is known how long they last.
+	before := r.dial(t)
+	status, body, err := before.ask(t)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, strings.Count(body, "data:"), 10)
+	// A second client has a connection on which nothing was sent yet, as after
+	// a reconnect. It stays open until the gateway closes it.
+	fresh := r.dial(t)
+
+	began := time.Now()
+	r.process.Term()
+	testwait.For(t, patience, func() bool { return !r.isReady() })
+	<-time.After(time.Until(began.Add(3100 * time.Millisecond)))
+	var asking sync.WaitGroup
+	for _, c := range []*client{before, fresh} {
+		asking.Go(func() {
+			status, _, err := c.ask(t)
+			at := time.Since(began).Round(time.Millisecond)
+			switch {
+			case r.ran(c.id):
+				assert.Check(t, err == nil, "a request that ran has no whole answer (status %d), %v after SIGTERM", status, at)
+			case status == 0:
+				// Closed before it was read: the client sends it elsewhere.
+			default:
+				assert.Check(t, status == http.StatusServiceUnavailable && err == nil, "status %d, %v", status, err)
+			}
+		})
+	}
+	asking.Wait()
+	assert.Equal(t, r.process.WaitExit(patience), 0)
+	assert.Assert(t, time.Since(began) < stopGrace, "the process must end within the grace")
+}
+
+// listenHTTP serves h on loopback.
+func listenHTTP(t *testing.T, h http.Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: h, ReadHeaderTimeout: patience}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
