A stopping gateway takes only what ends within the grace, and ends all else itself

Cause: for 3.2 s after SIGTERM each request was taken, on kept connections too, and its stages waited for until half of the grace, whatever its stream would last; what ran at grace - 0.7 s went with the process, without an answer and without a line. Ruled out: the balancer alone (the test has none), a slow engine (its streams keep their time), the race detector's exit (it hides the cut by a second). Change: a request is taken, and its engine called, while the stop leaves what the latest requests of its route needed; three times that once the balancer has been told twice. Idle connections are closed then. The gateway listens to the end. What is left at the end gets its own answer and line.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/mangostage/mangostage/fleet"
 	"github.com/mangostage/mangostage/gateway"
 	"github.com/mangostage/mangostage/internal/logsink"
+	"github.com/mangostage/mangostage/internal/sleep"
 	"github.com/mangostage/mangostage/kernel"
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
@@ -30,11 +31,18 @@
 )
 
 const (
-	// unreadyFor is how long a stopping gateway still takes new connections:
-	// the balancer asks once a second and acts on the second miss.
-	unreadyFor = 3200 * time.Millisecond
-	// stopReserve is kept of the grace for the end of the process itself.
+	// unreadyFor is how long a stopping gateway waits at most for the balancer to
+	// notice: it asks once a second and acts on the second miss.
+	unreadyFor = 2500 * time.Millisecond
+	// noticeTravel is the time for connections that the balancer passed on
+	// before it noticed: many times the way from the clients.
+	noticeTravel = 100 * time.Millisecond
+	// stopReserve is kept of the grace for the end of the process itself,
+	// lastAnswers of that for the answers to requests that are given up.
 	stopReserve = 700 * time.Millisecond
+	lastAnswers = 200 * time.Millisecond
+	// drainedEvery is how often a stopping gateway looks whether it is done.
+	drainedEvery = 10 * time.Millisecond
 	// clientHeaderTimeout ends connections that do not send their header.
 	clientHeaderTimeout = 10 * time.Second
 	// clientIdleTimeout is longer than any limit that clients keep to, so that
@@ -113,6 +121,7 @@
 		Bounds:      p.Bounds,
 		View:        g.follower.View,
 		FleetSize:   g.fleet.Size,
+		OthersStay:  g.fleet.OthersStay,
 		Scheduler:   scheduler.NewClient(g.scheduler, g.fleet, g.log),
 		Transport:   gateway.NewTransport(),
 		Log:         g.log,
@@ -224,23 +233,26 @@
 	}
 }
 
-// Stop makes the process unready, serves until the balancer has noticed, and
-// lets what is in flight end within the platform's grace.
+// Stop makes the process unready, serves on until the balancer has noticed and
+// all that is in flight has ended, within the platform's grace.
+//
+// It listens to the end: where most gateways of a failure domain stop at once,
+// the balancer sends clients to them all the same, and a short request that
+// still fits is better served than left without a listener.
 func (g *Gateway) Stop(ctx context.Context) error {
 	began := time.Now()
 	g.log.Info().Str("event", logDraining).Msg("stopping")
-	g.gateway.Leave()
+	end := began.Add(g.loaded.Platform.Bounds.Grace - stopReserve)
+	g.gateway.Leave(end)
 	g.fleet.Leave()
-	ctx, cancel := context.WithTimeout(ctx, g.loaded.Platform.Bounds.Grace-stopReserve)
+	ctx, cancel := context.WithDeadline(ctx, end.Add(lastAnswers))
 	defer cancel()
-	lastCall := time.AfterFunc(g.loaded.Platform.Bounds.Grace/2, g.gateway.Stop)
-	defer lastCall.Stop()
-	timer := time.NewTimer(unreadyFor)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	g.awaitNotice(ctx)
+	g.gateway.OutOfRotation()
+	// Connections without a request are closed now: their clients send the next
+	// one to a gateway that stays.
+	g.front.SetKeepAlivesEnabled(false)
+	g.awaitDrained(ctx)
 	err := g.front.Shutdown(ctx)
 	cut := g.gateway.InFlight()
 	for _, server := range g.side {
@@ -254,6 +266,24 @@
 	return nil
 }
 
+// awaitNotice waits until the balancer sends new connections elsewhere.
+func (g *Gateway) awaitNotice(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, unreadyFor)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-g.gateway.Noticed():
+		sleep.For(ctx, noticeTravel)
+	}
+}
+
+// awaitDrained waits until no request is in flight.
+func (g *Gateway) awaitDrained(ctx context.Context) {
+	for g.gateway.InFlight() > 0 && ctx.Err() == nil {
+		sleep.For(ctx, drainedEvery)
+	}
+}
+
 // vars returns the metrics of the process.
 func (g *Gateway) vars() *expvar.Map {
 	m := new(expvar.Map).Init()
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -218,9 +218,11 @@
 // Where all are, as when a whole fleet is stopped in turn, one of those that
 // leave owns the queue: otherwise each would own it for itself.
 func (c *Core) someoneStays(now time.Time) bool {
-	if !c.leaving {
-		return true
-	}
+	return !c.leaving || c.OthersStay(now)
+}
+
+// OthersStay tells whether another live member is not leaving.
+func (c *Core) OthersStay(now time.Time) bool {
 	for _, p := range c.peers {
 		if p.live(now) && !p.leaving {
 			return true
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -446,6 +446,13 @@
 	return nil
 }
 
+// OthersStay tells whether another live member is not leaving.
+func (s *Service) OthersStay() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.OthersStay(time.Now())
+}
+
 // Size is the number of live members.
 func (s *Service) Size() int {
 	s.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -38,6 +37,8 @@
 	Transport http.RoundTripper
 	Log       zerolog.Logger
 	Metrics   *Metrics
+	// OthersStay tells whether another gateway is live and not leaving.
+	OthersStay func() bool
 	// TellCrashes passes on crashes that this process saw; nil if there is
 	// nobody to tell.
 	TellCrashes func([]Crash)
@@ -50,27 +51,22 @@
 	repeats *retry.Window
 	ages    *ages
 	crashes *crashes
-	// leftAt is when the process began to stop; nil until then.
-	leftAt atomic.Pointer[time.Time]
+	paces   *paces
+	planned *planned
 	// inFlight is the number of requests that have no whole answer yet.
 	inFlight atomic.Int64
-	// stopping ends with Stop: requests that still wait for their stages are
-	// refused then, so that those that run can end within the grace.
-	stopping context.Context
-	stop     context.CancelFunc
 }
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
-	stopping, stop := context.WithCancel(context.Background())
 	return &Gateway{
-		stopping: stopping,
-		stop:     stop,
-		cfg:      cfg,
-		balance:  balance.New(cfg.Domain),
-		ages:     newAges(),
-		crashes:  newCrashes(),
-		repeats:  retry.NewWindow(cfg.Bounds.RetryWindow, cfg.Bounds.RetryRatio*ratioShare),
+		cfg:     cfg,
+		balance: balance.New(cfg.Domain),
+		ages:    newAges(),
+		crashes: newCrashes(),
+		paces:   newPaces(),
+		planned: newPlanned(),
+		repeats: retry.NewWindow(cfg.Bounds.RetryWindow, cfg.Bounds.RetryRatio*ratioShare),
 	}
 }
 
@@ -93,36 +89,17 @@
 // Endpoints tells what the process believes of the endpoints of plain services.
 func (g *Gateway) Endpoints() []balance.Stats { return g.balance.Stats(time.Now()) }
 
-// Leave makes the process unready and lets clients open new connections elsewhere.
-func (g *Gateway) Leave() {
-	now := time.Now()
-	g.leftAt.Store(&now)
-}
-
-// InFlight is the number of requests that have no whole answer yet.
-func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
-
-// Stop refuses the requests that still wait for their stages.
-func (g *Gateway) Stop() { g.stop() }
-
-// Ready answers the balancer's question whether to send new connections here.
-func (g *Gateway) Ready(w http.ResponseWriter, _ *http.Request) {
-	if g.leftAt.Load() != nil || !g.cfg.View().Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
 // ServeHTTP serves one request of a client.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	earlier := earlierRequests(r.Context())
 	req, p := g.admit(r)
-	if left := g.leftAt.Load(); left != nil {
+	if g.planned.stopping() {
 		w.Header().Set("Connection", "close")
-		g.logTakenLate(req, *left, earlier)
+	}
+	if p == nil {
+		p = g.takeWhileStopping(req, earlier)
 	}
 	if p == nil {
 		defer req.cancel()
@@ -139,14 +116,6 @@
 	}
 }
 
-// logTakenLate writes the line for a request that came after the process had
-// begun to stop: how long after, and whether its connection was an old one.
-func (g *Gateway) logTakenLate(req *request, left time.Time, earlier int64) {
-	g.cfg.Log.Info().Str("event", logTakenLate).Str("request", req.ID).Str("route", routeName(req)).
-		Dur("stopping_ms", req.arrived.Sub(left)).Int64("earlier_on_connection", earlier).
-		Msg("request came while stopping")
-}
-
 // screen refuses content that has crashed endpoint after endpoint.
 func (g *Gateway) screen(req *request) *problem {
 	req.content = contentOf(req)
--- a/gateway/logs_test.go
+++ b/gateway/logs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 
@@ -25,6 +26,21 @@
 	return b.text.Write(p)
 }
 
+// has waits for a line with all of the texts.
+func (b *logBuffer) has(t *testing.T, texts ...string) {
+	t.Helper()
+	testwait.For(t, patience, func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		for line := range bytes.Lines(b.text.Bytes()) {
+			if !slices.ContainsFunc(texts, func(text string) bool { return !bytes.Contains(line, []byte(text)) }) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // story is what the logs say of a request.
 func (r *rig) story(id string) reqlog.Story {
 	r.logs.mu.Lock()
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -60,13 +60,13 @@
 // lease has the stages run and an engine chosen.
 func (g *Gateway) lease(m *modelRequest) (*scheduler.Lease, *problem) {
 	m.submits++
-	ctx, cancel := context.WithCancel(m.ctx)
+	_, need := g.need(m.request)
+	ctx, cancel := g.planned.until(m.ctx, need)
 	defer cancel()
-	defer context.AfterFunc(g.stopping, cancel)()
 	lease, err := g.cfg.Scheduler.Submit(ctx, m.job(g.cfg.Domain))
 	switch {
-	case err != nil && g.stopping.Err() != nil:
-		return nil, ended(m.request, "stopping", busyRetry)
+	case err != nil && endedByStop(ctx):
+		return nil, ended(m.request, reasonStopping, g.elsewhere(need))
 	case err != nil && m.ctx.Err() != nil:
 		return nil, ended(m.request, "deadline_in_stages", busyRetry)
 	case err != nil:
@@ -76,6 +76,7 @@
 		p.queue, p.behind = lease.Refuse.Queue, lease.Refuse.Behind
 		return nil, p
 	}
+	m.chosen = time.Now()
 	g.cfg.Log.Info().Str("event", logGranted).Str("request", m.ID).Str("route", m.route.Name).
 		Str("endpoint", lease.Grant.Endpoint).Dur("waited_ms", lease.Grant.Waited).
 		Str("owner", lease.Owner).Dur("slack_ms", lease.Grant.Slack).Bool("late", lease.Grant.Late).Msg("stages done, engine chosen")
@@ -261,6 +262,7 @@
 		data, err := stream.next()
 		if first && (len(data) > 0 || err == nil) {
 			first = false
+			m.noteFirst()
 			m.lease.FirstEvent()
 			g.cfg.Metrics.firstEvent(m.request)
 		}
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -137,6 +137,9 @@
 	assert.Equal(t, len(stage.Made()), 2)
 }
 
+// stopTime is shorter than the deadline of these tests' requests.
+const stopTime = 2 * time.Second
+
 // The process stops while a request waits for its stages: it is refused with
 // when to come back, so that what runs can end within the grace.
 func TestStopRefusesWhatWaits(t *testing.T) {
@@ -151,13 +154,16 @@
 	r.endpoint("model", "m-1", nil)
 	go func() {
 		<-called
-		r.gateway.Stop()
+		r.gateway.Leave(time.Now().Add(stopTime))
 	}()
+	began := time.Now()
 	req := r.request(http.MethodPost, "/staged/", "prompt")
 	req.Header.Set("Mangostage-Segments", "1")
 	got := r.do(req)
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
 	assert.Assert(t, got.header.Get("Retry-After") != "")
+	// Nothing is known of the route: its stream may need all of its deadline.
+	assert.Assert(t, time.Since(began) < stopTime, "refused as soon as the stream does not fit any more")
 }
 
 // The engine that the queue's owner chose refuses every request, so each goes
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -200,10 +200,12 @@
 // relayPlain passes an answer on.
 func (g *Gateway) relayPlain(w http.ResponseWriter, req *request, e *catalog.Endpoint, a *bufferedAnswer) *problem {
 	if a.whole {
+		req.noteFirst()
 		a.write(w)
 		g.done(req, a.StatusCode, "relayed")
 		return nil
 	}
+	req.noteFirst()
 	a.head(w)
 	if err := a.relay(w); err != nil {
 		g.broken(req, e, err)
@@ -224,13 +226,14 @@
 	g.cfg.Metrics.count(req, "broken_off")
 	g.cfg.Log.Warn().Str("event", logAnswered).Str("request", req.ID).Str("route", req.route.Name).
 		Str("endpoint", e.ID).Str("reason", "broken_off").Bool("client_left", req.gone()).
-		Bool("expired", req.expired()).Err(err).Dur("took_ms", time.Since(req.arrived)).Msg("answer broken off")
+		Bool("expired", req.expired()).Bool("stopping", endedByStop(req.ctx)).Err(err).Dur("took_ms", time.Since(req.arrived)).Msg("answer broken off")
 	panic(http.ErrAbortHandler)
 }
 
 // done writes the line for an answer that was relayed whole.
 func (g *Gateway) done(req *request, status int, reason string) {
 	g.crashes.served(req.content)
+	g.paces.served(req.route.Name, req.timing(time.Now()))
 	g.cfg.Metrics.count(req, reason)
 	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", req.route.Name).
 		Int("status", status).Str("reason", reason).Uint64("config", req.version).
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -294,7 +294,7 @@
 		return w.Code
 	}
 	assert.Equal(t, ready(), http.StatusOK)
-	r.gateway.Leave()
+	r.gateway.Leave(time.Now().Add(patience))
 	assert.Equal(t, ready(), http.StatusServiceUnavailable)
 	resp, err := http.DefaultClient.Do(r.request(http.MethodGet, "/idem/", ""))
 	assert.NilError(t, err)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -46,6 +46,9 @@
 	version uint64
 	ctx     context.Context
 	cancel  context.CancelFunc
+	// chosen is when the request's engine was chosen, first when the answer
+	// began; both are zero until then.
+	chosen, first time.Time
 	// offered is set once an endpoint was sent the request; mayHaveRun once
 	// one may have run it.
 	offered    bool
@@ -74,10 +77,22 @@
 	req.service = index.Service(req.serviceName)
 	req.deadline = now.Add(timeLeft(req))
 	req.age = g.ages.of(req.route.Name, req.Deadline)
-	req.ctx, req.cancel = context.WithDeadline(r.Context(), req.deadline)
+	req.begin(g.planned)
 	return req, nil
 }
 
+// begin makes the context in which the request is served: it ends with the
+// client's leaving, the request's own time, or a planned stop.
+func (req *request) begin(p *planned) {
+	ctx, cancelDeadline := context.WithDeadline(req.http.Context(), req.deadline)
+	ctx, cancelStop := p.until(ctx, 0)
+	req.ctx = ctx
+	req.cancel = func() {
+		cancelStop()
+		cancelDeadline()
+	}
+}
+
 // hostOf is the request's host without a port.
 func hostOf(r *http.Request) string {
 	if host, _, err := net.SplitHostPort(r.Host); err == nil {
@@ -167,3 +182,23 @@
 	}
 	return req.account.Name
 }
+
+// noteFirst notes that the answer began; only the first time counts.
+func (req *request) noteFirst() {
+	if req.first.IsZero() {
+		req.first = time.Now()
+	}
+}
+
+// timing is how the request went that is answered now.
+func (req *request) timing(now time.Time) timing {
+	first := req.first
+	if first.IsZero() {
+		first = now
+	}
+	t := timing{toFirst: first.Sub(req.arrived), rest: now.Sub(first), tokens: req.TokensOut}
+	if !req.chosen.IsZero() {
+		t.prompt = max(0, first.Sub(req.chosen))
+	}
+	return t
+}
