Close idle connections under the lock that reads take

Cause: http.Server notes a connection as in use only after it has parsed a request, and closes it as idle until then: the handler runs, the client gets nothing. Ruled out: longer waits (the window is between read and note, at any time). Change: package keepalive: a read that returns bytes marks the connection under the lock under which idle ones are closed; a read that loses the race returns none, so nothing is run. The front uses it in place of SetKeepAlivesEnabled, and again while it shuts down, since the server waits 5 s for connections without a request.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -206,19 +206,26 @@
 
 // serveHTTP serves handler on address until the server is shut down.
 func serveHTTP(address string, handler http.Handler, log zerolog.Logger) (*http.Server, net.Addr, error) {
-	return serveWith(&http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}, address, log)
+	listener, err := listenHTTP(address)
+	if err != nil {
+		return nil, nil, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	go serveOn(server, listener, log)
+	return server, listener.Addr(), nil
 }
 
-// serveWith is serveHTTP with a server of the caller's making.
-func serveWith(server *http.Server, address string, log zerolog.Logger) (*http.Server, net.Addr, error) {
+func listenHTTP(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, nil, errorx.Decorate(err, "listen for HTTP")
+		return nil, errorx.Decorate(err, "listen for HTTP")
+	}
+	return listener, nil
+}
+
+// serveOn serves until the server is shut down.
+func serveOn(server *http.Server, listener net.Listener, log zerolog.Logger) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		log.Error().Str("event", logHTTPEnded).Err(err).Msg("HTTP server ended")
 	}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			log.Error().Str("event", logHTTPEnded).Err(err).Msg("HTTP server ended")
-		}
-	}()
-	return server, listener.Addr(), nil
 }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/mangostage/mangostage/discovery"
 	"github.com/mangostage/mangostage/fleet"
 	"github.com/mangostage/mangostage/gateway"
+	"github.com/mangostage/mangostage/internal/keepalive"
 	"github.com/mangostage/mangostage/internal/logsink"
 	"github.com/mangostage/mangostage/internal/sleep"
 	"github.com/mangostage/mangostage/kernel"
@@ -41,6 +42,9 @@
 	// lastAnswers of that for the answers to requests that are given up.
 	stopReserve = 700 * time.Millisecond
 	lastAnswers = 200 * time.Millisecond
+	// lastRequests is how long a connection that came last has for its request:
+	// many times the way from the clients.
+	lastRequests = 50 * time.Millisecond
 	// drainedEvery is how often a stopping gateway looks whether it is done.
 	drainedEvery = 10 * time.Millisecond
 	// clientHeaderTimeout ends connections that do not send their header.
@@ -65,7 +69,9 @@
 	gateway   *gateway.Gateway
 	metrics   *gateway.Metrics
 	front     *http.Server
-	side      []*http.Server
+	// clients are the connections of front.
+	clients *keepalive.Conns
+	side    []*http.Server
 	// hups carries SIGHUP from the first moment on: its default ends the process.
 	hups    chan os.Signal
 	stop    context.CancelFunc
@@ -207,14 +213,18 @@
 }
 
 func (g *Gateway) serveFront(addr string) error {
-	server, _, err := serveWith(&http.Server{
+	listener, err := listenHTTP(addr)
+	if err != nil {
+		return err
+	}
+	g.front = &http.Server{
 		Handler:           g.gateway,
 		ReadHeaderTimeout: clientHeaderTimeout,
 		IdleTimeout:       clientIdleTimeout,
-		ConnContext:       gateway.ConnContext,
-	}, addr, g.log)
-	g.front = server
-	return err
+	}
+	g.clients = keepalive.Attach(g.front)
+	go serveOn(g.front, g.clients.Listener(listener), g.log)
+	return nil
 }
 
 // watchSettings re-reads the platform's file at SIGHUP. Nothing in it can
@@ -251,9 +261,9 @@
 	g.gateway.OutOfRotation()
 	// Connections without a request are closed now: their clients send the next
 	// one to a gateway that stays.
-	g.front.SetKeepAlivesEnabled(false)
+	g.clients.CloseIdle()
 	g.awaitDrained(ctx)
-	err := g.front.Shutdown(ctx)
+	err := g.shutdownFront(ctx)
 	cut := g.gateway.InFlight()
 	for _, server := range g.side {
 		_ = server.Close()
@@ -284,6 +294,20 @@
 	}
 }
 
+// shutdownFront ends the front. Connections that still come and carry no
+// request are closed, again and again: the server itself would wait 5 s for them.
+func (g *Gateway) shutdownFront(ctx context.Context) error {
+	done, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		for done.Err() == nil {
+			sleep.For(done, lastRequests)
+			g.clients.CloseIdle()
+		}
+	}()
+	return g.front.Shutdown(ctx)
+}
+
 // vars returns the metrics of the process.
 func (g *Gateway) vars() *expvar.Map {
 	m := new(expvar.Map).Init()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/mangostage/mangostage/balance"
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/internal/keepalive"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/retry"
 	"github.com/mangostage/mangostage/scheduler"
@@ -93,7 +94,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	earlier := earlierRequests(r.Context())
+	earlier := keepalive.Earlier(r.Context())
 	req, p := g.admit(r)
 	if g.planned.stopping() {
 		w.Header().Set("Connection", "close")
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -109,15 +111,44 @@
 	}
 }
 
+// closed tells whether the server has closed the connection.
+func (c *client) closed(t *testing.T) bool {
+	t.Helper()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(time.Millisecond)))
+	_, err := c.in.Peek(1)
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 func TestCloseIdle(t *testing.T) {
 	s := start(t)
 	used, fresh := s.dial(t), s.dial(t)
 	assert.Assert(t, used.ask("1"))
 	testwait.For(t, patience, func() bool {
 		s.conns.CloseIdle()
-		_, err := fresh.in.Peek(1)
-		return err != nil
+		return used.closed(t) && fresh.closed(t)
 	})
-	assert.Assert(t, !used.ask("2"), "an idle connection is closed")
-	assert.Assert(t, s.dial(t).ask("3"), "a new connection is served")
+	assert.Assert(t, s.dial(t).ask("2"), "a new connection is served")
+}
+
+// A request is being served while idle connections are closed.
+func TestCloseIdleLeavesWhatIsInUse(t *testing.T) {
+	began, goOn := make(chan struct{}), make(chan struct{})
+	h := &http.Server{ReadHeaderTimeout: patience, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Check(t, keepalive.Earlier(r.Context()) == 0)
+		close(began)
+		<-goOn
+		_, _ = fmt.Fprint(w, "ok")
+	})}
+	conns := keepalive.Attach(h)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = h.Serve(conns.Listener(l)) }()
+	t.Cleanup(func() { _ = h.Close() })
+	c := (&server{addr: l.Addr().String()}).dial(t)
+	answered := make(chan bool)
+	go func() { answered <- c.ask("1") }()
+	<-began
+	conns.CloseIdle()
+	close(goOn)
+	assert.Assert(t, <-answered)
 }
