--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -313,3 +313,29 @@
 	}
 	return names
 }
+
+// The configuration grows at once to hundreds of kilobytes. The member that
+// reads the store for twenty others has a tenth of the others' link and
+// processor: sending it to all takes it seconds, in which it hears neither the
+// store nor its peers, takes the queue for its own, and sends pieces to an
+// endpoint that has left meanwhile. The strongest have to read, in any order of names.
+func TestTheStrongestRead(t *testing.T) {
+	w := newWorld()
+	strong := map[string]bool{"m03": true, "m07": true, "m11": true}
+	for i := range 12 {
+		name := fmt.Sprintf("m%02d", i)
+		cores := 0.144
+		if strong[name] {
+			cores = 0.8
+		}
+		w.start(name, cores)
+	}
+	w.steps(20)
+	for name, c := range w.cores {
+		readers := c.Readers(w.now)
+		assert.Equal(t, len(readers), readersLarger)
+		for _, r := range readers {
+			assert.Assert(t, strong[r.Name], "%s takes %s for a reader", name, r.Name)
+		}
+	}
+}
