The strongest members read the store for the others

Cause: readers were the first by hash, whatever their processor and link; what they read goes over their own link to all others. Ruled out: the store (other readers heard it), the frozen or stopped members (none then). Change: readers are those that rank first, as for the queue's owner and hubs. A member that is cut off for reasons of its own still takes removals for lapses.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -389,21 +389,20 @@
 	readersLarger = 3
 )
 
-// Readers lists the live members that read the store for the fleet: the first
-// by hash. All processes that see the same members name the same.
+// Readers lists the live members that read the store for the fleet: those that
+// rank first, since what they read goes to all others over their own links. A
+// weak one that passes on a large configuration is cut off from everybody for
+// seconds. All processes that see the same members name the same.
 func (c *Core) Readers(now time.Time) []Member {
 	members := c.Live(now)
 	if !c.mesh {
 		members = c.hubs(now)
 	}
-	sort.Slice(members, func(i, j int) bool {
-		return xxhash.Sum64String(members[i].Name) > xxhash.Sum64String(members[j].Name)
-	})
 	n := readersSmall
 	if len(members) > smallFleet {
 		n = readersLarger
 	}
-	return members[:min(n, len(members))]
+	return firstRanked(members, n)
 }
 
 // Ahead returns the address of the live member that knows the highest revision
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -72,12 +72,13 @@
 			members = append(members, p.Member)
 		}
 	}
-	return firstRanked(members)
+	return firstRanked(members, hubCount)
 }
 
-func firstRanked(members []Member) []Member {
+// firstRanked returns the n members that rank first; it sorts members.
+func firstRanked(members []Member, n int) []Member {
 	sort.Slice(members, func(i, j int) bool { return outranks(members[i], members[j]) })
-	return members[:min(hubCount, len(members))]
+	return members[:min(n, len(members))]
 }
 
 // nameHubs returns what a heartbeat says of the hubs: the queue's owner first,
@@ -125,7 +126,7 @@
 		}
 		named = append(named, h.Member)
 	}
-	for _, m := range append(heard, firstRanked(named)...) {
+	for _, m := range append(heard, firstRanked(named, hubCount)...) {
 		c.partners[m.Addr] = true
 	}
 	if p := c.peers[c.claim.Owner]; p != nil {
