Test of a request that was read ahead when idle connections are closed; fails

A server that has two requests in its buffer reads nothing for the second, so its connection counts as idle while it runs; closed, its client gets nothing. Ruled out: the same loss at http.Server.Shutdown.

--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -152,3 +153,35 @@
 	close(goOn)
 	assert.Assert(t, <-answered)
 }
+
+// A client sends its second request right behind the first, in one packet. The
+// server has both in its buffer and reads nothing more, so that the connection
+// counts as idle while the second runs, and a planned stop closes it: the client
+// gets half of its answers.
+func TestCloseIdleLeavesWhatWasReadAhead(t *testing.T) {
+	began, goOn := make(chan struct{}), make(chan struct{})
+	h := &http.Server{ReadHeaderTimeout: patience, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Id") == "2" {
+			close(began)
+			<-goOn
+		}
+		_, _ = fmt.Fprint(w, "ok")
+	})}
+	conns := keepalive.Attach(h)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = h.Serve(conns.Listener(l)) }()
+	t.Cleanup(func() { _ = h.Close() })
+	c := (&server{addr: l.Addr().String()}).dial(t)
+	_, err = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\nId: 1\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\nId: 2\r\n\r\n")
+	assert.NilError(t, err)
+	<-began
+	conns.CloseIdle()
+	close(goOn)
+	for range 2 {
+		resp, err := http.ReadResponse(c.in, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+	}
+}
