Count a request as under way when its handler begins

Cause: keepalive.Conns notes a request when a byte of it is read; one that is read ahead with the request before it is never read again and counted as idle while it ran. Change: Attach wraps the server's handler: begin marks the connection under the lock under which idle ones are closed, and runs nothing on a connection that was closed before. Whether clients of the users send requests ahead is not known.

--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -16,7 +16,9 @@
 // in use only when it has read and parsed a request. A connection that it
 // closes as idle before, at a planned stop, takes the request along: the
 // handler runs and the client gets nothing. Conns note it as soon as a byte has
-// been read, under the lock under which idle connections are closed.
+// been read, under the lock under which idle connections are closed, and once
+// more before the handler runs: a request that was read ahead, with the one
+// before it, is not read again.
 type Conns struct {
 	mu   sync.Mutex
 	open map[*conn]struct{}
@@ -39,7 +41,7 @@
 type connKey struct{}
 
 // Attach makes the connections of a server known, which must not have begun to
-// serve. It takes the server's ConnState and ConnContext.
+// serve. It takes the server's ConnState and ConnContext, and wraps its Handler.
 func Attach(server *http.Server) *Conns {
 	c := &Conns{open: make(map[*conn]struct{})}
 	server.ConnState = func(nc net.Conn, state http.ConnState) {
@@ -50,17 +52,29 @@
 	server.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, nc)
 	}
+	server.Handler = begun(server.Handler)
 	return c
 }
 
-// Earlier counts the request of the context on its connection and returns how
-// many came before it; 0 on servers that are not attached.
+// begun runs no request whose connection was closed as idle meanwhile: nobody
+// would get its answer.
+func begun(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, ok := r.Context().Value(connKey{}).(*conn); ok && !conn.begin() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Earlier returns how many requests came before that of the context on its
+// connection; 0 on servers that are not attached.
 func Earlier(ctx context.Context) int64 {
 	conn, ok := ctx.Value(connKey{}).(*conn)
 	if !ok {
 		return 0
 	}
-	return conn.requests.Add(1) - 1
+	return conn.requests.Load() - 1
 }
 
 // Listener returns what the server has to serve in place of l.
@@ -130,6 +144,16 @@
 	return c.Conn.Close()
 }
 
+// begin notes that a request of the connection is under way; it is false if the
+// connection was closed before.
+func (c *conn) begin() bool {
+	c.requests.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = false
+	return !c.closed
+}
+
 func (c *conn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
