Ask before each send whether it can end before the stop does

Cause: a stopping gateway asked once, when the header came. A body that came late, the first send to a plain service and each repeated send went out whatever was left, and were cut with the process. Change: refuseUnfit before the stages and before the first send to a plain service, fits before a send is repeated. Plain services note when their endpoint was chosen, without which the estimate of a send was next to nothing.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -59,6 +59,9 @@
 
 // lease has the stages run and an engine chosen.
 func (g *Gateway) lease(m *modelRequest) (*scheduler.Lease, *problem) {
+	if p := g.refuseUnfit(m.request); p != nil {
+		return nil, p
+	}
 	m.submits++
 	_, need := g.need(m.request)
 	ctx, cancel := g.planned.until(m.ctx, need)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -30,7 +30,11 @@
 
 // servePlain sends a request to an endpoint of a plain service.
 func (g *Gateway) servePlain(w http.ResponseWriter, req *request) *problem {
+	if p := g.refuseUnfit(req); p != nil {
+		return p
+	}
 	tries := attempts{avoid: make(map[string]bool)}
+	req.chosen = time.Now()
 	var failed *bufferedAnswer
 	for {
 		e := g.balance.Pick(time.Now(), g.cfg.View().Endpoints(req.serviceName), tries.avoid)
@@ -183,6 +187,9 @@
 	if tries.rejections >= maxRejections {
 		return false
 	}
+	if _, ok := g.fits(req); !ok {
+		return false
+	}
 	return g.repeats.Take(req.serviceName, g.slack(), time.Now())
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -46,8 +46,8 @@
 	version uint64
 	ctx     context.Context
 	cancel  context.CancelFunc
-	// chosen is when the request's engine was chosen, first when the answer
-	// began; both are zero until then.
+	// chosen is when the request's engine, or the first endpoint of a plain
+	// service, was chosen; first when the answer began. Both are zero until then.
 	chosen, first time.Time
 	// offered is set once an endpoint was sent the request; mayHaveRun once
 	// one may have run it.
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -169,6 +169,26 @@
 	return unavailable(reasonStopping, g.elsewhere(left))
 }
 
+// fits tells whether a send that begins now will end before the stop does; left
+// is the time until then. A body that comes slowly, or a send that has failed,
+// may have used up what was left when the request came.
+func (g *Gateway) fits(req *request) (left time.Duration, ok bool) {
+	left, stopping := g.planned.left(time.Now())
+	if !stopping {
+		return 0, true
+	}
+	_, need := g.need(req)
+	return left, need <= left
+}
+
+// refuseUnfit ends a request whose next send would be cut by the stop.
+func (g *Gateway) refuseUnfit(req *request) *problem {
+	if left, ok := g.fits(req); !ok {
+		return ended(req, reasonStopping, g.elsewhere(left))
+	}
+	return nil
+}
+
 // elsewhere is when a client may come back whose request the stop refuses.
 func (g *Gateway) elsewhere(left time.Duration) time.Duration {
 	if g.cfg.OthersStay() {
