Answer requests whose body does not come in time

Cause: a blocked read of a body knows nothing of the request's context. Half a request held up a planned stop to its end and went with the process, without an answer; outside a stop it waited for its body beyond the deadline of client and route. Change: the read gets a deadline when the context ends, and the client 503, not run. net/http takes the end of the read for a client that has left, so the answer says that it was ours. The context of a request that the stop refuses is ended as well.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -100,10 +100,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	if p == nil {
+		defer req.cancel()
 		p = g.takeWhileStopping(req, earlier)
 	}
 	if p == nil {
-		defer req.cancel()
 		p = g.readBody(w, req)
 	}
 	if p == nil {
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -20,6 +20,9 @@
 	behind time.Duration
 	// close ends the connection after the answer.
 	close bool
+	// readEnded says that the gateway itself has ended the reading from the
+	// client, which net/http takes for a client that has left.
+	readEnded bool
 }
 
 // unavailable says that the request has not run and when to come back.
@@ -53,12 +56,13 @@
 
 // refuse answers the client, if it is still there.
 func (g *Gateway) refuse(w http.ResponseWriter, req *request, p *problem) {
+	left := req.gone() && !p.readEnded
 	g.cfg.Metrics.count(req, p.reason)
 	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", routeName(req)).
 		Int("status", p.status).Str("reason", p.reason).Bool("offered", req.offered).
-		Bool("may_have_run", req.mayHaveRun).Bool("client_left", req.gone()).Uint64("config", req.version).
+		Bool("may_have_run", req.mayHaveRun).Bool("client_left", left).Uint64("config", req.version).
 		Str("queue", p.queue).Dur("behind_ms", p.behind).Dur("retry_after_ms", p.retryAfter).Dur("took_ms", time.Since(req.arrived)).Msg("own answer")
-	if req.gone() {
+	if left {
 		panic(http.ErrAbortHandler)
 	}
 	h := w.Header()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -143,9 +143,12 @@
 	if n := req.http.ContentLength; n > 0 && n <= limit {
 		buffer.Grow(int(n) + bytes.MinRead)
 	}
+	inTime := endRead(w, req)
 	_, err := io.Copy(&buffer, body)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case !inTime() && (endedByStop(req.ctx) || req.expired()):
+		return lateBody(req)
 	case errors.As(err, &tooLarge):
 		return &problem{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
 	case err != nil:
@@ -156,6 +159,28 @@
 	return nil
 }
 
+// endRead ends the reading of the body with the request's context, of which a
+// blocked read knows nothing: else half a request would hold up a planned stop,
+// and its client would get no answer. inTime ends that, and tells whether the
+// context had not ended.
+func endRead(w http.ResponseWriter, req *request) (inTime func() bool) {
+	return context.AfterFunc(req.ctx, func() {
+		// Without deadlines the read ends with the connection, as it would anyway.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	})
+}
+
+// lateBody is the answer to a request whose body did not come in its time or
+// in that of a planned stop.
+func lateBody(req *request) *problem {
+	p := unavailable("body_late", elsewhereRetry)
+	if endedByStop(req.ctx) {
+		p.reason = reasonStopping
+	}
+	p.close, p.readEnded = true, true
+	return p
+}
+
 // left is the time that the request has left.
 func (req *request) left() time.Duration { return time.Until(req.deadline) }
 
