Learn how long requests last from successes only

Cause: 32 quick failures of a route made a stopping gateway take streams as if they lasted no time. Change: only answers with a success are noted.

--- a/gateway/pace.go
+++ b/gateway/pace.go
@@ -51,7 +51,7 @@
 
 func newPaces() *paces { return &paces{routes: make(map[string]*pace)} }
 
-// served notes a request that was answered whole.
+// served notes a request that was answered whole, and with success.
 func (p *paces) served(route string, t timing) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -240,7 +240,10 @@
 // done writes the line for an answer that was relayed whole.
 func (g *Gateway) done(req *request, status int, reason string) {
 	g.crashes.served(req.content)
-	g.paces.served(req.route.Name, req.timing(time.Now()))
+	// Failures often come at once and say nothing of how long a success lasts.
+	if status < http.StatusMultipleChoices {
+		g.paces.served(req.route.Name, req.timing(time.Now()))
+	}
 	g.cfg.Metrics.count(req, reason)
 	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", req.route.Name).
 		Int("status", status).Str("reason", reason).Uint64("config", req.version).
