--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -183,5 +183,6 @@
 		assert.NilError(t, err)
 		_, err = io.Copy(io.Discard, resp.Body)
 		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
 	}
 }
