A stopping owner of the queue ends the stages that it has begun

Cause: a stopping gateway waited for its own requests only. As the owner of the queue it ended with calls for other gateways' jobs under way: they were cut and made again by the next owner, and results that only it could give up stayed at their endpoints. Ruled out: HandOver moves what has not begun; what has begun stays by design. Change: the stop waits, within the grace, until no call is under way and no result is kept.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -287,9 +287,11 @@
 	}
 }
 
-// awaitDrained waits until no request is in flight.
+// awaitDrained waits until no request is in flight, and no stage that this
+// process has begun as the owner of the queue: requests of other gateways wait
+// for it, and would have to begin anew.
 func (g *Gateway) awaitDrained(ctx context.Context) {
-	for g.gateway.InFlight() > 0 && ctx.Err() == nil {
+	for (g.gateway.InFlight() > 0 || g.scheduler.Holds()) && ctx.Err() == nil {
 		sleep.For(ctx, drainedEvery)
 	}
 }
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -71,6 +71,18 @@
 	}
 }
 
+// holds tells whether an endpoint keeps results of the job.
+func (j *job) holds() bool {
+	for _, s := range j.stages {
+		for _, r := range s.results {
+			if r != nil && !r.givenUp && r.worker.keeps(r) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (c *Core) freeAll(j *job, now time.Time) {
 	for _, s := range j.stages {
 		s.freed = true
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -72,6 +72,20 @@
 	}
 }
 
+// Holds tells whether a call is under way, or results are kept that only this
+// process can give up.
+func (c *Core) Holds() bool {
+	if len(c.calls) > 0 || len(c.frees) > 0 {
+		return true
+	}
+	for _, j := range c.jobs {
+		if j.holds() {
+			return true
+		}
+	}
+	return false
+}
+
 // HandOver gives the jobs without any piece made to the next owner. Two queues
 // for the same endpoints fill each other's calls badly; jobs that have begun
 // end here, since only this process knows their results.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -156,6 +156,14 @@
 	s.event(func(now time.Time, c *dispatch.Core) { c.HandOver(now) })
 }
 
+// Holds tells whether this process has begun stages, its own or others', whose
+// results would be lost, or kept in vain, if it ended now.
+func (s *Scheduler) Holds() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Holds()
+}
+
 // Stats returns the state of the queues.
 func (s *Scheduler) Stats() dispatch.Stats {
 	s.mu.Lock()
