--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -252,10 +252,10 @@
 func (g *Gateway) Stop(ctx context.Context) error {
 	began := time.Now()
 	g.log.Info().Str("event", logDraining).Msg("stopping")
-	end := began.Add(g.loaded.Platform.Bounds.Grace - stopReserve)
+	end, last := stopTimes(ctx, began, g.loaded.Platform.Bounds.Grace)
 	g.gateway.Leave(end)
 	g.fleet.Leave()
-	ctx, cancel := context.WithDeadline(ctx, end.Add(lastAnswers))
+	ctx, cancel := context.WithDeadline(ctx, last)
 	defer cancel()
 	g.awaitNotice(ctx)
 	g.gateway.OutOfRotation()
@@ -276,6 +276,13 @@
 	return nil
 }
 
+// stopTimes tells by when a stop has ended all requests, and by when their last
+// answers must be out.
+func stopTimes(_ context.Context, began time.Time, grace time.Duration) (end, last time.Time) {
+	end = began.Add(grace - stopReserve)
+	return end, end.Add(lastAnswers)
+}
+
 // awaitNotice waits until the balancer sends new connections elsewhere.
 func (g *Gateway) awaitNotice(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, unreadyFor)
