Keep a share of a short grace for the end of a stop, and mind the daemon's own limit

Cause: the reserve of 0.7 s was taken off any grace, and the daemon's limit of 30 s for a stop ended the process before the end that requests were told of where the grace was longer. Change: stopTimes takes the earlier of both, and keeps at most a sixth of it. With the users' grace of 8 s nothing changes.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -42,6 +42,8 @@
 	// lastAnswers of that for the answers to requests that are given up.
 	stopReserve = 700 * time.Millisecond
 	lastAnswers = 200 * time.Millisecond
+	// reserveShare is the part of a short grace, one in so many, that is kept.
+	reserveShare = 6
 	// lastRequests is how long a connection that came last has for its request:
 	// many times the way from the clients.
 	lastRequests = 50 * time.Millisecond
@@ -277,10 +279,15 @@
 }
 
 // stopTimes tells by when a stop has ended all requests, and by when their last
-// answers must be out.
-func stopTimes(_ context.Context, began time.Time, grace time.Duration) (end, last time.Time) {
-	end = began.Add(grace - stopReserve)
-	return end, end.Add(lastAnswers)
+// answers must be out. A ctx that ends before the grace ends the process as well,
+// and of a short grace most belongs to the requests.
+func stopTimes(ctx context.Context, began time.Time, grace time.Duration) (end, last time.Time) {
+	if limit, ok := ctx.Deadline(); ok {
+		grace = min(grace, limit.Sub(began))
+	}
+	reserve := min(stopReserve, grace/reserveShare)
+	end = began.Add(grace - reserve)
+	return end, end.Add(reserve * lastAnswers / stopReserve)
 }
 
 // awaitNotice waits until the balancer sends new connections elsewhere.
