--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -42,6 +42,8 @@
 	// lastAnswers of that for the answers to requests that are given up.
 	stopReserve = 700 * time.Millisecond
 	lastAnswers = 200 * time.Millisecond
+	// reserveShare is the part of a short grace, one in so many, that is kept.
+	reserveShare = 6
 	// lastRequests is how long a connection that came last has for its request:
 	// many times the way from the clients.
 	lastRequests = 50 * time.Millisecond
@@ -252,10 +254,10 @@
 func (g *Gateway) Stop(ctx context.Context) error {
 	began := time.Now()
 	g.log.Info().Str("event", logDraining).Msg("stopping")
-	end := began.Add(g.loaded.Platform.Bounds.Grace - stopReserve)
+	end, last := stopTimes(ctx, began, g.loaded.Platform.Bounds.Grace)
 	g.gateway.Leave(end)
 	g.fleet.Leave()
-	ctx, cancel := context.WithDeadline(ctx, end.Add(lastAnswers))
+	ctx, cancel := context.WithDeadline(ctx, last)
 	defer cancel()
 	g.awaitNotice(ctx)
 	g.gateway.OutOfRotation()
@@ -276,6 +278,18 @@
 	return nil
 }
 
+// stopTimes tells by when a stop has ended all requests, and by when their last
+// answers must be out. A ctx that ends before the grace ends the process as well,
+// and of a short grace most belongs to the requests.
+func stopTimes(ctx context.Context, began time.Time, grace time.Duration) (end, last time.Time) {
+	if limit, ok := ctx.Deadline(); ok {
+		grace = min(grace, limit.Sub(began))
+	}
+	reserve := min(stopReserve, grace/reserveShare)
+	end = began.Add(grace - reserve)
+	return end, end.Add(reserve * lastAnswers / stopReserve)
+}
+
 // awaitNotice waits until the balancer sends new connections elsewhere.
 func (g *Gateway) awaitNotice(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, unreadyFor)
@@ -287,9 +301,11 @@
 	}
 }
 
-// awaitDrained waits until no request is in flight.
+// awaitDrained waits until no request is in flight, and no stage that this
+// process has begun as the owner of the queue: requests of other gateways wait
+// for it, and would have to begin anew.
 func (g *Gateway) awaitDrained(ctx context.Context) {
-	for g.gateway.InFlight() > 0 && ctx.Err() == nil {
+	for (g.gateway.InFlight() > 0 || g.scheduler.Holds()) && ctx.Err() == nil {
 		sleep.For(ctx, drainedEvery)
 	}
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -30,7 +30,11 @@
 
 // servePlain sends a request to an endpoint of a plain service.
 func (g *Gateway) servePlain(w http.ResponseWriter, req *request) *problem {
+	if p := g.refuseUnfit(req); p != nil {
+		return p
+	}
 	tries := attempts{avoid: make(map[string]bool)}
+	req.chosen = time.Now()
 	var failed *bufferedAnswer
 	for {
 		e := g.balance.Pick(time.Now(), g.cfg.View().Endpoints(req.serviceName), tries.avoid)
@@ -183,6 +187,9 @@
 	if tries.rejections >= maxRejections {
 		return false
 	}
+	if _, ok := g.fits(req); !ok {
+		return false
+	}
 	return g.repeats.Take(req.serviceName, g.slack(), time.Now())
 }
 
@@ -233,7 +240,10 @@
 // done writes the line for an answer that was relayed whole.
 func (g *Gateway) done(req *request, status int, reason string) {
 	g.crashes.served(req.content)
-	g.paces.served(req.route.Name, req.timing(time.Now()))
+	// Failures often come at once and say nothing of how long a success lasts.
+	if status < http.StatusMultipleChoices {
+		g.paces.served(req.route.Name, req.timing(time.Now()))
+	}
 	g.cfg.Metrics.count(req, reason)
 	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", req.route.Name).
 		Int("status", status).Str("reason", reason).Uint64("config", req.version).
