--- a/integration/gateway_owner_test.go
+++ b/integration/gateway_owner_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -30,12 +28,9 @@
 // startMember starts a gateway process of a fleet.
 func startMember(t *testing.T, name, peerAddr, frontend, store string, seeds ...string) *harness.Process {
 	t.Helper()
-	file := filepath.Join(t.TempDir(), "boot.toml")
-	text := fmt.Sprintf(stopSettings, frontend, harness.FreePort(t), peerAddr, stopGrace.Seconds(), store)
-	text = strings.Replace(text, `"g1"`, fmt.Sprintf("%q\nseeds = [%q]", name, strings.Join(seeds, `", "`)), 1)
-	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
-	return harness.NewProcess(t, name, harness.Binary(t, "mangostage-gateway", plainBinary),
-		[]string{"--metrics-port", "0"}, []string{platform.SettingsVariable + "=" + file})
+	return startGateway(t, platform.Settings{
+		Name: name, Frontend: frontend, Ready: harness.FreePort(t), Peer: peerAddr, Store: store, Seeds: seeds,
+	})
 }
 
 // A chat waits for its stage, which a gateway other than its own has begun as
--- a/integration/gateway_stop_test.go
+++ b/integration/gateway_stop_test.go
@@ -54,22 +54,27 @@
 	store.Put(platform.PrefixEndpoints+"m-1", fmt.Appendf(nil,
 		`{"service":"llm","address":%q,"zone":"z0","slots":16,"state":"ready"}`, listenHTTP(t, engine)))
 	r := &stopRig{engine: engine, frontend: harness.FreePort(t), ready: harness.FreePort(t)}
-	file := filepath.Join(t.TempDir(), "boot.toml")
-	text := standin.NodeFile(platform.Settings{
-		Name: "g1", Domain: "z0", IP: "127.0.0.1", Cores: 1,
-		Frontend: r.frontend, Ready: r.ready, Peer: harness.FreePort(t), Store: listenHTTP(t, store),
-		Bounds: platform.Bounds{
-			Drain: 2 * time.Second, Grace: stopGrace, ConfigApply: 2 * time.Second,
-			RetryRatio: 0.5, RetryWindow: 10 * time.Second, RetrySlack: 50,
-		},
+	r.process = startGateway(t, platform.Settings{
+		Name: "g1", Frontend: r.frontend, Ready: r.ready, Peer: harness.FreePort(t), Store: listenHTTP(t, store),
 	})
-	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
-	r.process = harness.NewProcess(t, "g1", harness.Binary(t, "mangostage-gateway", plainBinary),
-		[]string{"--metrics-port", "0"}, []string{platform.SettingsVariable + "=" + file})
 	testwait.For(t, patience, r.isReady)
 	return r
 }
 
+// startGateway starts a gateway process with the addresses of s.
+func startGateway(t *testing.T, s platform.Settings) *harness.Process {
+	t.Helper()
+	s.Domain, s.IP, s.Cores = "z0", "127.0.0.1", 1
+	s.Bounds = platform.Bounds{
+		Drain: 2 * time.Second, Grace: stopGrace, ConfigApply: 2 * time.Second,
+		RetryRatio: 0.5, RetryWindow: 10 * time.Second, RetrySlack: 50,
+	}
+	file := filepath.Join(t.TempDir(), "boot.toml")
+	assert.NilError(t, os.WriteFile(file, []byte(standin.NodeFile(s)), 0o600))
+	return harness.NewProcess(t, s.Name, harness.Binary(t, "mangostage-gateway", plainBinary),
+		[]string{"--metrics-port", "0"}, []string{platform.SettingsVariable + "=" + file})
+}
+
 // slowEvents writes a stream of ten events over d.
 func slowEvents(w http.ResponseWriter, d time.Duration) {
 	const events = 10
