--- a/gateway/model.go
+++ b/gateway/model.go
@@ -126,7 +126,7 @@
 	for {
 		e, picked := g.engine(m)
 		if e == nil {
-			return false, ended(m.request, "no_endpoint_served", busyRetry)
+			return false, g.unserved(m.request)
 		}
 		g.countSend(m.request, &m.tries)
 		switch g.tryEngine(w, m, e, picked) {
@@ -154,7 +154,7 @@
 			}
 			continue
 		}
-		return false, ended(m.request, "no_endpoint_served", busyRetry)
+		return false, g.unserved(m.request)
 	}
 }
 
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -201,6 +201,15 @@
 		g.done(req, failed.StatusCode, "endpoint_error")
 		return nil
 	}
+	return g.unserved(req)
+}
+
+// unserved is the answer to a request that no endpoint served, or that a
+// planned stop leaves no time to send again.
+func (g *Gateway) unserved(req *request) *problem {
+	if p := g.refuseUnfit(req); p != nil {
+		return p
+	}
 	return ended(req, "no_endpoint_served", busyRetry)
 }
 
