--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -30,13 +30,19 @@
 
 // follow runs a follower of the store and returns it with the views it tells of.
 func follow(t *testing.T, store *standin.Store, relay discovery.Relay) (*discovery.Follower, <-chan *catalog.View) {
+	t.Helper()
+	return followLogged(t, store, relay, zerolog.Nop())
+}
+
+// followLogged is follow with a log.
+func followLogged(t *testing.T, store *standin.Store, relay discovery.Relay, log zerolog.Logger) (*discovery.Follower, <-chan *catalog.View) {
 	t.Helper()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	views := make(chan *catalog.View, 100)
 	f := discovery.NewFollower(
 		platform.NewStore(strings.TrimPrefix(server.URL, "http://"), http.DefaultClient),
-		relay, applyBound, zerolog.Nop(), func(v *catalog.View) { views <- v },
+		relay, applyBound, log, func(v *catalog.View) { views <- v },
 	)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -49,11 +55,11 @@
 }
 
 func putConfig(s *standin.Store, version int) {
-	s.Put(platform.KeyConfig, fmt.Appendf(nil, `{"version":%d}`, version))
+	s.Put(platform.KeyConfig, fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[{"name":"s"}]}`, version))
 }
 
 func putEndpoint(s *standin.Store, id string) {
-	s.Put(platform.PrefixEndpoints+id, []byte(`{"service":"s","address":"10.0.0.1:80","state":"ready"}`))
+	s.Put(platform.PrefixEndpoints+id, []byte(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready"}`))
 }
 
 // await waits for a view of which want holds.
@@ -144,8 +150,8 @@
 	store := standin.NewStore()
 	store.Before(func(string) bool { return false })
 	peer := relay{at: 9, items: []platform.Item{
-		{Key: platform.KeyConfig, Revision: 8, Value: []byte(`{"version":3}`)},
-		{Key: platform.PrefixEndpoints + "a", Revision: 9, Value: []byte(`{"service":"s","address":"10.0.0.1:80"}`)},
+		{Key: platform.KeyConfig, Revision: 8, Value: []byte(`{"version":3,"routes":[],"services":[{"name":"s"}]}`)},
+		{Key: platform.PrefixEndpoints + "a", Revision: 9, Value: []byte(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready"}`)},
 	}}
 	f, views := follow(t, store, peer)
 	v := await(t, views, hasVersion(3))
--- a/discovery/state_test.go
+++ b/discovery/state_test.go
@@ -14,13 +14,13 @@
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
 func config(version, revision uint64) platform.Item {
-	return platform.Item{Key: platform.KeyConfig, Revision: revision, Value: fmt.Appendf(nil, `{"version":%d}`, version)}
+	return platform.Item{Key: platform.KeyConfig, Revision: revision, Value: fmt.Appendf(nil, `{"version":%d,"routes":[],"services":[{"name":"s"}]}`, version)}
 }
 
 func listed(id string, revision uint64) platform.Item {
 	return platform.Item{
 		Key: platform.PrefixEndpoints + id, Revision: revision,
-		Value: []byte(`{"service":"s","address":"10.0.0.1:80","state":"ready"}`),
+		Value: []byte(`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready"}`),
 	}
 }
 
