--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -27,6 +27,24 @@
 	Limits   Limits    `json:"limits"`
 }
 
+// ServiceNames lists the services that the configuration describes or sends
+// requests and stages to; a name may stand there twice.
+func (c *Config) ServiceNames() []string {
+	var names []string
+	for i := range c.Services {
+		names = append(names, c.Services[i].Name)
+	}
+	for i := range c.Routes {
+		for _, share := range c.Routes[i].Split {
+			names = append(names, share.Service)
+		}
+		for _, stage := range c.Routes[i].Stages {
+			names = append(names, stage.Service)
+		}
+	}
+	return names
+}
+
 // Route says what becomes of the requests under one host and path prefix.
 type Route struct {
 	Name   string    `json:"name"`
