An entry that names no endpoint is known as such

Cause: a decode error left what was known of the key. An endpoint whose entry was overwritten with nonsense kept getting requests, its peers heard nothing, and the fault was logged again with each list, and only the first of a batch. One entry of a service that nobody names made a process ready. An answer of a watch that was too long failed for good. Weighed: taking such an endpoint for gone at once; its results would be made again, its cached prompt parts forgotten and its requests be blamed for a crash though the process lives and writes its entry again within a heartbeat. So it gets no new work, as one that leaves, for 5 s at most. An endpoint whose service no configuration has named waits aside; one whose service was named once stays, for requests of the version before. A bad configuration leaves the last good one in force. A process that starts meanwhile asks its peers, also at revision 0, for the last good one. Peers get bad items with key, revision and fault, without the value. State.Apply collects faults in place of an error; the older tests check that there are none.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -70,6 +70,8 @@
 	changed chan struct{}
 	// healthy is true while the store answers.
 	healthy atomic.Bool
+	// badEndpoints and badConfigs count the items that could not be used.
+	badEndpoints, badConfigs atomic.Uint64
 	// answered is when the store last answered, in nanoseconds since began.
 	answered atomic.Int64
 	began    time.Time
@@ -114,6 +116,17 @@
 	return f.state.Since(after), f.state.At()
 }
 
+// FaultCounts is how many items of the store could not be used.
+type FaultCounts struct {
+	Endpoints      uint64 `json:"endpoints"`
+	Configurations uint64 `json:"configurations"`
+}
+
+// Faults counts each item once for its key and revision.
+func (f *Follower) Faults() FaultCounts {
+	return FaultCounts{Endpoints: f.badEndpoints.Load(), Configurations: f.badConfigs.Load()}
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	go f.expire(ctx)
@@ -145,6 +158,9 @@
 // follow one that reads the store: if each watched it itself, the calls would
 // grow with the fleet, and each change would set off one for each member.
 func (f *Follower) step(ctx context.Context, listed *bool) error {
+	if f.lacksConfig() {
+		f.lastGoodConfig(ctx)
+	}
 	if f.follow(ctx) {
 		*listed = true
 		return errFollowed
@@ -162,6 +178,12 @@
 		*listed = false
 		return nil
 	}
+	// An answer that cannot be read, since more was written than it may hold,
+	// would be the same again: the process would hear of no change any more. The
+	// pages of a list are bounded, and the next watch begins behind them.
+	if errorx.IsOfType(err, platform.ErrMalformed) {
+		*listed = false
+	}
 	return err
 }
 
@@ -191,11 +213,11 @@
 	if err != nil {
 		return err
 	}
-	f.update(func(now time.Time, s *State) error {
+	f.update(func(now time.Time, s *State) {
 		if config != nil {
 			items = append(items, *config)
 		}
-		return s.Listed(now, items, at)
+		s.Listed(now, items, at)
 	})
 	return nil
 }
@@ -225,19 +247,15 @@
 	if err != nil {
 		return err
 	}
-	f.update(func(now time.Time, s *State) error { return applyAll(now, s, changes.Events, changes.At) })
+	f.update(func(now time.Time, s *State) { applyAll(now, s, changes.Events, changes.At) })
 	return nil
 }
 
-func applyAll(now time.Time, s *State, items []platform.Item, at uint64) error {
-	var first error
+func applyAll(now time.Time, s *State, items []platform.Item, at uint64) {
 	for _, item := range items {
-		if err := s.Apply(now, item); err != nil && first == nil {
-			first = err
-		}
+		s.Apply(now, item)
 	}
 	s.Advance(at)
-	return first
 }
 
 // follow takes the changes from a peer that reads the store, if it should.
@@ -247,7 +265,7 @@
 	}
 	items, at, ok := f.relay.Follow(ctx, f.At(), f.wait/followShare)
 	if ok && at > 0 {
-		f.update(func(now time.Time, s *State) error { return applyAll(now, s, items, at) })
+		f.update(func(now time.Time, s *State) { applyAll(now, s, items, at) })
 	}
 	return ok && at > 0
 }
@@ -290,15 +308,39 @@
 		return
 	}
 	f.log.Info().Str("event", logViewFromPeer).Int("items", len(items)).Uint64("at", at).Msg("view taken from a peer")
-	f.update(func(now time.Time, s *State) error { return applyAll(now, s, items, at) })
+	f.update(func(now time.Time, s *State) { applyAll(now, s, items, at) })
+}
+
+// lacksConfig tells whether the process waits for a configuration that the
+// store does not have.
+func (f *Follower) lacksConfig() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.LacksConfig()
+}
+
+// lastGoodConfig asks a peer for the configuration that was overwritten by
+// something that is none. Without it a process that starts would not be ready
+// until the operator writes again, while its peers serve.
+func (f *Follower) lastGoodConfig(ctx context.Context) {
+	if f.relay == nil {
+		return
+	}
+	items, _ := f.relay.Newer(ctx, 0)
+	f.update(func(now time.Time, s *State) {
+		for _, item := range items {
+			s.Apply(now, item)
+		}
+	})
 }
 
 // update changes the state and publishes the view if it is another.
-func (f *Follower) update(change func(time.Time, *State) error) {
+func (f *Follower) update(change func(time.Time, *State)) {
 	now := time.Now()
 	f.mu.Lock()
 	before := f.state.At()
-	err := change(now, f.state)
+	change(now, f.state)
+	faults := f.state.TakeFaults()
 	if f.state.At() != before {
 		close(f.changed)
 		f.changed = make(chan struct{})
@@ -310,9 +352,7 @@
 		f.view.Store(view)
 	}
 	f.mu.Unlock()
-	if err != nil {
-		f.log.Error().Str("event", logStoreItemMalformed).Err(err).Msg("an item of the store was left out")
-	}
+	f.tell(faults)
 	if view == nil {
 		return
 	}
@@ -321,6 +361,19 @@
 	f.onChange(view)
 }
 
+// tell logs and counts items that could not be used.
+func (f *Follower) tell(faults []Fault) {
+	for _, fault := range faults {
+		count := &f.badEndpoints
+		if fault.Key == platform.KeyConfig {
+			count = &f.badConfigs
+		}
+		count.Add(1)
+		f.log.Error().Str("event", logStoreItemMalformed).Str("key", fault.Key).Uint64("revision", fault.Revision).
+			Err(fault.Err).Msg("an item of the store is not used")
+	}
+}
+
 // expire ends the grace of lapsed endpoints.
 func (f *Follower) expire(ctx context.Context) {
 	ticker := time.NewTicker(expireEvery)
@@ -330,7 +383,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			f.update(func(time.Time, *State) error { return nil })
+			f.update(func(time.Time, *State) {})
 		}
 	}
 }
--- a/discovery/foreign_test.go
+++ b/discovery/foreign_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -69,7 +70,9 @@
 	reader, member *discovery.Follower
 	// turn is held to let the store answer no watch.
 	turn sync.Mutex
-	log  lockedBuffer
+	// waiting is the number of watches that wait for their turn.
+	waiting atomic.Int64
+	log     lockedBuffer
 }
 
 // lockedBuffer takes log lines.
@@ -106,8 +109,10 @@
 	p := &pair{store: store}
 	store.Before(func(path string) bool {
 		if path == "/kv-watch" {
+			p.waiting.Add(1)
 			p.turn.Lock()
-			defer p.turn.Unlock()
+			p.waiting.Add(-1)
+			p.turn.Unlock()
 		}
 		return true
 	})
@@ -123,11 +128,10 @@
 func (p *pair) batch(t *testing.T, writes func()) {
 	t.Helper()
 	p.turn.Lock()
+	defer p.turn.Unlock()
 	p.store.Put("other/tick", nil)
-	at := p.store.Put("other/tock", nil)
-	testwait.For(t, patience, func() bool { return p.reader.At() >= at-1 })
+	testwait.For(t, patience, func() bool { return p.waiting.Load() > 0 })
 	writes()
-	p.turn.Unlock()
 }
 
 // both waits until the condition holds of the reader's and the member's view.
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -19,6 +19,10 @@
 	// troubleSpan is how long after trouble with the store removals are
 	// taken for such lapses: three heartbeats of the endpoints and a margin.
 	troubleSpan = 5 * time.Second
+	// spoiledGrace is how long an endpoint whose entry another writer spoiled is
+	// still known as one that leaves: three heartbeats of the endpoints and a
+	// margin. One that lives has written its entry again by then.
+	spoiledGrace = 5 * time.Second
 	// tombstoneSpan is how long removals are remembered, so that a peer's
 	// older list does not bring an endpoint back.
 	tombstoneSpan = 2 * time.Minute
@@ -28,22 +32,37 @@
 type entry struct {
 	item     platform.Item
 	endpoint *catalog.Endpoint
+	// unnamed is what the item says, while no configuration has named its service.
+	unnamed *catalog.Endpoint
 	// goneAt is when the removal was heard of; zero while it is listed.
 	goneAt time.Time
-	// until is when a lapsed endpoint counts as gone.
+	// until is when a lapsed or spoiled endpoint counts as gone.
 	until time.Time
 }
 
+// Fault is an item of the store that could not be used.
+type Fault struct {
+	Key      string
+	Revision uint64
+	Err      error
+}
+
 // State merges what the store and peers say. It does no I/O and is not safe
 // for concurrent use.
 type State struct {
-	at      uint64
-	config  platform.Item
+	at     uint64
+	config platform.Item
+	// refused is the newest value under the configuration's key that is none.
+	refused platform.Item
 	index   *catalog.Index
+	// named holds the services that a configuration in force has named.
+	named   map[string]bool
 	entries map[string]*entry
-	// gone holds the entries that are no longer listed, by endpoint ID. It is
-	// looked at ten times a second, while a fleet has thousands of entries.
-	gone     map[string]*entry
+	// ending holds the entries with a time to look at, by endpoint ID: those
+	// that are no longer listed and those that were spoiled. It is looked at ten
+	// times a second, while a fleet has thousands of entries.
+	ending   map[string]*entry
+	faults   []Fault
 	trouble  time.Time
 	revision uint64
 	dirty    bool
@@ -51,7 +70,7 @@
 
 // NewState returns a State that knows nothing.
 func NewState() *State {
-	return &State{entries: make(map[string]*entry), gone: make(map[string]*entry)}
+	return &State{named: make(map[string]bool), entries: make(map[string]*entry), ending: make(map[string]*entry)}
 }
 
 // At is the store's revision up to which the state is complete.
@@ -68,54 +87,153 @@
 // Trouble notes that the store did not answer as it should.
 func (s *State) Trouble(now time.Time) { s.trouble = now }
 
+// LacksConfig tells whether the process has no configuration while something
+// that is none stands in the store under its key.
+func (s *State) LacksConfig() bool { return s.index == nil && s.refused.Revision > 0 }
+
+// TakeFaults returns the faults found since the last call, each one once for
+// its key and revision.
+func (s *State) TakeFaults() []Fault {
+	faults := s.faults
+	s.faults = nil
+	return faults
+}
+
+func (s *State) fault(item platform.Item, err error) {
+	s.faults = append(s.faults, Fault{Key: item.Key, Revision: item.Revision, Err: err})
+}
+
 // Apply takes one item of the store. Older revisions than the known one are
-// ignored, so items may come twice and out of order.
-func (s *State) Apply(now time.Time, item platform.Item) error {
+// ignored, so items may come twice and out of order. An item that is not what
+// its writer should have written is a fault; it never keeps others from being
+// taken.
+func (s *State) Apply(now time.Time, item platform.Item) {
 	switch {
 	case item.Key == platform.KeyConfig:
-		return s.applyConfig(item)
+		s.applyConfig(item)
 	case strings.HasPrefix(item.Key, platform.PrefixEndpoints):
-		return s.applyEndpoint(now, item)
+		s.applyEndpoint(now, item)
 	}
-	return nil
 }
 
 // applyConfig never goes back to an older version, whatever a stale read says.
-func (s *State) applyConfig(item platform.Item) error {
-	if item.Gone || item.Revision <= s.config.Revision {
-		return nil
+// A value that is no configuration leaves the last good one in force: without
+// one all requests would be refused until the operator writes again.
+func (s *State) applyConfig(item platform.Item) {
+	if item.Gone || item.Revision <= s.config.Revision || item.Revision == s.refused.Revision {
+		return
 	}
-	config, err := platform.DecodeConfig(item.Value)
+	config, err := decodeConfig(item)
 	if err != nil {
-		return err
+		s.refuseConfig(item, err)
+		return
 	}
 	if s.index != nil && config.Version <= s.index.Config.Version {
-		return nil
+		return
 	}
+	first := s.index == nil
 	s.config = item
 	s.index = catalog.NewIndex(config)
 	s.dirty = true
-	return nil
+	s.nameServices(first)
 }
 
-func (s *State) applyEndpoint(now time.Time, item platform.Item) error {
+func decodeConfig(item platform.Item) (*catalog.Config, error) {
+	value, err := item.Read()
+	if err != nil {
+		return nil, err
+	}
+	return platform.DecodeConfig(value)
+}
+
+func (s *State) refuseConfig(item platform.Item, err error) {
+	if item.Revision < s.refused.Revision {
+		return
+	}
+	s.refused = item.Refused(err)
+	s.fault(item, err)
+}
+
+// nameServices takes the endpoints of services that the configuration names and
+// none before it has. A service keeps its endpoints when a later configuration
+// names it no longer: requests of the version before are still under way there.
+func (s *State) nameServices(first bool) {
+	for _, service := range s.index.Config.ServiceNames() {
+		s.named[service] = true
+	}
+	for id, e := range s.entries {
+		switch {
+		case e.unnamed == nil:
+		case s.named[e.unnamed.Service]:
+			s.list(id, &entry{item: e.item, endpoint: e.unnamed})
+		case first:
+			s.fault(e.item, unnamedService(e.unnamed))
+		}
+	}
+}
+
+func unnamedService(e *catalog.Endpoint) error {
+	return platform.ErrMalformed.New("no configuration names service %q", e.Service)
+}
+
+func (s *State) applyEndpoint(now time.Time, item platform.Item) {
 	id := platform.EndpointID(item.Key)
 	known := s.entries[id]
 	if known != nil && item.Revision <= known.item.Revision {
-		return nil
+		return
 	}
 	if item.Gone {
 		s.remove(now, id, item)
-		return nil
+		return
 	}
 	endpoint, err := platform.DecodeEndpoint(item)
-	if err != nil {
-		return err
+	switch {
+	case err != nil:
+		s.spoil(now, id, &entry{item: item.Refused(err)})
+		s.fault(item, err)
+	case s.named[endpoint.Service]:
+		s.list(id, &entry{item: item, endpoint: endpoint})
+	default:
+		s.spoil(now, id, &entry{item: item, unnamed: endpoint})
+		if s.index != nil {
+			s.fault(item, unnamedService(endpoint))
+		}
+	}
+}
+
+// list makes the entry's endpoint one to use.
+func (s *State) list(id string, e *entry) {
+	s.entries[id] = e
+	delete(s.ending, id)
+	s.dirty = true
+}
+
+// spoil notes an entry that names no endpoint to use. What stood there before
+// named one that another writer cannot have stopped, only made unknown: nothing
+// in the store says any more where it is, so it gets no new work from this
+// revision on, as if it were leaving. It is not taken for gone at once: what
+// runs there may end, results there can be fetched, and its content is not
+// blamed for a crash. If it lives, its next heartbeat writes the entry again.
+// Later writes of the same kind do not prolong the wait.
+func (s *State) spoil(now time.Time, id string, e *entry) {
+	known := s.entries[id]
+	s.entries[id] = e
+	delete(s.ending, id)
+	if known == nil || known.endpoint == nil {
+		return
 	}
-	s.entries[id] = &entry{item: item, endpoint: endpoint}
-	delete(s.gone, id)
 	s.dirty = true
-	return nil
+	if !known.goneAt.IsZero() {
+		return
+	}
+	leaving := *known.endpoint
+	leaving.Leaving = true
+	e.endpoint = &leaving
+	e.until = known.until
+	if e.until.IsZero() {
+		e.until = now.Add(spoiledGrace)
+	}
+	s.ending[id] = e
 }
 
 // remove notes that an endpoint is no longer listed.
@@ -124,17 +242,20 @@
 	if known == nil {
 		known = &entry{item: item, goneAt: now}
 		s.entries[id] = known
-		s.gone[id] = known
+		s.ending[id] = known
 		return
 	}
+	known.item = item
+	known.unnamed = nil
 	if !known.goneAt.IsZero() {
-		known.item = item
 		return
 	}
-	known.item = item
 	known.goneAt = now
 	known.until = now
-	s.gone[id] = known
+	s.ending[id] = known
+	if known.endpoint == nil {
+		return
+	}
 	if now.Sub(s.trouble) < troubleSpan && !known.endpoint.Leaving {
 		known.until = now.Add(lapseGrace)
 	}
@@ -142,14 +263,11 @@
 }
 
 // Listed takes a whole list, complete as of revision at: what it lacks is gone.
-func (s *State) Listed(now time.Time, items []platform.Item, at uint64) error {
+func (s *State) Listed(now time.Time, items []platform.Item, at uint64) {
 	listed := make(map[string]bool, len(items))
-	var first error
 	for _, item := range items {
 		listed[item.Key] = true
-		if err := s.Apply(now, item); err != nil && first == nil {
-			first = err
-		}
+		s.Apply(now, item)
 	}
 	for id, e := range s.entries {
 		if listed[platform.PrefixEndpoints+id] || !e.goneAt.IsZero() || e.item.Revision > at {
@@ -158,22 +276,26 @@
 		s.remove(now, id, platform.Item{Key: platform.PrefixEndpoints + id, Revision: at, Gone: true})
 	}
 	s.Advance(at)
-	return first
 }
 
 // Advance notes that all changes up to revision at have been applied.
 func (s *State) Advance(at uint64) { s.at = max(s.at, at) }
 
-// Expire ends the grace of lapsed endpoints and forgets old removals.
+// Expire ends the grace of lapsed and spoiled endpoints and forgets old
+// removals. An entry that names no endpoint stays known by its revision while
+// it is listed: it hides older ones, and its fault is told of once.
 func (s *State) Expire(now time.Time) {
-	for id, e := range s.gone {
+	for id, e := range s.ending {
 		if e.endpoint != nil && !now.Before(e.until) {
 			e.endpoint = nil
 			s.dirty = true
 		}
-		if now.Sub(e.goneAt) > tombstoneSpan {
+		switch {
+		case e.goneAt.IsZero() && e.endpoint == nil:
+			delete(s.ending, id)
+		case !e.goneAt.IsZero() && now.Sub(e.goneAt) > tombstoneSpan:
 			delete(s.entries, id)
-			delete(s.gone, id)
+			delete(s.ending, id)
 		}
 	}
 }
@@ -195,11 +317,14 @@
 	return catalog.NewView(s.index, endpoints, s.revision)
 }
 
-// Since lists the items that changed after the revision, for a peer.
+// Since lists the items that changed after the revision, for a peer. Items
+// that could not be used are among them, without their values.
 func (s *State) Since(after uint64) []platform.Item {
 	var items []platform.Item
-	if s.config.Revision > after {
-		items = append(items, s.config)
+	for _, item := range []platform.Item{s.config, s.refused} {
+		if item.Revision > after {
+			items = append(items, item)
+		}
 	}
 	for _, e := range s.entries {
 		if e.item.Revision > after {
--- a/discovery/state_test.go
+++ b/discovery/state_test.go
@@ -31,7 +31,8 @@
 func apply(t *testing.T, s *State, now time.Time, items ...platform.Item) {
 	t.Helper()
 	for _, item := range items {
-		assert.NilError(t, s.Apply(now, item))
+		s.Apply(now, item)
+		assert.Equal(t, len(s.TakeFaults()), 0)
 	}
 }
 
@@ -90,37 +91,125 @@
 func TestListedRemovesWhatIsMissing(t *testing.T) {
 	s := NewState()
 	apply(t, s, epoch, listed("a", 2), listed("new", 9))
-	assert.NilError(t, s.Listed(epoch, []platform.Item{config(1, 1), listed("b", 3)}, 5))
+	s.Listed(epoch, []platform.Item{config(1, 1), listed("b", 3)}, 5)
+	assert.Equal(t, len(s.TakeFaults()), 0)
 	view := s.View(epoch)
 	assert.Assert(t, view.Endpoint("a") == nil)
 	assert.Assert(t, view.Endpoint("b") != nil)
 	assert.Assert(t, view.Endpoint("new") != nil)
 }
 
+// spoiled is an entry that names no endpoint, in one of three ways.
+func spoiled(id string, revision uint64) platform.Item {
+	values := []string{`{`, `{"service":"s"}`, `{"service":"other","address":"10.0.0.9:80","zone":"z","slots":8,"state":"ready"}`}
+	return platform.Item{
+		Key: platform.PrefixEndpoints + id, Revision: revision,
+		Value: []byte(values[revision%uint64(len(values))]),
+	}
+}
+
+// Another writer overwrites the entry of an endpoint that lives. It gets no new
+// work, but its results and streams are not given up at once; its heartbeat
+// writes the entry again and all is as before.
+func TestSpoiledEndpointComesBack(t *testing.T) {
+	for revision := uint64(3); revision < 6; revision++ {
+		s := NewState()
+		apply(t, s, epoch, config(1, 1), listed("a", 2))
+		s.Apply(epoch, spoiled("a", revision))
+		e := s.View(epoch).Endpoint("a")
+		assert.Assert(t, e != nil && e.Leaving)
+		assert.Equal(t, e.Addr, "10.0.0.1:80", "another writer's address must not be used")
+		assert.Equal(t, len(s.TakeFaults()), 1)
+		apply(t, s, epoch.Add(2*time.Second), listed("a", 6))
+		assert.Assert(t, !s.View(epoch.Add(2*time.Second)).Endpoint("a").Leaving)
+		assert.Assert(t, s.View(epoch.Add(time.Minute)) == nil, "nothing changes later")
+	}
+}
+
+// As above, but the endpoint does not write again: it is gone when its entry
+// would have lapsed, however often the other writer repeats itself. The removal
+// of the bad entry ends it at once.
+func TestSpoiledEndpointEnds(t *testing.T) {
+	s := NewState()
+	apply(t, s, epoch, config(1, 1), listed("a", 2), listed("b", 3))
+	s.Apply(epoch, spoiled("a", 4))
+	s.Apply(epoch, spoiled("b", 5))
+	s.Apply(epoch.Add(spoiledGrace/2), spoiled("a", 6))
+	s.Apply(epoch.Add(spoiledGrace/2), removed("b", 7))
+	view := s.View(epoch.Add(spoiledGrace / 2))
+	assert.Assert(t, view.Endpoint("a") != nil)
+	assert.Assert(t, view.Endpoint("b") == nil)
+	assert.Assert(t, s.View(epoch.Add(spoiledGrace)).Endpoint("a") == nil)
+	assert.Equal(t, len(s.TakeFaults()), 3)
+}
+
+// A peer that hears of nothing but the bad entry would send on to the endpoint,
+// and one that gets the whole value could not pass on a message of that size.
+func TestPeersHearOfSpoiledEntries(t *testing.T) {
+	s := NewState()
+	apply(t, s, epoch, config(1, 1), listed("a", 2))
+	bad := platform.Item{Key: platform.PrefixEndpoints + "a", Revision: 3, Value: make([]byte, 1<<20)}
+	s.Apply(epoch, bad)
+	items := s.Since(2)
+	assert.Equal(t, len(items), 1)
+	assert.Equal(t, len(items[0].Value), 0)
+
+	other := NewState()
+	apply(t, other, epoch, config(1, 1), listed("a", 2))
+	other.Apply(epoch, items[0])
+	assert.Assert(t, other.View(epoch).Endpoint("a").Leaving)
+	faults := other.TakeFaults()
+	assert.Equal(t, len(faults), 1)
+	assert.Equal(t, faults[0].Revision, uint64(3))
+}
+
+// Entries come before the configuration in the first list. The log must not call
+// them foreign then, and must say so of those that it does not name.
+func TestFaultsOfServicesAwaitTheConfiguration(t *testing.T) {
+	s := NewState()
+	apply(t, s, epoch, listed("a", 2))
+	s.Apply(epoch, spoiled("b", 5))
+	assert.Equal(t, len(s.TakeFaults()), 0)
+	s.Apply(epoch, config(1, 6))
+	faults := s.TakeFaults()
+	assert.Equal(t, len(faults), 1)
+	assert.Equal(t, faults[0].Key, platform.PrefixEndpoints+"b")
+	assert.Equal(t, s.View(epoch).Len(), 1)
+	s.Apply(epoch, config(2, 7))
+	assert.Equal(t, len(s.TakeFaults()), 0)
+}
+
 // Whatever order items come in, and however often, the view is that of the
-// highest revision of each key. The naive counterpart keeps just that.
+// highest revision of each key: an endpoint to use, none, or one that leaves
+// because its entry was spoiled. The naive counterpart keeps just that.
 func TestOrderDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 40).Draw(t, "writes")
 		var items []platform.Item
 		latest := make(map[string]platform.Item)
+		use := make(map[string]bool)
 		for rev := uint64(1); rev <= uint64(n); rev++ {
 			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
-			item := listed(id, rev)
-			if rapid.Bool().Draw(t, "gone") {
-				item = removed(id, rev)
-			}
+			write := rapid.SampledFrom([]func(string, uint64) platform.Item{listed, removed, spoiled}).Draw(t, "write")
+			item := write(id, rev)
 			items = append(items, item)
 			latest[id] = item
+			use[id] = string(item.Value) == string(listed(id, rev).Value)
 		}
 		order := rapid.Permutation(append(items, items...)).Draw(t, "order")
 		s := NewState()
 		for _, item := range append([]platform.Item{config(1, 1)}, order...) {
-			assert.NilError(t, s.Apply(epoch, item))
+			s.Apply(epoch, item)
 		}
 		view := s.View(epoch)
 		for id, item := range latest {
-			assert.Equal(t, view.Endpoint(id) != nil, !item.Gone, id)
+			e := view.Endpoint(id)
+			assert.Equal(t, e != nil && !e.Leaving, use[id], id)
+			assert.Assert(t, !item.Gone || e == nil, id)
+		}
+		later := s.View(epoch.Add(spoiledGrace))
+		for id := range latest {
+			assert.Assert(t, later == nil || (later.Endpoint(id) != nil) == use[id], id)
 		}
 	})
 }
