Soak: another writer overwrites entries while requests run

An entry is overwritten with one of the foreign entries for 0.2 to 1.7 s and written again by its endpoint; entries of an unknown state with an address of their own stand in the store all the time, and whatever is sent there is a broken promise.

--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -95,6 +95,7 @@
 	for _, service := range []string{"plain", "plain", "plain", "model", "model", "model", "stage", "stage"} {
 		r.addEndpoint(service)
 	}
+	r.trap()
 	storeAddr := r.serve(r.store)
 	var seeds []string
 	var links []*harness.Link
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -140,6 +140,7 @@
 	g := r.gateways[r.rng.IntN(len(r.gateways))]
 	e := r.endpoints[r.rng.IntN(len(r.endpoints))]
 	d := time.Duration(200+r.rng.IntN(1500)) * time.Millisecond
+	f := foreign[r.rng.IntN(len(foreign))]
 	work := []func(){
 		r.publish,
 		func() { r.hup(g) },
@@ -162,6 +163,7 @@
 		func() { r.onLink(g.toStore, d, (*harness.Link).Cut) },
 		func() { r.onLink(g.toStore, d, func(l *harness.Link) { l.Drop() }) },
 		func() { r.refuse(e, d) },
+		func() { r.spoil(e, f, d) },
 		func() { r.onLink(g.toPeer, d, (*harness.Link).Cut) },
 		func() { r.onLink(g.toPeer, d, func(l *harness.Link) { l.Drop() }) },
 		func() { r.onLink(g.toPeer, d, func(l *harness.Link) { l.Drop(harness.Upstream) }) },
