--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -27,6 +27,24 @@
 	Limits   Limits    `json:"limits"`
 }
 
+// ServiceNames lists the services that the configuration describes or sends
+// requests and stages to; a name may stand there twice.
+func (c *Config) ServiceNames() []string {
+	var names []string
+	for i := range c.Services {
+		names = append(names, c.Services[i].Name)
+	}
+	for i := range c.Routes {
+		for _, share := range c.Routes[i].Split {
+			names = append(names, share.Service)
+		}
+		for _, stage := range c.Routes[i].Stages {
+			names = append(names, stage.Service)
+		}
+	}
+	return names
+}
+
 // Route says what becomes of the requests under one host and path prefix.
 type Route struct {
 	Name   string    `json:"name"`
@@ -119,9 +137,18 @@
 	BodyBytes int64 `json:"body_bytes"`
 }
 
-// Endpoint is one process that serves a service. Each start of it has a new ID.
+// Incarnation is when an endpoint's process started, as the Unix millisecond
+// that the endpoint states. It tells starts under one ID apart: a higher one is
+// newer. 0 means that the endpoint did not say.
+type Incarnation int64
+
+// Endpoint is one process that serves a service.
 type Endpoint struct {
-	ID      string `json:"id"`
+	ID string `json:"id"`
+	// Incarnation is the start of the process: with another one nothing that
+	// was believed of the endpoint holds any more.
+	Incarnation Incarnation `json:"incarnation,omitempty"`
+
 	Service string `json:"service"`
 	// Addr is "ip:port".
 	Addr string `json:"addr"`
