Test of a leaving agent waits for the line that the next one writes

Cause: the test counted the successor's order lines as soon as the engine held the model; the line is written when the engine's answer has come back, some ms later. Ruled out: an order by the leaving agent (its count is asserted before). Change: the test waits for the first line, bounded, and asserts one as before.

--- a/integration/placement_test.go
+++ b/integration/placement_test.go
@@ -18,6 +18,7 @@
 	"github.com/mangostage/mangostage/endpoint"
 	"github.com/mangostage/mangostage/fake"
 	"github.com/mangostage/mangostage/internal/harness"
+	"github.com/mangostage/mangostage/internal/testwait"
 )
 
 const (
@@ -254,5 +255,8 @@
 	old := fleet.Replace(engineName)
 	awaitModel(t, fleet.Endpoint(engineName), newModel)
 	assert.Equal(t, len(orderLines(old, lineDecided)), 0)
+	// The agent writes the line when the engine has answered, which holds the
+	// model a moment before.
+	testwait.For(t, waitLimit, func() bool { return len(orderLines(fleet.Agent(engineName), lineGiven)) > 0 })
 	assert.Equal(t, len(orderLines(fleet.Agent(engineName), lineGiven)), 1)
 }
