Pause watch reads the service's clock

Cause: a test could not let the process sleep: the watch asked time.Now, the rest of the membership Config.Now. Change: all of it asks Config.Now. No change of behaviour.

--- a/member/pause.go
+++ b/member/pause.go
@@ -26,7 +26,7 @@
 			return
 		case <-ticker.C:
 		}
-		now := time.Now()
+		now := s.cfg.Now()
 		if gap := s.tick(now); gap > maxGap {
 			s.onWake(gap)
 		}
@@ -52,12 +52,12 @@
 // with it. It may be asked before each irreversible step.
 func (s *Service) Stalled() bool {
 	last := s.lastTick.Load()
-	return last != nil && gapBetween(*last, time.Now()) > maxGap
+	return last != nil && gapBetween(*last, s.cfg.Now()) > maxGap
 }
 
 func (s *Service) onWake(gap time.Duration) {
 	s.stats.Wakes.Add(1)
-	woke := time.Now()
+	woke := s.cfg.Now()
 	s.wokeAt.Store(&woke)
 	s.coreMu.Lock()
 	s.listTried.Store(false)
@@ -74,5 +74,5 @@
 // as its peers allow.
 func (s *Service) reconnected() bool {
 	woke := s.wokeAt.Load()
-	return woke == nil || s.links.count() > 0 || len(s.targets()) == 0 || time.Since(*woke) > reconnectWait
+	return woke == nil || s.links.count() > 0 || len(s.targets()) == 0 || s.cfg.Now().Sub(*woke) > reconnectWait
 }
--- a/member/service.go
+++ b/member/service.go
@@ -94,7 +94,7 @@
 // bound address and does not wait for readiness.
 func (s *Service) Start(ctx context.Context) (net.Addr, error) {
 	s.ctx, s.cancel = context.WithCancel(ctx)
-	s.tick(time.Now())
+	s.tick(s.cfg.Now())
 	addr, err := s.node.Listen(s.cfg.Listen)
 	if err != nil {
 		s.cancel()
