Test of calls written between a wake and the drop of connections; fails

An entry whose clock jumps by 5 s writes calls to an agent (1) before its next tick and (2) after the tick that noticed the pause, while connections are not dropped yet; in (2) it also counts as ready and not stalled.

--- a/member/fleet_test.go
+++ b/member/fleet_test.go
@@ -128,8 +128,13 @@
 	versions []uint64
 	leaving  []bool
 	draining atomic.Bool
+	// slept is how far the member's clock is ahead: a process that wakes from a
+	// pause sees its clock jump.
+	slept atomic.Int64
 }
 
+func (m *testMember) now() time.Time { return time.Now().Add(time.Duration(m.slept.Load())) }
+
 func (m *testMember) adoptions() []uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -191,7 +196,7 @@
 	vm := confsvc.VM{Name: name, Role: role, Domain: self.Domain, State: confsvc.VMLive}
 	cfg := Config{
 		Self: self, Listen: "127.0.0.1:0", Platform: a, Holder: m.holder, Log: zerolog.Nop(),
-		DialRoles: []wire.Role{wire.RoleEntry},
+		DialRoles: []wire.Role{wire.RoleEntry}, Now: m.now,
 		OnBundle: func(v *bundle.Verified) {
 			m.mu.Lock()
 			defer m.mu.Unlock()
