Ask for a pause before each call, until it is dealt with

Cause: after a pause the membership noted the time of the tick that found the gap, and dropped its connections afterwards. Until the tick nobody asked before writing a call; from the tick on the process no longer counted as stalled while its old connections were still in use, and closed one after the other: a list read by the loop's own timer in between made it ready on them. Calls written in either span were lost with their connections, and their requests ended unknown. Ruled out: a call that is written between the question and a pause (a few microseconds) stays possible and ends as any lost call. Change: the peer node asks whether the process is stalled immediately before it writes a call, and refuses as not written; the pause counts as dealt with only once all old connections are marked and taken out of use. They are closed side by side: a peer that does not read holds up nobody else. Ready asks for the stall first. Conclusion: such calls go out on fresh connections or are refused as not run.

--- a/member/pause.go
+++ b/member/pause.go
@@ -26,32 +26,37 @@
 			return
 		case <-ticker.C:
 		}
-		now := s.cfg.Now()
-		if gap := s.tick(now); gap > maxGap {
-			s.onWake(gap)
-		}
+		s.look()
 	}
 }
 
-// tick notes the time and returns the gap since the last tick. The wall clock
-// counts too: the monotonic clock stands still while a whole VM is suspended.
-// A step of the wall clock looks like a pause and costs only a reconnection.
-func (s *Service) tick(now time.Time) time.Duration {
-	last := s.lastTick.Swap(&now)
-	if last == nil {
-		return 0
+// look deals with a pause if there was one since the last look. The time of the
+// look is noted only then, so that the process counts as stalled from the
+// moment at which it wakes until nothing from before the pause is in use; it is
+// the time at which the look began, so that a second pause meanwhile shows at
+// the next.
+func (s *Service) look() {
+	now := s.cfg.Now()
+	if last := s.lastLook.Load(); last != nil {
+		if gap := gapBetween(*last, now); gap > maxGap {
+			s.onWake(gap)
+		}
 	}
-	return gapBetween(*last, now)
+	s.lastLook.Store(&now)
 }
 
+// gapBetween is the time between two looks. The wall clock counts too: the
+// monotonic clock stands still while a whole VM is suspended. A step of the
+// wall clock looks like a pause and costs only a reconnection.
 func gapBetween(last, now time.Time) time.Duration {
 	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
 }
 
 // Stalled tells whether the process was paused just now and has not yet dealt
-// with it. It may be asked before each irreversible step.
+// with it. It is asked before each irreversible step, so it takes no lock: it
+// costs an atomic load and a look at the clock.
 func (s *Service) Stalled() bool {
-	last := s.lastTick.Load()
+	last := s.lastLook.Load()
 	return last != nil && gapBetween(*last, s.cfg.Now()) > maxGap
 }
 
@@ -65,7 +70,7 @@
 	s.views.wake()
 	s.coreMu.Unlock()
 	s.cfg.Log.Warn().Str("event", logPaused).Dur("gap", gap).Msg("process was paused; reconnecting")
-	s.node.DropAll()
+	s.DropConnections()
 	s.markDirty()
 	signal(s.listWake)
 }
--- a/member/service.go
+++ b/member/service.go
@@ -43,7 +43,7 @@
 	inForce       atomic.Bool
 	platformTried atomic.Bool
 	wokeAt        atomic.Pointer[time.Time]
-	lastTick      atomic.Pointer[time.Time]
+	lastLook      atomic.Pointer[time.Time]
 
 	dirty      chan struct{}
 	spreadWake chan struct{}
@@ -86,6 +86,7 @@
 	peer.HandleCall(cfg.Mux, wire.MethodBundleFetch, s.serveFetch)
 	s.node = peer.NewNode(peer.Config{
 		TLS: cfg.TLS, Hello: s.hello, OnConnect: s.onConnect, OnClose: s.onClose, OnRefuse: s.onRefuse,
+		Stalled: s.Stalled,
 	}, cfg.Mux)
 	return s
 }
@@ -94,7 +95,7 @@
 // bound address and does not wait for readiness.
 func (s *Service) Start(ctx context.Context) (net.Addr, error) {
 	s.ctx, s.cancel = context.WithCancel(ctx)
-	s.tick(s.cfg.Now())
+	s.look()
 	addr, err := s.node.Listen(s.cfg.Listen)
 	if err != nil {
 		s.cancel()
@@ -131,7 +132,11 @@
 // DropConnections closes every connection to peers, which are dialled anew. A
 // process that finds that it was stopped calls it, so that messages that waited
 // in socket buffers die unread.
-func (s *Service) DropConnections() { s.node.DropAll() }
+func (s *Service) DropConnections() {
+	for _, conn := range s.node.DropAll() {
+		s.onClose(conn)
+	}
+}
 
 // View returns the present view.
 func (s *Service) View() *View { return s.view.Load() }
@@ -158,7 +163,8 @@
 // Ready tells whether a bundle is in force and the list was tried since the
 // start. After a pause of the process it also waits for a peer to connect.
 func (s *Service) Ready() bool {
-	if !s.settled.Load() || !s.listTried.Load() || s.Stalled() {
+	// Stalled comes first: once it is false, the rest tells of the time after the pause.
+	if s.Stalled() || !s.settled.Load() || !s.listTried.Load() {
 		return false
 	}
 	return s.inForce.Load() && s.reconnected()
--- a/peer/node.go
+++ b/peer/node.go
@@ -51,6 +51,9 @@
 	OnClose   func(*Conn)
 	// OnRefuse is called for each incoming connection whose TLS handshake failed.
 	OnRefuse func(from net.Addr, err error)
+	// Stalled tells whether this process was paused and has not dealt with it
+	// yet; no call is written then. It is asked before each call; nil means never.
+	Stalled func() bool
 }
 
 // Node is this process's end of all its connections.
@@ -86,6 +89,8 @@
 	dialed        atomic.Bool
 	authenticated atomic.Bool
 	hello         atomic.Pointer[wire.Hello]
+	// dropped is set before the connection is closed by DropAll.
+	dropped atomic.Bool
 }
 
 // Listen accepts connections on addr until Close and returns the bound address.
@@ -244,16 +249,19 @@
 
 // DropAll closes every connection and keeps listening. A process that was
 // paused calls it, so that messages that waited in socket buffers die unread.
-func (n *Node) DropAll() {
+// When it returns no call is written to any of the connections, which it lists;
+// a peer that does not read may hold up the close of its own for seconds.
+func (n *Node) DropAll() []*Conn {
 	n.mu.Lock()
 	conns := make([]*Conn, 0, len(n.conns))
 	for c := range n.conns {
+		c.dropped.Store(true)
 		conns = append(conns, c)
+		// The connection's watch still counts, so Close does not miss this.
+		n.wg.Go(c.Close)
 	}
 	n.mu.Unlock()
-	for _, c := range conns {
-		c.Close()
-	}
+	return conns
 }
 
 // StopListening refuses new connections and keeps the open ones.
@@ -306,6 +314,9 @@
 	if err != nil {
 		return ErrNotWritten.Wrap(err, "%s", method)
 	}
+	if err := c.writable(); err != nil {
+		return ErrNotWritten.Wrap(err, "%s", method)
+	}
 	waiter, err := c.rpc.DispatchCall(ctx, method, text)
 	if err != nil {
 		return writeError(err, method)
@@ -323,6 +334,23 @@
 	return nil
 }
 
+// writable is asked immediately before a call is written, which cannot be undone.
+//
+// It guards against calls that a process writes on waking from a pause. The
+// connections are dropped as soon as the pause is noticed, and a call that was
+// written until then has an unknown fate, though nothing was wrong but the time
+// at which it was written. The order of the two questions matters: once the
+// process no longer counts as stalled its old connections are marked.
+func (c *Conn) writable() error {
+	if c.node.cfg.Stalled != nil && c.node.cfg.Stalled() {
+		return ErrNotWritten.New("this process was paused")
+	}
+	if c.dropped.Load() {
+		return ErrNotWritten.New("the connection was dropped")
+	}
+	return nil
+}
+
 // Notify sends a notification.
 func (c *Conn) Notify(method string, params any) error {
 	text, err := verbatim(params)
