--- a/member/pause_test.go
+++ b/member/pause_test.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
+	"github.com/mangostage/mangostage/confsvc"
 	"github.com/mangostage/mangostage/peer"
 )
 
@@ -56,3 +57,36 @@
 	defer cancel()
 	return conn.Call(ctx, unserved, struct{}{}, nil)
 }
+
+// An entry wakes from a pause in which an endpoint's VM was listed as leaving. It
+// has read the list anew and counts as ready, but the view that requests are
+// routed by is still the one from before the pause: a call goes to a VM that is
+// about to be ended.
+func TestWokenProcessIsReadyOnceItsViewIsNew(t *testing.T) {
+	f := newFleet(t)
+	f.publish(1)
+	f.start(1, 2)
+	f.awaitReady()
+	entry, leaving := f.members[0], f.members[1]
+	await(t, 5*time.Second, "all VMs listed", func() bool { return len(entry.targets()) == 2 })
+
+	// Whoever publishes a view needs this lock, and waits here.
+	entry.publishMu.Lock()
+	f.store.edit(func(vms []confsvc.VM) []confsvc.VM {
+		vms[1].State = confsvc.VMLeaving
+		return vms
+	})
+	entry.slept.Store(int64(5 * time.Second))
+	await(t, 5*time.Second, "list read and peers connected", func() bool {
+		entry.coreMu.Lock()
+		defer entry.coreMu.Unlock()
+		m := entry.views.members[leaving.cfg.VM]
+		return entry.Stats().Wakes == 1 && m.leaving && entry.links.count() == 2 && !entry.Stalled()
+	})
+	early := entry.Ready()
+	entry.publishMu.Unlock()
+	assert.Check(t, !early, "ready with the view from before the pause")
+	await(t, 5*time.Second, "ready", entry.Ready)
+	vm, _ := entry.View().VM(leaving.cfg.VM)
+	assert.Equal(t, vm.State, StateLeaving)
+}
