Ready after a pause only once the new view is published

Cause: the list of VMs counted as read before the view made of it was published; in between a woken process was ready with the view from before its pause. Ruled out: a list that was asked for before a pause (the epoch is compared twice). Change: the list counts as read after the publication. Conclusion: a call after a wake is routed by a view that knows the list.

--- a/member/lister.go
+++ b/member/lister.go
@@ -66,7 +66,6 @@
 	if err == nil {
 		notes = s.views.list(s.cfg.Now(), vms)
 	}
-	s.listTried.Store(true)
 	s.coreMu.Unlock()
 	if err == nil {
 		s.spreadMu.Lock()
@@ -77,5 +76,17 @@
 		}
 	}
 	s.publish()
+	s.noteListTried(epoch)
 	s.sendVMNotes(notes)
 }
+
+// noteListTried makes the process ready as far as the list is concerned. It
+// follows the publication of the view: ready before it, a process that woke
+// would route by the view from before its pause.
+func (s *Service) noteListTried(epoch uint64) {
+	s.coreMu.Lock()
+	defer s.coreMu.Unlock()
+	if epoch == s.epoch {
+		s.listTried.Store(true)
+	}
+}
