--- /dev/null
+++ b/internal/harness/frozen_linux.go
@@ -0,0 +1,36 @@
+package harness
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/joomcode/errorx"
+)
+
+// stateStopped is a thread's state in /proc once it has taken SIGSTOP.
+const stateStopped = 'T'
+
+// frozen returns nil if every thread of the process has stopped.
+func frozen(pid int) error {
+	paths, err := filepath.Glob(filepath.Join("/proc", strconv.Itoa(pid), "task", "*", "stat"))
+	if err != nil {
+		return errorx.Decorate(err, "list the threads of %d", pid)
+	}
+	if len(paths) == 0 {
+		return errorx.IllegalState.New("process %d has no threads", pid)
+	}
+	for _, path := range paths {
+		stat, err := os.ReadFile(path)
+		if err != nil {
+			return errorx.Decorate(err, "read the state of a thread")
+		}
+		// The state follows the name, which is in parentheses and may hold any.
+		_, rest, found := bytes.Cut(stat[bytes.LastIndexByte(stat, ')')+1:], []byte{' '})
+		if !found || len(rest) == 0 || rest[0] != stateStopped {
+			return errorx.IllegalState.New("a thread of %d runs: %s", pid, stat)
+		}
+	}
+	return nil
+}
