Harness waits until a frozen process stands still

The test says that they wait in socket buffers. Ruled out: the wake itself; by the entry's clock the calls were sent at the freeze. Change: Stop returns once every thread is stopped (/proc). Conclusion: a frozen process has only what came before its freeze in flight.

--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -104,10 +104,18 @@
 	p.signal(s)
 }
 
-// Stop freezes the process with SIGSTOP; Cont wakes it.
+// Stop freezes the process with SIGSTOP and waits until it stands still; Cont
+// wakes it.
+//
+// It guards against a process that still takes requests after the signal was
+// sent: its threads stop one after the other, some milliseconds later on a busy
+// machine. That shows as calls in flight in the frozen process, where the test
+// says that all of its work waits in socket buffers.
 func (p *Process) Stop() {
 	p.t.Helper()
 	p.signal(syscall.SIGSTOP)
+	pid := p.current().cmd.Process.Pid
+	Wait(p.t, stopTimeout, func() error { return frozen(pid) })
 }
 
 // Cont wakes a frozen process.
