Pause watch of its own, for the membership and others

Cause: gateways need the same look at the clock before they act on what they knew. Change: internal/pause holds it; the membership uses it. No change of behaviour.

--- a/member/core_test.go
+++ b/member/core_test.go
@@ -159,13 +159,6 @@
 	}
 }
 
-func TestGapSeesSuspendedVM(t *testing.T) {
-	last := time.Now()
-	assert.Equal(t, gapBetween(last, last.Add(2*time.Second)), 2*time.Second)
-	suspended := last.Round(0).Add(5 * time.Second)
-	assert.Equal(t, gapBetween(last, suspended), 5*time.Second)
-}
-
 // cluster runs spread cores against each other on a virtual clock.
 type cluster struct {
 	now    time.Time
--- a/member/service.go
+++ b/member/service.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mangostage/mangostage/internal/pause"
 	"github.com/mangostage/mangostage/kernel"
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/wire"
@@ -43,7 +44,7 @@
 	inForce       atomic.Bool
 	platformTried atomic.Bool
 	wokeAt        atomic.Pointer[time.Time]
-	lastLook      atomic.Pointer[time.Time]
+	pauses        *pause.Watch
 
 	dirty      chan struct{}
 	spreadWake chan struct{}
@@ -77,6 +78,7 @@
 		settleWake: make(chan struct{}, 1),
 		fetchSlots: make(chan struct{}, maxServedFetches),
 	}
+	s.pauses = pause.NewWatch(cfg.Now, s.onWake)
 	empty, _ := newView(cfg.Now(), time.Time{}, nil)
 	s.view.Store(empty)
 	peer.HandleNote(cfg.Mux, wire.MethodBundleHead, s.onHead)
@@ -95,7 +97,7 @@
 // bound address and does not wait for readiness.
 func (s *Service) Start(ctx context.Context) (net.Addr, error) {
 	s.ctx, s.cancel = context.WithCancel(ctx)
-	s.look()
+	s.pauses.Tick()
 	addr, err := s.node.Listen(s.cfg.Listen)
 	if err != nil {
 		s.cancel()
