Tests of a woken gateway: the store takes 50 ms, and orders to a leaving endpoint

The store's answers take 50 ms in two of the tests: with none the gateway sometimes read them before it had answered. The store away at the wake is tried with both kinds.

--- a/integration/gateway_wake_test.go
+++ b/integration/gateway_wake_test.go
@@ -31,6 +31,8 @@
 	frozenFor = 2500 * time.Millisecond
 	// standingRead is longer than a read of the store waits for a change.
 	standingRead = time.Second
+	// storeTime is what a slow store takes for an answer.
+	storeTime = 50 * time.Millisecond
 	// whileFrozen is how many requests wait in the socket buffers of a frozen gateway.
 	whileFrozen = 20
 	// wakeAnswer bounds the time from a wake to an answer; the endpoints take none.
@@ -84,6 +86,14 @@
 		`{"service":"orders","address":%q,"zone":"z0","slots":16,"state":%q}`, e.addr, state))
 }
 
+// slowStore has the store take its time, as one a few hundred kilometres away.
+func (r *wakeRig) slowStore() {
+	r.store.Before(func(string) bool {
+		after(time.Now(), storeTime)
+		return true
+	})
+}
+
 // ask sends one request over a connection of its own.
 func (r *wakeRig) ask(route string) (status int, err error) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
@@ -188,21 +198,27 @@
 // that it knew, a moment before it had read the new one.
 func TestWokenGatewayKnowsTheNewRoute(t *testing.T) {
 	r := startWakeRig(t, newWakeEndpoint("i-1"), newWakeEndpoint("i-2"))
-	statuses, took := r.freeze("new", func() { r.publish("idem", "once", "new") })
+	statuses, took := r.freeze("new", func() {
+		r.slowStore()
+		r.publish("idem", "once", "new")
+	})
 	assert.DeepEqual(t, statuses, map[int]int{http.StatusOK: whileFrozen})
 	assert.Assert(t, took < wakeAnswer, "%v", took)
 }
 
 // An endpoint begins to leave while a gateway is frozen. The gateway wakes and
-// sends it the requests that waited, though it may end at any moment and take
-// them along.
+// sends it the orders that waited, though it may end at any moment and take them
+// along; they may run once only, so nobody can send them again.
 func TestWokenGatewaySendsNothingToALeavingEndpoint(t *testing.T) {
 	leaving, stays := newWakeEndpoint("i-1"), newWakeEndpoint("i-2")
 	r := startWakeRig(t, leaving, stays)
-	assert.DeepEqual(t, r.askMany("idem"), map[int]int{http.StatusOK: whileFrozen})
+	assert.DeepEqual(t, r.askMany("once"), map[int]int{http.StatusOK: whileFrozen})
 	before := len(leaving.Runs())
 	assert.Assert(t, before > 0)
-	statuses, took := r.freeze("idem", func() { r.list(leaving, "draining") })
+	statuses, took := r.freeze("once", func() {
+		r.slowStore()
+		r.list(leaving, "draining")
+	})
 	assert.DeepEqual(t, statuses, map[int]int{http.StatusOK: whileFrozen})
 	assert.Equal(t, len(leaving.Runs())-before, 0)
 	assert.Assert(t, took < wakeAnswer, "%v", took)
@@ -222,17 +238,21 @@
 }
 
 // The store is away when a gateway wakes. It must not wait for it: requests are
-// served by what the gateway knew.
+// served by what the gateway knew, those that may run once as well.
 func TestWokenGatewayServesWithoutTheStore(t *testing.T) {
-	r := startWakeRig(t, newWakeEndpoint("i-1"))
-	released := make(chan struct{})
-	t.Cleanup(func() { close(released) })
-	statuses, took := r.freeze("idem", func() {
-		r.store.Before(func(string) bool {
-			<-released
-			return false
+	for _, route := range []string{"idem", "once"} {
+		t.Run(route, func(t *testing.T) {
+			r := startWakeRig(t, newWakeEndpoint("i-1"))
+			released := make(chan struct{})
+			t.Cleanup(func() { close(released) })
+			statuses, took := r.freeze(route, func() {
+				r.store.Before(func(string) bool {
+					<-released
+					return false
+				})
+			})
+			assert.DeepEqual(t, statuses, map[int]int{http.StatusOK: whileFrozen})
+			assert.Assert(t, took < wakeAnswer, "%v", took)
 		})
-	})
-	assert.DeepEqual(t, statuses, map[int]int{http.StatusOK: whileFrozen})
-	assert.Assert(t, took < wakeAnswer, "%v", took)
+	}
 }
