Gateway deals with a pause before it decides for good

Cause: a gateway that was frozen for seconds answered what waited in its socket buffers by the view from before, and sent on connections kept from before. Nothing asked for a pause; ownership of the queue alone was guarded (silence does not count a pause, a replaced owner hands over what has not begun). Change: whoever acts first after a pause closes the idle connections to endpoints and the store (looked for before each send), and the view is read anew at once, from a peer or the store, for half a second at most. Only what cannot be made good waits for it: a 404 or 401, and the choice of an endpoint for a request that cannot be sent again. Not covered: the owner's calls for stages by a view from before a pause, and jobs that a woken gateway gives to a former owner, which runs them.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -92,8 +92,10 @@
 func (g *Gateway) assemble() {
 	p := g.loaded.Platform
 	mux := peer.NewMux()
-	store := platform.NewStore(p.Store, &http.Client{Transport: storeTransport()})
-	stages := platform.NewStages(&http.Client{Transport: gateway.NewTransport()})
+	toStore, toStages, toEndpoints := storeTransport(), gateway.NewTransport(), gateway.NewTransport()
+	checkPause := func() { g.follower.CheckPause() }
+	store := platform.NewStore(p.Store, &http.Client{Transport: toStore})
+	stages := platform.NewStages(&http.Client{Transport: gateway.Checked(toStages, checkPause)})
 	g.scheduler = scheduler.New(stages, g.log)
 	g.fleet = fleet.New(fleet.Config{
 		Self:    fleet.Member{Name: p.Name, Addr: cmp.Or(g.own.Advertise, p.Peer), Domain: p.Domain, Cores: p.Cores},
@@ -106,15 +108,19 @@
 		OnDemoted: g.scheduler.HandOver,
 	})
 	g.follower = discovery.NewFollower(store, discovery.NewPeerRelay(g.fleet), p.Bounds.ConfigApply, g.log, g.viewChanged)
+	for _, t := range []*http.Transport{toStore, toStages, toEndpoints} {
+		g.follower.OnWake(t.CloseIdleConnections)
+	}
 	discovery.ServePeers(mux, g.follower)
 	scheduler.Serve(mux, g.scheduler)
 	g.gateway = gateway.New(gateway.Config{
 		Domain:      p.Domain,
 		Bounds:      p.Bounds,
 		View:        g.follower.View,
+		Current:     g.follower.Current,
 		FleetSize:   g.fleet.Size,
 		Scheduler:   scheduler.NewClient(g.scheduler, g.fleet, g.log),
-		Transport:   gateway.NewTransport(),
+		Transport:   gateway.Checked(toEndpoints, checkPause),
 		Log:         g.log,
 		Metrics:     g.metrics,
 		TellCrashes: func(found []gateway.Crash) { g.fleet.Tell(methodCrashed, found) },
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/internal/pause"
 	"github.com/mangostage/mangostage/internal/sleep"
 	"github.com/mangostage/mangostage/platform"
 )
@@ -39,7 +40,10 @@
 	retryFirst = 100 * time.Millisecond
 	retryMax   = time.Second
 	// expireEvery is how often lapsed endpoints are looked at.
-	expireEvery = 100 * time.Millisecond
+	expireEvery = pause.TickEvery
+	// wakeTimeout bounds the read on waking from a pause: a peer that does not
+	// answer, and then the store, whose answers take milliseconds.
+	wakeTimeout = relayTimeout + 200*time.Millisecond
 )
 
 // errFollowed says that a peer answered in the store's place.
@@ -74,6 +78,11 @@
 	answered atomic.Int64
 	began    time.Time
 	onChange func(*catalog.View)
+	pauses   *pause.Watch
+	// catchingUp is closed when the read after the last pause has ended.
+	catchingUp atomic.Pointer[chan struct{}]
+	// onWake is called before anything is read after a pause.
+	onWake []func()
 }
 
 // NewFollower returns a follower. A configuration must be in force within
@@ -82,12 +91,62 @@
 	f := &Follower{store: store, relay: relay, log: log, state: NewState(), changed: make(chan struct{}), began: time.Now(), onChange: onChange}
 	f.wait = min(platform.MaxWatch, time.Duration(float64(apply)*watchShare))
 	f.view.Store(catalog.NewView(nil, nil, 0))
+	f.pauses = pause.NewWatch(time.Now, f.woke)
 	return f
 }
 
 // View returns the present view.
 func (f *Follower) View() *catalog.View { return f.view.Load() }
 
+// Current returns the view that has what changed during a pause of the process.
+//
+// It guards against a process that was paused and decides for good by the view
+// from before: clients of a route that was added meanwhile read that there is
+// none and stay away, and requests that may run once go to endpoints that leave.
+// Only what cannot be made good afterwards asks for it: after a pause it waits
+// for a read of peers or the store, and at most for wakeTimeout; then the old
+// view holds.
+func (f *Follower) Current() *catalog.View {
+	f.pauses.Check()
+	if caughtUp := f.catchingUp.Load(); caughtUp != nil {
+		<-*caughtUp
+	}
+	return f.View()
+}
+
+// CheckPause returns once no pause is left to be dealt with. It is asked before
+// each step that relies on what was there before, as on a kept connection.
+func (f *Follower) CheckPause() { f.pauses.Check() }
+
+// OnWake has fn called after each pause, before anything is read. It is called
+// before Run.
+func (f *Follower) OnWake(fn func()) { f.onWake = append(f.onWake, fn) }
+
+// woke deals with a pause of the process.
+func (f *Follower) woke(gap time.Duration) {
+	for _, fn := range f.onWake {
+		fn()
+	}
+	caughtUp := make(chan struct{})
+	f.catchingUp.Store(&caughtUp)
+	go func() {
+		defer close(caughtUp)
+		ctx, cancel := context.WithTimeout(context.Background(), wakeTimeout)
+		defer cancel()
+		err := f.catchUp(ctx)
+		f.log.Warn().Str("event", logPaused).Dur("gap", gap).Uint64("at", f.At()).Err(err).Msg("process was paused")
+	}()
+}
+
+// catchUp reads what has changed and does not wait for more. What it does not
+// get the run of the follower does.
+func (f *Follower) catchUp(ctx context.Context) error {
+	if f.At() == 0 || f.follow(ctx, 0) {
+		return nil
+	}
+	return f.watch(ctx, 0)
+}
+
 // Healthy tells whether the store answered the last call.
 func (f *Follower) Healthy() bool { return f.healthy.Load() }
 
@@ -116,6 +175,7 @@
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.pauses.Tick()
 	go f.expire(ctx)
 	retries := backoff.NewExponentialBackOff()
 	retries.InitialInterval = retryFirst
@@ -145,7 +205,7 @@
 // follow one that reads the store: if each watched it itself, the calls would
 // grow with the fleet, and each change would set off one for each member.
 func (f *Follower) step(ctx context.Context, listed *bool) error {
-	if f.follow(ctx) {
+	if f.follow(ctx, f.wait/followShare) {
 		*listed = true
 		return errFollowed
 	}
@@ -156,7 +216,7 @@
 		*listed = true
 		return nil
 	}
-	err := f.watch(ctx)
+	err := f.watch(ctx, f.wait)
 	if errorx.IsOfType(err, platform.ErrCompacted) {
 		f.log.Info().Str("event", logStoreHistoryGone).Uint64("after", f.At()).Msg("listing anew")
 		*listed = false
@@ -217,11 +277,11 @@
 	return f.store.Range(ctx, platform.PrefixEndpoints, after)
 }
 
-func (f *Follower) watch(ctx context.Context) error {
+func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
 	after := f.At()
-	ctx, cancel := context.WithTimeout(ctx, f.wait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	changes, err := f.store.Watch(ctx, "", after, f.wait)
+	changes, err := f.store.Watch(ctx, "", after, wait)
 	if err != nil {
 		return err
 	}
@@ -241,11 +301,11 @@
 }
 
 // follow takes the changes from a peer that reads the store, if it should.
-func (f *Follower) follow(ctx context.Context) bool {
+func (f *Follower) follow(ctx context.Context, wait time.Duration) bool {
 	if f.relay == nil {
 		return false
 	}
-	items, at, ok := f.relay.Follow(ctx, f.At(), f.wait/followShare)
+	items, at, ok := f.relay.Follow(ctx, f.At(), wait)
 	if ok && at > 0 {
 		f.update(func(now time.Time, s *State) error { return applyAll(now, s, items, at) })
 	}
@@ -321,7 +381,7 @@
 	f.onChange(view)
 }
 
-// expire ends the grace of lapsed endpoints.
+// expire ends the grace of lapsed endpoints, and notices pauses.
 func (f *Follower) expire(ctx context.Context) {
 	ticker := time.NewTicker(expireEvery)
 	defer ticker.Stop()
@@ -330,6 +390,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			f.pauses.Tick()
 			f.update(func(time.Time, *State) error { return nil })
 		}
 	}
--- a/discovery/lognames.go
+++ b/discovery/lognames.go
@@ -8,4 +8,5 @@
 	logStoreRegained      = "store_regained"
 	logViewChanged        = "view_changed"
 	logViewFromPeer       = "view_from_peer"
+	logPaused             = "paused"
 )
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,9 @@
 	Bounds platform.Bounds
 	// View returns the present view of the deployment.
 	View func() *catalog.View
+	// Current returns the view that has what changed during a pause of the
+	// process, and may take a moment for that; nil means View.
+	Current func() *catalog.View
 	// FleetSize returns the number of live gateways, this one included.
 	FleetSize func() int
 	Scheduler *scheduler.Client
@@ -62,6 +65,9 @@
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
+	if cfg.Current == nil {
+		cfg.Current = cfg.View
+	}
 	stopping, stop := context.WithCancel(context.Background())
 	return &Gateway{
 		stopping: stopping,
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -158,7 +158,7 @@
 // meanwhile and has not failed this request already; else another one, which
 // the balancer picked and counts until it hears of the end.
 func (g *Gateway) engine(m *modelRequest) (e *catalog.Endpoint, picked bool) {
-	view := g.cfg.View()
+	view := g.viewFor(m.request)
 	e = view.Endpoint(m.lease.Grant.Endpoint)
 	if e != nil && !e.Leaving && !m.tries.avoid[e.ID] {
 		return e, false
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -33,7 +33,7 @@
 	tries := attempts{avoid: make(map[string]bool)}
 	var failed *bufferedAnswer
 	for {
-		e := g.balance.Pick(time.Now(), g.cfg.View().Endpoints(req.serviceName), tries.avoid)
+		e := g.balance.Pick(time.Now(), g.viewFor(req).Endpoints(req.serviceName), tries.avoid)
 		if e == nil {
 			return g.noEndpoint(w, req, failed)
 		}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -61,14 +61,13 @@
 		return req, unavailable("not_ready", notReadyRetry)
 	}
 	index := view.Index
-	req.version = index.Config.Version
-	req.route = index.Route(hostOf(r), r.URL.EscapedPath())
-	if req.route == nil {
-		return req, &problem{status: http.StatusNotFound, reason: "no_route"}
-	}
-	req.account = index.Account(req.Key)
-	if req.account == nil && index.HasAccounts() && !req.route.Public {
-		return req, &problem{status: http.StatusUnauthorized, reason: "unknown_key"}
+	if req.allowed(index) != nil {
+		// A client that is turned away does not come back, so that is never
+		// done by a configuration from before a pause of this process.
+		index = g.cfg.Current().Index
+		if p := req.allowed(index); p != nil {
+			return req, p
+		}
 	}
 	req.serviceName = pickShare(req.route, req.ID)
 	req.service = index.Service(req.serviceName)
@@ -78,6 +77,31 @@
 	return req, nil
 }
 
+// allowed finds the request's route and account in a configuration.
+func (req *request) allowed(index *catalog.Index) *problem {
+	req.version = index.Config.Version
+	req.route = index.Route(hostOf(req.http), req.http.URL.EscapedPath())
+	if req.route == nil {
+		return &problem{status: http.StatusNotFound, reason: "no_route"}
+	}
+	req.account = index.Account(req.Key)
+	if req.account == nil && index.HasAccounts() && !req.route.Public {
+		return &problem{status: http.StatusUnauthorized, reason: "unknown_key"}
+	}
+	return nil
+}
+
+// viewFor is the view by which an endpoint is chosen. A request that cannot be
+// sent again must not go to an endpoint that began to leave during a pause of
+// this process and takes it along. Others are not held up: endpoints that leave
+// serve on for a while, and those that are gone refuse.
+func (g *Gateway) viewFor(req *request) *catalog.View {
+	if req.route.Repeatable() {
+		return g.cfg.View()
+	}
+	return g.cfg.Current()
+}
+
 // hostOf is the request's host without a port.
 func hostOf(r *http.Request) string {
 	if host, _, err := net.SplitHostPort(r.Host); err == nil {
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -37,3 +37,25 @@
 		ForceAttemptHTTP2:      false,
 	}
 }
+
+// checkedTransport asks before each request whether the process was paused.
+type checkedTransport struct {
+	base  http.RoundTripper
+	check func()
+}
+
+// Checked returns a transport that calls check before each request.
+//
+// It guards against kept connections that died while the process stood still: a
+// request that may run once only and goes out on one has an unknown fate, and
+// its client waits for nothing until its deadline. Dealing with the pause closes
+// the connections that are idle, and check returns when that is done.
+func Checked(base http.RoundTripper, check func()) http.RoundTripper {
+	return &checkedTransport{base: base, check: check}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *checkedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	t.check()
+	return t.base.RoundTrip(r)
+}
