Decode the start of an endpoint's process as its incarnation

An endpoint may start again under its ID; until now nothing told the two processes apart. The entry's start time becomes Endpoint.Incarnation; 0 for endpoints that do not state it, which behave as before. Nothing uses it yet.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -119,9 +119,18 @@
 	BodyBytes int64 `json:"body_bytes"`
 }
 
-// Endpoint is one process that serves a service. Each start of it has a new ID.
+// Incarnation is when an endpoint's process started, as the Unix millisecond
+// that the endpoint states. It tells starts under one ID apart: a higher one is
+// newer. 0 means that the endpoint did not say.
+type Incarnation int64
+
+// Endpoint is one process that serves a service.
 type Endpoint struct {
-	ID      string `json:"id"`
+	ID string `json:"id"`
+	// Incarnation is the start of the process: with another one nothing that
+	// was believed of the endpoint holds any more.
+	Incarnation Incarnation `json:"incarnation,omitempty"`
+
 	Service string `json:"service"`
 	// Addr is "ip:port".
 	Addr string `json:"addr"`
