Tests of endpoints that start again under their ID; they fail

Endpoint.Key names one process, the stand-ins can restart under their ID, and a test for each thing that is believed of an endpoint.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -130,3 +130,24 @@
 		}
 	})
 }
+
+// An endpoint gets nothing for seconds although it is well: it started again
+// under its ID, and the failures, the slow answers and the requests in flight of
+// its last process still counted. Late outcomes of that one must not count either.
+func TestNewIncarnationStartsAfresh(t *testing.T) {
+	b := New("north")
+	old := &catalog.Endpoint{ID: "0", Incarnation: 1, Domain: "north", Slots: 1}
+	list := []*catalog.Endpoint{old, {ID: "1", Domain: "north", Slots: 1}}
+	only := func(e *catalog.Endpoint) *catalog.Endpoint { return b.Pick(epoch, []*catalog.Endpoint{e}, nil) }
+	for range 3 {
+		only(old)
+		b.Ended(epoch, old.Key(), Silent, time.Second, -1)
+	}
+	only(old)
+	assert.Equal(t, pick(b, list), "1")
+	list[0] = &catalog.Endpoint{ID: "0", Incarnation: 2, Domain: "north", Slots: 1}
+	assert.Equal(t, pick(b, list), "0")
+	b.Ended(epoch, list[0].Key(), Served, latencyGuess, -1)
+	b.Ended(epoch, old.Key(), Silent, time.Second, -1)
+	assert.Equal(t, pick(b, list), "0")
+}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -2,7 +2,10 @@
 // its list of endpoints. Values are immutable once they are part of a View.
 package catalog
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // RouteKind tells what may be sent to an endpoint more than once.
 type RouteKind string
@@ -141,6 +144,16 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// Key names one process of an endpoint among all that served under any ID: the
+// ID alone if the endpoint does not state its start. It is for what is believed
+// of an endpoint; endpoints themselves know their ID only.
+func (e *Endpoint) Key() string {
+	if e.Incarnation == 0 {
+		return e.ID
+	}
+	return e.ID + "@" + strconv.FormatInt(int64(e.Incarnation), 10)
+}
+
 // PrefixPart is one part of a prompt that requests may share. A cached part
 // saves its tokens only if all parts before it are cached too.
 type PrefixPart struct {
--- a/gateway/crashes_test.go
+++ b/gateway/crashes_test.go
@@ -125,3 +125,28 @@
 	later := crashEpoch.Add(time.Minute)
 	assert.Equal(t, len(crash(c, later, 1, "crashed")), 1)
 }
+
+// A request crashes an engine, which is back under its ID within its lease, so
+// that it is never off the list; the request crashes it again and again. After
+// three crashes it must be refused, also by gateways that only heard of them.
+func TestCrashOfEndpointThatIsBackUnderItsID(t *testing.T) {
+	c, other := newCrashes(), newCrashes()
+	now := crashEpoch
+	for i := range maxCrashes {
+		_, refused := c.refused(now, 1)
+		assert.Assert(t, !refused, "after %d crashes", i)
+		before := &catalog.Endpoint{ID: "e", Service: "s", Incarnation: catalog.Incarnation(i + 1)}
+		after := &catalog.Endpoint{ID: "e", Service: "s", Incarnation: catalog.Incarnation(i + 2)}
+		c.broke(now, 1, before)
+		assert.Equal(t, len(c.gone(now, catalog.NewView(nil, []*catalog.Endpoint{before}, 1))), 0)
+		now = now.Add(2 * time.Second)
+		found := c.gone(now, catalog.NewView(nil, []*catalog.Endpoint{after}, 2))
+		assert.Equal(t, len(found), 1)
+		assert.Assert(t, other.heard(now, found[0]))
+		assert.Assert(t, !other.heard(now, found[0]))
+	}
+	_, refused := c.refused(now, 1)
+	assert.Assert(t, refused)
+	_, refused = other.refused(now, 1)
+	assert.Assert(t, refused)
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -142,6 +142,38 @@
 	r.gateway.SetView(view)
 }
 
+// restart lists the endpoint as a new process, under the ID and at the address
+// that it had. The view of requests changes first; told says whether the queue
+// and the gateway's books hear of it too.
+func (r *rig) restart(id string, told bool) {
+	r.mu.Lock()
+	for i, e := range r.endpoints {
+		if e.ID == id {
+			next := *e
+			next.Incarnation = catalog.Incarnation(time.Now().UnixMilli()) + restartSkew
+			r.endpoints[i] = &next
+		}
+	}
+	r.view = catalog.NewView(catalog.NewIndex(&r.config), r.endpoints, r.view.Revision+1)
+	r.mu.Unlock()
+	if told {
+		r.tell()
+	}
+}
+
+// restartSkew, in milliseconds, keeps what the tests did just before a restart
+// clearly before it.
+const restartSkew = 200
+
+// tell passes the view on.
+func (r *rig) tell() {
+	r.mu.Lock()
+	view := r.view
+	r.mu.Unlock()
+	r.scheduler.SetView(view)
+	r.gateway.SetView(view)
+}
+
 // endpoint starts and lists a stand-in.
 func (r *rig) endpoint(service, id string, answer func(http.ResponseWriter, standin.Run)) *standin.Endpoint {
 	e := &standin.Endpoint{ID: id, Answer: answer}
