Make what an ended process held again when its endpoint starts anew

Cause: an endpoint that starts again under its ID stayed the same entry to the view and the queue: booked room and slots, results, cached prompt parts, speed and failures of the ended process went on to count. Change: the view names processes (Endpoint.Key), so a new start is one endpoint gone and another added; results still to be read that an ended process held are made again with what they read, its calls are lost at once, its late answers and handles are dropped. Weighed: handling each believed thing by itself; the key needed three special places (results, late writes, inputs) instead of about a dozen.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -127,6 +127,9 @@
 // newer. 0 means that the endpoint did not say.
 type Incarnation int64
 
+// Time is the start of the process.
+func (i Incarnation) Time() time.Time { return time.UnixMilli(int64(i)) }
+
 // Endpoint is one process that serves a service.
 type Endpoint struct {
 	ID string `json:"id"`
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -9,6 +9,7 @@
 	// Revision grows with every change of the view in this process.
 	Revision  uint64
 	byService map[string][]*Endpoint
+	byKey     map[string]*Endpoint
 	byID      map[string]*Endpoint
 }
 
@@ -18,12 +19,14 @@
 		Index:     index,
 		Revision:  revision,
 		byService: make(map[string][]*Endpoint),
+		byKey:     make(map[string]*Endpoint, len(endpoints)),
 		byID:      make(map[string]*Endpoint, len(endpoints)),
 	}
 	sorted := append([]*Endpoint(nil), endpoints...)
 	sort.Slice(sorted, func(i, j int) bool { return sorted[i].ID < sorted[j].ID })
 	for _, e := range sorted {
 		v.byService[e.Service] = append(v.byService[e.Service], e)
+		v.byKey[e.Key()] = e
 		v.byID[e.ID] = e
 	}
 	return v
@@ -35,8 +38,27 @@
 // Endpoints lists the endpoints of a service by ID, also those that leave.
 func (v *View) Endpoints(service string) []*Endpoint { return v.byService[service] }
 
-// Endpoint returns the endpoint with that ID, or nil if it is gone.
-func (v *View) Endpoint(id string) *Endpoint { return v.byID[id] }
+// Endpoint returns the endpoint with that Key, or nil if it is gone: an endpoint
+// that has started again under its ID is another one.
+func (v *View) Endpoint(key string) *Endpoint { return v.byKey[key] }
+
+// Replaced tells whether another process has taken the place of one: all that it
+// held is lost. A process that is only gone from the list may still run.
+func (v *View) Replaced(id string, incarnation Incarnation) bool {
+	e := v.byID[id]
+	return e != nil && e.Incarnation != incarnation
+}
+
+// Added lists the endpoints that the earlier view does not have.
+func (v *View) Added(earlier *View) []*Endpoint {
+	var added []*Endpoint
+	for key, e := range v.byKey {
+		if earlier.byKey[key] == nil {
+			added = append(added, e)
+		}
+	}
+	return added
+}
 
 // Len is the number of endpoints.
 func (v *View) Len() int { return len(v.byID) }
--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -79,6 +79,11 @@
 	var touched []*job
 	for i, placed := range cl.pieces {
 		s := placed.stage
+		if outcomes[i].Fault == FaultInputs && placed.remakes != s.job.remakes {
+			// Its inputs were lost meanwhile and are made again.
+			c.wait(s, []int{placed.index})
+			continue
+		}
 		if outcomes[i].Fault != FaultNone {
 			c.pieceFailed(w, placed, outcomes[i].Fault, now)
 			continue
@@ -141,12 +146,12 @@
 		// such jobs until they can be served cost a tenth of that day's worth.
 		w.pause.Hold(pauseRefused, now)
 	case fault == FaultWork:
-		s.avoid = w.endpoint.ID
+		s.avoid = w.key
 	}
 	c.wait(s, []int{p.index})
 }
 
-// wait puts pieces of s back into the queue.
+// wait puts pieces of s back into the queue, if their inputs are there.
 func (c *Core) wait(s *stage, indices []int) {
 	p := c.pools[s.Service]
 	if p == nil {
@@ -154,7 +159,9 @@
 	}
 	p.remove(s)
 	s.waiting = append(s.waiting, indices...)
-	p.push(s)
+	if !s.since.IsZero() {
+		p.push(s)
+	}
 }
 
 // requeue puts all pieces of a call back; tried says that the endpoint may
@@ -174,7 +181,7 @@
 		}
 		if tried {
 			s.tries++
-			s.avoid = cl.worker.endpoint.ID
+			s.avoid = cl.worker.key
 		}
 		if s.tries > maxTries {
 			c.refuse(s.job, ReasonStageFailed, now)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -230,9 +230,10 @@
 	c.engines[j.Service].read(e, j)
 	c.emit(Grant{
 		Ticket:   j.Ticket,
-		Endpoint: e.endpoint.ID,
+		Endpoint: e.key,
 		Addr:     e.endpoint.Addr,
 		Inputs:   j.finalInputs(),
+		Sources:  j.sources(),
 		Waited:   now.Sub(j.submitted),
 		Slack:    j.aimAt.Sub(now) - c.first(j.Route),
 		Late:     j.late,
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+)
 
 // Effect is what the shell has to do.
 type Effect interface{ effect() }
@@ -31,10 +35,13 @@
 
 // Grant sends a request to a model engine.
 type Grant struct {
-	Ticket   string   `json:"ticket"`
+	Ticket string `json:"ticket"`
+	// Endpoint is the engine's Key.
 	Endpoint string   `json:"endpoint"`
 	Addr     string   `json:"addr"`
 	Inputs   []string `json:"inputs,omitempty"`
+	// Sources are the processes that keep the inputs.
+	Sources []Source `json:"sources,omitempty"`
 	// Waited is the time since the job came, Slack what is left until its
 	// objective beyond the usual time to a first event. Late jobs were
 	// forecast to miss it.
@@ -43,6 +50,13 @@
 	Late   bool          `json:"late,omitempty"`
 }
 
+// Source is a process that keeps results.
+type Source struct {
+	// Endpoint is the ID.
+	Endpoint    string              `json:"endpoint"`
+	Incarnation catalog.Incarnation `json:"incarnation,omitempty"`
+}
+
 // Refuse ends a job that was not granted.
 type Refuse struct {
 	Ticket string `json:"ticket"`
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -43,7 +43,9 @@
 // engine is the state of one model engine.
 type engine struct {
 	endpoint *catalog.Endpoint
-	spec     *catalog.Model
+	// key is the endpoint's Key.
+	key  string
+	spec *catalog.Model
 	// hash is that of the endpoint's ID.
 	hash uint64
 	runs map[string]*run
@@ -68,6 +70,7 @@
 func newEngine(e *catalog.Endpoint, spec *catalog.Model) *engine {
 	return &engine{
 		endpoint: e,
+		key:      e.Key(),
 		spec:     spec,
 		hash:     xxhash.Sum64String(e.ID),
 		runs:     make(map[string]*run),
@@ -177,8 +180,8 @@
 
 // engines is one model service.
 type engines struct {
-	byID map[string]*engine
-	all  []*engine
+	byKey map[string]*engine
+	all   []*engine
 	// readers maps the ID of a prompt's part to the engines that read it.
 	readers map[string][]*engine
 }
@@ -276,8 +279,8 @@
 		if e == favourite {
 			ms -= affinityBonus
 		}
-		for _, id := range j.Avoid {
-			if id == e.endpoint.ID {
+		for _, key := range j.Avoid {
+			if key == e.key {
 				ms += 10 * failPenalty
 			}
 		}
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -28,6 +29,19 @@
 	return catalog.NewView(view.Index, endpoints, view.Revision+1)
 }
 
+// without is the view in which endpoints have lapsed.
+func without(view *catalog.View, ids ...string) *catalog.View {
+	var endpoints []*catalog.Endpoint
+	for _, service := range []string{serviceModel, serviceHeavy, serviceLight} {
+		for _, e := range view.Endpoints(service) {
+			if !slices.Contains(ids, e.ID) {
+				endpoints = append(endpoints, e)
+			}
+		}
+	}
+	return catalog.NewView(view.Index, endpoints, view.Revision+1)
+}
+
 // bornAll has all endpoints state their start.
 func bornAll(view *catalog.View) *catalog.View {
 	var ids []string
@@ -46,12 +60,15 @@
 	cases := map[string]struct {
 		after time.Duration
 		ids   []string
+		// off is how long the endpoints are off the list.
+		off time.Duration
 	}{
-		"first stages under way": {100 * time.Millisecond, []string{"encode-north-0"}},
-		"first stages done":      {250 * time.Millisecond, []string{"encode-north-0", "encode-north-1"}},
-		"one of the first ones":  {250 * time.Millisecond, []string{"encode-north-0"}},
-		"last stage under way":   {250 * time.Millisecond, []string{"rank-north-0", "rank-north-1"}},
-		"all":                    {250 * time.Millisecond, []string{"encode-north-0", "encode-north-1", "rank-north-0", "rank-north-1"}},
+		"first stages under way": {100 * time.Millisecond, []string{"encode-north-0"}, 0},
+		"first stages done":      {250 * time.Millisecond, []string{"encode-north-0", "encode-north-1"}, 0},
+		"one of the first ones":  {250 * time.Millisecond, []string{"encode-north-0"}, 0},
+		"last stage under way":   {250 * time.Millisecond, []string{"rank-north-0", "rank-north-1"}, 0},
+		"off the list meanwhile": {250 * time.Millisecond, []string{"encode-north-0"}, 30 * time.Millisecond},
+		"all":                    {250 * time.Millisecond, []string{"encode-north-0", "encode-north-1", "rank-north-0", "rank-north-1"}, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -77,6 +94,11 @@
 					lost[h] = lost[h] || strings.HasPrefix(h, id+":80/")
 				}
 			}
+			if c.off > 0 {
+				w.core.SetView(w.now, without(view, c.ids...))
+				w.drain()
+				w.run(c.off)
+			}
 			w.core.SetView(w.now, restarted(view, 2, c.ids...))
 			w.drain()
 			w.run(2500 * time.Millisecond)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
@@ -35,7 +36,7 @@
 	Usual     time.Duration `json:"usual"`
 	// Again is set for a client that has been refused before.
 	Again bool `json:"again,omitempty"`
-	// Avoid lists model engines that have failed the request before.
+	// Avoid lists the Keys of model engines that have failed the request before.
 	Avoid []string `json:"avoid,omitempty"`
 }
 
@@ -51,7 +52,8 @@
 
 // Placement says that a model engine has read a prompt.
 type Placement struct {
-	Service  string               `json:"service"`
+	Service string `json:"service"`
+	// Endpoint is the Key: a process knows nothing of what an earlier one read.
 	Endpoint string               `json:"endpoint"`
 	Prefix   []catalog.PrefixPart `json:"prefix"`
 }
@@ -74,6 +76,8 @@
 	behind time.Duration
 	// weight is the job's size against the usual size on its route.
 	weight float64
+	// remakes counts how often results were lost and are made again.
+	remakes int
 	// started is set when the first piece is sent.
 	started bool
 	// granted is when the engine was chosen.
@@ -103,7 +107,7 @@
 	// forecast is when its last pieces were expected to start at admission.
 	forecast time.Time
 	queued   bool
-	// avoid is an endpoint that has just failed pieces of this stage.
+	// avoid is the Key of an endpoint that has just failed pieces of this stage.
 	avoid string
 	tries int
 	freed bool
@@ -175,6 +179,24 @@
 	return handles
 }
 
+// sources lists the processes that keep the results of finalInputs, each once.
+func (j *job) sources() []Source {
+	var sources []Source
+	for _, s := range j.stages {
+		if j.consumers(s.index) > 0 {
+			continue
+		}
+		for _, r := range s.results {
+			e := r.worker.endpoint
+			source := Source{Endpoint: e.ID, Incarnation: e.Incarnation}
+			if !slices.Contains(sources, source) {
+				sources = append(sources, source)
+			}
+		}
+	}
+	return sources
+}
+
 // finalInputs lists the handles of all pieces of the stages that no other
 // stage reads; these the model engine fetches.
 func (j *job) finalInputs() []string {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -112,10 +112,10 @@
 	}
 }
 
-// worker returns the worker of the endpoint, or nil.
-func (p *pool) worker(endpoint string) *worker {
+// worker returns the worker of the endpoint with that Key, or nil.
+func (p *pool) worker(key string) *worker {
 	for _, w := range p.workers {
-		if w.endpoint.ID == endpoint {
+		if w.key == key {
 			return w
 		}
 	}
@@ -184,7 +184,7 @@
 	if len(s.waiting) == 0 || s.ResultBytes > k.room {
 		return false
 	}
-	if s.avoid == k.worker.endpoint.ID && k.pool.usable() > 1 {
+	if s.avoid == k.worker.key && k.pool.usable() > 1 {
 		return false
 	}
 	if s.home == "" || s.home == k.worker.endpoint.Domain {
@@ -200,7 +200,7 @@
 		n = min(n, int(k.room/s.ResultBytes))
 	}
 	for _, index := range s.waiting[:n] {
-		k.taken = append(k.taken, placed{stage: s, index: index})
+		k.taken = append(k.taken, placed{stage: s, index: index, remakes: s.job.remakes})
 	}
 	s.waiting = s.waiting[n:]
 	k.pool.waiting -= n
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -89,15 +89,16 @@
 func (c *Core) Placed(placements []Placement) {
 	for _, p := range placements {
 		es := c.engines[p.Service]
-		if es == nil || es.byID[p.Endpoint] == nil {
+		if es == nil || es.byKey[p.Endpoint] == nil {
 			continue
 		}
-		es.keep(es.byID[p.Endpoint], p.Prefix)
+		es.keep(es.byKey[p.Endpoint], p.Prefix)
 	}
 }
 
 // SetView takes a new configuration or list of endpoints. Endpoints that are
-// gone lose their calls' pieces to others; the jobs go on.
+// gone lose their calls' pieces to others; the jobs go on. One that has started
+// again under its ID counts as gone, and another one as added.
 func (c *Core) SetView(now time.Time, view *catalog.View) {
 	if view.Index == nil {
 		return
@@ -111,6 +112,9 @@
 			c.setEngines(s, view)
 		}
 	}
+	for _, w := range c.replaced(view) {
+		c.lose(w, now)
+	}
 	c.dispatch(now)
 }
 
@@ -123,7 +127,7 @@
 	p.spec = s.Batch
 	var workers []*worker
 	for _, e := range view.Endpoints(s.Name) {
-		w := p.worker(e.ID)
+		w := p.worker(e.Key())
 		if w == nil {
 			w = newWorker(e, s.Batch)
 		}
@@ -133,7 +137,7 @@
 		workers = append(workers, w)
 	}
 	for _, w := range p.workers {
-		if view.Endpoint(w.endpoint.ID) == nil {
+		if view.Endpoint(w.key) == nil {
 			w.gone = true
 		}
 	}
@@ -145,20 +149,20 @@
 	if known == nil {
 		known = &engines{}
 	}
-	next := &engines{byID: make(map[string]*engine), readers: make(map[string][]*engine)}
+	next := &engines{byKey: make(map[string]*engine), readers: make(map[string][]*engine)}
 	for _, ep := range view.Endpoints(s.Name) {
-		e := known.byID[ep.ID]
+		e := known.byKey[ep.Key()]
 		if e == nil {
 			e = newEngine(ep, s.Model)
 		}
 		e.endpoint = ep
 		e.spec = s.Model
 		e.gone = false
-		next.byID[ep.ID] = e
+		next.byKey[e.key] = e
 		next.all = append(next.all, e)
 	}
 	for _, e := range known.all {
-		e.gone = next.byID[e.endpoint.ID] == nil
+		e.gone = next.byKey[e.key] == nil
 	}
 	for part, readers := range known.readers {
 		for _, e := range readers {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -28,8 +28,10 @@
 // worker is the state of one endpoint of a stage's service.
 type worker struct {
 	endpoint *catalog.Endpoint
-	spec     *catalog.Batch
-	calls    map[uint64]*call
+	// key is the endpoint's Key.
+	key   string
+	spec  *catalog.Batch
+	calls map[uint64]*call
 	// used is the memory of results that are kept, made or expected, in bytes.
 	used    int64
 	results map[*result]struct{}
@@ -56,11 +58,14 @@
 type placed struct {
 	stage *stage
 	index int
+	// remakes is that of the job when the call was made.
+	remakes int
 }
 
 func newWorker(e *catalog.Endpoint, spec *catalog.Batch) *worker {
 	return &worker{
 		endpoint: e,
+		key:      e.Key(),
 		spec:     spec,
 		calls:    make(map[uint64]*call),
 		results:  make(map[*result]struct{}),
