End what is under way to a process that has started anew

Cause: sends, kept connections, tried endpoints and crash evidence went by the endpoint's ID, so a restart behind a partition was seen only at the deadline, kept connections led to the ended process, and a crash whose endpoint was back within its lease was never counted. Change: the gateway's books go by Endpoint.Key; connections opened before the start of the process listed now are closed, so requests on them end as broken (may have run); inputs whose process has been replaced are not sent, the stages run again; crashes are looked for also when a connection breaks after the view has changed. Ruled out: closing all connections to the address: most ends are seen at once by the connections, so those left lead mostly to the new process.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -60,6 +60,7 @@
 type Balancer struct {
 	domain string
 	mu     sync.Mutex
+	// states are kept by Key.
 	states map[string]*state
 }
 
@@ -79,14 +80,14 @@
 }
 
 // Pick returns the endpoint with the least expected cost that takes work and is
-// not in avoid, and counts a request for it; nil if there is none.
+// not in avoid by its Key, and counts a request for it; nil if there is none.
 func (b *Balancer) Pick(now time.Time, endpoints []*catalog.Endpoint, avoid map[string]bool) *catalog.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var best *catalog.Endpoint
 	var least time.Duration
 	for _, e := range endpoints {
-		if e.Leaving || avoid[e.ID] {
+		if e.Leaving || avoid[e.Key()] {
 			continue
 		}
 		if cost := b.cost(now, e); best == nil || cost < least {
@@ -94,14 +95,14 @@
 		}
 	}
 	if best != nil {
-		b.state(best.ID).inFlight++
+		b.state(best.Key()).inFlight++
 	}
 	return best
 }
 
 // cost is the expected time until an answer.
 func (b *Balancer) cost(now time.Time, e *catalog.Endpoint) time.Duration {
-	s := b.state(e.ID)
+	s := b.state(e.Key())
 	load := s.inFlight
 	if now.Sub(s.loadAt) < loadSpan {
 		load = max(load, s.waiting)
@@ -118,21 +119,22 @@
 	return cost
 }
 
-func (b *Balancer) state(id string) *state {
-	s := b.states[id]
+func (b *Balancer) state(key string) *state {
+	s := b.states[key]
 	if s == nil {
 		s = &state{latency: latencyGuess}
-		b.states[id] = s
+		b.states[key] = s
 	}
 	return s
 }
 
-// Ended takes the outcome of a request that Pick counted. load is what the
+// Ended takes the outcome of a request that Pick counted at the endpoint with
+// that Key: what an ended process did says nothing of the next one. load is what the
 // endpoint said of its running and waiting requests; negative if nothing.
-func (b *Balancer) Ended(now time.Time, id string, outcome Outcome, took time.Duration, load int) {
+func (b *Balancer) Ended(now time.Time, key string, outcome Outcome, took time.Duration, load int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(id)
+	s := b.state(key)
 	s.inFlight--
 	if load >= 0 {
 		s.waiting = load
@@ -163,15 +165,16 @@
 func (b *Balancer) Forget(view *catalog.View) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, s := range b.states {
-		if s.inFlight <= 0 && view.Endpoint(id) == nil {
-			delete(b.states, id)
+	for key, s := range b.states {
+		if s.inFlight <= 0 && view.Endpoint(key) == nil {
+			delete(b.states, key)
 		}
 	}
 }
 
 // Stats is what this process believes of one endpoint.
 type Stats struct {
+	// Endpoint is the Key.
 	Endpoint string        `json:"endpoint"`
 	InFlight int           `json:"in_flight"`
 	Latency  time.Duration `json:"latency"`
@@ -186,10 +189,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	all := make([]Stats, 0, len(b.states))
-	for _, id := range slices.Sorted(maps.Keys(b.states)) {
-		s := b.states[id]
+	for _, key := range slices.Sorted(maps.Keys(b.states)) {
+		s := b.states[key]
 		all = append(all, Stats{
-			Endpoint:    id,
+			Endpoint:    key,
 			InFlight:    s.inFlight,
 			Latency:     s.latency,
 			FailureRate: s.failures.At(failHalfLife, now),
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -93,7 +93,8 @@
 	p := g.loaded.Platform
 	mux := peer.NewMux()
 	store := platform.NewStore(p.Store, &http.Client{Transport: storeTransport()})
-	stages := platform.NewStages(&http.Client{Transport: gateway.NewTransport()})
+	transport := gateway.NewTransport()
+	stages := platform.NewStages(&http.Client{Transport: transport})
 	g.scheduler = scheduler.New(stages, g.log)
 	g.fleet = fleet.New(fleet.Config{
 		Self:    fleet.Member{Name: p.Name, Addr: cmp.Or(g.own.Advertise, p.Peer), Domain: p.Domain, Cores: p.Cores},
@@ -114,7 +115,7 @@
 		View:        g.follower.View,
 		FleetSize:   g.fleet.Size,
 		Scheduler:   scheduler.NewClient(g.scheduler, g.fleet, g.log),
-		Transport:   gateway.NewTransport(),
+		Transport:   transport,
 		Log:         g.log,
 		Metrics:     g.metrics,
 		TellCrashes: func(found []gateway.Crash) { g.fleet.Tell(methodCrashed, found) },
@@ -141,7 +142,7 @@
 	}
 }
 
-func storeTransport() *http.Transport {
+func storeTransport() http.RoundTripper {
 	t := gateway.NewTransport()
 	t.IdleConnTimeout = storeIdleTimeout
 	return t
--- a/gateway/crashes.go
+++ b/gateway/crashes.go
@@ -27,7 +27,8 @@
 
 // Crash says that an endpoint crashed while it ran a request with the content.
 type Crash struct {
-	Content  uint64 `json:"content"`
+	Content uint64 `json:"content"`
+	// Endpoint is the Key: each start under one ID can crash once.
 	Endpoint string `json:"endpoint"`
 }
 
@@ -37,7 +38,8 @@
 // The failure that it guards against: a request crashes each engine that begins
 // to run it, and with the engine all requests beside it; its client and our own
 // retries carry it from engine to engine. A crash is a connection that broke
-// under the request and whose endpoint is gone from the list soon after. Any
+// under the request and whose endpoint is gone from the list soon after, or has
+// started again under its ID. Any
 // whole answer clears the content, so content that was only beside the cause
 // is not refused.
 type crashes struct {
@@ -81,7 +83,7 @@
 		c.forgetBrokenLocked(now)
 	}
 	if len(c.broken) < maxContents {
-		c.broken[Crash{Content: content, Endpoint: e.ID}] = now
+		c.broken[Crash{Content: content, Endpoint: e.Key()}] = now
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,7 +35,7 @@
 	// FleetSize returns the number of live gateways, this one included.
 	FleetSize func() int
 	Scheduler *scheduler.Client
-	Transport http.RoundTripper
+	Transport *Transport
 	Log       zerolog.Logger
 	Metrics   *Metrics
 	// TellCrashes passes on crashes that this process saw; nil if there is
@@ -77,6 +77,12 @@
 // SetView passes on a new view.
 func (g *Gateway) SetView(view *catalog.View) {
 	g.balance.Forget(view)
+	g.cfg.Transport.SetView(view)
+	g.findCrashes(view)
+}
+
+// findCrashes looks for endpoints that have ended under requests.
+func (g *Gateway) findCrashes(view *catalog.View) {
 	found := g.crashes.gone(time.Now(), view)
 	for _, c := range found {
 		g.cfg.Log.Warn().Str("event", logCrashed).Uint64("content", c.Content).Str("endpoint", c.Endpoint).
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -108,8 +108,8 @@
 		}
 		j.Stages = append(j.Stages, work)
 	}
-	for id := range m.tries.avoid {
-		j.Avoid = append(j.Avoid, id)
+	for key := range m.tries.avoid {
+		j.Avoid = append(j.Avoid, key)
 	}
 	return j
 }
@@ -120,6 +120,11 @@
 	served := false
 	defer func() { m.lease.Done(served) }()
 	for {
+		if g.inputsLost(m) {
+			// The engine was not asked and is not at fault.
+			served = true
+			return m.submits <= maxRejections, ended(m.request, "inputs_lost", busyRetry)
+		}
 		e, picked := g.engine(m)
 		if e == nil {
 			return false, ended(m.request, "no_endpoint_served", busyRetry)
@@ -131,7 +136,7 @@
 			return false, nil
 		case streamInputsGone:
 			// The engine is not at fault and may serve the next try.
-			delete(m.tries.avoid, e.ID)
+			delete(m.tries.avoid, e.Key())
 			if g.again(m.request, &m.tries, resultNotRun) {
 				return true, nil
 			}
@@ -154,13 +159,26 @@
 	}
 }
 
+// inputsLost tells whether an endpoint that made inputs has started again since
+// the queue's owner looked. They must not be sent: a handle names an address and
+// a number, and the new process may give both to another request's result.
+func (g *Gateway) inputsLost(m *modelRequest) bool {
+	view := g.cfg.View()
+	for _, s := range m.lease.Grant.Sources {
+		if view.Replaced(s.Endpoint, s.Incarnation) {
+			return true
+		}
+	}
+	return false
+}
+
 // engine is the one that the queue's owner chose, if it has not left
 // meanwhile and has not failed this request already; else another one, which
 // the balancer picked and counts until it hears of the end.
 func (g *Gateway) engine(m *modelRequest) (e *catalog.Endpoint, picked bool) {
 	view := g.cfg.View()
 	e = view.Endpoint(m.lease.Grant.Endpoint)
-	if e != nil && !e.Leaving && !m.tries.avoid[e.ID] {
+	if e != nil && !e.Leaving && !m.tries.avoid[e.Key()] {
 		return e, false
 	}
 	e = g.balance.Pick(time.Now(), view.Endpoints(m.serviceName), m.tries.avoid)
@@ -174,7 +192,7 @@
 	outcome := balance.Abandoned
 	sent := time.Now()
 	if picked {
-		defer func() { g.balance.Ended(time.Now(), e.ID, outcome, time.Since(sent), -1) }()
+		defer func() { g.balance.Ended(time.Now(), e.Key(), outcome, time.Since(sent), -1) }()
 	}
 	result := g.tryModel(w, m, e)
 	switch result {
@@ -198,7 +216,7 @@
 
 // tryModel makes one send and relays the stream.
 func (g *Gateway) tryModel(w http.ResponseWriter, m *modelRequest, e *catalog.Endpoint) streamResult {
-	m.tries.avoid[e.ID] = true
+	m.tries.avoid[e.Key()] = true
 	m.offered = true
 	sent := time.Now()
 	priority := min(leastUrgent, max(0, m.priority()))
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -25,7 +25,8 @@
 type attempts struct {
 	runs       int
 	rejections int
-	avoid      map[string]bool
+	// avoid holds the Keys of endpoints that were tried.
+	avoid map[string]bool
 }
 
 // servePlain sends a request to an endpoint of a plain service.
@@ -75,7 +76,7 @@
 
 // tryPlain makes one send.
 func (g *Gateway) tryPlain(req *request, e *catalog.Endpoint, tries *attempts) (*bufferedAnswer, sendResult) {
-	tries.avoid[e.ID] = true
+	tries.avoid[e.Key()] = true
 	sent := time.Now()
 	req.offered = true
 	a, err := g.send(req.ctx, req, e, platform.Send{})
@@ -122,9 +123,12 @@
 // noteBroken notes a connection that broke under a request, by no doing of its
 // client and not for lack of time.
 func (g *Gateway) noteBroken(req *request, e *catalog.Endpoint) {
-	if req.ctx.Err() == nil {
-		g.crashes.broke(time.Now(), req.content, e)
+	if req.ctx.Err() != nil {
+		return
 	}
+	g.crashes.broke(time.Now(), req.content, e)
+	// The endpoint may be known as gone already.
+	g.findCrashes(g.cfg.View())
 }
 
 // silentUnlessLeft tells a silent endpoint from a client that left.
@@ -144,7 +148,7 @@
 			load = a.Load.Running + a.Load.Waiting
 		}
 	}
-	g.balance.Ended(time.Now(), e.ID, o, took, load)
+	g.balance.Ended(time.Now(), e.Key(), o, took, load)
 	g.cfg.Metrics.sent(req.serviceName, o, took)
 	g.logSend(req, e, status, took, err)
 }
