Test of a stream whose endpoint's address is reused; fails

unexpected EOF: connections are closed by address, also those to an endpoint with another ID that finishes what it has. Its sister, an endpoint that is back under its ID after its entry had lapsed, passes.

--- a/gateway/incarnation_test.go
+++ b/gateway/incarnation_test.go
@@ -152,3 +152,54 @@
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
 	assert.Equal(t, len(e.Runs()), 3)
 }
+
+// A note breaks off at planned work: its engine left the list and finishes what
+// it has, while an endpoint with another ID is listed at the same address. Only
+// a start under the same ID says that the process before has ended.
+func TestStreamGoesOnWhenItsAddressIsReused(t *testing.T) {
+	r := newRig(t)
+	finish := make(chan struct{})
+	e := r.endpoint("model", "m-1", func(w http.ResponseWriter, _ standin.Run) {
+		standin.Seal(w)
+		standin.Events(w, 1, 2)
+		<-finish
+		standin.Events(w, 3, 6)
+	})
+	var got answered
+	var running sync.WaitGroup
+	running.Go(func() { got = r.do(r.request(http.MethodPost, "/stream/", "prompt")) })
+	testwait.For(t, patience, func() bool { return len(e.Runs()) == 1 })
+	r.mu.Lock()
+	addr := r.endpoints[0].Addr
+	r.mu.Unlock()
+	r.remove("m-1")
+	r.add("model", "m-2", addr)
+	r.restart("m-2", true)
+	close(finish)
+	running.Wait()
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, pieces(6))
+}
+
+// As with an endpoint that is back within its lease, after its entry had lapsed.
+func TestOrderAtEndedProcessThatLapsed(t *testing.T) {
+	r := newRig(t)
+	ended := make(chan struct{})
+	e := r.endpoint("plain", "p-1", func(http.ResponseWriter, standin.Run) { <-ended })
+	t.Cleanup(func() { close(ended) })
+	var got answered
+	var running sync.WaitGroup
+	began := time.Now()
+	running.Go(func() { got = r.do(r.request(http.MethodPost, "/once/", "order")) })
+	testwait.For(t, patience, func() bool { return len(e.Runs()) == 1 })
+	r.mu.Lock()
+	addr := r.endpoints[0].Addr
+	r.mu.Unlock()
+	r.remove("p-1")
+	r.add("plain", "p-1", addr)
+	r.restart("p-1", true)
+	running.Wait()
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusBadGateway)
+	assert.Assert(t, time.Since(began) < promptly)
+}
