Close only the connections to the process that was replaced

Cause: connections to a process that has ended were told by their address; an endpoint with another ID that is listed there says nothing of one that has left and finishes what it has. Change: a connection notes the endpoint that was listed at its address when it was opened; it is closed once another process serves under that ID and started after that.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "sort"
+import (
+	"iter"
+	"maps"
+	"sort"
+)
 
 // View is what a process knows of the deployment at one moment.
 type View struct {
@@ -42,23 +46,18 @@
 // that has started again under its ID is another one.
 func (v *View) Endpoint(key string) *Endpoint { return v.byKey[key] }
 
+// Present returns the process that serves under an ID, or nil if none is listed.
+func (v *View) Present(id string) *Endpoint { return v.byID[id] }
+
 // Replaced tells whether another process has taken the place of one: all that it
 // held is lost. A process that is only gone from the list may still run.
 func (v *View) Replaced(id string, incarnation Incarnation) bool {
-	e := v.byID[id]
+	e := v.Present(id)
 	return e != nil && e.Incarnation != incarnation
 }
 
-// Added lists the endpoints that the earlier view does not have.
-func (v *View) Added(earlier *View) []*Endpoint {
-	var added []*Endpoint
-	for key, e := range v.byKey {
-		if earlier.byKey[key] == nil {
-			added = append(added, e)
-		}
-	}
-	return added
-}
+// All yields the endpoints in no order.
+func (v *View) All() iter.Seq[*Endpoint] { return maps.Values(v.byKey) }
 
 // Len is the number of endpoints.
 func (v *View) Len() int { return len(v.byID) }
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -41,15 +41,18 @@
 
 	mu    sync.Mutex
 	conns map[*endpointConn]struct{}
-	view  *catalog.View
+	// listed is the endpoint at each address, as of the last view.
+	listed map[string]*catalog.Endpoint
 }
 
 // endpointConn is a connection to an endpoint.
 type endpointConn struct {
 	net.Conn
 	transport *Transport
-	addr      string
-	opened    time.Time
+	// endpoint was listed at the address when the connection was opened; nil if
+	// none was.
+	endpoint *catalog.Endpoint
+	opened   time.Time
 }
 
 // Close implements net.Conn.
@@ -60,34 +63,45 @@
 	return c.Conn.Close()
 }
 
-// dial opens a connection and notes when it was open.
+// outlived tells whether the process at the other end has ended: another one
+// serves under its ID and started after the connection was opened. A younger
+// connection leads to the new process already, although the old one was listed
+// when it was opened: most ends of a process are seen by its connections at
+// once, so the requests still under way are mostly on such. Another ID at the
+// same address says nothing: an endpoint that has left may finish what it has.
+func (c *endpointConn) outlived(view *catalog.View) bool {
+	if c.endpoint == nil || !view.Replaced(c.endpoint.ID, c.endpoint.Incarnation) {
+		return false
+	}
+	return c.opened.Before(view.Present(c.endpoint.ID).Incarnation.Time())
+}
+
+// dial opens a connection and notes when, and to whom.
 func (t *Transport) dial(ctx context.Context, network, addr string) (net.Conn, error) {
 	conn, err := endpointLimits.DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, err
 	}
-	c := &endpointConn{Conn: conn, transport: t, addr: addr, opened: time.Now()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	c := &endpointConn{Conn: conn, transport: t, endpoint: t.listed[addr], opened: time.Now()}
 	t.conns[c] = struct{}{}
 	return c, nil
 }
 
-// SetView ends the connections that were opened before the start of an endpoint
-// that has come to be listed at their address. Requests on them end as broken:
-// they may have run. Younger connections lead to the new process already; most
-// ends of a process are seen by its connections at once, so the requests still
-// under way at its address are mostly on those.
+// SetView takes the endpoints that are listed now and ends the connections to
+// processes that have ended. Requests on them end as broken: they may have run.
 func (t *Transport) SetView(view *catalog.View) {
-	t.mu.Lock()
-	added := view.Added(t.view)
-	t.view = view
+	listed := make(map[string]*catalog.Endpoint, view.Len())
+	for e := range view.All() {
+		listed[e.Addr] = e
+	}
 	var ended []*endpointConn
-	for _, e := range added {
-		for c := range t.conns {
-			if c.addr == e.Addr && c.opened.Before(e.Incarnation.Time()) {
-				ended = append(ended, c)
-			}
+	t.mu.Lock()
+	t.listed = listed
+	for c := range t.conns {
+		if c.outlived(view) {
+			ended = append(ended, c)
 		}
 	}
 	t.mu.Unlock()
@@ -99,7 +113,7 @@
 // NewTransport returns the transport to endpoints. It follows no proxy of the
 // environment and asks for no encoding, since answers are relayed as they are.
 func NewTransport() *Transport {
-	t := &Transport{conns: make(map[*endpointConn]struct{}), view: catalog.NewView(nil, nil, 0)}
+	t := &Transport{conns: make(map[*endpointConn]struct{})}
 	t.Transport = &http.Transport{
 		DialContext:            t.dial,
 		DisableCompression:     true,
