Soak: endpoints that crash and are back under their IDs

Within their lease, seen as refused or as silent connections, and after their entry has lapsed. Handles name the process that made them: an engine or a stage that gets one of an ended process says that the input is gone.

--- a/soak/book_test.go
+++ b/soak/book_test.go
@@ -28,6 +28,8 @@
 	faults []span
 	// served counts answers by kind.
 	served map[string]int
+	// restarts counts endpoints that started again under their IDs.
+	restarts int
 }
 
 type span struct{ from, to time.Time }
@@ -49,6 +51,13 @@
 	b.broken = append(b.broken, fmt.Sprintf(format, args...))
 }
 
+// restarted notes that an endpoint is back under its ID.
+func (b *book) restarted() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.restarts++
+}
+
 // fault notes that no bound on time holds until the end of d and a slack.
 func (b *book) fault(d time.Duration) {
 	now := time.Now()
--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -44,7 +44,7 @@
 	key      = "k1"
 )
 
-// endpoint is one server; it may be started anew under another ID.
+// endpoint is one server; it may be started anew, also under its ID.
 type endpoint struct {
 	service string
 	link    *harness.Link
@@ -55,6 +55,10 @@
 	reject  bool
 	leftAt  time.Time
 	started int
+	// born is the start of the present process in Unix milliseconds.
+	born int64
+	// down is set from a crash until the next process starts.
+	down bool
 }
 
 // gateway is one process.
@@ -162,19 +166,46 @@
 	r.register(e)
 }
 
-// register starts a new incarnation and lists it.
+// register starts a process under a new ID and lists it.
 func (r *rig) register(e *endpoint) {
 	e.mu.Lock()
-	e.started++
+	e.start()
 	e.id = fmt.Sprintf("i-%s-%s-%d", e.service, e.addr[strings.LastIndex(e.addr, ":")+1:], e.started)
 	e.leftAt = time.Time{}
 	e.mu.Unlock()
 	r.list(e, "ready")
 }
 
+// start begins a process that holds nothing of the one before.
+func (e *endpoint) start() {
+	e.started++
+	e.born = max(e.born+1, time.Now().UnixMilli())
+	e.down = false
+}
+
 func (r *rig) list(e *endpoint, state string) {
-	r.store.Put(platform.PrefixEndpoints+e.id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"z%d","slots":8,"state":%q}`, e.service, e.addr, len(e.addr)%2, state))
+	e.mu.Lock()
+	id, born := e.id, e.born
+	e.mu.Unlock()
+	r.store.List(id, standin.Entry{
+		Service: e.service, Addr: e.addr, Domain: fmt.Sprintf("z%d", len(e.addr)%2), Slots: 8, State: state, Born: born,
+	})
+}
+
+// gone tells whether one of the handles is of a process that has ended.
+func (r *rig) gone(handles []string) bool {
+	for _, h := range handles {
+		addr, name, _ := strings.Cut(h, "/")
+		for _, e := range r.endpoints {
+			e.mu.Lock()
+			ended := e.addr == addr && !strings.HasSuffix(name, "."+strconv.Itoa(e.started))
+			e.mu.Unlock()
+			if ended {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // handler is the endpoint's server, for whatever incarnation it is.
@@ -184,8 +215,17 @@
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		e.mu.Lock()
-		id, reject, leftAt := e.id, e.reject, e.leftAt
+		id, reject, leftAt, down := e.id, e.reject, e.leftAt, e.down
 		e.mu.Unlock()
+		if down {
+			standin.Break()
+		}
+		if inputs := req.Header.Get("Mangostage-Inputs"); inputs != "" && r.gone(strings.Split(inputs, ",")) {
+			w.Header().Set("Mangostage-Attempt-Id", req.Header.Get("Mangostage-Attempt-Id"))
+			w.Header().Set("Mangostage-Not-Executed", "1")
+			w.WriteHeader(http.StatusConflict)
+			return
+		}
 		inner := &standin.Endpoint{ID: id, Answer: func(w http.ResponseWriter, run standin.Run) {
 			r.book.ran(run, id, leftAt)
 			answer(w, run, e.service)
@@ -229,8 +269,11 @@
 func (r *rig) stageHandler(e *endpoint) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		e.mu.Lock()
-		id, addr := e.id, e.addr
+		id, addr, life, down := e.id, e.addr, e.started, e.down
 		e.mu.Unlock()
+		if down {
+			standin.Break()
+		}
 		if req.Header.Get("Mangostage-Expect-Instance") != id {
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
@@ -245,7 +288,11 @@
 		entries := make([]map[string]string, len(message.Entries))
 		for i, p := range message.Entries {
 			r.book.piece(p)
-			entries[i] = map[string]string{"handle": fmt.Sprintf("%s/%s.%d.%d", addr, p.ID, p.Phase, p.Segment)}
+			if r.gone(p.Inputs) {
+				entries[i] = map[string]string{"reason": "gone"}
+				continue
+			}
+			entries[i] = map[string]string{"handle": fmt.Sprintf("%s/%s.%d.%d.%d", addr, p.ID, p.Phase, p.Segment, life)}
 		}
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(map[string]any{"entries": entries})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/mangostage/mangostage/internal/harness"
+	"github.com/mangostage/mangostage/platform"
 )
 
 var (
@@ -89,7 +90,7 @@
 		}
 	}
 	sort.Strings(lines)
-	r.t.Logf("seed %d: %d answered with 200, %d broken promises; %v", seed, good, broken, lines)
+	r.t.Logf("seed %d: %d answered with 200, %d broken promises, %d endpoints back under their IDs; %v", seed, good, broken, r.book.restarts, lines)
 	if good == 0 {
 		r.t.Error("nothing was served")
 	}
@@ -162,6 +163,9 @@
 		func() { r.onLink(g.toStore, d, (*harness.Link).Cut) },
 		func() { r.onLink(g.toStore, d, func(l *harness.Link) { l.Drop() }) },
 		func() { r.refuse(e, d) },
+		func() { r.crash(e, d, (*harness.Link).Cut, false) },
+		func() { r.crash(e, d, func(l *harness.Link) { l.Drop() }, false) },
+		func() { r.crash(e, d, (*harness.Link).Cut, true) },
 		func() { r.onLink(g.toPeer, d, (*harness.Link).Cut) },
 		func() { r.onLink(g.toPeer, d, func(l *harness.Link) { l.Drop() }) },
 		func() { r.onLink(g.toPeer, d, func(l *harness.Link) { l.Drop(harness.Upstream) }) },
@@ -191,6 +195,33 @@
 	set(false)
 }
 
+// crash ends the process of an endpoint, as its callers see by harm to its link,
+// and starts the next under the same ID: within its lease, or after its entry
+// has lapsed.
+func (r *rig) crash(e *endpoint, d time.Duration, harm func(*harness.Link), lapses bool) {
+	e.mu.Lock()
+	if !e.leftAt.IsZero() || e.down {
+		e.mu.Unlock()
+		return
+	}
+	e.down = true
+	id := e.id
+	e.mu.Unlock()
+	r.book.fault(d)
+	harm(e.link)
+	wait(d / 2)
+	if lapses {
+		r.store.Remove(platform.PrefixEndpoints + id)
+	}
+	wait(d / 2)
+	e.mu.Lock()
+	e.start()
+	e.mu.Unlock()
+	e.link.Heal()
+	r.list(e, "ready")
+	r.book.restarted()
+}
+
 // take marks a gateway as busy with a fault; false if it is already.
 func (g *gateway) take() bool {
 	g.mu.Lock()
@@ -260,7 +291,7 @@
 // is removed, and starts again as another incarnation at the same address.
 func (r *rig) leave(e *endpoint) {
 	e.mu.Lock()
-	if !e.leftAt.IsZero() {
+	if !e.leftAt.IsZero() || e.down {
 		e.mu.Unlock()
 		return
 	}
