--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -79,7 +79,7 @@
 	var touched []*job
 	for i, placed := range cl.pieces {
 		s := placed.stage
-		if outcomes[i].Fault == FaultInputs && placed.remakes != s.job.remakes {
+		if outcomes[i].Fault == FaultInputs && cl.sentAt.Before(s.job.lostAt) {
 			// Its inputs were lost meanwhile and are made again.
 			c.wait(s, []int{placed.index})
 			continue
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -76,8 +76,8 @@
 	behind time.Duration
 	// weight is the job's size against the usual size on its route.
 	weight float64
-	// remakes counts how often results were lost and are made again.
-	remakes int
+	// lostAt is when results of the job were last lost, to be made again.
+	lostAt time.Time
 	// started is set when the first piece is sent.
 	started bool
 	// granted is when the engine was chosen.
--- a/dispatch/lose.go
+++ b/dispatch/lose.go
@@ -105,7 +105,7 @@
 
 // remake queues what is missing of a job, after what it reads.
 func (c *Core) remake(j *job, now time.Time) {
-	j.remakes++
+	j.lostAt = now
 	for j.reopen() {
 	}
 	for _, s := range j.stages {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -200,7 +200,7 @@
 		n = min(n, int(k.room/s.ResultBytes))
 	}
 	for _, index := range s.waiting[:n] {
-		k.taken = append(k.taken, placed{stage: s, index: index, remakes: s.job.remakes})
+		k.taken = append(k.taken, placed{stage: s, index: index})
 	}
 	s.waiting = s.waiting[n:]
 	k.pool.waiting -= n
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -58,8 +58,6 @@
 type placed struct {
 	stage *stage
 	index int
-	// remakes is that of the job when the call was made.
-	remakes int
 }
 
 func newWorker(e *catalog.Endpoint, spec *catalog.Batch) *worker {
