Test of inputs of an ended process: count calls without a data race

The handlers of a call and of results given up ran beside each other; the race detector saw it once in two runs of the package (TestInputsOfEndedProcessAreNotSent). Now only calls are counted, atomically. The check itself is as it was.

--- a/gateway/incarnation_test.go
+++ b/gateway/incarnation_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,16 +102,17 @@
 func TestInputsOfEndedProcessAreNotSent(t *testing.T) {
 	r := newRig(t)
 	stage := &standin.StageEndpoint{ID: "s-1", Addr: "s"}
-	calls := 0
+	var calls atomic.Int32
 	r.add("stage", "s-1", serve(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		call := int32(0)
 		if strings.HasSuffix(req.URL.Path, "stage-run") {
-			calls++
-			if calls == 2 {
-				r.tell()
-			}
+			call = calls.Add(1)
+		}
+		if call == 2 {
+			r.tell()
 		}
 		stage.ServeHTTP(w, req)
-		if calls == 1 {
+		if call == 1 {
 			r.restart("s-1", false)
 		}
 	})))
