--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -108,10 +108,10 @@
 func (g *Gateway) assemble() {
 	p := g.loaded.Platform
 	mux := peer.NewMux()
-	toStore, toStages, toEndpoints := storeTransport(), gateway.NewTransport(), gateway.NewTransport()
-	checkPause := func() { g.follower.CheckPause() }
+	toStore, toEndpoints := storeTransport(), gateway.NewTransport()
+	toEndpoints.Check = func() { g.follower.CheckPause() }
 	store := platform.NewStore(p.Store, &http.Client{Transport: toStore})
-	stages := platform.NewStages(&http.Client{Transport: gateway.Checked(toStages, checkPause)})
+	stages := platform.NewStages(&http.Client{Transport: toEndpoints})
 	g.scheduler = scheduler.New(stages, g.log)
 	g.fleet = fleet.New(fleet.Config{
 		Self:    fleet.Member{Name: p.Name, Addr: cmp.Or(g.own.Advertise, p.Peer), Domain: p.Domain, Cores: p.Cores},
@@ -124,9 +124,8 @@
 		OnDemoted: g.scheduler.HandOver,
 	})
 	g.follower = discovery.NewFollower(store, discovery.NewPeerRelay(g.fleet), p.Bounds.ConfigApply, g.log, g.viewChanged)
-	for _, t := range []*http.Transport{toStore, toStages, toEndpoints} {
-		g.follower.OnWake(t.CloseIdleConnections)
-	}
+	g.follower.OnWake(toStore.CloseIdleConnections)
+	g.follower.OnWake(toEndpoints.CloseIdleConnections)
 	discovery.ServePeers(mux, g.follower)
 	scheduler.Serve(mux, g.scheduler)
 	g.gateway = gateway.New(gateway.Config{
@@ -137,7 +136,7 @@
 		FleetSize:   g.fleet.Size,
 		OthersStay:  g.fleet.OthersStay,
 		Scheduler:   scheduler.NewClient(g.scheduler, g.fleet, g.log),
-		Transport:   gateway.Checked(toEndpoints, checkPause),
+		Transport:   toEndpoints,
 		Log:         g.log,
 		Metrics:     g.metrics,
 		TellCrashes: func(found []gateway.Crash) { g.fleet.Tell(methodCrashed, found) },
@@ -164,7 +163,7 @@
 	}
 }
 
-func storeTransport() *http.Transport {
+func storeTransport() *gateway.Transport {
 	t := gateway.NewTransport()
 	t.IdleConnTimeout = storeIdleTimeout
 	return t
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -4,6 +4,7 @@
 package discovery
 
 import (
+	"cmp"
 	"strings"
 	"time"
 
@@ -187,18 +188,25 @@
 		return
 	}
 	endpoint, err := platform.DecodeEndpoint(item)
-	switch {
-	case err != nil:
+	if err != nil {
 		s.spoil(now, id, &entry{item: item.Refused(err)})
 		s.fault(item, err)
-	case s.named[endpoint.Service]:
-		s.list(id, &entry{item: item, endpoint: endpoint})
-	default:
-		s.spoil(now, id, &entry{item: item, unnamed: endpoint})
-		if s.index != nil {
-			s.fault(item, unnamedService(endpoint))
+		return
+	}
+	if known != nil && known.goneAt.IsZero() && known.endpoint != nil {
+		endpoint.Incarnation = cmp.Or(endpoint.Incarnation, known.endpoint.Incarnation)
+		if outdated(endpoint, known.endpoint) {
+			return
 		}
 	}
+	if s.named[endpoint.Service] {
+		s.list(id, &entry{item: item, endpoint: endpoint})
+		return
+	}
+	s.spoil(now, id, &entry{item: item, unnamed: endpoint})
+	if s.index != nil {
+		s.fault(item, unnamedService(endpoint))
+	}
 }
 
 // list makes the entry's endpoint one to use.
@@ -236,6 +244,16 @@
 	s.ending[id] = e
 }
 
+// outdated tells whether an entry is of an earlier process than the one that is
+// listed under its ID, although it was written later.
+//
+// The failure that it guards against: the store does a write of a process that
+// has ended only after the entry of the next one is written, and requests are
+// sent, with what the new process never held, as to the old one. Only while the
+// newer one is listed: an endpoint whose clock was set back can return after a
+// removal.
+func outdated(next, listed *catalog.Endpoint) bool { return next.Incarnation < listed.Incarnation }
+
 // remove notes that an endpoint is no longer listed.
 func (s *State) remove(now time.Time, id string, item platform.Item) {
 	known := s.entries[id]
