One operator's page: OPERATING and OPERATIONS are OPERATIONS

Cause: two pages for operators, one for entry and agents, one for the gateway, and nothing that said which is for whom; the gateway's settings stood in neither. Ruled out: one table of events or settings for both. The processes share hardly a name, and a table of both would let an event of one pass for the other's. Change: docs/OPERATIONS.md in two parts with a table of contents by task; the intro and the list of contents that stood twice are gone, everything else is moved as it was. New: a section on running a gateway (check, settings, SIGTERM, SIGHUP). Tests: those that read the pages now read the part of the page that is theirs, so that a name in the other part does not count; they check what they checked before.

--- a/daemon/page_test.go
+++ b/daemon/page_test.go
@@ -10,13 +10,24 @@
 	"gotest.tools/v3/assert"
 )
 
-const operatingPage = "../docs/OPERATING.md"
+const operationsPage = "../docs/OPERATIONS.md"
 
-func readPage(t *testing.T) string {
+// Parts of the page. What one of them names does not count for the other.
+const (
+	gatewayPart = "\n## The gateway\n"
+	agentsPart  = "\n## Entry and agents\n"
+)
+
+// readParts returns what the page says of gateways, and of entries and agents.
+func readParts(t *testing.T) (gateways, agents string) {
 	t.Helper()
-	page, err := os.ReadFile(operatingPage)
+	page, err := os.ReadFile(operationsPage)
 	assert.NilError(t, err)
-	return string(page)
+	_, both, ok := strings.Cut(string(page), gatewayPart)
+	assert.Assert(t, ok, "%s lacks %q", operationsPage, gatewayPart)
+	gateways, agents, ok = strings.Cut(both, agentsPart)
+	assert.Assert(t, ok, "%s lacks %q", operationsPage, agentsPart)
+	return gateways, agents
 }
 
 // source is the text of a package's files without its tests.
@@ -49,7 +60,8 @@
 
 func TestPageListsEveryEvent(t *testing.T) {
 	onPage := make(map[string]bool)
-	for _, m := range pageEvents.FindAllStringSubmatch(readPage(t), -1) {
+	_, page := readParts(t)
+	for _, m := range pageEvents.FindAllStringSubmatch(page, -1) {
 		for _, name := range word.FindAllStringSubmatch(m[1], -1) {
 			onPage[name[1]] = true
 		}
@@ -72,10 +84,9 @@
 // The page that leads from a request's ID to its cause names each event that a
 // gateway writes.
 func TestOperationsPageListsEveryEvent(t *testing.T) {
-	page, err := os.ReadFile("../docs/OPERATIONS.md")
-	assert.NilError(t, err)
+	page, _ := readParts(t)
 	onPage := make(map[string]bool)
-	for line := range strings.Lines(string(page)) {
+	for line := range strings.Lines(page) {
 		cell, ok := strings.CutPrefix(line, "| `")
 		if !ok {
 			continue
@@ -106,12 +117,12 @@
 }
 
 func TestPageNamesReasonsAndDecisions(t *testing.T) {
-	page := readPage(t)
+	_, page := readParts(t)
 	names := namesIn(source(t, "api"), "Reason")
 	assert.Assert(t, len(names) > 0)
 	decisions := namesIn(source(t, "agent"), "Verdict")
 	assert.Assert(t, len(decisions) > 0)
 	for _, name := range append(names, decisions...) {
-		assert.Assert(t, strings.Contains(page, "`"+name+"`"), "%s lacks %q", operatingPage, name)
+		assert.Assert(t, strings.Contains(page, "`"+name+"`"), "%s lacks %q", operationsPage, name)
 	}
 }
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -104,7 +104,7 @@
 func TestPageNamesEveryMetric(t *testing.T) {
 	f := startFleet(t)
 	assert.Equal(t, f.send(someInput), http.StatusOK)
-	page := readPage(t)
+	_, page := readParts(t)
 	for _, debug := range []net.Addr{f.entry.DebugAddr(), f.agent.DebugAddr()} {
 		for name, value := range f.vars(debug) {
 			parts := make(map[string]json.RawMessage)
--- a/settings/page_test.go
+++ b/settings/page_test.go
@@ -10,14 +10,14 @@
 	"gotest.tools/v3/assert"
 )
 
-// row is one line of a settings table in docs/OPERATING.md.
+// row is one line of a settings table in docs/OPERATIONS.md.
 type row struct{ env, value string }
 
 var settingRow = regexp.MustCompile("(?m)^\\| `(--[a-z-]+)` \\| `([A-Z_]+)` \\| ([^|]+) \\| [^|]+ \\|$")
 
 func documented(t *testing.T) map[string]row {
 	t.Helper()
-	page, err := os.ReadFile("../docs/OPERATING.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	rows := make(map[string]row)
 	for _, m := range settingRow.FindAllStringSubmatch(string(page), -1) {
