mangostage gateway load: runs of gateways beside stand-ins

Ruled out: a package of its own beside load. Schedules, sums, tables and plots would have been written twice or exported for one user. Plots take any kind of second; reading a gateway's metrics moved to internal/metrics, which status and load share.

--- a/cmd/mangostage/gateway_status.go
+++ b/cmd/mangostage/gateway_status.go
@@ -2,28 +2,19 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"maps"
-	"net/http"
 	"slices"
 	"strings"
 	"text/tabwriter"
-	"time"
 
-	"github.com/mangostage/mangostage/balance"
 	"github.com/mangostage/mangostage/dispatch"
-	"github.com/mangostage/mangostage/fleet"
-	"github.com/mangostage/mangostage/gateway"
+	"github.com/mangostage/mangostage/internal/metrics"
 )
 
 const (
-	// metricsTimeout bounds one look at a gateway, which answers in milliseconds.
-	metricsTimeout = 2 * time.Second
-	// metricsMax bounds the metrics of one gateway in bytes.
-	metricsMax = 16 << 20
 	// failing is the failure rate from which an endpoint is called so.
 	failing = 0.2
 	// slowSpeed is the factor of the nominal time from which one is called slow.
@@ -38,30 +29,17 @@
 
 // gatewayView is what one gateway says of itself.
 type gatewayView struct {
-	Gateway string `json:"gateway"`
+	Address string `json:"gateway"`
 	Error   string `json:"error,omitempty"`
-	gatewayMetrics
-}
-
-// gatewayMetrics are the metrics that the status shows.
-type gatewayMetrics struct {
-	Ownership    fleet.Ownership              `json:"ownership"`
-	FleetSize    int                          `json:"fleet_size"`
-	StoreAt      uint64                       `json:"store_at"`
-	StoreHealthy bool                         `json:"store_healthy"`
-	Answers      map[string]int64             `json:"answers"`
-	Latency      map[string]gateway.Quantiles `json:"latency_ms"`
-	Queues       dispatch.Stats               `json:"queues"`
-	Endpoints    []balance.Stats              `json:"endpoints"`
-	LinesDropped uint64                       `json:"log_lines_dropped"`
+	metrics.Gateway
 }
 
 func (c *gatewayStatus) run(ctx context.Context, out, _ io.Writer) error {
 	views := make([]gatewayView, len(c.Gateways))
 	var failed []error
 	for i, addr := range c.Gateways {
-		views[i].Gateway = addr
-		if err := readMetrics(ctx, addr, &views[i].gatewayMetrics); err != nil {
+		views[i].Address = addr
+		if err := metrics.Read(ctx, addr, &views[i].Gateway); err != nil {
 			views[i].Error = err.Error()
 			failed = append(failed, err)
 		}
@@ -80,30 +58,9 @@
 	return nil
 }
 
-func readMetrics(ctx context.Context, addr string, into *gatewayMetrics) error {
-	ctx, cancel := context.WithTimeout(ctx, metricsTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/metrics", nil)
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: status %d", addr, resp.StatusCode)
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, metricsMax)).Decode(into); err != nil {
-		return fmt.Errorf("%s: %w", addr, err)
-	}
-	return nil
-}
-
 func printGateway(out io.Writer, v *gatewayView) error {
 	if v.Error != "" {
-		_, err := fmt.Fprintf(out, "%s: no answer: %s\n", v.Gateway, v.Error)
+		_, err := fmt.Fprintf(out, "%s: no answer: %s\n", v.Address, v.Error)
 		return err
 	}
 	owner := v.Ownership.Owner
@@ -111,7 +68,7 @@
 		owner = "this process"
 	}
 	_, _ = fmt.Fprintf(out, "%s: %d gateways live, queue owned by %s (term %d), store at %d, healthy %t, log lines dropped %d\n",
-		v.Gateway, v.FleetSize, owner, v.Ownership.Term, v.StoreAt, v.StoreHealthy, v.LinesDropped)
+		v.Address, v.FleetSize, owner, v.Ownership.Term, v.StoreAt, v.StoreHealthy, v.LinesDropped)
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	if v.Ownership.Self {
 		printQueues(table, &v.Queues)
--- a/cmd/mangostage/gateway_test.go
+++ b/cmd/mangostage/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"image/png"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
 
+	"github.com/mangostage/mangostage/load"
 	"github.com/mangostage/mangostage/reqlog"
 )
 
@@ -74,3 +76,49 @@
 	}
 	assert.Equal(t, runCommand("gateway", "status", "127.0.0.1:1").code, exitUsage)
 }
+
+func TestGatewayLoadRefusesWhatItCannotRun(t *testing.T) {
+	tests := map[string][]string{
+		"known: calm, burst, slow-endpoint, endpoint-crash, stops": {"--scenario", "gale"},
+		"21 gateways are not from 1 to 20":                         {"--gateways", "21"},
+		"a run of 0s is not from 1s":                               {"--seconds", "0"},
+		"a rate of 501":                                            {"--rate", "501"},
+		"does not end in .png":                                     {"--plot", "x.jpg"},
+		"--log-level":                                              {"--log-level", "loud"},
+		"unknown output format":                                    {"--output", "xml"},
+	}
+	for want, args := range tests {
+		done := runCommand(append([]string{"gateway", "load"}, args...)...)
+		assert.Equal(t, done.code, exitUsage, "%v", args)
+		assert.Assert(t, cmp.Contains(done.errOut, want))
+		assert.Equal(t, done.out, "")
+	}
+	help := runCommand("gateway", "load", "--help")
+	assert.Equal(t, help.code, exitOK)
+	for _, s := range load.EdgeScenarios() {
+		assert.Assert(t, cmp.Contains(help.out, s.Name))
+	}
+}
+
+func TestGatewayLoad(t *testing.T) {
+	picture := filepath.Join(t.TempDir(), "run.png")
+	done := runCommand("gateway", "load", "--seconds", "1", "--rate", "20", "--gateways", "2", "--seed", "5",
+		"--compare", "--output", "json", "--plot", picture)
+	assert.Equal(t, done.code, exitOK, done.errOut)
+	assert.Equal(t, done.errOut, "seed 5\n")
+	var results gatewayLoadResults
+	assert.NilError(t, json.Unmarshal([]byte(done.out), &results))
+	assert.Assert(t, results.Report == nil && results.Comparison != nil)
+	for _, r := range []*load.EdgeReport{results.Comparison.Report, results.Comparison.Baseline} {
+		g := r.Total
+		assert.Assert(t, g.Sent > 0)
+		assert.Equal(t, g.InTime+g.Late+g.Refused+g.CutShort+g.Unknown+g.Failed+g.Wrong, g.Sent)
+	}
+	assert.Equal(t, results.Comparison.Report.Total.Sent, results.Comparison.Baseline.Total.Sent)
+	assert.Equal(t, results.Comparison.Baseline.System, load.EdgeNaive)
+	file, err := os.Open(picture)
+	assert.NilError(t, err)
+	_, err = png.Decode(file)
+	assert.NilError(t, err)
+	assert.NilError(t, file.Close())
+}
--- a/cmd/mangostage/help.go
+++ b/cmd/mangostage/help.go
@@ -117,6 +117,14 @@
 			"cat *.log | mangostage gateway explain --output json REQUEST",
 		},
 	},
+	"gateway load": {
+		examples: []string{
+			"mangostage gateway load --seconds 10 --seed 7",
+			"mangostage gateway load --scenario burst --compare --plot burst.png",
+			"mangostage gateway load --scenario stops --seconds 30 --output json",
+		},
+		failed: "an answer was incomplete or another request's",
+	},
 	"gateway status": {
 		examples: []string{
 			"mangostage gateway status 10.1.0.41:9464 10.2.0.25:9464",
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,58 @@
+// Package metrics reads what gateways say of themselves under /metrics.
+package metrics
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/mangostage/mangostage/balance"
+	"github.com/mangostage/mangostage/dispatch"
+	"github.com/mangostage/mangostage/fleet"
+	"github.com/mangostage/mangostage/gateway"
+)
+
+const (
+	// timeout bounds one look at a gateway, which answers in milliseconds.
+	timeout = 2 * time.Second
+	// maxBytes bounds the metrics of one gateway.
+	maxBytes = 16 << 20
+)
+
+// Gateway is what one gateway says of itself.
+type Gateway struct {
+	Ownership    fleet.Ownership              `json:"ownership"`
+	FleetSize    int                          `json:"fleet_size"`
+	StoreAt      uint64                       `json:"store_at"`
+	StoreHealthy bool                         `json:"store_healthy"`
+	Answers      map[string]int64             `json:"answers"`
+	Latency      map[string]gateway.Quantiles `json:"latency_ms"`
+	Queues       dispatch.Stats               `json:"queues"`
+	Endpoints    []balance.Stats              `json:"endpoints"`
+	LinesDropped uint64                       `json:"log_lines_dropped"`
+}
+
+// Read asks the gateway whose metrics are at addr, "host:port".
+func Read(ctx context.Context, addr string, into *Gateway) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/metrics", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", addr, resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBytes)).Decode(into); err != nil {
+		return fmt.Errorf("%s: %w", addr, err)
+	}
+	return nil
+}
--- a/load/compare.go
+++ b/load/compare.go
@@ -37,11 +37,15 @@
 }
 
 func (c *Comparison) add(name string, value, baseline float64) {
+	c.Ratios = append(c.Ratios, ratioOf(name, value, baseline))
+}
+
+func ratioOf(name string, value, baseline float64) Ratio {
 	r := Ratio{Name: name, Value: value, Baseline: baseline}
 	if baseline != 0 {
 		r.Ratio = new(value / baseline)
 	}
-	c.Ratios = append(c.Ratios, r)
+	return r
 }
 
 func (c *Comparison) addTime(name string, value, baseline time.Duration) {
--- a/load/drive.go
+++ b/load/drive.go
@@ -15,10 +15,15 @@
 	Sent, Ended, Answered, InFlight int
 }
 
+// sender sends the n-th arrival and returns what became of it.
+type sender interface {
+	send(ctx context.Context, a *Arrival, n int, due time.Time) Sample
+}
+
 // driver sends a schedule, open loop: each request goes out when it is due,
 // however many are still under way.
 type driver struct {
-	target   *target
+	target   sender
 	arrivals []Arrival
 	samples  []Sample
 	sent     atomic.Int64
--- a/load/load.go
+++ b/load/load.go
@@ -74,9 +74,12 @@
 	FirstToken time.Duration
 	// TokenGaps are the times between streamed tokens.
 	TokenGaps []time.Duration
+	// Missed answers came within the deadline and missed a tighter objective.
+	Missed bool
 }
 
-// InTime tells whether the request was answered completely within its deadline.
+// InTime tells whether the request was answered completely within its deadline
+// and its objective.
 func (s *Sample) InTime() bool {
-	return s.Outcome == api.OutcomeAnswered && s.Wrong == "" && s.Latency <= s.Deadline
+	return s.Outcome == api.OutcomeAnswered && s.Wrong == "" && s.Latency <= s.Deadline && !s.Missed
 }
--- a/load/plot.go
+++ b/load/plot.go
@@ -17,7 +17,7 @@
 // Sizes of a picture; those without a unit are in points.
 const (
 	plotWidth   = 10 * vg.Inch
-	plotHeight  = 7 * vg.Inch
+	panelHeight = 3.5 * vg.Inch
 	legendWidth = 2 * vg.Inch
 	plotMargin  = vg.Length(10)
 	plotPadding = vg.Length(14)
@@ -79,9 +79,14 @@
 	}
 	r := runs[0].report
 	attainment.plot.Title.Text = fmt.Sprintf("%s, %s, seed %d", r.Deployment, r.Scenario, r.Seed)
-	canvas := vgimg.New(plotWidth, plotHeight)
-	drawPanels(draw.New(canvas), attainment, latency)
-	_, err = vgimg.PngCanvas{Canvas: canvas}.WriteTo(out)
+	return writePanels(out, panelHeight, attainment, latency)
+}
+
+// writePanels writes a PNG of panels below each other.
+func writePanels(out io.Writer, height vg.Length, panels ...*panel) error {
+	canvas := vgimg.New(plotWidth, height*vg.Length(len(panels)))
+	drawPanels(draw.New(canvas), panels...)
+	_, err := vgimg.PngCanvas{Canvas: canvas}.WriteTo(out)
 	return err
 }
 
@@ -106,10 +111,10 @@
 }
 
 func attainmentPanel(runs []plotted) (*panel, error) {
-	p := newPanel("Attainment (% of requests)")
+	p := newPanel(timeDue, "Attainment (% of requests)")
 	p.plot.Y.Max = percent
 	for _, run := range runs {
-		if err := p.add(run.name, run.style, run.report.Timeline, attainmentOf); err != nil {
+		if err := addLine(p, run.name, run.style, run.report.Timeline, attainmentOf); err != nil {
 			return nil, err
 		}
 	}
@@ -118,14 +123,14 @@
 }
 
 func latencyPanel(runs []plotted) (*panel, error) {
-	p := newPanel("Latency of answers (ms)")
+	p := newPanel(timeDue, "Latency of answers (ms)")
 	for _, run := range runs {
-		if err := p.add(run.name+" p50", run.style, run.report.Timeline, medianOf); err != nil {
+		if err := addLine(p, run.name+" p50", run.style, run.report.Timeline, medianOf); err != nil {
 			return nil, err
 		}
 		style := run.style
 		style.Dashes = p95Dashes
-		if err := p.add(run.name+" p95", style, run.report.Timeline, p95Of); err != nil {
+		if err := addLine(p, run.name+" p95", style, run.report.Timeline, p95Of); err != nil {
 			return nil, err
 		}
 	}
@@ -133,9 +138,7 @@
 	return p, nil
 }
 
-// figure is one second's value; ok is false if nothing was measured.
-type figure func(s *Second) (value float64, ok bool)
-
+// attainmentOf is a figure: one second's value; false if nothing was measured.
 func attainmentOf(s *Second) (float64, bool) {
 	return percent * share(float64(s.InTime), float64(s.Sent)), s.Sent > 0
 }
@@ -144,10 +147,13 @@
 
 func p95Of(s *Second) (float64, bool) { return milliseconds(s.Latency.P95), s.Latency.Count > 0 }
 
+// timeDue labels the axis of figures that count requests by when they were due.
+const timeDue = "Time when requests were due, after the warm-up (s)"
+
 // newPanel makes an empty diagram over the seconds of a run.
-func newPanel(unit string) *panel {
+func newPanel(axis, unit string) *panel {
 	p := &panel{plot: plot.New(), legend: plot.NewLegend()}
-	p.plot.X.Label.Text = "Time when requests were due, after the warm-up (s)"
+	p.plot.X.Label.Text = axis
 	p.plot.Y.Label.Text = unit
 	p.plot.X.Min, p.plot.Y.Min = 0, 0
 	p.plot.X.Tick.Marker, p.plot.Y.Tick.Marker = plot.TickerFunc(roundTicks), plot.TickerFunc(roundTicks)
@@ -166,8 +172,8 @@
 	}
 }
 
-// add draws a figure as a line that is interrupted where nothing was measured.
-func (p *panel) add(name string, style draw.LineStyle, seconds []Second, value figure) error {
+// addLine draws a figure as a line that is interrupted where nothing was measured.
+func addLine[S any](p *panel, name string, style draw.LineStyle, seconds []S, value func(*S) (float64, bool)) error {
 	glyph := draw.GlyphStyle{Color: style.Color, Radius: style.Width/2 + glyphRim, Shape: draw.CircleGlyph{}}
 	for _, points := range unbroken(seconds, value) {
 		line, glyphs, err := plotter.NewLinePoints(points)
@@ -187,7 +193,7 @@
 
 // unbroken splits a timeline where nothing was measured. A second's point lies
 // in its middle.
-func unbroken(seconds []Second, value figure) []plotter.XYs {
+func unbroken[S any](seconds []S, value func(*S) (float64, bool)) []plotter.XYs {
 	const middle = 0.5
 	var lines []plotter.XYs
 	broken := true
--- a/load/table.go
+++ b/load/table.go
@@ -40,14 +40,7 @@
 		}
 	}
 	t := newTable(out)
-	t.line("%-*s\t%s\t%s\tratio\t", nameWidth, c.Report.Scenario, c.Report.Policy, c.Baseline.Policy)
-	for _, r := range c.Ratios {
-		ratio := "-"
-		if r.Ratio != nil {
-			ratio = fmt.Sprintf("%.3f", *r.Ratio)
-		}
-		t.line("%-*s\t%.4g\t%.4g\t%s\t", nameWidth, r.Name, r.Value, r.Baseline, ratio)
-	}
+	t.ratios(c.Report.Scenario, string(c.Report.Policy), string(c.Baseline.Policy), c.Ratios)
 	return t.w.Flush()
 }
 
@@ -63,6 +56,17 @@
 	_, _ = fmt.Fprintf(t.w, format+"\n", args...)
 }
 
+func (t table) ratios(scenario, name, baseline string, ratios []Ratio) {
+	t.line("%-*s\t%s\t%s\tratio\t", nameWidth, scenario, name, baseline)
+	for _, r := range ratios {
+		ratio := "-"
+		if r.Ratio != nil {
+			ratio = fmt.Sprintf("%.3f", *r.Ratio)
+		}
+		t.line("%-*s\t%.4g\t%.4g\t%s\t", nameWidth, r.Name, r.Value, r.Baseline, ratio)
+	}
+}
+
 func (t table) groups(r *Report) {
 	t.line("\tsent\tin time\tattained\tlate\trefused\tcut short\tunknown\tfailed\twrong\tp50\tp95\tp99\t")
 	t.group(r.Total)
@@ -88,6 +92,13 @@
 }
 
 func (t table) details(r *Report) {
+	t.outcomes(r)
+	t.integrity(r)
+	t.line("")
+}
+
+// outcomes tells why requests were not answered, and how streams went.
+func (t table) outcomes(r *Report) {
 	for _, reason := range r.Reasons {
 		t.line("%s, %s: %d%s", reason.Outcome, reason.Reason, reason.Count, bracketed(reason.Detail))
 	}
@@ -95,6 +106,9 @@
 	t.line("first token: p50 %s, p95 %s, p99 %s (%d streams)", short(r.FirstToken.P50), short(r.FirstToken.P95),
 		short(r.FirstToken.P99), r.FirstToken.Count)
 	t.line("between tokens: p50 %s, p95 %s, p99 %s", short(r.TokenGap.P50), short(r.TokenGap.P95), short(r.TokenGap.P99))
+}
+
+func (t table) integrity(r *Report) {
 	i := r.Integrity
 	t.line("wrong answers: %d; unrepeatable stages run twice: %d; refused though a stage ran: %d%s", i.Wrong, i.Doubled,
 		i.RefusedButRan, unchecked(i))
@@ -104,7 +118,6 @@
 	if r.Crashes > 0 {
 		t.line("endpoint crashes: %d", r.Crashes)
 	}
-	t.line("")
 }
 
 // bracketed puts brackets around a text, if there is one.
