A removal is no lapse if the store has answered others all along

Cause: a process that had trouble with the store for reasons of its own (a full link) took the removal of an endpoint that had left for a lapse, and sent it pieces for 1.5 s more. Ruled out: the store (it had answered 22 of 24 members), an old list (revision 128 was known). Change: heartbeats say whether the store has answered the sender for 5 s; with such a member the grace for lapses does not apply. Without one, as when the store is away for all, it does.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -121,7 +121,8 @@
 		Log:     g.log,
 		StoreAt: func() uint64 { return g.follower.At() },
 
-		OnDemoted: g.scheduler.HandOver,
+		StoreSteady: func() bool { return g.follower.Steady() },
+		OnDemoted:   g.scheduler.HandOver,
 	})
 	g.follower = discovery.NewFollower(store, discovery.NewPeerRelay(g.fleet), p.Bounds.ConfigApply, g.log, g.viewChanged)
 	g.follower.OnWake(toStore.CloseIdleConnections)
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -57,6 +57,8 @@
 	// Follow waits for changes at a peer that reads the store for the fleet;
 	// ok is false if this process has to read the store itself.
 	Follow(ctx context.Context, after uint64, wait time.Duration) (items []platform.Item, at uint64, ok bool)
+	// OthersSteady tells whether the store has answered a peer all along.
+	OthersSteady() bool
 }
 
 // Follower keeps a State up to date from the store.
@@ -161,6 +163,15 @@
 	return f.Healthy() && age < f.wait+freshSlack
 }
 
+// Steady tells whether the store, or a member that reads it, has answered this
+// process for some seconds.
+func (f *Follower) Steady() bool {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.began) >= troubleSpan && f.state.Steady(now)
+}
+
 // At is the store's revision that this process knows.
 func (f *Follower) At() uint64 {
 	f.mu.Lock()
@@ -397,8 +408,12 @@
 // update changes the state and publishes the view if it is another.
 func (f *Follower) update(change func(time.Time, *State)) {
 	now := time.Now()
+	served := f.relay != nil && f.relay.OthersSteady()
 	f.mu.Lock()
 	before := f.state.At()
+	if served {
+		f.state.ServedOthers()
+	}
 	change(now, f.state)
 	faults := f.state.TakeFaults()
 	if f.state.At() != before {
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -136,8 +136,12 @@
 type relay struct {
 	items []platform.Item
 	at    uint64
+	// steady says that the store has answered the peer all along.
+	steady bool
 }
 
+func (r relay) OthersSteady() bool { return r.steady }
+
 func (r relay) Newer(context.Context, uint64) ([]platform.Item, uint64) { return r.items, r.at }
 
 func (r relay) Follow(context.Context, uint64, time.Duration) ([]platform.Item, uint64, bool) {
@@ -159,6 +163,40 @@
 	assert.Assert(t, !f.Healthy())
 }
 
+// Orders still go to an endpoint that has left, from one gateway only: its link
+// was full for seconds, it did not hear the store, and when it is back it takes
+// the removal for the lapse of an endpoint that lives. A peer that the store
+// has answered all along shows that nothing has lapsed. Without such a peer the
+// endpoint is kept for a while, since it may be the store that was away.
+func TestOwnTroubleIsNoLapse(t *testing.T) {
+	for _, steady := range []bool{true, false} {
+		t.Run(fmt.Sprintf("peers steady %v", steady), func(t *testing.T) {
+			store := standin.NewStore()
+			putConfig(store, 1)
+			putEndpoint(store, "a")
+			_, views := follow(t, store, relay{steady: steady})
+			await(t, views, func(v *catalog.View) bool { return v.Endpoint("a") != nil })
+			away := make(chan struct{})
+			var calls atomic.Int64
+			store.Before(func(string) bool {
+				select {
+				case <-away:
+					return true
+				default:
+					calls.Add(1)
+					return false
+				}
+			})
+			testwait.For(t, patience, func() bool { return calls.Load() > 1 })
+			store.Remove(platform.PrefixEndpoints + "a")
+			putEndpoint(store, "b")
+			close(away)
+			v := await(t, views, func(v *catalog.View) bool { return v.Endpoint("b") != nil })
+			assert.Equal(t, v.Endpoint("a") == nil, steady)
+		})
+	}
+}
+
 // A malformed item is left out and does not keep the others from being known.
 func TestMalformedItem(t *testing.T) {
 	store := standin.NewStore()
@@ -175,6 +213,8 @@
 	lost     *atomic.Bool
 }
 
+func (r reader) OthersSteady() bool { return false }
+
 func (r reader) Newer(context.Context, uint64) ([]platform.Item, uint64) { return nil, 0 }
 
 func (r reader) Follow(ctx context.Context, after uint64, wait time.Duration) ([]platform.Item, uint64, bool) {
--- a/discovery/foreign_test.go
+++ b/discovery/foreign_test.go
@@ -29,7 +29,9 @@
 // readingPeer is the fleet as a member sees it that follows one reader.
 type readingPeer struct{ conn *peer.Conn }
 
-func (p readingPeer) Ahead(uint64) *peer.Conn       { return p.conn }
+func (p readingPeer) Ahead(uint64) *peer.Conn { return p.conn }
+func (readingPeer) OthersSteady() bool        { return false }
+
 func (p readingPeer) Readers() ([]*peer.Conn, bool) { return []*peer.Conn{p.conn}, false }
 
 // selfReader is the fleet as a member sees it that reads the store itself.
@@ -41,6 +43,8 @@
 	}
 	return p.conn
 }
+func (selfReader) OthersSteady() bool { return false }
+
 func (p selfReader) Readers() ([]*peer.Conn, bool) { return nil, true }
 
 // connect returns a connection to a process that serves the follower's knowledge.
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -43,6 +43,8 @@
 	// Readers returns the peers that read the store for the fleet; self is
 	// true if this process has to read it.
 	Readers() (conns []*peer.Conn, self bool)
+	// OthersSteady tells whether the store has answered a peer all along.
+	OthersSteady() bool
 }
 
 // PeerRelay reads from peers.
@@ -53,6 +55,9 @@
 // NewPeerRelay returns a Relay over the peers.
 func NewPeerRelay(peers Peers) *PeerRelay { return &PeerRelay{peers: peers} }
 
+// OthersSteady implements Relay.
+func (r *PeerRelay) OthersSteady() bool { return r.peers.OthersSteady() }
+
 // Newer implements Relay.
 func (r *PeerRelay) Newer(ctx context.Context, after uint64) ([]platform.Item, uint64) {
 	conn := r.peers.Ahead(after)
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -88,6 +88,18 @@
 // Trouble notes that the store did not answer as it should.
 func (s *State) Trouble(now time.Time) { s.trouble = now }
 
+// Steady tells whether there was no trouble with the store for some seconds.
+func (s *State) Steady(now time.Time) bool { return s.at > 0 && now.Sub(s.trouble) >= troubleSpan }
+
+// ServedOthers notes that the store has answered others all along, so that the
+// trouble is this process's own: no entry has lapsed, a removal is meant.
+//
+// The failure that it guards against: a VM whose link is full for seconds hears
+// neither the store nor its peers. When it is back it takes the removal of an
+// endpoint that has left for a lapse, and sends it work after all others have
+// ceased to, and when it may be gone.
+func (s *State) ServedOthers() { s.trouble = time.Time{} }
+
 // LacksConfig tells whether the process has no configuration while something
 // that is none stands in the store under its key.
 func (s *State) LacksConfig() bool { return s.index == nil && s.refused.Revision > 0 }
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -14,6 +14,8 @@
 	Peers []string `json:"peers,omitempty"`
 	// StoreAt is the store's revision that From knows.
 	StoreAt uint64 `json:"store_at,omitempty"`
+	// Steady says that the store has answered From all along, for some seconds.
+	Steady bool `json:"steady,omitempty"`
 	// Hears is the number of members that From hears itself, From included.
 	Hears int `json:"hears,omitempty"`
 	// Hubs are the members that From ranks first, in a fleet that is no full mesh.
@@ -44,7 +46,7 @@
 
 // beat names some members, and the hubs if the fleet is no full mesh.
 func (c *Core) beat(now time.Time, storeAt uint64, named int, hubs bool) Beat {
-	b := Beat{From: c.self, Leaving: c.leaving, Claim: c.claim, StoreAt: storeAt, Hears: c.heardSize(now)}
+	b := Beat{From: c.self, Leaving: c.leaving, Claim: c.claim, StoreAt: storeAt, Steady: c.steady, Hears: c.heardSize(now)}
 	if named > 0 {
 		b.Peers = c.liveAddrs(now)
 	}
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -71,6 +71,8 @@
 	Member
 	heard   time.Time
 	leaving bool
+	// steady is what the member last said of its store, see Beat.
+	steady  bool
 	storeAt uint64
 	// hears is the number of members that it hears itself.
 	hears int
@@ -104,6 +106,8 @@
 	// owned is when this process last owned the queue.
 	owned   time.Time
 	leaving bool
+	// steady says that the store has answered this process for some seconds.
+	steady bool
 }
 
 // NewCore returns the core of self; seeds are addresses to try first.
@@ -132,7 +136,7 @@
 	if b.From.Name == c.self.Name || b.From.Name == "" {
 		return false
 	}
-	c.peers[b.From.Name] = &peerState{Member: b.From, heard: now, leaving: b.Leaving, storeAt: b.StoreAt, hears: b.Hears}
+	c.peers[b.From.Name] = &peerState{Member: b.From, heard: now, leaving: b.Leaving, steady: b.Steady, storeAt: b.StoreAt, hears: b.Hears}
 	c.hearOfHubs(now, b)
 	c.learn(now, b.From.Addr)
 	for _, addr := range b.Peers {
@@ -417,5 +421,18 @@
 	return addr
 }
 
+// SetSteady notes whether the store has answered this process for some seconds.
+func (c *Core) SetSteady(steady bool) { c.steady = steady }
+
+// OthersSteady tells whether the store has answered a live member all along.
+func (c *Core) OthersSteady(now time.Time) bool {
+	for _, p := range c.peers {
+		if p.steady && p.live(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Claim returns the present claim.
 func (c *Core) Claim() Claim { return c.claim }
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -339,3 +339,18 @@
 		}
 	}
 }
+
+// A member that was cut off asks whether the store has answered others all
+// along. One that has gone silent says nothing of the time since.
+func TestOthersSteady(t *testing.T) {
+	w := newWorld("a", "b", "c")
+	w.steps(10)
+	assert.Assert(t, !w.cores["a"].OthersSteady(w.now))
+	w.cores["b"].SetSteady(true)
+	w.steps(10)
+	assert.Assert(t, w.cores["a"].OthersSteady(w.now))
+	assert.Assert(t, !w.cores["b"].OthersSteady(w.now), "its own word does not count")
+	w.frozen["b"] = true
+	w.steps(30)
+	assert.Assert(t, !w.cores["a"].OthersSteady(w.now))
+}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -51,6 +51,9 @@
 	Log    zerolog.Logger
 	// StoreAt returns the store's revision that this process knows.
 	StoreAt func() uint64
+	// StoreSteady tells whether the store has answered this process for some
+	// seconds; nil if it cannot tell.
+	StoreSteady func() bool
 	// OnDemoted is called when this process has ceased to own the queue.
 	OnDemoted func()
 }
@@ -164,7 +167,9 @@
 func (s *Service) beat(round int) {
 	now := time.Now()
 	at := s.cfg.StoreAt()
+	steady := s.cfg.StoreSteady != nil && s.cfg.StoreSteady()
 	s.mu.Lock()
+	s.core.SetSteady(steady)
 	s.ownerLocked(now)
 	for conn := range s.lost {
 		s.checkLostLocked(now, conn)
@@ -453,6 +458,13 @@
 	return s.core.OthersStay(time.Now())
 }
 
+// OthersSteady tells whether the store has answered another member all along.
+func (s *Service) OthersSteady() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.OthersSteady(time.Now())
+}
+
 // Size is the number of live members.
 func (s *Service) Size() int {
 	s.mu.Lock()
