--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -28,20 +28,26 @@
 	handled sync.Map
 }
 
+// start starts a server that answers at once.
 func start(t *testing.T) *server {
 	t.Helper()
 	s := &server{}
-	h := &http.Server{ReadHeaderTimeout: patience, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.serve(t, func(w http.ResponseWriter, r *http.Request) {
 		s.handled.Store(r.Header.Get("Id"), true)
 		_, _ = fmt.Fprint(w, "ok")
-	})}
+	})
+	return s
+}
+
+func (s *server) serve(t *testing.T, handler http.HandlerFunc) {
+	t.Helper()
+	h := &http.Server{ReadHeaderTimeout: patience, Handler: handler}
 	s.conns = keepalive.Attach(h)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.addr = l.Addr().String()
 	go func() { _ = h.Serve(s.conns.Listener(l)) }()
 	t.Cleanup(func() { _ = h.Close() })
-	return s
 }
 
 // client is one connection.
@@ -134,22 +140,18 @@
 // A request is being served while idle connections are closed.
 func TestCloseIdleLeavesWhatIsInUse(t *testing.T) {
 	began, goOn := make(chan struct{}), make(chan struct{})
-	h := &http.Server{ReadHeaderTimeout: patience, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	var s server
+	s.serve(t, func(w http.ResponseWriter, r *http.Request) {
 		assert.Check(t, keepalive.Earlier(r.Context()) == 0)
 		close(began)
 		<-goOn
 		_, _ = fmt.Fprint(w, "ok")
-	})}
-	conns := keepalive.Attach(h)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	go func() { _ = h.Serve(conns.Listener(l)) }()
-	t.Cleanup(func() { _ = h.Close() })
-	c := (&server{addr: l.Addr().String()}).dial(t)
+	})
+	c := s.dial(t)
 	answered := make(chan bool)
 	go func() { answered <- c.ask("1") }()
 	<-began
-	conns.CloseIdle()
+	s.conns.CloseIdle()
 	close(goOn)
 	assert.Assert(t, <-answered)
 }
@@ -160,23 +162,19 @@
 // gets half of its answers.
 func TestCloseIdleLeavesWhatWasReadAhead(t *testing.T) {
 	began, goOn := make(chan struct{}), make(chan struct{})
-	h := &http.Server{ReadHeaderTimeout: patience, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	var s server
+	s.serve(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Id") == "2" {
 			close(began)
 			<-goOn
 		}
 		_, _ = fmt.Fprint(w, "ok")
-	})}
-	conns := keepalive.Attach(h)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	go func() { _ = h.Serve(conns.Listener(l)) }()
-	t.Cleanup(func() { _ = h.Close() })
-	c := (&server{addr: l.Addr().String()}).dial(t)
-	_, err = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\nId: 1\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\nId: 2\r\n\r\n")
+	})
+	c := s.dial(t)
+	_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\nId: 1\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\nId: 2\r\n\r\n")
 	assert.NilError(t, err)
 	<-began
-	conns.CloseIdle()
+	s.conns.CloseIdle()
 	close(goOn)
 	for range 2 {
 		resp, err := http.ReadResponse(c.in, nil)
