--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -186,17 +186,6 @@
 	return f.state.Since(after), f.state.At()
 }
 
-// FaultCounts is how many items of the store could not be used.
-type FaultCounts struct {
-	Endpoints      uint64 `json:"endpoints"`
-	Configurations uint64 `json:"configurations"`
-}
-
-// Faults counts each item once for its key and revision.
-func (f *Follower) Faults() FaultCounts {
-	return FaultCounts{Endpoints: f.badEndpoints.Load(), Configurations: f.badConfigs.Load()}
-}
-
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.pauses.Tick()
@@ -405,65 +394,6 @@
 	})
 }
 
-// update changes the state and publishes the view if it is another.
-func (f *Follower) update(change func(time.Time, *State)) {
-	now := time.Now()
-	served := f.relay != nil && f.relay.OthersSteady()
-	f.mu.Lock()
-	before := f.state.At()
-	if served {
-		f.state.ServedOthers()
-	}
-	change(now, f.state)
-	faults := f.state.TakeFaults()
-	if f.state.At() != before {
-		close(f.changed)
-		f.changed = make(chan struct{})
-	}
-	view := f.state.View(now)
-	version := f.state.ConfigVersion()
-	at := f.state.At()
-	if view != nil {
-		f.view.Store(view)
-	}
-	f.mu.Unlock()
-	f.tell(faults)
-	if view == nil {
-		return
-	}
-	f.log.Info().Str("event", logViewChanged).Uint64("config", version).Uint64("at", at).
-		Int("endpoints", view.Len()).Msg("view changed")
-	f.onChange(view)
-}
-
-// tell logs and counts items that could not be used.
-func (f *Follower) tell(faults []Fault) {
-	for _, fault := range faults {
-		count := &f.badEndpoints
-		if fault.Key == platform.KeyConfig {
-			count = &f.badConfigs
-		}
-		count.Add(1)
-		f.log.Error().Str("event", logStoreItemMalformed).Str("key", fault.Key).Uint64("revision", fault.Revision).
-			Err(fault.Err).Msg("an item of the store is not used")
-	}
-}
-
-// expire ends the grace of lapsed endpoints, and notices pauses.
-func (f *Follower) expire(ctx context.Context) {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			f.pauses.Tick()
-			f.update(func(time.Time, *State) {})
-		}
-	}
-}
-
 func (f *Follower) lost(err error) {
 	f.mu.Lock()
 	f.state.Trouble(time.Now())
