--- a/soak/foreign_test.go
+++ b/soak/foreign_test.go
@@ -36,7 +36,7 @@
 	wait(d)
 	e.write(func() {
 		if e.id == id {
-			r.list(e, "ready")
+			r.listLocked(e, "ready")
 		}
 	})
 }
--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -186,10 +186,13 @@
 
 func (r *rig) list(e *endpoint, state string) {
 	e.mu.Lock()
-	id, born := e.id, e.born
-	e.mu.Unlock()
-	r.store.List(id, standin.Entry{
-		Service: e.service, Addr: e.addr, Domain: fmt.Sprintf("z%d", len(e.addr)%2), Slots: 8, State: state, Born: born,
+	defer e.mu.Unlock()
+	r.listLocked(e, state)
+}
+
+func (r *rig) listLocked(e *endpoint, state string) {
+	r.store.List(e.id, standin.Entry{
+		Service: e.service, Addr: e.addr, Domain: fmt.Sprintf("z%d", len(e.addr)%2), Slots: 8, State: state, Born: e.born,
 	})
 }
 
