--- a/internal/harness/frozen_linux_test.go
+++ b/internal/harness/frozen_linux_test.go
@@ -26,9 +26,9 @@
 // spinEnv makes TestSpin the process that is frozen.
 const spinEnv = "MANGOSTAGE_TEST_SPIN"
 
-func TestSpin(t *testing.T) {
+func TestSpin(*testing.T) {
 	if os.Getenv(spinEnv) == "" {
-		t.Skip("only a process of its own spins")
+		return
 	}
 	for range spinners - 1 {
 		go spin()
