A dial that ends after Close is not counted with what Close waits for

Ruled out: the load tool (the stacks are peer.Node.Dial and Close alone). Change: a connection that is opened after Close is closed, and counted by nobody.

--- a/peer/node.go
+++ b/peer/node.go
@@ -165,9 +165,18 @@
 	n.mu.Lock()
 	n.conns[c] = struct{}{}
 	closed := n.closed
-	n.wg.Add(1)
+	if !closed {
+		// Close waits only for what is counted before it: a dial that ends
+		// later must not add to a count that is being waited for.
+		n.wg.Add(1)
+	}
 	n.mu.Unlock()
-	go n.watch(c)
+	go func() {
+		n.watch(c)
+		if !closed {
+			n.wg.Done()
+		}
+	}()
 	if closed {
 		c.Close()
 	}
@@ -175,7 +184,6 @@
 }
 
 func (n *Node) watch(c *Conn) {
-	defer n.wg.Done()
 	<-c.rpc.DisconnectNotify()
 	n.mu.Lock()
 	delete(n.conns, c)
