--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -124,7 +124,7 @@
 		StoreSteady: func() bool { return g.follower.Steady() },
 		OnDemoted:   g.scheduler.HandOver,
 	})
-	g.follower = discovery.NewFollower(store, discovery.NewPeerRelay(g.fleet), p.Bounds.ConfigApply, g.log, g.viewChanged)
+	g.follower = discovery.NewFollower(store, discovery.NewPeerRelay(g.fleet, g.log), p.Bounds.ConfigApply, g.log, g.viewChanged)
 	g.follower.OnWake(toStore.CloseIdleConnections)
 	g.follower.OnWake(toEndpoints.CloseIdleConnections)
 	discovery.ServePeers(mux, g.follower)
--- a/discovery/foreign_test.go
+++ b/discovery/foreign_test.go
@@ -123,7 +123,7 @@
 	p.reader, _ = followLogged(t, store, nil, zerolog.New(&p.log))
 	none := standin.NewStore()
 	none.Before(func(string) bool { return false })
-	p.member, _ = follow(t, none, discovery.NewPeerRelay(readingPeer{conn: connect(t, p.reader)}))
+	p.member, _ = follow(t, none, discovery.NewPeerRelay(readingPeer{conn: connect(t, p.reader)}, zerolog.Nop()))
 	return p
 }
 
@@ -323,7 +323,7 @@
 			store.PutRaw(platform.KeyConfig, value)
 			at := store.Put("other/tick", nil)
 			testwait.For(t, patience, func() bool { return p.reader.At() >= at })
-			fresh, _ := follow(t, store, discovery.NewPeerRelay(selfReader{conn: connect(t, p.reader)}))
+			fresh, _ := follow(t, store, discovery.NewPeerRelay(selfReader{conn: connect(t, p.reader)}, zerolog.Nop()))
 			testwait.For(t, patience, func() bool { return hasVersion(1)(fresh.View()) && fresh.View().Ready() })
 			putConfig(store, 2)
 			testwait.For(t, patience, func() bool { return hasVersion(2)(fresh.View()) })
--- a/discovery/lognames.go
+++ b/discovery/lognames.go
@@ -2,6 +2,8 @@
 
 // Event names of the log lines.
 const (
+	logReaderLost         = "reader_lost"
+	logReaderRegained     = "reader_regained"
 	logStoreHistoryGone   = "store_history_gone"
 	logStoreItemMalformed = "store_item_malformed"
 	logStoreLost          = "store_lost"
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
 )
@@ -47,13 +51,29 @@
 	OthersSteady() bool
 }
 
+var (
+	errs = errorx.NewNamespace("discovery")
+	// ErrNotFresh means that the store has not answered the reader lately.
+	ErrNotFresh = errs.NewType("not_fresh")
+	// ErrBehind means that the reader knows less than this process.
+	ErrBehind = errs.NewType("behind")
+)
+
 // PeerRelay reads from peers.
 type PeerRelay struct {
 	peers Peers
+	log   zerolog.Logger
+
+	mu sync.Mutex
+	// lost is the reader that this process followed last without an answer;
+	// empty while it has one.
+	lost string
 }
 
 // NewPeerRelay returns a Relay over the peers.
-func NewPeerRelay(peers Peers) *PeerRelay { return &PeerRelay{peers: peers} }
+func NewPeerRelay(peers Peers, log zerolog.Logger) *PeerRelay {
+	return &PeerRelay{peers: peers, log: log}
+}
 
 // OthersSteady implements Relay.
 func (r *PeerRelay) OthersSteady() bool { return r.peers.OthersSteady() }
@@ -64,8 +84,8 @@
 	if conn == nil {
 		return nil, 0
 	}
-	reply, ok := ask(ctx, conn, newerQuery{After: after})
-	if !ok {
+	reply, err := ask(ctx, conn, newerQuery{After: after})
+	if err != nil {
 		return nil, 0
 	}
 	return reply.Items, reply.At
@@ -77,19 +97,53 @@
 	if self {
 		return nil, 0, false
 	}
-	reply, ok := ask(ctx, conns[0], newerQuery{After: after, Wait: wait})
-	if !ok || !reply.Fresh || reply.At < after {
-		return nil, 0, false
+	began := time.Now()
+	reply, err := follow(ctx, conns[0], newerQuery{After: after, Wait: wait})
+	r.note(conns[0].Peer().Process.Name, after, time.Since(began), err)
+	return reply.Items, reply.At, err == nil
+}
+
+// follow asks a reader, whose answer counts only while it is up to date.
+func follow(ctx context.Context, conn *peer.Conn, q newerQuery) (newerReply, error) {
+	reply, err := ask(ctx, conn, q)
+	switch {
+	case err != nil:
+		return newerReply{}, err
+	case !reply.Fresh:
+		return newerReply{}, ErrNotFresh.New("the store has not answered the reader lately")
+	case reply.At < q.After:
+		return newerReply{}, ErrBehind.New("the reader knows revision %d", reply.At)
+	}
+	return reply, nil
+}
+
+// note logs when a reader ceases to answer, with what it was asked for and how
+// long, and when one answers again: without it a process that asks the store
+// although a reader lives does not say why.
+func (r *PeerRelay) note(reader string, after uint64, took time.Duration, err error) {
+	r.mu.Lock()
+	before := r.lost
+	r.lost = ""
+	if err != nil {
+		r.lost = reader
+	}
+	r.mu.Unlock()
+	switch {
+	case err != nil && before == "":
+		r.log.Warn().Str("event", logReaderLost).Str("reader", reader).Uint64("after", after).
+			Dur("took_ms", took).Err(err).Msg("a reader of the store does not answer")
+	case err == nil && before != "":
+		r.log.Info().Str("event", logReaderRegained).Str("reader", reader).Uint64("after", after).
+			Msg("a reader of the store answers")
 	}
-	return reply.Items, reply.At, true
 }
 
 // ask calls a peer. One that does not answer knows nothing; the store is asked
 // instead.
-func ask(ctx context.Context, conn *peer.Conn, q newerQuery) (newerReply, bool) {
+func ask(ctx context.Context, conn *peer.Conn, q newerQuery) (newerReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.Wait+relayTimeout)
 	defer cancel()
 	var reply newerReply
 	err := conn.Call(ctx, MethodNewer, q, &reply)
-	return reply, err == nil
+	return reply, err
 }
