Configurations of any size reach members behind weak links

Ruled out: processor time (1 to 6% while nothing arrived), the readers (alive, 5 of 25 MB/s). Change: answers to members are pages of 64 kB; a larger value is compressed once by the reader and read in parts of 16 kB, which outlive calls that fail and readers that are lost, with other changes in between. A call to the store is bounded by its silence, not by its length; an answer that breaks off is followed by a list, which has the newest configuration only. If a reader does not answer, the others are asked before the store. A reader that takes in a long answer counts as fresh.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -110,7 +110,7 @@
 	mux := peer.NewMux()
 	toStore, toEndpoints := storeTransport(), gateway.NewTransport()
 	toEndpoints.Check = func() { g.follower.CheckPause() }
-	store := platform.NewStore(p.Store, &http.Client{Transport: toStore})
+	store := platform.NewStore(p.Store, &http.Client{Transport: toStore}, discovery.StorePatience)
 	stages := platform.NewStages(&http.Client{Transport: toEndpoints})
 	g.scheduler = scheduler.New(stages, g.log)
 	g.fleet = fleet.New(fleet.Config{
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -28,14 +28,9 @@
 	// followShare divides the wait for a call to a peer, so that a silent peer
 	// leaves time to ask the store within the bound.
 	followShare = 2
-	// watchSlack is how long an answer may take beyond its wait. Store answers
-	// take milliseconds; a slow store takes some hundred.
-	watchSlack = 900 * time.Millisecond
 	// freshSlack is how long an answer may be overdue until this process's
 	// knowledge no longer counts as fresh for the members that follow it.
 	freshSlack = 300 * time.Millisecond
-	// callTimeout bounds a read of the store.
-	callTimeout = 2 * time.Second
 	// retryFirst and retryMax bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryMax   = time.Second
@@ -46,6 +41,17 @@
 	wakeTimeout = relayTimeout + 200*time.Millisecond
 )
 
+// StorePatience bounds the calls to the store. Its answers begin within
+// milliseconds, those of a slow store within some hundred; a link that loses
+// packets is silent for two repeats of a packet, 600 ms. Over 10 Mbit/s the
+// longest answer takes 3.4 s, and twice to three times that beside other traffic.
+var StorePatience = platform.Patience{
+	Read:    2 * time.Second,
+	Watch:   900 * time.Millisecond,
+	Silence: 900 * time.Millisecond,
+	Whole:   10 * time.Second,
+}
+
 // errFollowed says that a peer answered in the store's place.
 var errFollowed = errors.New("followed a peer")
 
@@ -157,9 +163,12 @@
 // Fresh tells whether the store answered lately. While a call hangs, a reader
 // would otherwise go on telling its followers that nothing has changed until
 // the call's time-out: both readers of a fleet were cut off from the store and
-// a key that was taken away still worked for 2.8 s, with a bound of 2 s.
+// a key that was taken away still worked for 2.8 s, with a bound of 2 s. A long
+// answer that is still coming counts: otherwise all followers turn to the store
+// at once, for the same long answer.
 func (f *Follower) Fresh() bool {
 	age := time.Since(f.began) - time.Duration(f.answered.Load())
+	age = min(age, time.Since(f.store.Heard()))
 	return f.Healthy() && age < f.wait+freshSlack
 }
 
@@ -186,6 +195,13 @@
 	return f.state.Since(after), f.state.At()
 }
 
+// Item returns what is known of one key of the store.
+func (f *Follower) Item(key string) (platform.Item, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Item(key)
+}
+
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	f.pauses.Tick()
@@ -238,10 +254,11 @@
 		*listed = false
 		return nil
 	}
-	// An answer that cannot be read, since more was written than it may hold,
-	// would be the same again: the process would hear of no change any more. The
-	// pages of a list are bounded, and the next watch begins behind them.
-	if errorx.IsOfType(err, platform.ErrMalformed) {
+	// An answer that cannot be read, since more was written than it may hold or
+	// than the link carries in time, would be the same again, and longer: the
+	// process would hear of no change any more. A list has the newest of each item
+	// only, its pages are bounded, and the next watch begins behind them.
+	if errorx.IsOfType(err, platform.ErrMalformed) || errorx.IsOfType(err, platform.ErrBroken) {
 		*listed = false
 	}
 	return err
@@ -284,8 +301,6 @@
 
 // readConfig returns nil if there is no configuration yet.
 func (f *Follower) readConfig(ctx context.Context) (*platform.Item, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	item, err := f.store.Get(ctx, platform.KeyConfig)
 	if errorx.IsOfType(err, platform.ErrNotFound) {
 		return nil, nil
@@ -294,16 +309,11 @@
 }
 
 func (f *Follower) page(ctx context.Context, after string) (platform.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	return f.store.Range(ctx, platform.PrefixEndpoints, after)
 }
 
 func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
-	after := f.At()
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
-	changes, err := f.store.Watch(ctx, "", after, wait)
+	changes, err := f.store.Watch(ctx, "", f.At(), wait)
 	if err != nil {
 		return err
 	}
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -41,7 +41,7 @@
 	t.Cleanup(server.Close)
 	views := make(chan *catalog.View, 100)
 	f := discovery.NewFollower(
-		platform.NewStore(strings.TrimPrefix(server.URL, "http://"), http.DefaultClient),
+		platform.NewStore(strings.TrimPrefix(server.URL, "http://"), http.DefaultClient, discovery.StorePatience),
 		relay, applyBound, log, func(v *catalog.View) { views <- v },
 	)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/discovery/large_test.go
+++ b/discovery/large_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/discovery"
+	"github.com/mangostage/mangostage/internal/testwait"
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/platform/standin"
@@ -52,7 +53,7 @@
 func weakMember(t *testing.T, link *narrowLink, store string, relay discovery.Relay) *discovery.Follower {
 	t.Helper()
 	f := discovery.NewFollower(
-		platform.NewStore(link.to(t, store), &http.Client{Transport: &http.Transport{}}),
+		platform.NewStore(link.to(t, store), &http.Client{Transport: &http.Transport{}}, discovery.StorePatience),
 		relay, largeBound, zerolog.Nop(), func(*catalog.View) {},
 	)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -148,3 +149,73 @@
 	assert.Assert(t, ok, "version %d is not in force after %v; %d kB went over the link",
 		versions, 2*largeBound, link.total()/1000)
 }
+
+// readers is the fleet as a member sees it that has several readers.
+type readers struct{ conns []*peer.Conn }
+
+func (r readers) Ahead(uint64) *peer.Conn       { return nil }
+func (r readers) OthersSteady() bool            { return false }
+func (r readers) Readers() ([]*peer.Conn, bool) { return r.conns, false }
+
+// twoReaders returns a member over a link with two readers, and the store that
+// it would ask if both failed.
+func twoReaders(t *testing.T, link *narrowLink, store *standin.Store) (member *discovery.Follower, conns []*peer.Conn, own *standin.Store) {
+	t.Helper()
+	for range 2 {
+		reader, views := follow(t, store, nil)
+		await(t, views, hasVersion(1))
+		testwait.For(t, patience, reader.Fresh)
+		conns = append(conns, dialOver(t, link, reader))
+	}
+	own = standin.NewStore()
+	own.Before(func(string) bool { return false })
+	server := httptest.NewServer(own)
+	t.Cleanup(server.Close)
+	relay := discovery.NewPeerRelay(readers{conns: conns}, zerolog.Nop())
+	member = weakMember(t, link, strings.TrimPrefix(server.URL, "http://"), relay)
+	_, ok := inForce(member, 1, patience)
+	assert.Assert(t, ok, "the first configuration did not come")
+	return member, conns, own
+}
+
+// A reader is killed while it passes a large configuration on. All that follow
+// it would turn to the store at once, each for the whole configuration; they go
+// on at the next reader with what is missing.
+func TestReaderLostInALargeConfig(t *testing.T) {
+	store := standin.NewStore()
+	store.Put(platform.KeyConfig, largeConfig(1, 10))
+	putEndpoint(store, "a")
+	// Slow enough that the configuration, 90 kB packed, takes more than a second.
+	link := &narrowLink{bytesPerSecond: 80e3}
+	member, conns, own := twoReaders(t, link, store)
+	calls := own.Calls()
+	before := link.total()
+	store.Put(platform.KeyConfig, largeConfig(2, largeRoutes))
+	testwait.For(t, patience, func() bool { return link.total()-before > 50e3 })
+	assert.Equal(t, member.View().Index.Config.Version, uint64(1), "the configuration came too soon for this test")
+	conns[0].Close()
+	_, ok := inForce(member, 2, patience)
+	assert.Assert(t, ok, "the configuration did not come from the other reader")
+	assert.Equal(t, own.Calls(), calls)
+	assert.Assert(t, link.total()-before < 170e3, "%d bytes went over the link: parts came twice", link.total()-before)
+}
+
+// An endpoint leaves while a large configuration is on its way over a link that
+// needs seconds for it. Requests must not go to the endpoint for so long.
+func TestEndpointLeavesDuringALargeConfig(t *testing.T) {
+	store := standin.NewStore()
+	store.Put(platform.KeyConfig, largeConfig(1, 10))
+	putEndpoint(store, "a")
+	putEndpoint(store, "b")
+	link := &narrowLink{bytesPerSecond: 60e3}
+	member, _, _ := twoReaders(t, link, store)
+	testwait.For(t, patience, func() bool { return member.View().Len() == 2 })
+	before := link.total()
+	store.Put(platform.KeyConfig, largeConfig(2, largeRoutes))
+	testwait.For(t, patience, func() bool { return link.total()-before > 10e3 })
+	store.Remove(platform.PrefixEndpoints + "b")
+	testwait.For(t, patience, func() bool { return member.View().Len() == 1 })
+	assert.Equal(t, member.View().Index.Config.Version, uint64(1), "the endpoint was heard of only with the configuration")
+	_, ok := inForce(member, 2, patience)
+	assert.Assert(t, ok, "the configuration did not come")
+}
--- a/discovery/lognames.go
+++ b/discovery/lognames.go
@@ -8,6 +8,7 @@
 	logStoreItemMalformed = "store_item_malformed"
 	logStoreLost          = "store_lost"
 	logStoreRegained      = "store_regained"
+	logValueFetched       = "value_fetched"
 	logViewChanged        = "view_changed"
 	logViewFromPeer       = "view_from_peer"
 	logPaused             = "paused"
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -12,33 +12,19 @@
 	"github.com/mangostage/mangostage/platform"
 )
 
-// MethodNewer is the call by which a process reads a peer's view.
-const MethodNewer = "discovery.newer"
-
-// relayTimeout bounds one call to a peer beyond its wait.
-const relayTimeout = 300 * time.Millisecond
-
-// newerQuery asks for what changed after a revision of the store, and to wait
-// for it.
-type newerQuery struct {
-	After uint64        `json:"after"`
-	Wait  time.Duration `json:"wait,omitempty"`
-}
-
-type newerReply struct {
-	Items []platform.Item `json:"items"`
-	At    uint64          `json:"at"`
-	// Fresh is false if the store has not answered the peer lately.
-	Fresh bool `json:"fresh"`
-}
-
-// ServePeers answers peers that do not read the store themselves.
-func ServePeers(mux *peer.Mux, f *Follower) {
-	peer.HandleCall(mux, MethodNewer, func(ctx context.Context, _ *peer.Conn, q newerQuery) (newerReply, error) {
-		items, at := f.Await(ctx, q.After, q.Wait)
-		return newerReply{Items: items, At: at, Fresh: f.Fresh()}, nil
-	})
-}
+const (
+	// relayTimeout bounds one call to a peer beyond its wait.
+	relayTimeout = 300 * time.Millisecond
+	// partTimeout bounds one call for a part of a large value: it takes 20 ms
+	// over the weakest link, and some hundred beside other traffic.
+	partTimeout = 500 * time.Millisecond
+	// lostSpan is how long a reader that did not answer is asked after the others:
+	// a dead one is no reader any more by then.
+	lostSpan = 2 * time.Second
+	// partsSpan is how long parts are read until the peer is asked again for
+	// changes: an endpoint that leaves must not wait for a large configuration.
+	partsSpan = 300 * time.Millisecond
+)
 
 // Peers finds the peers to read from.
 type Peers interface {
@@ -57,6 +43,10 @@
 	ErrNotFresh = errs.NewType("not_fresh")
 	// ErrBehind means that the reader knows less than this process.
 	ErrBehind = errs.NewType("behind")
+	// ErrReplaced means that a peer has no longer the value that it spoke of.
+	ErrReplaced = errs.NewType("replaced")
+	// ErrDamaged means that a value is not what its peer packed.
+	ErrDamaged = errs.NewType("damaged")
 )
 
 // PeerRelay reads from peers.
@@ -65,14 +55,15 @@
 	log   zerolog.Logger
 
 	mu sync.Mutex
-	// lost is the reader that this process followed last without an answer;
-	// empty while it has one.
-	lost string
+	// lost holds the readers that did not answer, by name, and since when.
+	lost map[string]time.Time
+	// pending holds, by key, the large values of which parts have come.
+	pending map[string]*assembly
 }
 
 // NewPeerRelay returns a Relay over the peers.
 func NewPeerRelay(peers Peers, log zerolog.Logger) *PeerRelay {
-	return &PeerRelay{peers: peers, log: log}
+	return &PeerRelay{peers: peers, log: log, lost: make(map[string]time.Time), pending: make(map[string]*assembly)}
 }
 
 // OthersSteady implements Relay.
@@ -84,66 +75,209 @@
 	if conn == nil {
 		return nil, 0
 	}
-	reply, err := ask(ctx, conn, newerQuery{After: after})
-	if err != nil {
-		return nil, 0
+	var all []platform.Item
+	var at uint64
+	for {
+		reply, err := ask(ctx, conn, changesQuery{After: max(after, at)})
+		if err != nil {
+			return all, at
+		}
+		items, upTo, err := r.complete(ctx, conn, reply)
+		if err != nil {
+			return all, at
+		}
+		all, at = append(all, items...), upTo
+		if !reply.More || upTo < reply.At {
+			return all, at
+		}
 	}
-	return reply.Items, reply.At
 }
 
-// Follow implements Relay.
+// Follow implements Relay. If the first reader does not answer the others are
+// asked, without a wait: a reader that dies would otherwise send all that follow
+// it to the store at once.
 func (r *PeerRelay) Follow(ctx context.Context, after uint64, wait time.Duration) ([]platform.Item, uint64, bool) {
 	conns, self := r.peers.Readers()
 	if self {
 		return nil, 0, false
 	}
-	began := time.Now()
-	reply, err := follow(ctx, conns[0], newerQuery{After: after, Wait: wait})
-	r.note(conns[0].Peer().Process.Name, after, time.Since(began), err)
-	return reply.Items, reply.At, err == nil
+	for _, conn := range r.answeringFirst(conns) {
+		began := time.Now()
+		items, at, err := r.follow(ctx, conn, changesQuery{After: after, Wait: wait})
+		r.note(conn.Peer().Process.Name, after, time.Since(began), err)
+		if err == nil {
+			return items, at, true
+		}
+		wait = 0
+	}
+	return nil, 0, false
+}
+
+// answeringFirst puts the readers last that did not answer a short time ago.
+func (r *PeerRelay) answeringFirst(conns []*peer.Conn) []*peer.Conn {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var first, last []*peer.Conn
+	for _, conn := range conns {
+		if time.Since(r.lost[conn.Peer().Process.Name]) < lostSpan {
+			last = append(last, conn)
+			continue
+		}
+		first = append(first, conn)
+	}
+	return append(first, last...)
 }
 
-// follow asks a reader, whose answer counts only while it is up to date.
-func follow(ctx context.Context, conn *peer.Conn, q newerQuery) (newerReply, error) {
+// follow asks a reader, whose answer counts only while it is up to date. Part of
+// a large value is an answer: what has come stays, and the rest is asked for next.
+func (r *PeerRelay) follow(ctx context.Context, conn *peer.Conn, q changesQuery) ([]platform.Item, uint64, error) {
 	reply, err := ask(ctx, conn, q)
 	switch {
 	case err != nil:
-		return newerReply{}, err
+		return nil, 0, err
 	case !reply.Fresh:
-		return newerReply{}, ErrNotFresh.New("the store has not answered the reader lately")
+		return nil, 0, ErrNotFresh.New("the store has not answered the reader lately")
 	case reply.At < q.After:
-		return newerReply{}, ErrBehind.New("the reader knows revision %d", reply.At)
+		return nil, 0, ErrBehind.New("the reader knows revision %d", reply.At)
+	}
+	return r.complete(ctx, conn, reply)
+}
+
+// complete reads the large values of an answer. Without one of them the answer
+// is complete only up to the revision before it; its other items still hold. The
+// error is that of a peer from which nothing of the value came.
+func (r *PeerRelay) complete(ctx context.Context, conn *peer.Conn, reply changesReply) ([]platform.Item, uint64, error) {
+	items, at := reply.Items, reply.At
+	until := time.Now().Add(partsSpan)
+	for _, want := range reply.Large {
+		value, err := r.value(ctx, conn, want, until)
+		if err != nil {
+			return nil, 0, err
+		}
+		if value == nil {
+			at = min(at, want.Revision-1)
+		}
+		items = withValue(items, want, value)
+	}
+	return items, at, nil
+}
+
+// withValue puts a large value into its item; nil takes the item out.
+func withValue(items []platform.Item, want largeValue, value []byte) []platform.Item {
+	var all []platform.Item
+	for _, item := range items {
+		if item.Key == want.Key && item.Revision == want.Revision {
+			if value == nil {
+				continue
+			}
+			item.Value = value
+		}
+		all = append(all, item)
+	}
+	return all
+}
+
+// value reads parts of a value until it is complete or the time is over; nil is
+// a value of which parts are missing. The error says that no part came.
+func (r *PeerRelay) value(ctx context.Context, conn *peer.Conn, want largeValue, until time.Time) ([]byte, error) {
+	began := time.Now()
+	parts := 0
+	for {
+		offset, value, err := r.pendingValue(want)
+		if value != nil || err != nil {
+			r.logFetched(conn, want, parts, time.Since(began), err)
+			return value, err
+		}
+		if parts > 0 && time.Now().After(until) {
+			return nil, nil
+		}
+		data, err := askPart(ctx, conn, partQuery{largeValue: want, Offset: offset})
+		if errorx.IsOfType(err, ErrReplaced) || err != nil && parts > 0 {
+			return nil, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		r.addPart(want, offset, data)
+		parts++
 	}
-	return reply, nil
 }
 
-// note logs when a reader ceases to answer, with what it was asked for and how
-// long, and when one answers again: without it a process that asks the store
-// although a reader lives does not say why.
+// pendingValue returns where the next part begins, or the value once it is complete.
+func (r *PeerRelay) pendingValue(want largeValue) (offset int, value []byte, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.pending[want.Key]
+	if !a.is(want) {
+		a = &assembly{want: want}
+		r.pending[want.Key] = a
+	}
+	if !a.complete() {
+		return len(a.data), nil, nil
+	}
+	delete(r.pending, want.Key)
+	value, err = a.value()
+	return 0, value, err
+}
+
+// addPart takes a part, unless another call was faster.
+func (r *PeerRelay) addPart(want largeValue, offset int, data []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a := r.pending[want.Key]; a.is(want) {
+		a.add(offset, data)
+	}
+}
+
+// logFetched logs a large value that a peer has passed on.
+func (r *PeerRelay) logFetched(conn *peer.Conn, want largeValue, parts int, took time.Duration, err error) {
+	r.log.Info().Str("event", logValueFetched).Str("peer", conn.Peer().Process.Name).Str("key", want.Key).
+		Uint64("revision", want.Revision).Int("packed_bytes", want.Size).Int("parts", parts).
+		Dur("took_ms", took).Err(err).Msg("large value read from a peer")
+}
+
+// note keeps which readers do not answer. It logs when one ceases to, with what
+// it was asked for and how long, and when it answers again: without it a process
+// that asks the store although a reader lives does not say why.
 func (r *PeerRelay) note(reader string, after uint64, took time.Duration, err error) {
 	r.mu.Lock()
-	before := r.lost
-	r.lost = ""
+	_, before := r.lost[reader]
 	if err != nil {
-		r.lost = reader
+		r.lost[reader] = time.Now()
+	} else {
+		delete(r.lost, reader)
 	}
 	r.mu.Unlock()
 	switch {
-	case err != nil && before == "":
+	case err != nil && !before:
 		r.log.Warn().Str("event", logReaderLost).Str("reader", reader).Uint64("after", after).
 			Dur("took_ms", took).Err(err).Msg("a reader of the store does not answer")
-	case err == nil && before != "":
+	case err == nil && before:
 		r.log.Info().Str("event", logReaderRegained).Str("reader", reader).Uint64("after", after).
 			Msg("a reader of the store answers")
 	}
 }
 
-// ask calls a peer. One that does not answer knows nothing; the store is asked
-// instead.
-func ask(ctx context.Context, conn *peer.Conn, q newerQuery) (newerReply, error) {
+// ask calls a peer for changes. One that does not answer knows nothing; the
+// store is asked instead.
+func ask(ctx context.Context, conn *peer.Conn, q changesQuery) (changesReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.Wait+relayTimeout)
 	defer cancel()
-	var reply newerReply
-	err := conn.Call(ctx, MethodNewer, q, &reply)
+	var reply changesReply
+	err := conn.Call(ctx, MethodChanges, q, &reply)
 	return reply, err
 }
+
+// askPart calls a peer for a part of a value.
+func askPart(ctx context.Context, conn *peer.Conn, q partQuery) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, partTimeout)
+	defer cancel()
+	var reply partReply
+	if err := conn.Call(ctx, MethodPart, q, &reply); err != nil {
+		return nil, err
+	}
+	if len(reply.Data) == 0 {
+		return nil, ErrReplaced.New("the peer has another value of %s by now", q.Key)
+	}
+	return reply.Data, nil
+}
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -347,6 +347,18 @@
 	return catalog.NewView(s.index, endpoints, s.revision)
 }
 
+// Item returns the item under a key, as Since lists it.
+func (s *State) Item(key string) (platform.Item, bool) {
+	if key == platform.KeyConfig {
+		return s.config, s.config.Revision > 0
+	}
+	e := s.entries[platform.EndpointID(key)]
+	if e == nil {
+		return platform.Item{}, false
+	}
+	return e.item, true
+}
+
 // Since lists the items that changed after the revision, for a peer. Items
 // that could not be used are among them, without their values.
 func (s *State) Since(after uint64) []platform.Item {
--- /dev/null
+++ b/discovery/values_test.go
@@ -0,0 +1,111 @@
+package discovery
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mangostage/mangostage/platform"
+)
+
+// drawItems draws changes, some of one revision, some with large values.
+func drawItems(t *rapid.T) []platform.Item {
+	n := rapid.IntRange(0, 400).Draw(t, "items")
+	items := make([]platform.Item, n)
+	revision := uint64(1)
+	for i := range items {
+		if rapid.Bool().Draw(t, "next") {
+			revision++
+		}
+		size := rapid.SampledFrom([]int{0, 250, 250, 250, inlineValue, inlineValue + 1}).Draw(t, "size")
+		items[i] = platform.Item{Key: fmt.Sprintf("servers/i-%d", i), Revision: revision, Value: bytes.Repeat([]byte("v"), size)}
+	}
+	return items
+}
+
+// after is the naive counterpart of pages: all changes after a revision.
+func after(items []platform.Item, revision uint64) []platform.Item {
+	var later []platform.Item
+	for _, item := range items {
+		if item.Revision > revision {
+			later = append(later, item)
+		}
+	}
+	return later
+}
+
+// A member that reads page after page hears of each change, and of none before
+// an answer is complete up to it; only items of one revision make a page long.
+func TestPagesAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		items := drawItems(t)
+		at := uint64(len(items) + 2)
+		heard := make(map[string]bool)
+		var known uint64
+		for more := true; more; {
+			reply, err := changesPage(after(items, known), at, newPacker())
+			assert.NilError(t, err)
+			for _, item := range reply.Items {
+				heard[item.Key] = true
+			}
+			for _, item := range items {
+				assert.Assert(t, item.Revision > reply.At || heard[item.Key], "%s is missing below %d", item.Key, reply.At)
+			}
+			assert.Assert(t, !reply.More || reply.At > known)
+			assert.Equal(t, reply.At == at, !reply.More)
+			known, more = reply.At, reply.More
+		}
+		assert.Equal(t, len(heard), len(items))
+	})
+}
+
+// Whatever calls fail, come late or twice, the value is the one that was packed.
+func TestAssemblyIsTheValue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		value := rapid.SliceOfN(rapid.Byte(), 1, 3*partBytes).Draw(t, "value")
+		sent, err := pack(platform.Item{Key: "op/config", Revision: 7, Value: value})
+		assert.NilError(t, err)
+		a := &assembly{want: sent.largeValue}
+		for !a.complete() {
+			offset := len(a.data)
+			if rapid.Bool().Draw(t, "late") {
+				offset = rapid.IntRange(0, sent.Size).Draw(t, "offset")
+			}
+			a.add(offset, sent.part(offset))
+		}
+		got, err := a.value()
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(got, value))
+	})
+}
+
+// A value that was damaged on its way, or is a bomb, is refused.
+func TestDamagedValue(t *testing.T) {
+	sent, err := pack(platform.Item{Key: "op/config", Revision: 7, Value: bytes.Repeat([]byte("ab"), 1000)})
+	assert.NilError(t, err)
+	damaged := append([]byte(nil), sent.data...)
+	damaged[len(damaged)/2] ^= 1
+	a := &assembly{want: sent.largeValue}
+	assert.Assert(t, a.add(0, damaged))
+	_, err = a.value()
+	assert.Assert(t, errorx.IsOfType(err, ErrDamaged))
+
+	bomb, err := pack(platform.Item{Key: "op/config", Value: make([]byte, platform.MaxReply+1)})
+	assert.NilError(t, err)
+	_, err = unpack(bomb.data)
+	assert.Assert(t, errorx.IsOfType(err, ErrDamaged))
+}
+
+// A foreign writer's many large values do not fill a process's memory.
+func TestPackerIsBounded(t *testing.T) {
+	packs := newPacker()
+	for i := range 10 * keptPacked {
+		_, err := packs.pack(platform.Item{Key: fmt.Sprint(i), Revision: 1, Value: make([]byte, 2*inlineValue)})
+		assert.NilError(t, err)
+		assert.Assert(t, len(packs.kept) <= keptPacked)
+	}
+}
--- /dev/null
+++ b/internal/watchdog/watchdog_test.go
@@ -0,0 +1,44 @@
+package watchdog_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/internal/watchdog"
+)
+
+const allowed = 200 * time.Millisecond
+
+// A long answer that keeps coming is not given up.
+func TestFedWatchdogWaits(t *testing.T) {
+	ctx, dog := watchdog.New(context.Background(), allowed)
+	defer dog.Stop()
+	from, to := io.Pipe()
+	go func() {
+		for range 8 {
+			time.Sleep(allowed / 4)
+			_, _ = to.Write([]byte("x"))
+		}
+		_ = to.Close()
+	}()
+	data, err := io.ReadAll(dog.Reader(from, allowed))
+	assert.NilError(t, err)
+	assert.Equal(t, len(data), 8)
+	assert.NilError(t, ctx.Err())
+}
+
+// One that has ceased to come is, with the cause.
+func TestUnfedWatchdogEndsItsContext(t *testing.T) {
+	ctx, dog := watchdog.New(context.Background(), allowed)
+	defer dog.Stop()
+	dog.Feed(allowed)
+	<-ctx.Done()
+	assert.Assert(t, errorx.IsOfType(context.Cause(ctx), watchdog.ErrSilent))
+	dog.Feed(allowed)
+	assert.Assert(t, ctx.Err() != nil)
+}
