--- a/balance/balance.go
+++ b/balance/balance.go
@@ -87,7 +87,7 @@
 	var best *catalog.Endpoint
 	var least time.Duration
 	for _, e := range endpoints {
-		if e.Leaving || avoid[e.Key()] {
+		if !e.TakesWork() || avoid[e.Key()] {
 			continue
 		}
 		if cost := b.cost(now, e); best == nil || cost < least {
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -161,10 +161,16 @@
 	// Domain is the failure domain.
 	Domain string `json:"domain"`
 	Slots  int    `json:"slots"`
-	// Leaving endpoints take no new work.
+	// Leaving endpoints will end; they take no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// Evacuated endpoints take no new work while the operator keeps their failure
+	// domain empty. What runs there ends, and results there can be fetched.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
+// TakesWork tells whether new work may be sent to the endpoint.
+func (e *Endpoint) TakesWork() bool { return !e.Leaving && !e.Evacuated }
+
 // Key names one process of an endpoint among all that served under any ID: the
 // ID alone if the endpoint does not state its start. It is for what is believed
 // of an endpoint; endpoints themselves know their ID only.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -79,7 +79,7 @@
 }
 
 // usable tells whether the engine may be given requests at all.
-func (e *engine) usable() bool { return !e.gone && !e.endpoint.Leaving }
+func (e *engine) usable() bool { return !e.gone && e.endpoint.TakesWork() }
 
 // begin counts a request.
 func (e *engine) begin(j *job) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -77,7 +77,7 @@
 }
 
 // usable tells whether the worker may get calls at all.
-func (w *worker) usable() bool { return !w.gone && !w.endpoint.Leaving }
+func (w *worker) usable() bool { return !w.gone && w.endpoint.TakesWork() }
 
 // room is the memory that is free for results, in bytes, if only a share of all
 // of it can be used.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -182,7 +182,7 @@
 func (g *Gateway) engine(m *modelRequest) (e *catalog.Endpoint, picked bool) {
 	view := g.viewFor(m.request)
 	e = view.Endpoint(m.lease.Grant.Endpoint)
-	if e != nil && !e.Leaving && !m.tries.avoid[e.Key()] {
+	if e != nil && e.TakesWork() && !m.tries.avoid[e.Key()] {
 		return e, false
 	}
 	e = g.balance.Pick(time.Now(), view.Endpoints(m.serviceName), m.tries.avoid)
