Evacuated failure domains get no work

Ruled out: the choice of endpoints; each place asks what takes work, and did so for leaving ones. Change: the store's word on each domain is kept by its revision, in lists, watches and what peers pass on, and never goes back; a view marks the endpoints there, which then take no work anywhere. What runs there ends and results there are used. Jobs whose service is evacuated everywhere are refused at once. Log lines domain_evacuated and domain_taken_back, metric evacuated_domains, a word in gateway status. Figures: TestEvacuatedDomainGetsNoWork and TestEvacuationsInAnyOrder fail before and pass after; the dispatch tests of evacuations pass.

--- a/cmd/mangostage/gateway_status.go
+++ b/cmd/mangostage/gateway_status.go
@@ -75,7 +75,10 @@
 	}
 	for _, e := range v.Endpoints {
 		_, _ = fmt.Fprintf(table, "  endpoint\t%s\t%d in flight\t%s\t%s\n",
-			e.Endpoint, e.InFlight, duration(e.Latency), condition(e.Paused, false, e.FailureRate, 0))
+			e.Endpoint, e.InFlight, duration(e.Latency), condition{paused: e.Paused, failureRate: e.FailureRate})
+	}
+	for _, domain := range slices.Sorted(maps.Keys(v.Evacuated)) {
+		_, _ = fmt.Fprintf(table, "  evacuated\t%s\tsince revision %d\n", domain, v.Evacuated[domain])
 	}
 	for _, name := range slices.Sorted(maps.Keys(v.Answers)) {
 		_, _ = fmt.Fprintf(table, "  answers\t%s\t%d\n", name, v.Answers[name])
@@ -91,27 +94,36 @@
 	}
 	for _, s := range q.Workers {
 		_, _ = fmt.Fprintf(w, "  worker\t%s\t%d calls\t%.1f times nominal\t%s\n",
-			s.Endpoint, s.Calls, s.Speed, condition(s.Paused, s.Leaving, 0, s.Speed))
+			s.Endpoint, s.Calls, s.Speed, condition{paused: s.Paused, leaving: s.Leaving, evacuated: s.Evacuated, speed: s.Speed})
 	}
 	for _, e := range q.Engines {
 		_, _ = fmt.Fprintf(w, "  engine\t%s\t%d running\t%d tokens to read\t%s\n",
-			e.Endpoint, e.Running, e.Prefill, condition(e.Paused, e.Leaving, e.FailureRate, 0))
+			e.Endpoint, e.Running, e.Prefill, condition{paused: e.Paused, leaving: e.Leaving, evacuated: e.Evacuated, failureRate: e.FailureRate})
 	}
 }
 
-// condition says why an endpoint gets less, or that it is well.
-func condition(paused, leaving bool, failureRate, speed float64) string {
+// condition is what is believed of an endpoint.
+type condition struct {
+	paused, leaving, evacuated bool
+	failureRate, speed         float64
+}
+
+// String says why the endpoint gets less, or that it is well.
+func (c condition) String() string {
 	var words []string
-	if leaving {
+	if c.leaving {
 		words = append(words, "leaving")
 	}
-	if paused {
+	if c.evacuated {
+		words = append(words, "evacuated")
+	}
+	if c.paused {
 		words = append(words, "paused after a failure or refusal")
 	}
-	if failureRate >= failing {
-		words = append(words, fmt.Sprintf("fails %.0f%%", 100*failureRate))
+	if c.failureRate >= failing {
+		words = append(words, fmt.Sprintf("fails %.0f%%", 100*c.failureRate))
 	}
-	if speed >= slowSpeed {
+	if c.speed >= slowSpeed {
 		words = append(words, "slow")
 	}
 	if len(words) == 0 {
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -269,23 +269,15 @@
 // it and changed in between would be missed for good, since the watch begins
 // behind the change.
 func (f *Follower) list(ctx context.Context) error {
-	var items []platform.Item
-	var at uint64
-	after := ""
-	for {
-		page, err := f.page(ctx, after)
-		if err != nil {
-			return err
-		}
-		items = append(items, page.Items...)
-		if at == 0 {
-			at = page.At
-		}
-		if !page.More || len(page.Items) == 0 {
-			break
-		}
-		after = page.Items[len(page.Items)-1].Key
+	items, at, err := f.pages(ctx, platform.PrefixEndpoints)
+	if err != nil {
+		return err
+	}
+	evacuations, _, err := f.pages(ctx, platform.PrefixEvacuations)
+	if err != nil {
+		return err
 	}
+	items = append(items, evacuations...)
 	config, err := f.readConfig(ctx)
 	if err != nil {
 		return err
@@ -299,6 +291,25 @@
 	return nil
 }
 
+// pages reads all items under a prefix; at is the store's revision at the first page.
+func (f *Follower) pages(ctx context.Context, prefix string) (items []platform.Item, at uint64, err error) {
+	after := ""
+	for {
+		page, err := f.store.Range(ctx, prefix, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		items = append(items, page.Items...)
+		if at == 0 {
+			at = page.At
+		}
+		if !page.More || len(page.Items) == 0 {
+			return items, at, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
 // readConfig returns nil if there is no configuration yet.
 func (f *Follower) readConfig(ctx context.Context) (*platform.Item, error) {
 	item, err := f.store.Get(ctx, platform.KeyConfig)
@@ -308,10 +319,6 @@
 	return &item, err
 }
 
-func (f *Follower) page(ctx context.Context, after string) (platform.Page, error) {
-	return f.store.Range(ctx, platform.PrefixEndpoints, after)
-}
-
 func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
 	changes, err := f.store.Watch(ctx, "", f.At(), wait)
 	if err != nil {
--- a/discovery/lognames.go
+++ b/discovery/lognames.go
@@ -2,6 +2,8 @@
 
 // Event names of the log lines.
 const (
+	logDomainEvacuated    = "domain_evacuated"
+	logDomainTakenBack    = "domain_taken_back"
 	logReaderLost         = "reader_lost"
 	logReaderRegained     = "reader_regained"
 	logStoreHistoryGone   = "store_history_gone"
--- a/discovery/publish.go
+++ b/discovery/publish.go
@@ -29,6 +29,7 @@
 	}
 	change(now, f.state)
 	faults := f.state.TakeFaults()
+	turns := f.state.TakeTurns()
 	if f.state.At() != before {
 		close(f.changed)
 		f.changed = make(chan struct{})
@@ -41,6 +42,7 @@
 	}
 	f.mu.Unlock()
 	f.tell(faults)
+	f.tellTurns(turns)
 	if view == nil {
 		return
 	}
@@ -62,6 +64,25 @@
 	}
 }
 
+// tellTurns logs evacuations that began or ended.
+func (f *Follower) tellTurns(turns []Turn) {
+	for _, turn := range turns {
+		event, message := logDomainEvacuated, "the failure domain gets no work"
+		if !turn.Evacuated {
+			event, message = logDomainTakenBack, "the failure domain gets work again"
+		}
+		f.log.Info().Str("event", event).Str("domain", turn.Domain).Uint64("revision", turn.Revision).Msg(message)
+	}
+}
+
+// Evacuated lists the failure domains that get no work, with the store's
+// revision of that word.
+func (f *Follower) Evacuated() map[string]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.evacuations.domains()
+}
+
 // expire ends the grace of lapsed endpoints, and notices pauses.
 func (f *Follower) expire(ctx context.Context) {
 	ticker := time.NewTicker(expireEvery)
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -48,6 +48,13 @@
 	Err      error
 }
 
+// Turn is the operator's word that a failure domain is evacuated, or no longer.
+type Turn struct {
+	Domain    string
+	Evacuated bool
+	Revision  uint64
+}
+
 // State merges what the store and peers say. It does no I/O and is not safe
 // for concurrent use.
 type State struct {
@@ -62,16 +69,25 @@
 	// ending holds the entries with a time to look at, by endpoint ID: those
 	// that are no longer listed and those that were spoiled. It is looked at ten
 	// times a second, while a fleet has thousands of entries.
-	ending   map[string]*entry
-	faults   []Fault
-	trouble  time.Time
-	revision uint64
-	dirty    bool
+	ending      map[string]*entry
+	evacuations evacuationList
+	// refusedEvacuation is the newest revision of one that names no domain.
+	refusedEvacuation uint64
+	turns             []Turn
+	faults            []Fault
+	trouble           time.Time
+	revision          uint64
+	dirty             bool
 }
 
 // NewState returns a State that knows nothing.
 func NewState() *State {
-	return &State{named: make(map[string]bool), entries: make(map[string]*entry), ending: make(map[string]*entry)}
+	return &State{
+		named:       make(map[string]bool),
+		entries:     make(map[string]*entry),
+		ending:      make(map[string]*entry),
+		evacuations: make(evacuationList),
+	}
 }
 
 // At is the store's revision up to which the state is complete.
@@ -112,6 +128,13 @@
 	return faults
 }
 
+// TakeTurns returns the evacuations that began or ended since the last call.
+func (s *State) TakeTurns() []Turn {
+	turns := s.turns
+	s.turns = nil
+	return turns
+}
+
 func (s *State) fault(item platform.Item, err error) {
 	s.faults = append(s.faults, Fault{Key: item.Key, Revision: item.Revision, Err: err})
 }
@@ -126,6 +149,20 @@
 		s.applyConfig(item)
 	case strings.HasPrefix(item.Key, platform.PrefixEndpoints):
 		s.applyEndpoint(now, item)
+	case strings.HasPrefix(item.Key, platform.PrefixEvacuations):
+		s.applyEvacuation(item)
+	}
+}
+
+func (s *State) applyEvacuation(item platform.Item) {
+	changed, err := s.evacuations.apply(item)
+	switch {
+	case err != nil && item.Revision > s.refusedEvacuation:
+		s.refusedEvacuation = item.Revision
+		s.fault(item, err)
+	case changed:
+		s.dirty = true
+		s.turns = append(s.turns, Turn{Domain: domainOf(item), Evacuated: !item.Gone, Revision: item.Revision})
 	}
 }
 
@@ -305,6 +342,9 @@
 		}
 		s.remove(now, id, platform.Item{Key: platform.PrefixEndpoints + id, Revision: at, Gone: true})
 	}
+	for _, gone := range s.evacuations.missing(listed, at) {
+		s.applyEvacuation(gone)
+	}
 	s.Advance(at)
 }
 
@@ -338,11 +378,17 @@
 	}
 	s.dirty = false
 	s.revision++
+	evacuated := s.evacuations.domains()
 	var endpoints []*catalog.Endpoint
 	for _, e := range s.entries {
-		if e.endpoint != nil {
-			endpoints = append(endpoints, e.endpoint)
+		if e.endpoint == nil {
+			continue
+		}
+		endpoint := e.endpoint
+		if _, ok := evacuated[endpoint.Domain]; ok {
+			endpoint = marked(endpoint)
 		}
+		endpoints = append(endpoints, endpoint)
 	}
 	return catalog.NewView(s.index, endpoints, s.revision)
 }
@@ -373,5 +419,10 @@
 			items = append(items, e.item)
 		}
 	}
+	for _, item := range s.evacuations {
+		if item.Revision > after {
+			items = append(items, item)
+		}
+	}
 	return items
 }
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -27,8 +27,9 @@
 	// Speed is the measured time of calls over the nominal one.
 	Speed float64 `json:"speed"`
 	// Paused endpoints have just failed or refused a call.
-	Paused  bool `json:"paused,omitempty"`
-	Leaving bool `json:"leaving,omitempty"`
+	Paused    bool `json:"paused,omitempty"`
+	Leaving   bool `json:"leaving,omitempty"`
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 // EngineStats is what the queue's owner believes of one model engine.
@@ -41,6 +42,7 @@
 	FailureRate float64 `json:"failure_rate"`
 	Paused      bool    `json:"paused,omitempty"`
 	Leaving     bool    `json:"leaving,omitempty"`
+	Evacuated   bool    `json:"evacuated,omitempty"`
 }
 
 // PoolStats is the state of one stage service.
@@ -92,6 +94,8 @@
 		Speed:    w.speed,
 		Paused:   w.pause.Active(now),
 		Leaving:  w.endpoint.Leaving,
+
+		Evacuated: w.endpoint.Evacuated,
 	}
 }
 
@@ -104,5 +108,6 @@
 		FailureRate: e.failures.At(failHalfLife, now),
 		Paused:      e.pause.Active(now),
 		Leaving:     e.endpoint.Leaving,
+		Evacuated:   e.endpoint.Evacuated,
 	}
 }
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -129,6 +129,7 @@
 	for _, w := range c.replaced(view) {
 		c.lose(w, now)
 	}
+	c.refuseEvacuated(now)
 	c.dispatch(now)
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -32,7 +32,9 @@
 	Latency      map[string]gateway.Quantiles `json:"latency_ms"`
 	Queues       dispatch.Stats               `json:"queues"`
 	Endpoints    []balance.Stats              `json:"endpoints"`
-	LinesDropped uint64                       `json:"log_lines_dropped"`
+	// Evacuated holds the failure domains that get no work.
+	Evacuated    map[string]uint64 `json:"evacuated_domains"`
+	LinesDropped uint64            `json:"log_lines_dropped"`
 }
 
 // Read asks the gateway whose metrics are at addr, "host:port".
