Requests to cold endpoints are kept within what they bear

What the endpoint's entry says sets the time; the endpoints of a domain that is taken back count as cold for as long as their service says. Jobs wait while all engines are cold and have got what they bear. Health answers are not read: the gateway makes no health checks.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -5,12 +5,14 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/internal/health"
+	"github.com/mangostage/mangostage/warm"
 )
 
 const (
@@ -59,7 +61,9 @@
 // Balancer knows the endpoints of all services.
 type Balancer struct {
 	domain string
-	mu     sync.Mutex
+	// phase spreads the first requests of a fleet's members to a cold endpoint.
+	phase float64
+	mu    sync.Mutex
 	// states are kept by Key.
 	states map[string]*state
 }
@@ -69,6 +73,7 @@
 	latency  time.Duration
 	failures health.Rate
 	pause    health.Pause
+	pace     warm.Pace
 	// waiting is the load that the endpoint reported at loadAt, less our own share of it.
 	waiting int
 	loadAt  time.Time
@@ -76,18 +81,19 @@
 
 // New returns a balancer for a process in the failure domain.
 func New(domain string) *Balancer {
-	return &Balancer{domain: domain, states: make(map[string]*state)}
+	return &Balancer{domain: domain, phase: rand.Float64(), states: make(map[string]*state)}
 }
 
 // Pick returns the endpoint with the least expected cost that takes work and is
 // not in avoid by its Key, and counts a request for it; nil if there is none.
-func (b *Balancer) Pick(now time.Time, endpoints []*catalog.Endpoint, avoid map[string]bool) *catalog.Endpoint {
+// share is this process's part of the requests that a cold endpoint bears.
+func (b *Balancer) Pick(now time.Time, endpoints []*catalog.Endpoint, avoid map[string]bool, share float64) *catalog.Endpoint {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var best *catalog.Endpoint
 	var least time.Duration
 	for _, e := range endpoints {
-		if !e.TakesWork() || avoid[e.Key()] {
+		if !e.TakesWork() || avoid[e.Key()] || !b.state(e.Key()).pace.Allows(now, e, share, b.phase) {
 			continue
 		}
 		if cost := b.cost(now, e); best == nil || cost < least {
@@ -95,7 +101,9 @@
 		}
 	}
 	if best != nil {
-		b.state(best.Key()).inFlight++
+		s := b.state(best.Key())
+		s.inFlight++
+		s.pace.Sent(now, best)
 	}
 	return best
 }
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -26,7 +26,7 @@
 	for _, id := range avoid {
 		not[id] = true
 	}
-	if e := b.Pick(epoch, list, not); e != nil {
+	if e := b.Pick(epoch, list, not, 1); e != nil {
 		return e.ID
 	}
 	return ""
@@ -58,13 +58,13 @@
 	b := New("north")
 	list := endpoints("north", "south")
 	for range 3 {
-		b.Pick(epoch, list[:1], nil)
+		b.Pick(epoch, list[:1], nil, 1)
 		b.Ended(epoch, "0", Failed, time.Millisecond, -1)
 	}
 	assert.Equal(t, pick(b, list), "1")
 	b.Ended(epoch, "1", Served, latencyGuess, -1)
 	later := epoch.Add(30 * time.Second)
-	assert.Equal(t, b.Pick(later, list, nil).ID, "0")
+	assert.Equal(t, b.Pick(later, list, nil, 1).ID, "0")
 }
 
 // A client that leaves says nothing about the endpoint.
@@ -72,7 +72,7 @@
 	b := New("north")
 	list := endpoints("north", "south")
 	for range 10 {
-		b.Pick(epoch, list[:1], nil)
+		b.Pick(epoch, list[:1], nil, 1)
 		b.Ended(epoch, "0", Abandoned, time.Second, -1)
 	}
 	assert.Equal(t, pick(b, list), "0")
@@ -81,11 +81,11 @@
 func TestReportedLoadCountsForAWhile(t *testing.T) {
 	b := New("north")
 	list := endpoints("north", "south")
-	b.Pick(epoch, list[:1], nil)
+	b.Pick(epoch, list[:1], nil, 1)
 	b.Ended(epoch, "0", Served, latencyGuess, 20)
 	assert.Equal(t, pick(b, list), "1")
 	b.Ended(epoch, "1", Served, latencyGuess, 0)
-	assert.Equal(t, b.Pick(epoch.Add(2*loadSpan), list, nil).ID, "0")
+	assert.Equal(t, b.Pick(epoch.Add(2*loadSpan), list, nil, 1).ID, "0")
 }
 
 // The choice is that of the naive comparison of all costs, and requests in
@@ -114,7 +114,7 @@
 			for _, e := range list {
 				costs = append(costs, b.cost(now, e))
 			}
-			chosen := b.Pick(now, list, nil)
+			chosen := b.Pick(now, list, nil, 1)
 			for i, e := range list {
 				if e == chosen {
 					assert.Equal(t, costs[i], least)
@@ -138,7 +138,7 @@
 	b := New("north")
 	old := &catalog.Endpoint{ID: "0", Incarnation: 1, Domain: "north", Slots: 1}
 	list := []*catalog.Endpoint{old, {ID: "1", Domain: "north", Slots: 1}}
-	only := func(e *catalog.Endpoint) *catalog.Endpoint { return b.Pick(epoch, []*catalog.Endpoint{e}, nil) }
+	only := func(e *catalog.Endpoint) *catalog.Endpoint { return b.Pick(epoch, []*catalog.Endpoint{e}, nil, 1) }
 	for range 3 {
 		only(old)
 		b.Ended(epoch, old.Key(), Silent, time.Second, -1)
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -101,6 +101,10 @@
 	// Model is set for model engines, Batch for services that run stages.
 	Model *Model `json:"model,omitempty"`
 	Batch *Batch `json:"batch,omitempty"`
+	// ColdStart is how long an endpoint that has started is cold, ColdRate how
+	// many requests a second it bears until then; 0 if there is no such bound.
+	ColdStart time.Duration `json:"cold_start,omitempty"`
+	ColdRate  float64       `json:"cold_rate,omitempty"`
 }
 
 // Model describes one model engine of a service.
@@ -166,8 +170,20 @@
 	// Evacuated endpoints take no new work while the operator keeps their failure
 	// domain empty. What runs there ends, and results there can be fetched.
 	Evacuated bool `json:"evacuated,omitempty"`
+
+	// ColdLeft is how much longer the endpoint is cold, when it last wrote its
+	// entry: it is slow and bears few requests.
+	ColdLeft time.Duration `json:"cold_left,omitempty"`
+	// ColdUntil is when it is warm, by this process's clock; the zero time if it
+	// is known to be. ColdRate is how many requests a second, from all members
+	// together, it bears until then; 0 if its service names none.
+	ColdUntil time.Time `json:"cold_until,omitzero"`
+	ColdRate  float64   `json:"cold_rate,omitempty"`
 }
 
+// Cold tells whether the endpoint bears few requests yet.
+func (e *Endpoint) Cold(now time.Time) bool { return now.Before(e.ColdUntil) }
+
 // TakesWork tells whether new work may be sent to the endpoint.
 func (e *Endpoint) TakesWork() bool { return !e.Leaving && !e.Evacuated }
 
--- a/discovery/evacuation_test.go
+++ b/discovery/evacuation_test.go
@@ -136,3 +136,44 @@
 	return platform.Item{Key: platform.PrefixEndpoints + id, Revision: revision, Value: fmt.Appendf(nil,
 		`{"service":"s","address":"10.0.0.1:80","zone":%q,"slots":8,"state":"ready"}`, domain)}
 }
+
+// Endpoints that come back after an evacuation are cold and crash under what
+// they got before. Their own word comes with a heartbeat, which is too late.
+func TestTakenBackDomainIsCold(t *testing.T) {
+	const config = `{"version":1,"routes":[],"services":[{"name":"s","cold_start_s":3,"cold_per_s":11}]}`
+	now := time.Now()
+	state := discovery.NewState()
+	state.Apply(now, platform.Item{Key: platform.KeyConfig, Revision: 1, Value: []byte(config)})
+	state.Apply(now, endpointItem("a", "north", 2))
+	state.Apply(now, endpointItem("b", "south", 3))
+	assert.Assert(t, !state.View(now).Present("a").Cold(now))
+
+	key := platform.PrefixEvacuations + "north"
+	state.Apply(now, platform.Item{Key: key, Revision: 4})
+	back := now.Add(time.Minute)
+	state.Apply(back, platform.Item{Key: key, Revision: 5, Gone: true})
+	view := state.View(back)
+	a := view.Present("a")
+	assert.Assert(t, a.TakesWork() && a.Cold(back) && a.Cold(back.Add(2999*time.Millisecond)))
+	assert.Equal(t, a.ColdRate, 11.0)
+	assert.Assert(t, !a.Cold(back.Add(3*time.Second)))
+	assert.Assert(t, !view.Present("b").Cold(back))
+}
+
+// An endpoint says itself how long it is cold; a later entry replaces that.
+func TestEndpointThatSaysItIsCold(t *testing.T) {
+	const config = `{"version":1,"routes":[],"services":[{"name":"s","cold_start_s":3,"cold_per_s":11}]}`
+	now := time.Now()
+	state := discovery.NewState()
+	state.Apply(now, platform.Item{Key: platform.KeyConfig, Revision: 1, Value: []byte(config)})
+	entry := func(revision uint64, left int) platform.Item {
+		return platform.Item{Key: platform.PrefixEndpoints + "a", Revision: revision, Value: fmt.Appendf(nil,
+			`{"service":"s","address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready","cold_left_ms":%d}`, left)}
+	}
+	state.Apply(now, entry(2, 1500))
+	a := state.View(now).Present("a")
+	assert.Assert(t, a.Cold(now.Add(1499*time.Millisecond)) && !a.Cold(now.Add(1500*time.Millisecond)))
+	assert.Equal(t, a.ColdRate, 11.0)
+	state.Apply(now, entry(3, 0))
+	assert.Assert(t, !state.View(now).Present("a").Cold(now))
+}
--- a/discovery/evacuations.go
+++ b/discovery/evacuations.go
@@ -3,7 +3,6 @@
 import (
 	"strings"
 
-	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/platform"
 )
 
@@ -61,10 +60,3 @@
 func domainOf(item platform.Item) string {
 	return strings.TrimPrefix(item.Key, platform.PrefixEvacuations)
 }
-
-// marked returns the endpoint as one that gets no work.
-func marked(e *catalog.Endpoint) *catalog.Endpoint {
-	evacuated := *e
-	evacuated.Evacuated = true
-	return &evacuated
-}
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -74,10 +74,12 @@
 	// refusedEvacuation is the newest revision of one that names no domain.
 	refusedEvacuation uint64
 	turns             []Turn
-	faults            []Fault
-	trouble           time.Time
-	revision          uint64
-	dirty             bool
+	// takenBack is when the evacuation of a domain ended.
+	takenBack map[string]time.Time
+	faults    []Fault
+	trouble   time.Time
+	revision  uint64
+	dirty     bool
 }
 
 // NewState returns a State that knows nothing.
@@ -87,6 +89,7 @@
 		entries:     make(map[string]*entry),
 		ending:      make(map[string]*entry),
 		evacuations: make(evacuationList),
+		takenBack:   make(map[string]time.Time),
 	}
 }
 
@@ -150,11 +153,11 @@
 	case strings.HasPrefix(item.Key, platform.PrefixEndpoints):
 		s.applyEndpoint(now, item)
 	case strings.HasPrefix(item.Key, platform.PrefixEvacuations):
-		s.applyEvacuation(item)
+		s.applyEvacuation(now, item)
 	}
 }
 
-func (s *State) applyEvacuation(item platform.Item) {
+func (s *State) applyEvacuation(now time.Time, item platform.Item) {
 	changed, err := s.evacuations.apply(item)
 	switch {
 	case err != nil && item.Revision > s.refusedEvacuation:
@@ -162,6 +165,9 @@
 		s.fault(item, err)
 	case changed:
 		s.dirty = true
+		if item.Gone {
+			s.takenBack[domainOf(item)] = now
+		}
 		s.turns = append(s.turns, Turn{Domain: domainOf(item), Evacuated: !item.Gone, Revision: item.Revision})
 	}
 }
@@ -248,6 +254,9 @@
 			return
 		}
 	}
+	if endpoint.ColdLeft > 0 {
+		endpoint.ColdUntil = now.Add(endpoint.ColdLeft)
+	}
 	if s.named[endpoint.Service] {
 		s.list(id, &entry{item: item, endpoint: endpoint})
 		return
@@ -343,7 +352,7 @@
 		s.remove(now, id, platform.Item{Key: platform.PrefixEndpoints + id, Revision: at, Gone: true})
 	}
 	for _, gone := range s.evacuations.missing(listed, at) {
-		s.applyEvacuation(gone)
+		s.applyEvacuation(now, gone)
 	}
 	s.Advance(at)
 }
@@ -384,11 +393,8 @@
 		if e.endpoint == nil {
 			continue
 		}
-		endpoint := e.endpoint
-		if _, ok := evacuated[endpoint.Domain]; ok {
-			endpoint = marked(endpoint)
-		}
-		endpoints = append(endpoints, endpoint)
+		_, empty := evacuated[e.endpoint.Domain]
+		endpoints = append(endpoints, s.marked(e.endpoint, empty))
 	}
 	return catalog.NewView(s.index, endpoints, s.revision)
 }
@@ -405,6 +411,35 @@
 	return e.item, true
 }
 
+// marked returns the endpoint with what the deployment says of its domain and
+// service beside its own entry. The endpoints of a domain whose evacuation has
+// ended are taken for cold: they have had no work, and their own word that they
+// are comes with a heartbeat, when the first requests have long been sent.
+func (s *State) marked(e *catalog.Endpoint, evacuated bool) *catalog.Endpoint {
+	service := s.index.Service(e.Service)
+	until := e.ColdUntil
+	if back, ok := s.takenBack[e.Domain]; ok && service != nil && service.ColdStart > 0 {
+		until = later(until, back.Add(service.ColdStart))
+	}
+	if !evacuated && until.IsZero() {
+		return e
+	}
+	next := *e
+	next.Evacuated = evacuated
+	next.ColdUntil = until
+	if service != nil {
+		next.ColdRate = service.ColdRate
+	}
+	return &next
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Since lists the items that changed after the revision, for a peer. Items
 // that could not be used are among them, without their values.
 func (s *State) Since(after uint64) []platform.Item {
--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -24,6 +24,7 @@
 		effect.Pieces = append(effect.Pieces, piece)
 	}
 	w.used += cl.bytes
+	w.pace.Sent(now, w.endpoint)
 	w.calls[cl.id] = cl
 	c.calls[cl.id] = cl
 	slow := max(1, min(w.speed, timeoutFactor))
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -81,12 +81,13 @@
 // plan checks that the job can be done at all and sets the times and domains
 // of its stages.
 func (c *Core) plan(j *job, now time.Time) bool {
-	e := c.engines[j.Service].choose(j, nil, now)
-	if e == nil {
+	if !c.engines[j.Service].usable() {
 		c.refuse(j, ReasonNoEndpoint, now)
 		return false
 	}
-	j.home = e.endpoint.Domain
+	if e := c.engines[j.Service].choose(j, nil, now); e != nil {
+		j.home = e.endpoint.Domain
+	}
 	for _, s := range j.stages {
 		if s.Pieces == 0 {
 			continue
@@ -209,7 +210,8 @@
 	return names
 }
 
-// grant chooses the model engine, now that the results are there.
+// grant chooses the model engine, now that the results are there. While all
+// engines are cold and have got what they bear, the job waits for the next tick.
 func (c *Core) grant(j *job, now time.Time) {
 	inputs := make(map[string]int64)
 	for _, s := range j.stages {
@@ -222,9 +224,12 @@
 	}
 	e := c.engines[j.Service].choose(j, inputs, now)
 	if e == nil {
-		c.refuse(j, ReasonNoEndpoint, now)
+		if !c.engines[j.Service].usable() {
+			c.refuse(j, ReasonNoEndpoint, now)
+		}
 		return
 	}
+	e.pace.Sent(now, e.endpoint)
 	j.engine = e
 	j.granted = now
 	c.engines[j.Service].read(e, j)
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -1,12 +1,14 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/internal/health"
+	"github.com/mangostage/mangostage/warm"
 )
 
 const (
@@ -57,7 +59,9 @@
 	failures health.Rate
 	// pause is under way after failed requests.
 	pause health.Pause
-	gone  bool
+	// pace is what was sent to the engine while it is cold.
+	pace warm.Pace
+	gone bool
 }
 
 // run is a request that an engine was given.
@@ -81,6 +85,11 @@
 // usable tells whether the engine may be given requests at all.
 func (e *engine) usable() bool { return !e.gone && e.endpoint.TakesWork() }
 
+// bears tells whether the engine may be given one now: a cold one bears few.
+func (e *engine) bears(now time.Time) bool {
+	return e.usable() && e.pace.Allows(now, e.endpoint, warm.OwnerShare, 0)
+}
+
 // begin counts a request.
 func (e *engine) begin(j *job) {
 	uncached := max(0, promptTokens(j)-e.cache.hit(j.Prefix))
@@ -252,8 +261,13 @@
 // maxParts bounds the parts whose readers are remembered.
 const maxParts = 1 << 16
 
+// usable tells whether an engine takes requests, be it one that bears none now.
+func (es *engines) usable() bool {
+	return es != nil && slices.ContainsFunc(es.all, (*engine).usable)
+}
+
 // choose returns the engine with the least cost for j, or nil if there is none
-// that takes requests. Engines that failed the request before come last.
+// that bears a request now. Engines that failed the request before come last.
 func (es *engines) choose(j *job, inputs map[string]int64, now time.Time) *engine {
 	if es == nil {
 		return nil
@@ -272,7 +286,7 @@
 	var least float64
 	favourite := rendezvous(candidates, j)
 	for _, e := range candidates {
-		if !e.usable() {
+		if !e.bears(now) {
 			continue
 		}
 		ms := e.cost(j, inputs, now)
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -22,6 +22,9 @@
 		}
 	}
 	for _, j := range c.tickets() {
+		if j.engine == nil && j.stagesDone() {
+			c.grant(j, now)
+		}
 		c.giveUp(j, now)
 	}
 	c.dispatch(now)
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -5,6 +5,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/internal/health"
+	"github.com/mangostage/mangostage/warm"
 )
 
 const (
@@ -41,7 +42,9 @@
 	speed float64
 	// pause is under way after failed and refused calls.
 	pause health.Pause
-	gone  bool
+	// pace is what was sent to the endpoint while it is cold.
+	pace warm.Pace
+	gone bool
 }
 
 // call is one call in flight.
@@ -73,7 +76,8 @@
 
 // idle tells whether the worker takes a call at now.
 func (w *worker) idle(now time.Time) bool {
-	return w.usable() && len(w.calls) < w.spec.Slots && !w.pause.Active(now)
+	return w.usable() && len(w.calls) < w.spec.Slots && !w.pause.Active(now) &&
+		w.pace.Allows(now, w.endpoint, warm.OwnerShare, 0)
 }
 
 // usable tells whether the worker may get calls at all.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -15,6 +15,7 @@
 	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/scheduler"
+	"github.com/mangostage/mangostage/warm"
 )
 
 // leastUrgent is the last priority that model engines know; 0 is the first.
@@ -185,10 +186,16 @@
 	if e != nil && e.TakesWork() && !m.tries.avoid[e.Key()] {
 		return e, false
 	}
-	e = g.balance.Pick(time.Now(), view.Endpoints(m.serviceName), m.tries.avoid)
+	e = g.balance.Pick(time.Now(), view.Endpoints(m.serviceName), m.tries.avoid, g.coldShare(true))
 	return e, e != nil
 }
 
+// coldShare is this process's part of the requests that a cold endpoint bears;
+// queued tells whether the queue's owner sends to its service as well.
+func (g *Gateway) coldShare(queued bool) float64 {
+	return warm.PickerShare(g.cfg.FleetSize(), queued)
+}
+
 // tryEngine makes one send. For an engine that the balancer picked it also
 // ends the balancer's count, also when the client's connection is broken off:
 // counts that never end would keep later requests from that engine for good.
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -38,7 +38,7 @@
 	req.chosen = time.Now()
 	var failed *bufferedAnswer
 	for {
-		e := g.balance.Pick(time.Now(), g.viewFor(req).Endpoints(req.serviceName), tries.avoid)
+		e := g.balance.Pick(time.Now(), g.viewFor(req).Endpoints(req.serviceName), tries.avoid, g.coldShare(false))
 		if e == nil {
 			return g.noEndpoint(w, req, failed)
 		}
