--- a/cmd/mangostage/gateway_status.go
+++ b/cmd/mangostage/gateway_status.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/internal/metrics"
@@ -94,17 +95,18 @@
 	}
 	for _, s := range q.Workers {
 		_, _ = fmt.Fprintf(w, "  worker\t%s\t%d calls\t%.1f times nominal\t%s\n",
-			s.Endpoint, s.Calls, s.Speed, condition{paused: s.Paused, leaving: s.Leaving, evacuated: s.Evacuated, speed: s.Speed})
+			s.Endpoint, s.Calls, s.Speed, condition{paused: s.Paused, leaving: s.Leaving, evacuated: s.Evacuated, cold: s.ColdLeft, speed: s.Speed})
 	}
 	for _, e := range q.Engines {
 		_, _ = fmt.Fprintf(w, "  engine\t%s\t%d running\t%d tokens to read\t%s\n",
-			e.Endpoint, e.Running, e.Prefill, condition{paused: e.Paused, leaving: e.Leaving, evacuated: e.Evacuated, failureRate: e.FailureRate})
+			e.Endpoint, e.Running, e.Prefill, condition{paused: e.Paused, leaving: e.Leaving, evacuated: e.Evacuated, cold: e.ColdLeft, failureRate: e.FailureRate})
 	}
 }
 
 // condition is what is believed of an endpoint.
 type condition struct {
 	paused, leaving, evacuated bool
+	cold                       time.Duration
 	failureRate, speed         float64
 }
 
@@ -117,6 +119,9 @@
 	if c.evacuated {
 		words = append(words, "evacuated")
 	}
+	if c.cold > 0 {
+		words = append(words, "cold for "+duration(c.cold))
+	}
 	if c.paused {
 		words = append(words, "paused after a failure or refusal")
 	}
--- a/discovery/publish.go
+++ b/discovery/publish.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/platform"
 )
 
@@ -47,10 +48,21 @@
 		return
 	}
 	f.log.Info().Str("event", logViewChanged).Uint64("config", version).Uint64("at", at).
-		Int("endpoints", view.Len()).Msg("view changed")
+		Int("endpoints", view.Len()).Int("cold", cold(view, now)).Msg("view changed")
 	f.onChange(view)
 }
 
+// cold counts the endpoints of a view that bear few requests.
+func cold(view *catalog.View, now time.Time) int {
+	n := 0
+	for e := range view.All() {
+		if e.Cold(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // tell logs and counts items that could not be used.
 func (f *Follower) tell(faults []Fault) {
 	for _, fault := range faults {
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -30,6 +30,8 @@
 	Paused    bool `json:"paused,omitempty"`
 	Leaving   bool `json:"leaving,omitempty"`
 	Evacuated bool `json:"evacuated,omitempty"`
+	// ColdLeft is how much longer the endpoint bears few calls.
+	ColdLeft time.Duration `json:"cold_left,omitempty"`
 }
 
 // EngineStats is what the queue's owner believes of one model engine.
@@ -43,6 +45,8 @@
 	Paused      bool    `json:"paused,omitempty"`
 	Leaving     bool    `json:"leaving,omitempty"`
 	Evacuated   bool    `json:"evacuated,omitempty"`
+	// ColdLeft is how much longer the endpoint bears few requests.
+	ColdLeft time.Duration `json:"cold_left,omitempty"`
 }
 
 // PoolStats is the state of one stage service.
@@ -96,6 +100,7 @@
 		Leaving:  w.endpoint.Leaving,
 
 		Evacuated: w.endpoint.Evacuated,
+		ColdLeft:  max(0, w.endpoint.ColdUntil.Sub(now)),
 	}
 }
 
@@ -109,5 +114,6 @@
 		Paused:      e.pause.Active(now),
 		Leaving:     e.endpoint.Leaving,
 		Evacuated:   e.endpoint.Evacuated,
+		ColdLeft:    max(0, e.endpoint.ColdUntil.Sub(now)),
 	}
 }
