Soak: failure domains are evacuated, configurations grow

Nothing may reach an endpoint of an evacuated domain after the bound; stops, kills, cuts and other evacuations overlap with it. Endpoints of each service are in two domains, by their number.

--- a/soak/book_test.go
+++ b/soak/book_test.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// late checks that nothing reaches an endpoint of an evacuated failure domain.
+func (b *book) late(what, endpoint string, emptied time.Time) {
+	now := time.Now()
+	if !emptied.IsZero() && now.Sub(emptied) > leaveBound && b.calm(emptied, now) {
+		b.breaks("%s reached %s %v after its failure domain was evacuated", what, endpoint, now.Sub(emptied))
+	}
+}
+
 // inputs checks that a request got the results of its own last stage, all and
 // each once.
 func (b *book) inputs(run standin.Run) {
--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -42,11 +42,14 @@
 	// patience bounds each wait.
 	patience = 20 * time.Second
 	key      = "k1"
+	// domains is the number of failure domains of the endpoints.
+	domains = 2
 )
 
 // endpoint is one server; it may be started anew, also under its ID.
 type endpoint struct {
 	service string
+	domain  string
 	link    *harness.Link
 	addr    string
 
@@ -91,10 +94,15 @@
 
 	mu      sync.Mutex
 	version int
+	// added is the number of routes that serve nobody and make the
+	// configuration large.
+	added int
+	// emptied holds the evacuated failure domains, and since when.
+	emptied map[string]time.Time
 }
 
 func newRig(t *testing.T, seed uint64) *rig {
-	r := &rig{t: t, rng: rand.New(rand.NewPCG(seed, seed)), store: standin.NewStore(), book: newBook()}
+	r := &rig{t: t, rng: rand.New(rand.NewPCG(seed, seed)), store: standin.NewStore(), book: newBook(), emptied: make(map[string]time.Time)}
 	r.publish()
 	for _, service := range []string{"plain", "plain", "plain", "model", "model", "model", "stage", "stage"} {
 		r.addEndpoint(service)
@@ -147,6 +155,9 @@
 	for v := 1; v <= r.version; v++ {
 		routes = append(routes, route("v"+strconv.Itoa(v), "idempotent", "plain", ""))
 	}
+	for n := range r.added {
+		routes = append(routes, route(fmt.Sprintf("added-%08x", n*0x9e3779b1), "idempotent", "plain", ""))
+	}
 	r.store.Put(platform.KeyConfig, fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[
 		{"name":"plain"},{"name":"model","engine":{"slots":16,"kv_capacity":100000}},
 		{"name":"stage","segments":{"slots":1,"queue":2,"batch":8,"call_ms":20,"item_ms":2,"headroom_mb":1,"handle_ttl_s":3}}],
@@ -161,7 +172,7 @@
 }
 
 func (r *rig) addEndpoint(service string) {
-	e := &endpoint{service: service}
+	e := &endpoint{service: service, domain: fmt.Sprintf("z%d", len(r.endpoints)%domains)}
 	e.link, e.addr = harness.NewLink(r.t, fmt.Sprintf("%s-%d", service, len(r.endpoints)), r.serve(r.handler(e)))
 	r.endpoints = append(r.endpoints, e)
 	r.register(e)
@@ -192,7 +203,7 @@
 
 func (r *rig) listLocked(e *endpoint, state string) {
 	r.store.List(e.id, standin.Entry{
-		Service: e.service, Addr: e.addr, Domain: fmt.Sprintf("z%d", len(e.addr)%2), Slots: 8, State: state, Born: e.born,
+		Service: e.service, Addr: e.addr, Domain: e.domain, Slots: 8, State: state, Born: e.born,
 	})
 }
 
@@ -232,6 +243,7 @@
 		}
 		inner := &standin.Endpoint{ID: id, Answer: func(w http.ResponseWriter, run standin.Run) {
 			r.book.ran(run, id, leftAt)
+			r.arrived(run.ID, e)
 			answer(w, run, e.service)
 		}}
 		inner.Reject(reject)
@@ -289,6 +301,7 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		r.arrived("a call for pieces", e)
 		entries := make([]map[string]string, len(message.Entries))
 		for i, p := range message.Entries {
 			r.book.piece(p)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -151,6 +151,8 @@
 		func() { r.term(g) },
 		func() { r.leave(e) },
 		r.store.Compact,
+		r.grow,
+		func() { r.evacuate(e.domain, d, planned) },
 	}
 	if planned {
 		return work[r.rng.IntN(len(work))]
