Own configuration service: answers are bounded by silence; discovery's files by job

A bundle of 1 MB, or a list of 16 MB, is not there within it over 10 Mbit/s. Change: the limit is on silence; an answer as a whole has 30 s. TestLongAnswerIsWaitedFor fails before and passes after. Endpoints' entries and the reads of the store are in files of their own (moves only); what is evacuated as a whole is asked in one way for engines and workers. Not mended: a bundle fetched from a peer is one message under one limit of 2 s.

--- a/confsvc/client.go
+++ b/confsvc/client.go
@@ -13,6 +13,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/joomcode/errorx"
 
+	"github.com/mangostage/mangostage/internal/watchdog"
 	"github.com/mangostage/mangostage/kernel"
 )
 
@@ -25,6 +26,9 @@
 
 	maxReplyHeader = 64 << 10
 	idleTimeout    = 90 * time.Second
+	// WholeReply bounds an answer altogether, from its first byte on: a list of
+	// MaxListReply takes 13 s over 10 Mbit/s.
+	WholeReply = 30 * time.Second
 )
 
 var (
@@ -86,8 +90,9 @@
 }
 
 // NewClient returns a Client of the services at baseURL, such as
-// "http://10.0.0.1:8500". Each call ends after timeout, a Watch after its wait
-// and timeout.
+// "http://10.0.0.1:8500". A call ends when nothing has come for timeout, and
+// before its first byte a Watch after its wait and timeout: how long an answer
+// takes as a whole depends on its size and on the link.
 func NewClient(baseURL string, timeout time.Duration) *Client {
 	return &Client{
 		base:    strings.TrimSuffix(baseURL, "/"),
@@ -143,8 +148,8 @@
 }
 
 func (c *Client) get(ctx context.Context, path string, timeout time.Duration, limit int64, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, dog := watchdog.New(ctx, timeout)
+	defer dog.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
 		return ErrUnavailable.Wrap(err, "get %s", path)
@@ -156,7 +161,10 @@
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return decode(resp.Body, path, limit, into)
+		dog.Feed(c.timeout)
+		whole := time.AfterFunc(WholeReply, dog.Stop)
+		defer whole.Stop()
+		return decode(dog.Reader(resp.Body, c.timeout), path, limit, into)
 	case http.StatusTooManyRequests:
 		return ErrRateLimited.New("get %s: too many calls", path)
 	case http.StatusNotFound:
--- a/confsvc/client_test.go
+++ b/confsvc/client_test.go
@@ -122,3 +122,37 @@
 	_, err := confsvc.NewClient(p.URL(), 10*time.Millisecond).Read(context.Background(), "v")
 	assert.Assert(t, errorx.IsOfType(err, confsvc.ErrUnavailable), "%v", err)
 }
+
+// A bundle of a megabyte never reaches a VM behind a weak link: its answer takes
+// longer than the client waits, and each try begins anew. What keeps coming is
+// waited for; what has ceased to come is not.
+func TestLongAnswerIsWaitedFor(t *testing.T) {
+	const brief = 200 * time.Millisecond
+	for name, pieces := range map[string]int{"keeps coming": 12, "ceases to come": 3} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				text := `{"name":"v","revision":1,"data":"` + strings.Repeat("QUJD", 3) + `"}`
+				size := len(text) / 12
+				for i := range pieces {
+					end := (i + 1) * size
+					if i == 11 {
+						end = len(text)
+					}
+					_, _ = w.Write([]byte(text[i*size : end]))
+					_ = http.NewResponseController(w).Flush()
+					time.Sleep(brief / 4)
+				}
+				if pieces < 12 {
+					<-r.Context().Done()
+				}
+			}))
+			defer server.Close()
+			_, err := confsvc.NewClient(server.URL, brief).Read(t.Context(), "v")
+			if pieces == 12 {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Assert(t, errorx.IsOfType(err, confsvc.ErrUnavailable), "%v", err)
+		})
+	}
+}
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -4,7 +4,6 @@
 package discovery
 
 import (
-	"cmp"
 	"strings"
 	"time"
 
@@ -29,18 +28,6 @@
 	tombstoneSpan = 2 * time.Minute
 )
 
-// entry is what is known of one endpoint.
-type entry struct {
-	item     platform.Item
-	endpoint *catalog.Endpoint
-	// unnamed is what the item says, while no configuration has named its service.
-	unnamed *catalog.Endpoint
-	// goneAt is when the removal was heard of; zero while it is listed.
-	goneAt time.Time
-	// until is when a lapsed or spoiled endpoint counts as gone.
-	until time.Time
-}
-
 // Fault is an item of the store that could not be used.
 type Fault struct {
 	Key      string
@@ -210,134 +197,6 @@
 	s.fault(item, err)
 }
 
-// nameServices takes the endpoints of services that the configuration names and
-// none before it has. A service keeps its endpoints when a later configuration
-// names it no longer: requests of the version before are still under way there.
-func (s *State) nameServices(first bool) {
-	for _, service := range s.index.Config.ServiceNames() {
-		s.named[service] = true
-	}
-	for id, e := range s.entries {
-		switch {
-		case e.unnamed == nil:
-		case s.named[e.unnamed.Service]:
-			s.list(id, &entry{item: e.item, endpoint: e.unnamed})
-		case first:
-			s.fault(e.item, unnamedService(e.unnamed))
-		}
-	}
-}
-
-func unnamedService(e *catalog.Endpoint) error {
-	return platform.ErrMalformed.New("no configuration names service %q", e.Service)
-}
-
-func (s *State) applyEndpoint(now time.Time, item platform.Item) {
-	id := platform.EndpointID(item.Key)
-	known := s.entries[id]
-	if known != nil && item.Revision <= known.item.Revision {
-		return
-	}
-	if item.Gone {
-		s.remove(now, id, item)
-		return
-	}
-	endpoint, err := platform.DecodeEndpoint(item)
-	if err != nil {
-		s.spoil(now, id, &entry{item: item.Refused(err)})
-		s.fault(item, err)
-		return
-	}
-	if known != nil && known.goneAt.IsZero() && known.endpoint != nil {
-		endpoint.Incarnation = cmp.Or(endpoint.Incarnation, known.endpoint.Incarnation)
-		if outdated(endpoint, known.endpoint) {
-			return
-		}
-	}
-	if endpoint.ColdLeft > 0 {
-		endpoint.ColdUntil = now.Add(endpoint.ColdLeft)
-	}
-	if s.named[endpoint.Service] {
-		s.list(id, &entry{item: item, endpoint: endpoint})
-		return
-	}
-	s.spoil(now, id, &entry{item: item, unnamed: endpoint})
-	if s.index != nil {
-		s.fault(item, unnamedService(endpoint))
-	}
-}
-
-// list makes the entry's endpoint one to use.
-func (s *State) list(id string, e *entry) {
-	s.entries[id] = e
-	delete(s.ending, id)
-	s.dirty = true
-}
-
-// spoil notes an entry that names no endpoint to use. What stood there before
-// named one that another writer cannot have stopped, only made unknown: nothing
-// in the store says any more where it is, so it gets no new work from this
-// revision on, as if it were leaving. It is not taken for gone at once: what
-// runs there may end, results there can be fetched, and its content is not
-// blamed for a crash. If it lives, its next heartbeat writes the entry again.
-// Later writes of the same kind do not prolong the wait.
-func (s *State) spoil(now time.Time, id string, e *entry) {
-	known := s.entries[id]
-	s.entries[id] = e
-	delete(s.ending, id)
-	if known == nil || known.endpoint == nil {
-		return
-	}
-	s.dirty = true
-	if !known.goneAt.IsZero() {
-		return
-	}
-	leaving := *known.endpoint
-	leaving.Leaving = true
-	e.endpoint = &leaving
-	e.until = known.until
-	if e.until.IsZero() {
-		e.until = now.Add(spoiledGrace)
-	}
-	s.ending[id] = e
-}
-
-// outdated tells whether an entry is of an earlier process than the one that is
-// listed under its ID, although it was written later.
-//
-// The failure that it guards against: the store does a write of a process that
-// has ended only after the entry of the next one is written, and requests are
-// sent, with what the new process never held, as to the old one. Only while the
-// newer one is listed: an endpoint whose clock was set back can return after a
-// removal.
-func outdated(next, listed *catalog.Endpoint) bool { return next.Incarnation < listed.Incarnation }
-
-// remove notes that an endpoint is no longer listed.
-func (s *State) remove(now time.Time, id string, item platform.Item) {
-	known := s.entries[id]
-	if known == nil {
-		known = &entry{item: item, goneAt: now}
-		s.entries[id] = known
-		s.ending[id] = known
-		return
-	}
-	known.item = item
-	known.unnamed = nil
-	if !known.goneAt.IsZero() {
-		return
-	}
-	known.goneAt = now
-	known.until = now
-	s.ending[id] = known
-	if known.endpoint == nil {
-		return
-	}
-	if now.Sub(s.trouble) < troubleSpan && !known.endpoint.Leaving {
-		known.until = now.Add(lapseGrace)
-	}
-	s.dirty = true
-}
-
 // Listed takes a whole list, complete as of revision at: what it lacks is gone.
 func (s *State) Listed(now time.Time, items []platform.Item, at uint64) {
 	listed := make(map[string]bool, len(items))
@@ -360,25 +219,6 @@
 // Advance notes that all changes up to revision at have been applied.
 func (s *State) Advance(at uint64) { s.at = max(s.at, at) }
 
-// Expire ends the grace of lapsed and spoiled endpoints and forgets old
-// removals. An entry that names no endpoint stays known by its revision while
-// it is listed: it hides older ones, and its fault is told of once.
-func (s *State) Expire(now time.Time) {
-	for id, e := range s.ending {
-		if e.endpoint != nil && !now.Before(e.until) {
-			e.endpoint = nil
-			s.dirty = true
-		}
-		switch {
-		case e.goneAt.IsZero() && e.endpoint == nil:
-			delete(s.ending, id)
-		case !e.goneAt.IsZero() && now.Sub(e.goneAt) > tombstoneSpan:
-			delete(s.entries, id)
-			delete(s.ending, id)
-		}
-	}
-}
-
 // View returns the present view, or nil if it has not changed since the last call.
 func (s *State) View(now time.Time) *catalog.View {
 	s.Expire(now)
@@ -411,35 +251,6 @@
 	return e.item, true
 }
 
-// marked returns the endpoint with what the deployment says of its domain and
-// service beside its own entry. The endpoints of a domain whose evacuation has
-// ended are taken for cold: they have had no work, and their own word that they
-// are comes with a heartbeat, when the first requests have long been sent.
-func (s *State) marked(e *catalog.Endpoint, evacuated bool) *catalog.Endpoint {
-	service := s.index.Service(e.Service)
-	until := e.ColdUntil
-	if back, ok := s.takenBack[e.Domain]; ok && service != nil && service.ColdStart > 0 {
-		until = later(until, back.Add(service.ColdStart))
-	}
-	if !evacuated && until.IsZero() {
-		return e
-	}
-	next := *e
-	next.Evacuated = evacuated
-	next.ColdUntil = until
-	if service != nil {
-		next.ColdRate = service.ColdRate
-	}
-	return &next
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Since lists the items that changed after the revision, for a peer. Items
 // that could not be used are among them, without their values.
 func (s *State) Since(after uint64) []platform.Item {
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // refuseEvacuated refuses the jobs that wait for a service all of whose endpoints
 // are in evacuated failure domains. Nobody knows for how long, so that a client
@@ -17,37 +20,28 @@
 
 // evacuated tells whether a service that the job still needs is evacuated.
 func (c *Core) evacuated(j *job) bool {
-	if es := c.engines[j.Service]; es != nil && es.evacuated() {
+	if es := c.engines[j.Service]; es != nil && allEvacuated(es.all) {
 		return true
 	}
 	for _, s := range j.stages {
-		if p := c.pools[s.Service]; p != nil && len(s.waiting) > 0 && p.evacuated() {
+		if p := c.pools[s.Service]; p != nil && len(s.waiting) > 0 && allEvacuated(p.workers) {
 			return true
 		}
 	}
 	return false
 }
 
-// evacuated tells whether no engine takes work, and one does but for that.
-func (es *engines) evacuated() bool {
-	found := false
-	for _, e := range es.all {
-		if e.usable() {
-			return false
-		}
-		found = found || e.endpoint.Evacuated
-	}
-	return found
+// target is an endpoint that work goes to.
+type target interface {
+	usable() bool
+	evacuated() bool
 }
 
-// evacuated tells whether no worker takes work, and one does but for that.
-func (p *pool) evacuated() bool {
-	found := false
-	for _, w := range p.workers {
-		if w.usable() {
-			return false
-		}
-		found = found || w.endpoint.Evacuated
-	}
-	return found
+func (e *engine) evacuated() bool { return e.endpoint.Evacuated }
+
+func (w *worker) evacuated() bool { return w.endpoint.Evacuated }
+
+// allEvacuated tells whether no target takes work, and one does but for that.
+func allEvacuated[T target](targets []T) bool {
+	return !slices.ContainsFunc(targets, T.usable) && slices.ContainsFunc(targets, T.evacuated)
 }
--- a/member/lister.go
+++ b/member/lister.go
@@ -5,12 +5,14 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/mangostage/mangostage/confsvc"
 	"github.com/mangostage/mangostage/wire"
 )
 
 const (
-	// platformTimeout bounds one read of the platform.
-	platformTimeout = 3 * time.Second
+	// platformTimeout bounds one read of the platform altogether. The client ends
+	// one sooner when the service is silent.
+	platformTimeout = confsvc.WholeReply
 	// startRate is how many processes a second of a fleet that starts or wakes
 	// as one read the list first, and as many the bundle.
 	startRate = 500
