Cold endpoints: a lost fleet is remembered; parts: one large value at a time

Cause: found in reading the diff. A gateway that loses sight of all others took itself for the whole fleet and its part of a cold endpoint's rate for the whole. And with several large values in one answer, a part of each was read before endpoints were heard of again. Change: parts are of the most members seen within 30 to 60 s; after the first incomplete value the answer ends. Figures: TestLostMembersAreRemembered (new); the tests of warm, gateway and discovery pass. No test has several large values in one answer.

--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -144,17 +144,24 @@
 }
 
 // complete reads the large values of an answer. Without one of them the answer
-// is complete only up to the revision before it; its other items still hold. The
-// error is that of a peer from which nothing of the value came.
+// is complete only up to the revision before it, and later ones are not asked for
+// yet; its other items still hold. The error is that of a peer from which nothing
+// of the value came.
 func (r *PeerRelay) complete(ctx context.Context, conn *peer.Conn, reply changesReply) ([]platform.Item, uint64, error) {
 	items, at := reply.Items, reply.At
 	until := time.Now().Add(partsSpan)
+	missing := false
 	for _, want := range reply.Large {
+		if missing {
+			items = withValue(items, want, nil)
+			continue
+		}
 		value, err := r.value(ctx, conn, want, until)
 		if err != nil {
 			return nil, 0, err
 		}
 		if value == nil {
+			missing = true
 			at = min(at, want.Revision-1)
 		}
 		items = withValue(items, want, value)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/retry"
 	"github.com/mangostage/mangostage/scheduler"
+	"github.com/mangostage/mangostage/warm"
 )
 
 const (
@@ -57,6 +59,10 @@
 	crashes *crashes
 	paces   *paces
 	planned *planned
+	// fleet remembers how many members there are, for the parts of what cold
+	// endpoints bear; fleetMu guards it.
+	fleetMu sync.Mutex
+	fleet   warm.Fleet
 	// inFlight is the number of requests that have no whole answer yet.
 	inFlight atomic.Int64
 }
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -193,7 +193,10 @@
 // coldShare is this process's part of the requests that a cold endpoint bears;
 // queued tells whether the queue's owner sends to its service as well.
 func (g *Gateway) coldShare(queued bool) float64 {
-	return warm.PickerShare(g.cfg.FleetSize(), queued)
+	live := g.cfg.FleetSize()
+	g.fleetMu.Lock()
+	defer g.fleetMu.Unlock()
+	return warm.PickerShare(g.fleet.Size(time.Now(), live), queued)
 }
 
 // tryEngine makes one send. For an engine that the balancer picked it also
--- a/warm/warm.go
+++ b/warm/warm.go
@@ -37,6 +37,29 @@
 	return share
 }
 
+// sizeMemory is how long a larger fleet is remembered: many times as long as
+// endpoints are cold.
+const sizeMemory = 30 * time.Second
+
+// Fleet remembers the size of the fleet. A member that has lost sight of the
+// others, with its own link or theirs, would else take itself for the whole fleet,
+// and its part for the whole rate, while the others send as before. The zero value
+// knows of nobody. It is not safe for concurrent use.
+type Fleet struct {
+	// most is the largest size since began, before that of the span before.
+	most, before int
+	began        time.Time
+}
+
+// Size takes the number of members that live and returns the most of late.
+func (f *Fleet) Size(now time.Time, live int) int {
+	if now.Sub(f.began) >= sizeMemory {
+		f.before, f.most, f.began = f.most, 0, now
+	}
+	f.most = max(f.most, live)
+	return max(f.most, f.before)
+}
+
 // Pace is what one process has sent to one endpoint. The zero value has sent
 // nothing. It is not safe for concurrent use.
 type Pace struct {
--- a/warm/warm_test.go
+++ b/warm/warm_test.go
@@ -113,3 +113,19 @@
 		assert.Assert(t, !pace.Allows(epoch.Add(time.Millisecond), e, 0.2, 0))
 	}
 }
+
+// A member whose link fails while a domain returns cold sees nobody else for
+// seconds. It keeps to the part that it had, and forgets a fleet that has shrunk.
+func TestLostMembersAreRemembered(t *testing.T) {
+	var fleet warm.Fleet
+	assert.Equal(t, fleet.Size(epoch, 26), 26)
+	for after := time.Second; after < 30*time.Second; after += time.Second {
+		assert.Equal(t, fleet.Size(epoch.Add(after), 1), 26)
+	}
+	later := epoch
+	for range 70 {
+		later = later.Add(time.Second)
+		fleet.Size(later, 2)
+	}
+	assert.Equal(t, fleet.Size(later, 2), 2)
+}
