--- a/confsvc/client.go
+++ b/confsvc/client.go
@@ -148,8 +148,8 @@
 }
 
 func (c *Client) get(ctx context.Context, path string, timeout time.Duration, limit int64, into any) error {
-	ctx, dog := watchdog.New(ctx, timeout)
-	defer dog.Stop()
+	ctx, guard := watchdog.New(ctx, timeout)
+	defer guard.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
 		return ErrUnavailable.Wrap(err, "get %s", path)
@@ -161,10 +161,10 @@
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
 	case http.StatusOK:
-		dog.Feed(c.timeout)
-		whole := time.AfterFunc(WholeReply, dog.Stop)
+		guard.Feed(c.timeout)
+		whole := time.AfterFunc(WholeReply, guard.Stop)
 		defer whole.Stop()
-		return decode(dog.Reader(resp.Body, c.timeout), path, limit, into)
+		return decode(guard.Reader(resp.Body, c.timeout), path, limit, into)
 	case http.StatusTooManyRequests:
 		return ErrRateLimited.New("get %s: too many calls", path)
 	case http.StatusNotFound:
--- a/internal/watchdog/watchdog_test.go
+++ b/internal/watchdog/watchdog_test.go
@@ -16,8 +16,8 @@
 
 // A long answer that keeps coming is not given up.
 func TestFedWatchdogWaits(t *testing.T) {
-	ctx, dog := watchdog.New(context.Background(), allowed)
-	defer dog.Stop()
+	ctx, guard := watchdog.New(context.Background(), allowed)
+	defer guard.Stop()
 	from, to := io.Pipe()
 	go func() {
 		for range 8 {
@@ -26,7 +26,7 @@
 		}
 		_ = to.Close()
 	}()
-	data, err := io.ReadAll(dog.Reader(from, allowed))
+	data, err := io.ReadAll(guard.Reader(from, allowed))
 	assert.NilError(t, err)
 	assert.Equal(t, len(data), 8)
 	assert.NilError(t, ctx.Err())
@@ -34,11 +34,11 @@
 
 // One that has ceased to come is, with the cause.
 func TestUnfedWatchdogEndsItsContext(t *testing.T) {
-	ctx, dog := watchdog.New(context.Background(), allowed)
-	defer dog.Stop()
-	dog.Feed(allowed)
+	ctx, guard := watchdog.New(context.Background(), allowed)
+	defer guard.Stop()
+	guard.Feed(allowed)
 	<-ctx.Done()
 	assert.Assert(t, errorx.IsOfType(context.Cause(ctx), watchdog.ErrSilent))
-	dog.Feed(allowed)
+	guard.Feed(allowed)
 	assert.Assert(t, ctx.Err() != nil)
 }
