One way to bound an answer by its silence and as a whole

The tests of large configurations share one set-up with the others. Behaviour is as before but for the cause of a context.

--- a/confsvc/client.go
+++ b/confsvc/client.go
@@ -161,10 +161,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
 	case http.StatusOK:
-		guard.Feed(c.timeout)
-		whole := time.AfterFunc(WholeReply, guard.Stop)
-		defer whole.Stop()
-		return decode(guard.Reader(resp.Body, c.timeout), path, limit, into)
+		return decode(guard.Answer(resp.Body, c.timeout, WholeReply), path, limit, into)
 	case http.StatusTooManyRequests:
 		return ErrRateLimited.New("get %s: too many calls", path)
 	case http.StatusNotFound:
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -44,6 +44,13 @@
 		platform.NewStore(strings.TrimPrefix(server.URL, "http://"), http.DefaultClient, discovery.StorePatience),
 		relay, applyBound, log, func(v *catalog.View) { views <- v },
 	)
+	run(t, f)
+	return f, views
+}
+
+// run lets a follower run until the test ends.
+func run(t *testing.T, f *discovery.Follower) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { f.Run(ctx) })
@@ -51,7 +58,6 @@
 		cancel()
 		running.Wait()
 	})
-	return f, views
 }
 
 func putConfig(s *standin.Store, version int) {
--- a/discovery/large_test.go
+++ b/discovery/large_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -49,6 +48,17 @@
 	return []byte(text.String())
 }
 
+// smallStore serves a store whose configuration is not large yet.
+func smallStore(t *testing.T) (store *standin.Store, addr string) {
+	t.Helper()
+	store = standin.NewStore()
+	store.Put(platform.KeyConfig, largeConfig(1, 10))
+	putEndpoint(store, "a")
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	return store, strings.TrimPrefix(server.URL, "http://")
+}
+
 // weakMember runs a follower that reaches the store over the link; relay may be nil.
 func weakMember(t *testing.T, link *narrowLink, store string, relay discovery.Relay) *discovery.Follower {
 	t.Helper()
@@ -56,13 +66,7 @@
 		platform.NewStore(link.to(t, store), &http.Client{Transport: &http.Transport{}}, discovery.StorePatience),
 		relay, largeBound, zerolog.Nop(), func(*catalog.View) {},
 	)
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	running.Go(func() { f.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		running.Wait()
-	})
+	run(t, f)
 	return f
 }
 
@@ -97,12 +101,7 @@
 // store's, before the last bytes are there, and asks again from the start, while
 // what it gave up still fills the link. Its link is full and nothing gets through.
 func TestLargeConfigOverWeakLink(t *testing.T) {
-	store := standin.NewStore()
-	store.Put(platform.KeyConfig, largeConfig(1, 10))
-	putEndpoint(store, "a")
-	server := httptest.NewServer(store)
-	t.Cleanup(server.Close)
-	addr := strings.TrimPrefix(server.URL, "http://")
+	store, addr := smallStore(t)
 	reader, views := follow(t, store, nil)
 	await(t, views, hasVersion(1))
 	link := &narrowLink{bytesPerSecond: weakLink}
@@ -130,13 +129,9 @@
 // its peers does: several versions are written while one is on its way, all of
 // them are in the next answer, and that never gets through within its time limit.
 func TestLargeConfigsFromStoreOverWeakLink(t *testing.T) {
-	store := standin.NewStore()
-	store.Put(platform.KeyConfig, largeConfig(1, 10))
-	putEndpoint(store, "a")
-	server := httptest.NewServer(store)
-	t.Cleanup(server.Close)
+	store, addr := smallStore(t)
 	link := &narrowLink{bytesPerSecond: weakLink}
-	member := weakMember(t, link, strings.TrimPrefix(server.URL, "http://"), nil)
+	member := weakMember(t, link, addr, nil)
 	_, ok := inForce(member, 1, patience)
 	assert.Assert(t, ok, "the first configuration did not come")
 
--- a/internal/watchdog/watchdog.go
+++ b/internal/watchdog/watchdog.go
@@ -10,12 +10,19 @@
 	"github.com/joomcode/errorx"
 )
 
-// ErrSilent is the cause of a context that a Watchdog has ended.
-var ErrSilent = errorx.NewNamespace("watchdog").NewType("silent")
+var (
+	errs = errorx.NewNamespace("watchdog")
+	// ErrSilent is the cause of a context that ended because nothing came.
+	ErrSilent = errs.NewType("silent")
+	// ErrLong is the cause of one whose answer took too long as a whole.
+	ErrLong = errs.NewType("long")
+)
 
 // Watchdog ends its context when nothing has come for the time that it allows.
 type Watchdog struct {
-	timer  *time.Timer
+	timer *time.Timer
+	// whole bounds an answer altogether; nil before Answer.
+	whole  *time.Timer
 	cancel context.CancelCauseFunc
 }
 
@@ -37,9 +44,20 @@
 // Stop ends the context; nothing is waited for any more.
 func (w *Watchdog) Stop() {
 	w.timer.Stop()
+	if w.whole != nil {
+		w.whole.Stop()
+	}
 	w.cancel(context.Canceled)
 }
 
+// Answer returns the reader of an answer that has begun: it may be silent for so
+// long, and take so long as a whole.
+func (w *Watchdog) Answer(r io.Reader, silence, whole time.Duration) io.Reader {
+	w.Feed(silence)
+	w.whole = time.AfterFunc(whole, func() { w.cancel(ErrLong.New("the answer takes longer than allowed")) })
+	return w.Reader(r, silence)
+}
+
 // Reader feeds the watchdog with each byte that comes from r.
 func (w *Watchdog) Reader(r io.Reader, allowed time.Duration) io.Reader {
 	return &fedReader{from: r, watchdog: w, allowed: allowed}
--- a/internal/watchdog/watchdog_test.go
+++ b/internal/watchdog/watchdog_test.go
@@ -42,3 +42,25 @@
 	guard.Feed(allowed)
 	assert.Assert(t, ctx.Err() != nil)
 }
+
+// An answer that never ends is given up, although it keeps coming.
+func TestEndlessAnswerIsGivenUp(t *testing.T) {
+	ctx, guard := watchdog.New(context.Background(), allowed)
+	defer guard.Stop()
+	from, to := io.Pipe()
+	defer func() { _ = from.Close() }()
+	go func() {
+		for {
+			if _, err := to.Write([]byte("x")); err != nil {
+				return
+			}
+			time.Sleep(allowed / 20)
+		}
+	}()
+	answer := guard.Answer(from, allowed, 2*allowed)
+	for ctx.Err() == nil {
+		_, err := answer.Read(make([]byte, 1))
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, errorx.IsOfType(context.Cause(ctx), watchdog.ErrLong))
+}
