Of the first claims to the queue the stronger and older one holds

Hypothesis: after a loss of all gateways each that starts displaces those before it, since of claims with term 0 the lower name holds.

Change: a claim carries its owner's processor share and start; term 0 goes to the stronger, then to the earlier one.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -47,6 +47,8 @@
 	// Cores is its share of a processor core; a weak process owns nothing
 	// while a stronger one lives.
 	Cores float64 `json:"cores"`
+	// Started is when it started, in Unix milliseconds by its own clock.
+	Started int64 `json:"started,omitempty"`
 }
 
 // Claim says who owns the queue. Of two claims that with the higher term
@@ -54,14 +56,35 @@
 type Claim struct {
 	Term  uint64 `json:"term"`
 	Owner string `json:"owner"`
-	// Incarnation is the owner's.
-	Incarnation string `json:"incarnation"`
+	// Incarnation, Cores and Started are the owner's.
+	Incarnation string  `json:"incarnation"`
+	Cores       float64 `json:"cores,omitempty"`
+	Started     int64   `json:"started,omitempty"`
+}
+
+// claimOf returns the claim of a member to own the queue.
+func claimOf(m Member, term uint64) Claim {
+	return Claim{Term: term, Owner: m.Name, Incarnation: m.Incarnation, Cores: m.Cores, Started: m.Started}
 }
 
-// newer tells whether c takes the place of o.
+// newer tells whether c takes the place of o: by the term, and in a fleet that
+// starts by the stronger owner, then by the one that started first.
+//
+// The failure that the last guards against: all processes are lost and come back
+// within half a second, each claiming the queue for itself. If each that starts
+// could displace those before it, the queue would change hands with every start,
+// and each owner would leave begun jobs behind whose calls stand in the way of
+// the next one's.
 func (c Claim) newer(o Claim) bool {
-	if c.Term != o.Term {
+	switch {
+	case c.Term != o.Term:
 		return c.Term > o.Term
+	case c.Term > 0:
+		return c.Owner < o.Owner
+	case c.Cores != o.Cores:
+		return c.Cores > o.Cores
+	case c.Started != o.Started:
+		return c.Started < o.Started
 	}
 	return c.Owner < o.Owner
 }
@@ -188,7 +211,7 @@
 // heard of the owner; without this its claim could displace an owner at work.
 func (c *Core) confirm(now time.Time, theirs Claim) {
 	if c.claim.Term == 0 && c.claim.Owner == c.self.Name && theirs == c.claim {
-		c.take(now, Claim{Term: 1, Owner: c.claim.Owner, Incarnation: c.claim.Incarnation})
+		c.take(now, claimOf(c.self, 1))
 	}
 }
 
@@ -342,7 +365,7 @@
 	if len(c.peers) > 0 {
 		term++
 	}
-	c.take(now, Claim{Term: term, Owner: best.Name, Incarnation: best.Incarnation})
+	c.take(now, claimOf(best, term))
 }
 
 // outranks orders members: the most processor time first, then by hash.
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -32,7 +32,7 @@
 }
 
 func (w *world) start(name string, cores float64) {
-	self := Member{Name: name, Incarnation: fmt.Sprintf("%s@%d", name, w.round), Addr: name, Cores: cores}
+	self := Member{Name: name, Incarnation: fmt.Sprintf("%s@%d", name, w.round), Addr: name, Cores: cores, Started: w.now.UnixMilli()}
 	var seeds []string
 	for other := range w.cores {
 		seeds = append(seeds, other)
@@ -204,6 +204,32 @@
 	assert.Equal(t, w.oneOwner(t), owner)
 }
 
+// All processes are lost under load and come back one after the other within
+// half a second, the last by name first. The queue went from each to the next
+// one that started; each left begun jobs behind, whose calls filled the queues
+// of the endpoints, and users waited twice as long for a second and a half.
+func TestFirstToStartKeepsTheQueue(t *testing.T) {
+	w := newWorld()
+	for _, name := range []string{"d", "c", "b", "a"} {
+		w.start(name, 1)
+		w.step()
+		owner, self := w.cores["d"].Owner(w.now)
+		assert.Assert(t, self, "%s owns the queue once %s has started", owner.Name, name)
+	}
+	w.steps(2 * idleBeats)
+	assert.Equal(t, w.oneOwner(t), "d")
+}
+
+// The same where the first to start is a weak VM: it gives the queue to a
+// stronger one, since its link and processor would hold up the whole fleet.
+func TestStrongerThatStartsTakesTheQueue(t *testing.T) {
+	w := newWorld()
+	w.start("a", 0.144)
+	w.start("b", 0.8)
+	w.steps(2 * idleBeats)
+	assert.Equal(t, w.oneOwner(t), "b")
+}
+
 // The whole fleet is stopped within seconds. Each process that was leaving
 // owned the queue for itself, and the terms rose to 250: requests that were
 // still served in that time found the endpoints full. One of them must own it.
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -91,6 +91,7 @@
 // New returns a Service; Start lets it run.
 func New(cfg Config) *Service {
 	cfg.Self.Incarnation = uuid.NewString()
+	cfg.Self.Started = time.Now().UnixMilli()
 	s := &Service{cfg: cfg, conns: make(map[string]*link), lost: make(map[*peer.Conn]chan struct{}), settled: make(chan struct{})}
 	s.core = NewCore(cfg.Self, cfg.Seeds)
 	peer.HandleNote(cfg.Mux, MethodBeat, s.heard)
