Results that only stages read wait for no failure domain

Change: the engine's domain matters only to results that the engine reads. The third stage still follows its inputs. home.go holds what is decided of domains.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -152,28 +152,6 @@
 	}
 }
 
-// home is the domain in which pieces of s are best made: where most of the
-// bytes of their inputs are, or, for large results without inputs, where the
-// model engine is that will read them.
-func (c *Core) home(j *job, s *stage) string {
-	bytes := make(map[string]int64)
-	for _, a := range s.After {
-		for _, r := range j.stages[a].results {
-			bytes[r.worker.endpoint.Domain] += r.bytes
-		}
-	}
-	home, most := "", int64(largeResult-1)
-	for domain, n := range bytes {
-		if n > most || n == most && domain < home {
-			home, most = domain, n
-		}
-	}
-	if home == "" && s.ResultBytes >= largeResult {
-		return j.home
-	}
-	return home
-}
-
 // dispatch starts calls at idle workers while work waits.
 func (c *Core) dispatch(now time.Time) {
 	for _, name := range c.poolNames() {
--- /dev/null
+++ b/dispatch/home.go
@@ -0,0 +1,53 @@
+package dispatch
+
+import "time"
+
+const (
+	// homeWait is how long large pieces wait for an endpoint in the failure
+	// domain of their inputs or of their model engine.
+	homeWait = 300 * time.Millisecond
+	// largeResult is the size in bytes from which the domain of a result matters.
+	largeResult = 30_000
+)
+
+// home is the domain in which pieces of s are best made: where most of the
+// bytes of their inputs are, or, for large results that the model engine will
+// read, where that is. Results that only stages read draw those after them, and
+// have no reason to wait for one domain or the other.
+func (c *Core) home(j *job, s *stage) string {
+	bytes := make(map[string]int64)
+	for _, a := range s.After {
+		for _, r := range j.stages[a].results {
+			bytes[r.worker.endpoint.Domain] += r.bytes
+		}
+	}
+	home, most := "", int64(largeResult-1)
+	for domain, n := range bytes {
+		if n > most || n == most && domain < home {
+			home, most = domain, n
+		}
+	}
+	if home == "" && s.ResultBytes >= largeResult && j.consumers(s.index) == 0 {
+		return j.home
+	}
+	return home
+}
+
+// mayRunIn tells whether pieces of s may be made in a domain now: in their own,
+// or in any once they have waited long enough or there is no endpoint in theirs.
+func (s *stage) mayRunIn(domain string, p *pool, now time.Time) bool {
+	if s.home == "" || s.home == domain {
+		return true
+	}
+	return now.Sub(s.since) >= homeWait || !p.hasHome(s.home)
+}
+
+// hasHome tells whether a usable worker is in the domain.
+func (p *pool) hasHome(domain string) bool {
+	for _, w := range p.workers {
+		if w.usable() && w.endpoint.Domain == domain {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -8,12 +8,6 @@
 )
 
 const (
-	// homeWait is how long large pieces wait for an endpoint in the failure
-	// domain of their inputs or of their model engine. Measured: 60 and 150 ms
-	// move five times the bytes between domains, and are no faster.
-	homeWait = 300 * time.Millisecond
-	// largeResult is the size in bytes from which the domain of a result matters.
-	largeResult = 30_000
 	// timeoutFactor over its expected time makes a call overdue; endpoints of
 	// one service differ in speed by less.
 	timeoutFactor = 2.2
@@ -133,16 +127,6 @@
 	return n
 }
 
-// hasHome tells whether a usable worker is in the domain.
-func (p *pool) hasHome(domain string) bool {
-	for _, w := range p.workers {
-		if w.usable() && w.endpoint.Domain == domain {
-			return true
-		}
-	}
-	return false
-}
-
 // batch takes pieces off the queue for one call to w. Jobs that can still meet
 // their objective, or have pieces made already, go before those that cannot:
 // half-made jobs hold room at endpoints, and to put them off stalls everything.
@@ -187,10 +171,7 @@
 	if s.avoid == k.worker.key && k.pool.usable() > 1 {
 		return false
 	}
-	if s.home == "" || s.home == k.worker.endpoint.Domain {
-		return true
-	}
-	return k.now.Sub(s.since) >= homeWait || !k.pool.hasHome(s.home)
+	return s.mayRunIn(k.worker.endpoint.Domain, k.pool, k.now)
 }
 
 // take moves waiting pieces of s into the call.
