The pieces of a stage keep to one failure domain

Hypothesis: where a call has places left for a part of a stage's pieces, the rest goes to an endpoint elsewhere, and each piece of the next stage (all inputs, 480 kB) reads a part of them from another domain, wherever it runs.

Change: the domain of the first pieces becomes that of the rest, for the usual wait.

--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -42,6 +42,15 @@
 	return now.Sub(s.since) >= homeWait || !p.hasHome(s.home)
 }
 
+// settle keeps the rest of a stage's pieces in the domain in which the first ones
+// are made. If they were spread, each piece of the next stage would read some of
+// its inputs from another domain, wherever it is made.
+func (s *stage) settle(domain string) {
+	if s.home == "" && s.ResultBytes >= largeResult {
+		s.home = domain
+	}
+}
+
 // hasHome tells whether a usable worker is in the domain.
 func (p *pool) hasHome(domain string) bool {
 	for _, w := range p.workers {
--- a/dispatch/home_test.go
+++ b/dispatch/home_test.go
@@ -53,3 +53,23 @@
 		}
 	}
 }
+
+// A call has places left for half of a stage's pieces. The other half went to an
+// idle endpoint in another domain at once, and each piece of the next stage read
+// half of its inputs from there.
+func TestPiecesOfAStageKeepTogether(t *testing.T) {
+	c := New()
+	c.SetView(epoch, testView([]string{"north", "south"}, 1))
+	p := c.pools[serviceLight]
+	for _, ticket := range []string{"a", "b"} {
+		work := chainJob(ticket)
+		work.Stages[1].Pieces = 16
+		s := newJob(work, epoch).stages[1]
+		s.since = epoch
+		p.push(s)
+	}
+	north, south := p.workers[0], p.workers[1]
+	assert.Equal(t, len(p.batch(north, epoch)), 24)
+	assert.Equal(t, len(p.batch(south, epoch)), 0)
+	assert.Equal(t, len(p.batch(south, epoch.Add(homeWait))), 8, "not for longer than a while")
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -189,7 +189,9 @@
 	k.room -= int64(n) * s.ResultBytes
 	if len(s.waiting) == 0 {
 		k.pool.began(s, k.now)
+		return
 	}
+	s.settle(k.worker.endpoint.Domain)
 }
 
 // sweep drops stages from the queue that have no waiting pieces left.
