--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -21,9 +21,7 @@
 	// watchShare is the part of the time in which a configuration must be in
 	// force for which a watch may stand. A standing watch can miss changes
 	// without a sign while the store drops its history; the next one is told
-	// that the history is gone. Measured: a wait of 10 s missed a configuration
-	// for 5 s. Two readers at 0.6 s make about three calls
-	// a second.
+	// that the history is gone.
 	watchShare = 0.3
 	// followShare divides the wait for a call to a peer, so that a silent peer
 	// leaves time to ask the store within the bound.
--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -143,8 +143,8 @@
 		return
 	case fault == FaultRoom:
 		// The books are off: somebody else's results lie there. It counts as a
-		// try: after a loss of all gateways that lasts for seconds, and to keep
-		// such jobs until they can be served cost a tenth of that day's worth.
+		// try: after a loss of all gateways that lasts for seconds, and jobs that
+		// are kept until they can be served hold up those after them.
 		w.pause.Hold(pauseRefused, now)
 	case fault == FaultWork:
 		s.avoid = w.key
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -43,16 +43,13 @@
 	biasFrom time.Time
 	// roomShare is the part of the endpoints' memory that calls may book. The
 	// sizes of results are only about known, so books that are full to the last
-	// byte overflow, and a piece that finds no room is made one call later. With
-	// a share that is learned a third fewer pieces find none, counted by the
-	// endpoints of the second site on calm and on busy days.
+	// byte overflow, and a piece that finds no room is made one call later.
 	roomShare float64
 }
 
 const (
 	// roomShareMin bounds how far the share falls, also while results of an
-	// earlier owner of the queue take up memory: to hold calls back then, down
-	// to 0.3, served less, since what still fits was not made either.
+	// earlier owner of the queue take up memory: part of each call still fits.
 	roomShareMin = 0.8
 	// roomShareLoss is what a piece that finds no room takes off the share, and
 	// roomShareGain what a call without one gives back.
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -21,9 +21,8 @@
 	// redialEvery is the least time between two dials of an address.
 	redialEvery = BeatEvery
 	// dialTimeout bounds one dial: some hundred times the way within a region.
-	// A VM that is starting or cut off does not answer; with a timeout of 1 s
-	// a fleet that started as one took 1.4 s to find its owner, with 300 ms it
-	// takes half a second.
+	// A VM that is starting or cut off does not answer, and a fleet that starts
+	// as one finds its owner only once it is dialled again.
 	dialTimeout = 300 * time.Millisecond
 	// settleTime is how long after its start a process that has heard of no
 	// other waits for one before it owns the queue by itself. A fleet that
