Times to the first event and slow engines are learned

Hypothesis: the rate at which engines read prompts was a constant of the first two sites (40 tokens in a ms), the time to the first event one for each route, and a slow engine showed in nothing but the number of its runs. Where engines read slower or differ in speed, stages start too late for long prompts and prompts wait behind one another.

Change: a line through the latest first events (time by itself, time for each unread token) replaces both; an engine more than 1.3 times slower than the line says counts as that much slower, for half of it less every 10 s. Status shows it.

--- a/cmd/mangostage/gateway_status.go
+++ b/cmd/mangostage/gateway_status.go
@@ -99,7 +99,7 @@
 	}
 	for _, e := range q.Engines {
 		_, _ = fmt.Fprintf(w, "  engine\t%s\t%d running\t%d tokens to read\t%s\n",
-			e.Endpoint, e.Running, e.Prefill, condition{paused: e.Paused, leaving: e.Leaving, evacuated: e.Evacuated, cold: e.ColdLeft, failureRate: e.FailureRate})
+			e.Endpoint, e.Running, e.Prefill, condition{paused: e.Paused, leaving: e.Leaving, evacuated: e.Evacuated, cold: e.ColdLeft, failureRate: e.FailureRate, speed: e.Slowness})
 	}
 }
 
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -6,10 +6,6 @@
 )
 
 const (
-	// firstGuess is the time kept for the model engine's first event on a route
-	// from which none was heard yet; firstWeight the share of the newest one.
-	firstGuess  = 150 * time.Millisecond
-	firstWeight = 0.05
 	// lateWait is how long a job that has missed its objective may wait for
 	// its first piece; then it is refused, while its client can still come back.
 	lateWait = 250 * time.Millisecond
@@ -34,9 +30,7 @@
 	// frees are the results given up whose endpoints have not answered yet.
 	frees map[uint64][]*result
 	// sizes is the usual size of the jobs of each route, in weighted tokens.
-	sizes map[string]float64
-	// firsts is the usual time of each route from the grant to the first event.
-	firsts  map[string]time.Duration
+	sizes   map[string]float64
 	nextID  uint64
 	effects []Effect
 }
@@ -50,7 +44,6 @@
 		calls:   make(map[uint64]*call),
 		frees:   make(map[uint64][]*result),
 		sizes:   make(map[string]float64),
-		firsts:  make(map[string]time.Duration),
 	}
 }
 
@@ -85,8 +78,10 @@
 		c.refuse(j, ReasonNoEndpoint, now)
 		return false
 	}
+	j.first = c.engines[j.Service].times.of(promptTokens(j))
 	if e := c.engines[j.Service].choose(j, nil, now); e != nil {
 		j.home = e.endpoint.Domain
+		j.first = e.times.of(e.unread(j))
 	}
 	for _, s := range j.stages {
 		if s.Pieces == 0 {
@@ -103,7 +98,7 @@
 		}
 	}
 	for _, s := range j.stages {
-		s.startBy = j.aimAt.Add(-c.remaining(j, s.index) - c.first(j.Route))
+		s.startBy = j.aimAt.Add(-c.remaining(j, s.index) - j.first)
 	}
 	c.weigh(j)
 	if !c.admit(j, now) {
@@ -218,19 +213,11 @@
 		Inputs:   j.finalInputs(),
 		Sources:  j.sources(),
 		Waited:   now.Sub(j.submitted),
-		Slack:    j.aimAt.Sub(now) - c.first(j.Route),
+		Slack:    j.aimAt.Sub(now) - j.first,
 		Late:     j.late,
 	})
 }
 
-// first is the usual time from the grant to the first event.
-func (c *Core) first(route string) time.Duration {
-	if d, ok := c.firsts[route]; ok {
-		return d
-	}
-	return firstGuess
-}
-
 // FirstEvent notes that the model engine has begun to answer: it has read the
 // prompt and fetched its inputs, so their room is free for others.
 func (c *Core) FirstEvent(now time.Time, ticket string) {
@@ -238,9 +225,7 @@
 	if j == nil || j.engine == nil {
 		return
 	}
-	j.engine.firstEvent(ticket)
-	usual := c.first(j.Route)
-	c.firsts[j.Route] = usual + time.Duration(firstWeight*float64(now.Sub(j.granted)-usual))
+	j.engine.firstEvent(ticket, now.Sub(j.granted), now)
 	c.freeAll(j, now)
 	c.dispatch(now)
 }
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -12,10 +12,9 @@
 )
 
 const (
-	// prefillRate is how many prompt tokens an engine reads in a millisecond,
-	// the order of magnitude of today's engines; choices compare engines of
-	// one service, so an error of half or twice hardly changes them.
-	prefillRate = 40.0
+	// aheadShare is the part of the prompts before it that a prompt waits for:
+	// some of each has been read when it comes.
+	aheadShare = 0.6
 	// sharedWeight is what a token of a shared part that has to be read again
 	// costs, in tokens read: it takes the engine from others, too.
 	sharedWeight = 3.0
@@ -54,8 +53,12 @@
 	// prefill is the number of prompt tokens still to be read.
 	prefill int
 	// tokens is the memory of the running requests.
-	tokens   int
-	cache    prefixCache
+	tokens int
+	cache  prefixCache
+	// times is what was learned of the service's engines together.
+	times *promptTimes
+	// slowness is how its times to the first event compare with those.
+	slowness slowness
 	failures health.Rate
 	// pause is under way after failed requests.
 	pause health.Pause
@@ -67,8 +70,10 @@
 // run is a request that an engine was given.
 type run struct {
 	prefill int
-	tokens  int
-	until   time.Time
+	// ahead is the number of tokens that the engine had to read before.
+	ahead  int
+	tokens int
+	until  time.Time
 }
 
 func newEngine(e *catalog.Endpoint, spec *catalog.Model) *engine {
@@ -90,11 +95,16 @@
 	return e.usable() && e.pace.Allows(now, e.endpoint, warm.OwnerShare, 0)
 }
 
+// unread is the number of the prompt's tokens that the engine does not keep.
+func (e *engine) unread(j *job) int {
+	return max(0, promptTokens(j)-e.cache.hit(j.Prefix))
+}
+
 // begin counts a request.
 func (e *engine) begin(j *job) {
-	uncached := max(0, promptTokens(j)-e.cache.hit(j.Prefix))
 	r := &run{
-		prefill: uncached,
+		prefill: e.unread(j),
+		ahead:   e.prefill,
 		tokens:  promptTokens(j) + j.TokensOut,
 		until:   j.deadlineAt.Add(runMargin),
 	}
@@ -103,14 +113,23 @@
 	e.tokens += r.tokens
 }
 
-// firstEvent notes that the prompt has been read.
-func (e *engine) firstEvent(ticket string) {
-	if r := e.runs[ticket]; r != nil {
-		e.prefill -= r.prefill
-		r.prefill = 0
+// firstEvent notes that the prompt has been read, a time after the grant.
+func (e *engine) firstEvent(ticket string, took time.Duration, now time.Time) {
+	r := e.runs[ticket]
+	if r == nil || r.prefill == 0 {
+		return
 	}
+	tokens := waitTokens(r.ahead, r.prefill)
+	e.slowness.learn(took, e.times.of(tokens), now)
+	e.times.learn(tokens, took)
+	e.prefill -= r.prefill
+	r.prefill = 0
 }
 
+// waitTokens is the number of tokens that the first event of a prompt waits
+// for, with so many to be read before and so many of its own.
+func waitTokens(ahead, own int) int { return int(aheadShare*float64(ahead)) + own }
+
 // end forgets a request.
 func (e *engine) end(ticket string) {
 	r := e.runs[ticket]
@@ -148,7 +167,8 @@
 	hit := e.cache.hit(j.Prefix)
 	again := float64(max(0, shared-hit))
 	own := float64(promptTokens(j) - max(shared, hit))
-	ms := (float64(e.prefill) + sharedWeight*again + own) / prefillRate
+	tokens := float64(e.prefill) + sharedWeight*again + own
+	ms := e.slowness.factor(now) * milliseconds(e.times.of(int(tokens)))
 	ms += decodeCost * float64(len(e.runs))
 	ms += failPenalty * e.failures.At(failHalfLife, now)
 	for domain, bytes := range inputs {
@@ -168,6 +188,8 @@
 	return ms
 }
 
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // sharedTokens is the length of the parts that other requests may share: all
 // but the last, which is the request's own.
 func sharedTokens(j *job) int {
@@ -191,6 +213,8 @@
 type engines struct {
 	byKey map[string]*engine
 	all   []*engine
+	// times is what was learned of them together.
+	times *promptTimes
 	// readers maps the ID of a prompt's part to the engines that read it.
 	readers map[string][]*engine
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -74,6 +74,8 @@
 	// queue is the first service whose queue made the job late, behind how late.
 	queue  string
 	behind time.Duration
+	// first is the expected time from the grant to the first event.
+	first time.Duration
 	// weight is the job's size against the usual size on its route.
 	weight float64
 	// lostAt is when results of the job were last lost, to be made again.
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -42,9 +42,11 @@
 	// Prefill is the number of prompt tokens still to be read.
 	Prefill     int     `json:"prefill"`
 	FailureRate float64 `json:"failure_rate"`
-	Paused      bool    `json:"paused,omitempty"`
-	Leaving     bool    `json:"leaving,omitempty"`
-	Evacuated   bool    `json:"evacuated,omitempty"`
+	// Slowness is what its expected time to a first event is multiplied by.
+	Slowness  float64 `json:"slowness"`
+	Paused    bool    `json:"paused,omitempty"`
+	Leaving   bool    `json:"leaving,omitempty"`
+	Evacuated bool    `json:"evacuated,omitempty"`
 	// ColdLeft is how much longer the endpoint bears few requests.
 	ColdLeft time.Duration `json:"cold_left,omitempty"`
 }
@@ -111,6 +113,7 @@
 		Running:     len(e.runs),
 		Prefill:     e.prefill,
 		FailureRate: e.failures.At(failHalfLife, now),
+		Slowness:    e.slowness.factor(now),
 		Paused:      e.pause.Active(now),
 		Leaving:     e.endpoint.Leaving,
 		Evacuated:   e.endpoint.Evacuated,
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -165,9 +165,9 @@
 func (c *Core) setEngines(s *catalog.Service, view *catalog.View) {
 	known := c.engines[s.Name]
 	if known == nil {
-		known = &engines{}
+		known = &engines{times: newPromptTimes()}
 	}
-	next := &engines{byKey: make(map[string]*engine), readers: make(map[string][]*engine)}
+	next := &engines{times: known.times, byKey: make(map[string]*engine), readers: make(map[string][]*engine)}
 	for _, ep := range view.Endpoints(s.Name) {
 		e := known.byKey[ep.Key()]
 		if e == nil {
@@ -175,6 +175,7 @@
 		}
 		e.endpoint = ep
 		e.spec = s.Model
+		e.times = next.times
 		e.gone = false
 		next.byKey[e.key] = e
 		next.all = append(next.all, e)
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -11,6 +11,9 @@
 
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
+// firstEventAfter is how long engines take to their first event.
+const firstEventAfter = 150 * time.Millisecond
+
 const (
 	serviceModel = "model"
 	serviceHeavy = "encode"
@@ -133,7 +136,7 @@
 			w.calls = append(w.calls, flying{call: e, at: w.now.Add(min(took, e.Timeout))})
 		case Grant:
 			w.grants[e.Ticket] = e
-			w.answers[e.Ticket] = w.now.Add(firstGuess)
+			w.answers[e.Ticket] = w.now.Add(firstEventAfter)
 		case Refuse:
 			w.ends[e.Ticket] = string(e.Reason)
 		case Move:
