Pieces for the engine alone wait for its domain as their job's time allows

Hypothesis: 45 to 50 in 100 of the longest tenth of menu-draft prompts miss their objective of 1.3 s; reading them takes 1.0 s, stages 0.3 s at the median and 0.6 s at the ninth decile, 0.3 s of it a fixed wait for the engine's failure domain.

Change: pieces without inputs wait for half of what their job has to spare, 300 ms at most; jobs that are late anyway wait as before, as do pieces with inputs, each of which reads all of them.

--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -3,9 +3,12 @@
 import "time"
 
 const (
-	// homeWait is how long large pieces wait for an endpoint in the failure
-	// domain of their inputs or of their model engine.
+	// homeWait is the longest that large pieces wait for an endpoint in the
+	// failure domain of their inputs or of their model engine.
 	homeWait = 300 * time.Millisecond
+	// spareShare is the part of a job's time to spare for which its pieces wait
+	// for the engine's domain; the rest is kept for the prompt.
+	spareShare = 0.5
 	// largeResult is the size in bytes from which the domain of a result matters.
 	largeResult = 30_000
 )
@@ -39,7 +42,7 @@
 	if s.home == "" || s.home == domain {
 		return true
 	}
-	return now.Sub(s.since) >= homeWait || !p.hasHome(s.home)
+	return now.Sub(s.since) >= s.homeWait() || !p.hasHome(s.home)
 }
 
 // settle keeps the rest of a stage's pieces in the domain in which the first ones
@@ -60,3 +63,15 @@
 	}
 	return false
 }
+
+// homeWait is how long the pieces of s wait for an endpoint in their domain.
+// Pieces with inputs read all of them, so they wait in any case. Those for the
+// engine alone wait for a part of what their job has to spare: a long prompt needs
+// most of the time to the objective. A job that will miss it anyway is in no hurry.
+func (s *stage) homeWait() time.Duration {
+	spare := s.startBy.Sub(s.since)
+	if len(s.After) > 0 || spare < 0 {
+		return homeWait
+	}
+	return min(homeWait, time.Duration(spareShare*float64(spare)))
+}
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -110,7 +110,11 @@
 	taken := make(map[string]int)
 	room, places := w.room(p.roomShare), p.spec.Items
 	for _, s := range stages {
-		elsewhere := s.home != "" && s.home != w.endpoint.Domain && now.Sub(s.since) < homeWait && p.hasHome(s.home)
+		patience := homeWait
+		if spare := s.startBy.Sub(s.since); spare >= 0 && len(s.After) == 0 {
+			patience = min(homeWait, time.Duration(spareShare*float64(spare)))
+		}
+		elsewhere := s.home != "" && s.home != w.endpoint.Domain && now.Sub(s.since) < patience && p.hasHome(s.home)
 		if elsewhere || s.avoid == w.endpoint.ID && p.usable() > 1 {
 			continue
 		}
--- a/dispatch/prompt_test.go
+++ b/dispatch/prompt_test.go
@@ -61,6 +61,39 @@
 	assert.Equal(t, e.times.n, learned)
 }
 
+// A long prompt is read for nearly a second. Its pieces waited 300 ms for the
+// endpoint in the engine's domain, as those of short prompts do, and half of the
+// longest tenth of all prompts missed their objective.
+func TestLongPromptsWaitLessForTheirDomain(t *testing.T) {
+	for name, test := range map[string]struct {
+		tokens  int
+		starts  bool
+		objects time.Duration
+	}{
+		"short prompt":        {tokens: 500, starts: false, objects: 1300 * time.Millisecond},
+		"long prompt":         {tokens: 30_000, starts: true, objects: 1300 * time.Millisecond},
+		"late in either case": {tokens: 30_000, starts: false, objects: 900 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			view := testView([]string{"north", "south"}, 1)
+			view.Endpoint("model-south-0").Leaving = true
+			w := newWorld(view)
+			w.slow["encode-north-0"] = 20
+			busy := testJob("busy")
+			busy.Stages = busy.Stages[:1]
+			w.submit(busy)
+			assert.Equal(t, w.calls[0].call.Endpoint, "encode-north-0")
+			j := testJob("a")
+			j.Stages = j.Stages[:1]
+			j.TokensIn = test.tokens
+			j.Objective = test.objects
+			w.submit(j)
+			w.run(200 * time.Millisecond)
+			assert.Equal(t, w.core.jobs["a"].started, test.starts)
+		})
+	}
+}
+
 // An engine turns five times slower while its health is good. Users whose prompts
 // it reads wait five times as long, until others get the prompts; once it is well
 // again it gets its share.
