--- a/dispatch/prompt.go
+++ b/dispatch/prompt.go
@@ -18,6 +18,9 @@
 	// the time for each token.
 	promptTimeMax  = 10 * time.Second
 	promptTokenMax = time.Millisecond
+	// promptMinSpread is the part of the squares of the lengths below which their
+	// spread is an error of rounding.
+	promptMinSpread = 1e-6
 )
 
 // promptTimes learns how long the engines of a service take to the first event:
@@ -56,11 +59,12 @@
 	t.timeTokens += weight * x * y
 }
 
-// perToken is the time for each token.
+// perToken is the time for each token. Prompts that are all alike do not tell:
+// then it is the guess, or less if they take less in all.
 func (t *promptTimes) perToken() time.Duration {
 	spread := t.n*t.tokens2 - t.tokens*t.tokens
-	if spread <= 0 {
-		return promptTokenGuess
+	if spread <= promptMinSpread*t.n*t.tokens2 {
+		return min(promptTokenGuess, time.Duration(t.time/max(1, t.tokens)))
 	}
 	slope := time.Duration((t.n*t.timeTokens - t.tokens*t.time) / spread)
 	return min(max(0, slope), promptTokenMax)
--- a/dispatch/prompt_test.go
+++ b/dispatch/prompt_test.go
@@ -40,13 +40,17 @@
 	})
 }
 
-// A prompt with no spread in lengths tells nothing of the time for each token.
+// All prompts of a deployment are of one length: what each token takes cannot be
+// told from them, what such a prompt takes can.
 func TestPromptTimesOfOneLength(t *testing.T) {
-	times := newPromptTimes()
-	for range 2_000 {
-		times.learn(5_000, time.Second)
+	for _, tokens := range []int{0, 17, 4_999, 33_333, 99_991} {
+		times := newPromptTimes()
+		for range 100_000 {
+			times.learn(tokens, 300*time.Millisecond)
+		}
+		near(t, times.of(tokens), 300*time.Millisecond)
+		assert.Assert(t, times.of(2*tokens) <= 650*time.Millisecond, "%d tokens: %v", 2*tokens, times.of(2*tokens))
 	}
-	near(t, times.of(5_000), time.Second)
 }
 
 // The first event of a request is told twice, as after a resend: it counts once.
