--- /dev/null
+++ b/dispatch/view.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+)
+
+// SetView takes a new configuration or list of endpoints. Endpoints that are
+// gone lose their calls' pieces to others; the jobs go on. One that has started
+// again under its ID counts as gone, and another one as added.
+func (c *Core) SetView(now time.Time, view *catalog.View) {
+	if view.Index == nil {
+		return
+	}
+	for i := range view.Index.Config.Services {
+		s := &view.Index.Config.Services[i]
+		if s.Batch != nil {
+			c.setPool(s, view)
+		}
+		if s.Model != nil {
+			c.setEngines(s, view)
+		}
+	}
+	for _, w := range c.replaced(view) {
+		c.lose(w, now)
+	}
+	c.refuseEvacuated(now)
+	c.dispatch(now)
+}
+
+func (c *Core) setPool(s *catalog.Service, view *catalog.View) {
+	p := c.pools[s.Name]
+	if p == nil {
+		p = newPool(s.Name, s.Batch)
+		c.pools[s.Name] = p
+	}
+	p.spec = s.Batch
+	var workers []*worker
+	for _, e := range view.Endpoints(s.Name) {
+		w := p.worker(e.Key())
+		if w == nil {
+			w = newWorker(e, s.Batch)
+		}
+		w.endpoint = e
+		w.spec = s.Batch
+		w.gone = false
+		workers = append(workers, w)
+	}
+	for _, w := range p.workers {
+		if view.Endpoint(w.key) == nil {
+			w.gone = true
+		}
+	}
+	p.workers = workers
+}
+
+func (c *Core) setEngines(s *catalog.Service, view *catalog.View) {
+	known := c.engines[s.Name]
+	if known == nil {
+		known = &engines{times: newPromptTimes()}
+	}
+	next := &engines{times: known.times, byKey: make(map[string]*engine), readers: make(map[string][]*engine)}
+	for _, ep := range view.Endpoints(s.Name) {
+		e := known.byKey[ep.Key()]
+		if e == nil {
+			e = newEngine(ep, s.Model)
+		}
+		e.endpoint = ep
+		e.spec = s.Model
+		e.times = next.times
+		e.gone = false
+		next.byKey[e.key] = e
+		next.all = append(next.all, e)
+	}
+	for _, e := range known.all {
+		e.gone = next.byKey[e.key] == nil
+	}
+	for part, readers := range known.readers {
+		for _, e := range readers {
+			if !e.gone {
+				next.remember(part, e)
+			}
+		}
+	}
+	c.engines[s.Name] = next
+}
