A claim is compared with the own one, also before that was made

Cause, traced in the test's world: which process beats first is a matter of luck there; one that hears of a claim before it has made its own compared with none, for which any claim with a processor share is better, took it over, and both confirmed it. A gateway that is dialled in the moment of its start could do the same, and a weak VM owned the queue.

Change: a process claims the queue for itself before it compares. A test of that order failed before. Formerly no claim came before all names, so that this did not show.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -159,6 +159,10 @@
 	if b.From.Name == c.self.Name || b.From.Name == "" {
 		return false
 	}
+	if c.claim.Owner == "" {
+		// Any claim would be newer than none, be it that of a weaker process.
+		c.take(now, claimOf(c.self, 0))
+	}
 	c.peers[b.From.Name] = &peerState{Member: b.From, heard: now, leaving: b.Leaving, steady: b.Steady, storeAt: b.StoreAt, hears: b.Hears}
 	c.hearOfHubs(now, b)
 	c.learn(now, b.From.Addr)
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -230,6 +230,20 @@
 	assert.Equal(t, w.oneOwner(t), "b")
 }
 
+// The same where the stronger one hears of the weak one's claim before it has
+// made its own: it took that for better than none, and both confirmed it.
+func TestStrongerThatHearsFirstTakesTheQueue(t *testing.T) {
+	weak := NewCore(Member{Name: "a", Incarnation: "a", Addr: "a", Cores: 0.144}, nil)
+	strong := NewCore(Member{Name: "b", Incarnation: "b", Addr: "b", Cores: 0.8}, nil)
+	weak.Owner(epoch)
+	strong.Heard(epoch, weak.Introduction(epoch, 0))
+	weak.Heard(epoch, strong.Introduction(epoch, 0))
+	owner, self := strong.Owner(epoch)
+	assert.Assert(t, self, "%s owns the queue", owner.Name)
+	owner, _ = weak.Owner(epoch)
+	assert.Equal(t, owner.Name, "b")
+}
+
 // The whole fleet is stopped within seconds. Each process that was leaving
 // owned the queue for itself, and the terms rose to 250: requests that were
 // still served in that time found the endpoints full. One of them must own it.
