Revert "Requests that come back are known to a gateway that has just started"

Where many gateways are restarted in turn, each sees few requests of a route, and the first guess stands for long; new requests then count as ones that come back, go behind the others and are refused.

--- a/gateway/ages.go
+++ b/gateway/ages.go
@@ -14,9 +14,6 @@
 	// maxDeadlines bounds the different deadlines that are counted on a route.
 	// When it is full all counts are halved and what falls to 0 goes.
 	maxDeadlines = 32
-	// priorCount is how many requests the route's timeout counts as before any
-	// was seen: the first few that are alike outweigh it.
-	priorCount = 3
 )
 
 // ages tells requests that come back from new ones. Clients say how long they
@@ -25,10 +22,6 @@
 // the most frequent deadline has passed since its first try. The longest
 // deadline would not do: a few clients wait longer than all others, and made
 // every other request look as if it came back.
-//
-// Until a process has seen some requests of a route, it takes the route's timeout
-// for the usual deadline. Without that, after a loss of all gateways the requests
-// that come back look new; they go before those that are, and both are late.
 type ages struct {
 	mu     sync.Mutex
 	routes map[string]*deadlines
@@ -42,9 +35,8 @@
 
 func newAges() *ages { return &ages{routes: make(map[string]*deadlines)} }
 
-// of returns the time since the client's first try; 0 for a first try. timeout
-// is the route's, 0 if it has none.
-func (a *ages) of(route string, timeout, deadline time.Duration) time.Duration {
+// of returns the time since the client's first try; 0 for a first try.
+func (a *ages) of(route string, deadline time.Duration) time.Duration {
 	if deadline <= 0 {
 		return 0
 	}
@@ -56,10 +48,6 @@
 			clear(a.routes)
 		}
 		d = &deadlines{counts: make(map[time.Duration]int)}
-		if timeout > 0 {
-			d.counts[timeout] = priorCount
-			d.usual = timeout
-		}
 		a.routes[route] = d
 	}
 	d.count(deadline)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -75,7 +75,7 @@
 	req.serviceName = pickShare(req.route, req.ID)
 	req.service = index.Service(req.serviceName)
 	req.deadline = now.Add(timeLeft(req))
-	req.age = g.ages.of(req.route.Name, req.route.Timeout, req.Deadline)
+	req.age = g.ages.of(req.route.Name, req.Deadline)
 	req.begin(g.planned)
 	return req, nil
 }
