Begun requests wait for their pool instead of being cut short

Callers saw: a request of seconds ends after 30 to 210 ms with cut_short, no_endpoint, its first stages done, because every endpoint of the next pool was away for a moment. They send it again and its first stages run again.

Evidence: TestBegunRequestsOutliveTheirPool (all three engines away for 200 ms, five times, 12 callers, quiet, without -race).

Cause: turn.start ended a request as soon as no endpoint could be picked, whatever time it had, and an endpoint that was tried once was excluded for good.

Change: - A request of which something has run waits for an endpoint of the pool, until the rest would no longer fit its deadline. The room is bounded (MaxWaiting). Reports of agents, changes of membership and health send the waiting on, those with the least time left first, and only as many as the pool starts at once, so that an endpoint that has just restarted is not met by all of them. - An endpoint that was lost is worth another try once it has reported again. - The last attempt after lost ones goes to an endpoint that has reported since, or to any after a second. - A call that reached no endpoint takes nothing from the retry budget: it put no load on the pool. - A request that has not run is refused at once, as before. - The entry's log says of each endpoint why it was not chosen (leaving, unreachable, draining, without bundle, down, tried, not heard of) and how old its report is. - A call counts for its endpoint's load when it is decided, not when its goroutine runs.

Ruled out: more attempts (MaxAttempts is the policy's word and stays); holding requests that have not run (nobody knows when the pool is back).

--- a/entry/effects.go
+++ b/entry/effects.go
@@ -35,7 +35,7 @@
 func (e *Entry) carryOut(effect pipeline.Effect) {
 	switch x := effect.(type) {
 	case pipeline.Call:
-		go e.call(x)
+		go e.call(x, e.count(x))
 	case pipeline.Revoke:
 		go e.revoke(x)
 	case pipeline.SendPeek:
@@ -61,8 +61,21 @@
 	}
 }
 
+// count adds a call to the load of its endpoint at once, so that the next
+// decision sees it, and returns what takes it off again.
+func (e *Entry) count(c pipeline.Call) (done func()) {
+	load := e.fleet.load(c.Endpoint)
+	if load == nil {
+		return func() {}
+	}
+	load.InFlight.Add(1)
+	load.SentSinceReport.Add(1)
+	return func() { load.InFlight.Add(-1) }
+}
+
 // call sends one stage call and reports its end to the core.
-func (e *Entry) call(c pipeline.Call) {
+func (e *Entry) call(c pipeline.Call, done func()) {
+	defer done()
 	conn, ok := e.members.Agent(c.Endpoint)
 	if !ok {
 		e.handle(pipeline.CallNotWritten{CallID: c.ID})
@@ -76,11 +89,6 @@
 		// no later one: a copy that outlives the run must not reach its successor.
 		c.Binding = &wire.Binding{Agent: c.Endpoint, Incarnation: incarnation}
 	}
-	if load := e.fleet.load(c.Endpoint); load != nil {
-		load.InFlight.Add(1)
-		load.SentSinceReport.Add(1)
-		defer load.InFlight.Add(-1)
-	}
 	if after := e.fleet.overdueAfter(c.Pool, c.Endpoint); after > 0 {
 		watch := time.AfterFunc(after, func() {
 			e.moved(e.fleet.overdue(c.Pool, c.Endpoint, e.cfg.Now()))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -75,6 +75,9 @@
 	// by wire.CallID, until the call's deadline has passed.
 	sentTo sync.Map
 
+	// resuming is held by the one that sends waiting requests on.
+	resuming sync.Mutex
+
 	suspects suspectShare
 	draining atomic.Bool
 	refusing atomic.Bool
@@ -174,6 +177,7 @@
 		e.pauses.tick(now)
 		e.moved(e.fleet.tick(now))
 		e.shareSuspects(now)
+		e.resumeWaiting()
 		// A connection that comes or goes is no event of its own but makes a
 		// new view.
 		if view := e.members.View(); view != applied {
@@ -262,9 +266,7 @@
 			Endpoint: m.VM.Endpoint,
 			Pool:     m.VM.Pool,
 			Domain:   m.VM.Domain,
-			// An unreachable endpoint takes no work either: a call to it
-			// could not be written.
-			Leaving: m.State != member.StateLive || !m.Connected,
+			Away:     away(m),
 		})
 	}
 	e.fleet.setPlaces(places, 1+entries, e.cfg.Now())
@@ -277,8 +279,39 @@
 	}
 }
 
+// away is why a member's endpoint takes no work; empty if it does. A call to
+// one that is unreachable could not be written.
+func away(m *member.Member) route.Away {
+	switch {
+	case m.State != member.StateLive:
+		return route.AwayLeaving
+	case !m.Connected:
+		return route.AwayUnreachable
+	default:
+		return ""
+	}
+}
+
 // ApplyReport takes in an agent's report.
-func (e *Entry) ApplyReport(r wire.AgentReport) { e.fleet.setReport(r, e.cfg.Now()) }
+func (e *Entry) ApplyReport(r wire.AgentReport) {
+	e.fleet.setReport(r, e.cfg.Now())
+	e.resumeWaiting()
+}
+
+// resumeWaiting sends requests that wait for an endpoint to those that are
+// back. One goroutine at a time does so, or each would fill the same places.
+func (e *Entry) resumeWaiting() {
+	if e.core.Waiting() == 0 || !e.resuming.TryLock() {
+		return
+	}
+	defer e.resuming.Unlock()
+	for _, pool := range e.core.WaitingPools() {
+		now := e.cfg.Now()
+		if room := e.fleet.room(pool, now); room > 0 {
+			e.run(e.core.EndpointsBack(now, pool, room))
+		}
+	}
+}
 
 // Ready tells the balancer whether to send callers here.
 func (e *Entry) Ready() bool {
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -20,7 +20,8 @@
 	Endpoint string
 	Pool     string
 	Domain   string
-	Leaving  bool
+	// Away is why it takes no work; empty if it does.
+	Away route.Away
 }
 
 // fleet turns membership, reports and health into routing snapshots.
@@ -252,12 +253,34 @@
 	// An agent that has told its load but no capacity holds no bundle yet and
 	// would refuse every call.
 	unready := r.Seq > 0 && r.Capacity == 0
-	if p.Leaving || r.Draining || unready {
+	switch {
+	case p.Away != "":
+		e.Away = p.Away
+	case r.Draining:
+		e.Away = route.AwayDraining
+	case unready:
+		e.Away = route.AwayUnready
+	}
+	if e.Away != "" {
 		e.State = route.StateLeaving
 	}
 	return e
 }
 
+// room returns how many waiting requests the pool takes now. An endpoint
+// that takes work but is full gets one at a time, with each report: it queues.
+func (f *fleet) room(pool string, now time.Time) int {
+	p := f.snapshot(now).Pools[pool]
+	if p == nil {
+		return 0
+	}
+	free, usable := p.Free(now)
+	if !usable {
+		return 0
+	}
+	return max(1, free)
+}
+
 // load returns the entry's own counters for an endpoint, or nil.
 func (f *fleet) load(endpoint string) *route.Load {
 	f.mu.Lock()
--- a/entry/log.go
+++ b/entry/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"fmt"
 	"sync/atomic"
 
 	"github.com/mangostage/mangostage/api"
@@ -33,9 +34,19 @@
 		Int("candidates", d.Candidates).
 		Int("considered", d.Considered).
 		Str("reason", d.Reason).
+		Bool("waits", d.Waits).
+		Stringers("unusable", stringers(d.Unusable)).
 		Send()
 }
 
+func stringers(list []route.Unusable) []fmt.Stringer {
+	converted := make([]fmt.Stringer, len(list))
+	for i, u := range list {
+		converted[i] = u
+	}
+	return converted
+}
+
 func (e *Entry) logTransitions(transitions []route.Transition) {
 	for _, t := range transitions {
 		e.cfg.Log.Warn().
@@ -104,6 +115,7 @@
 	count("requests_rejected", &e.stats.rejected)
 	count("replies_mismatched", &e.stats.mismatched)
 	m.Set("requests_in_flight", expvar.Func(func() any { return e.waiters.len() }))
+	m.Set("requests_waiting", expvar.Func(func() any { return e.core.Waiting() }))
 	m.Set("records_held", expvar.Func(func() any { return e.cfg.Records.Len() }))
 	m.Set("records_evicted", expvar.Func(func() any { return e.cfg.Records.Evictions() }))
 	m.Set("cost", expvar.Func(func() any { return e.costs.list() }))
--- /dev/null
+++ b/integration/pool_away_test.go
@@ -0,0 +1,39 @@
+package integration
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mangostage/mangostage/fake"
+	"github.com/mangostage/mangostage/internal/harness"
+)
+
+const (
+	// awayMS is for how long all engines of the pool are away, in milliseconds.
+	awayMS = 200
+	// outages is how often, outageEvery how far apart.
+	outages     = 5
+	outageEvery = 2 * time.Second
+	poolCallers = 12
+)
+
+// TestBegunRequestsOutliveTheirPool guards against requests that are cut short
+// with seconds left because every endpoint of a pool was away for a moment.
+func TestBegunRequestsOutliveTheirPool(t *testing.T) {
+	fleet := harness.Start(t, harness.Config{
+		Pools: map[string]int{"encoders": 1, "retrievers": 1, poolEngines: 3},
+	})
+	tr := startTraffic(t, fleet, poolCallers, plainCall(pipelineNotes))
+	harness.Wait(t, waitLimit, func() error { return answeredSince(tr, 0, 50) })
+	outage := time.NewTicker(outageEvery)
+	defer outage.Stop()
+	for range outages {
+		for _, e := range fleet.PoolEndpoints(poolEngines) {
+			e.Apply(fake.Control{DownForMS: awayMS})
+		}
+		<-outage.C
+	}
+	answered := tr.answered.Load()
+	harness.Wait(t, waitLimit, func() error { return answeredSince(tr, answered, 100) })
+	tr.end(t)
+}
--- a/pipeline/admit.go
+++ b/pipeline/admit.go
@@ -106,6 +106,8 @@
 		}
 	case TimerHedge:
 		t.startHedge(t.idle)
+	case TimerWait:
+		t.waitOver()
 	}
 }
 
--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -44,6 +44,9 @@
 	notWritten bool
 	lost       bool
 	took       time.Duration
+	// lostAt is when the endpoint or the way to it was found to be lost; zero
+	// if it answered.
+	lostAt time.Time
 
 	revoked    bool
 	ack        wire.RevokeState
@@ -104,6 +107,9 @@
 	return a.result.Status
 }
 
+// notReached tells whether the call is proved to have got to no endpoint.
+func (a *attempt) notReached() bool { return a.knowledge == notRun && !a.lostAt.IsZero() }
+
 // failure describes the attempt to the Retrier.
 func (r *request) failure(a *attempt, now time.Time, need time.Duration) retry.Failure {
 	return retry.Failure{
@@ -111,6 +117,7 @@
 		Status:       a.status(),
 		Attempts:     r.attemptsOf(a.stage),
 		Unrepeatable: r.stageAt(a.stage).Unrepeatable,
+		NotReached:   a.notReached(),
 		Remaining:    r.Deadline.Sub(now),
 		Need:         need,
 	}
--- a/pipeline/core.go
+++ b/pipeline/core.go
@@ -39,6 +39,7 @@
 const (
 	DefaultMaxInFlight  = 16384
 	DefaultMaxLateCalls = 16384
+	DefaultMaxWaiting   = 4096
 )
 
 // Config is what a Core is made of. Only Entry and Picker are required.
@@ -54,6 +55,9 @@
 	// MaxLateCalls bounds the calls remembered after the end of their request,
 	// to account for their cost.
 	MaxLateCalls int
+	// MaxWaiting bounds the requests that are kept while no endpoint of a pool
+	// takes work; each holds the output of its earlier stages.
+	MaxWaiting int
 }
 
 // Core holds all requests of one entry.
@@ -61,6 +65,7 @@
 	cfg      Config
 	inFlight atomic.Int64
 	sendings atomic.Uint64
+	waiting  *waitRoom
 	shards   [shardCount]shard
 }
 
@@ -90,7 +95,10 @@
 	if cfg.MaxLateCalls <= 0 {
 		cfg.MaxLateCalls = DefaultMaxLateCalls
 	}
-	c := &Core{cfg: cfg}
+	if cfg.MaxWaiting <= 0 {
+		cfg.MaxWaiting = DefaultMaxWaiting
+	}
+	c := &Core{cfg: cfg, waiting: newWaitRoom(cfg.MaxWaiting)}
 	for i := range c.shards {
 		c.shards[i].requests = make(map[string]*request)
 		c.shards[i].late = newLateCalls(max(1, cfg.MaxLateCalls/shardCount))
@@ -104,7 +112,7 @@
 // Handle takes in one event and returns what is to be done.
 func (c *Core) Handle(now time.Time, ev Event) []Effect {
 	id := ev.requestID()
-	s := &c.shards[xxhash.Sum64String(id)%shardCount]
+	s := c.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := &turn{core: c, shard: s, r: s.requests[id], now: now}
@@ -112,6 +120,10 @@
 	return t.effects
 }
 
+func (c *Core) shard(requestID string) *shard {
+	return &c.shards[xxhash.Sum64String(requestID)%shardCount]
+}
+
 // turn is the handling of one event.
 type turn struct {
 	core    *Core
--- a/pipeline/core_test.go
+++ b/pipeline/core_test.go
@@ -44,7 +44,7 @@
 
 func (p *player) Pick(_ time.Time, _ *bundle.Policy, req *route.Request) route.Decision {
 	for _, name := range []string{"e1", "e2", "e3"} {
-		if !slices.Contains(req.Exclude, name) && (req.Only == "" || req.Only == name) {
+		if !tried(req, name) && (req.Only == "" || req.Only == name) {
 			e := &route.Endpoint{Name: name}
 			e.Report.Process.Incarnation = "first"
 			return route.Decision{Endpoint: e}
@@ -393,3 +393,8 @@
 		oneRequest(core, "r")
 	}
 }
+
+// tried tells whether the request was sent to the endpoint and has not come back since.
+func tried(req *route.Request, name string) bool {
+	return slices.ContainsFunc(req.Tried, func(t route.Tried) bool { return t.Endpoint == name })
+}
--- a/pipeline/effect.go
+++ b/pipeline/effect.go
@@ -28,6 +28,8 @@
 	TimerHedge
 	// TimerProof ends the wait for revocations or peeks.
 	TimerProof
+	// TimerWait ends the wait for an endpoint.
+	TimerWait
 )
 
 // Call sends a stage call to the agent of an endpoint, once. The shell reports
@@ -103,6 +105,10 @@
 	Candidates int
 	Considered int
 	Reason     string
+	// Waits: the request is kept until an endpoint is back.
+	Waits bool
+	// Unusable says of some endpoints why none was chosen.
+	Unusable []route.Unusable
 }
 
 // Record is a fact to keep.
--- a/pipeline/finish.go
+++ b/pipeline/finish.go
@@ -87,6 +87,7 @@
 // close replies, accounts for the work, and forgets the request.
 func (t *turn) close(outcome api.Outcome, c cause, final api.Final) {
 	r := t.r
+	t.stopWaiting()
 	r.ended = true
 	t.emit(Reply{RequestID: r.RequestID, Ref: r.Ref, Final: final})
 	for _, a := range r.attempts {
--- a/pipeline/model_test.go
+++ b/pipeline/model_test.go
@@ -218,11 +218,13 @@
 	var names []string
 	for i := range 3 {
 		name := fmt.Sprint(req.Pool, i)
-		if !slices.Contains(req.Exclude, name) && (req.Only == "" || req.Only == name) {
+		if !w.excluded(req, name) && (req.Only == "" || req.Only == name) {
 			names = append(names, name)
 		}
 	}
-	if len(names) == 0 || w.chance("none available", 2) {
+	silent := !req.HeardSince.IsZero() && w.chance("silent", 50)
+	if len(names) == 0 || silent || w.chance("none available", 5) {
+		w.after(w.span("away", 200), func() { w.back(req.Pool) })
 		return route.Decision{}
 	}
 	a := w.agents[rapid.SampledFrom(names).Draw(w.T, "pick")]
@@ -234,6 +236,28 @@
 	return route.Decision{Endpoint: e}
 }
 
+// excluded tells whether the request was sent to the endpoint, which has not
+// come back since.
+func (w *world) excluded(req *route.Request, name string) bool {
+	for _, t := range req.Tried {
+		if t.Endpoint == name && (t.LostAt.IsZero() || w.chance("still away", 50)) {
+			return true
+		}
+	}
+	return false
+}
+
+// back tells the core that endpoints of a pool are back.
+func (w *world) back(pool string) {
+	if w.now.Before(w.frozen) {
+		w.after(w.frozen.Sub(w.now), func() { w.back(pool) })
+		return
+	}
+	for _, effect := range w.core.EndpointsBack(w.now, pool, rapid.IntRange(1, 3).Draw(w.T, "places")) {
+		w.carryOut(effect)
+	}
+}
+
 // Decide implements Retrier without any care, so that what must hold whatever
 // the policy is the core's own doing.
 func (w *world) Decide(retry.Failure, time.Time) retry.Verdict {
--- a/pipeline/proof.go
+++ b/pipeline/proof.go
@@ -12,6 +12,7 @@
 // can't become known within proofWait.
 func (t *turn) conclude(c cause) {
 	r := t.r
+	t.stopWaiting()
 	r.cause = c
 	r.phase = proving
 	for _, a := range r.attempts {
--- a/pipeline/property_test.go
+++ b/pipeline/property_test.go
@@ -124,6 +124,7 @@
 	assert.Equal(w, w.useful+w.wasted, cost, "cost")
 	assert.Equal(w, w.finals, len(w.admits)-twice, "final records")
 	assert.Equal(w, w.core.InFlight(), 0)
+	assert.Equal(w, w.core.Waiting(), 0)
 	assert.Equal(w, w.suspects.n, 0, "runs of content without an end")
 }
 
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -22,7 +22,7 @@
 	peeking
 )
 
-const timerKinds = int(TimerProof) + 1
+const timerKinds = int(TimerWait) + 1
 
 // request is one sending of a request.
 type request struct {
@@ -42,6 +42,13 @@
 	// winners holds, by stage, the attempt whose result was used.
 	winners []*attempt
 
+	// ticket is held while the request waits for an endpoint; unserved is why it
+	// ends if none comes back.
+	ticket   *ticket
+	unserved cause
+	// heardSince keeps the last attempt for an endpoint that has reported after it.
+	heardSince time.Time
+
 	// timers holds the sequence number of each running timer.
 	timers [timerKinds]uint64
 
@@ -77,17 +84,6 @@
 	return n
 }
 
-// tried lists the endpoints that were sent the stage.
-func (r *request) tried(stage int) []string {
-	var names []string
-	for _, a := range r.attempts {
-		if a.stage == stage {
-			names = append(names, a.endpoint)
-		}
-	}
-	return names
-}
-
 // find returns the attempt with exactly that ID, or nil.
 func (r *request) find(id wire.CallID) *attempt {
 	for _, a := range r.attempts {
--- a/pipeline/result.go
+++ b/pipeline/result.go
@@ -1,6 +1,8 @@
 package pipeline
 
 import (
+	"time"
+
 	"github.com/mangostage/mangostage/api"
 	"github.com/mangostage/mangostage/ledger"
 	"github.com/mangostage/mangostage/route"
@@ -59,6 +61,9 @@
 	a.learn(k)
 	a.took = t.now.Sub(a.sentAt)
 	a.cost = max(a.cost, res.Cost)
+	if res.Crashed || res.Reason == api.ReasonNoEndpoint {
+		a.lostAt = t.now
+	}
 	if !wasOver {
 		t.endRun(a)
 		o := t.observe(a, callOutcome(res))
@@ -123,6 +128,7 @@
 // ended takes in the end of a call without a reply.
 func (t *turn) ended(a *attempt, state api.StageState, outcome route.CallOutcome) {
 	a.took = t.now.Sub(a.sentAt)
+	a.lostAt = t.now
 	t.endRun(a)
 	t.emit(t.observe(a, outcome))
 	t.recordAttempt(a, ledger.Record{Kind: ledger.KindFinished, State: state,
@@ -234,7 +240,9 @@
 		t.answer()
 		return
 	}
+	t.stopWaiting()
 	r.stage++
+	r.heardSince = time.Time{}
 	r.timers[TimerHedge] = 0
 	t.startStage()
 }
--- a/pipeline/stage.go
+++ b/pipeline/stage.go
@@ -41,6 +41,7 @@
 // start makes one attempt of the current stage; otherwise is why the request
 // ends if there is no endpoint for it.
 func (t *turn) start(otherwise cause) {
+	t.stopWaiting()
 	if !t.now.Before(t.r.giveUpAt) {
 		t.conclude(cause{reason: api.ReasonDeadline, detail: "no time left for the stage"})
 		return
@@ -53,7 +54,7 @@
 		t.conclude(cause{reason: api.ReasonSuspectRequest, retryAfter: verdict.RetryAfter})
 		return
 	}
-	d := t.pick(false)
+	d := t.pick()
 	if d.Endpoint == nil {
 		t.core.cfg.Suspects.Ended(t.r.content(t.r.stage), t.now)
 		if t.r.binding(t.r.stage) != nil {
@@ -62,14 +63,20 @@
 		if otherwise.detail == "" {
 			otherwise.detail = d.Reason
 		}
-		t.conclude(otherwise)
+		log := t.decision(d)
+		log.Waits = t.wait(otherwise)
+		t.emit(log)
+		if !log.Waits {
+			t.conclude(otherwise)
+		}
 		return
 	}
+	t.emit(t.decision(d))
 	t.send(d.Endpoint, false, verdict.Alone)
 }
 
-// pick asks for an endpoint and logs the decision.
-func (t *turn) pick(hedge bool) route.Decision {
+// pick asks for an endpoint.
+func (t *turn) pick() route.Decision {
 	r := t.r
 	stage := r.stageAt(r.stage)
 	req := &route.Request{
@@ -81,19 +88,25 @@
 		Priority:     r.Account.Priority,
 		AffinityHash: r.AffinityHash,
 		Remaining:    r.Deadline.Sub(t.now),
-		Exclude:      r.tried(r.stage),
+		Tried:        r.tried(r.stage),
+		HeardSince:   r.heardSince,
 	}
 	if b := r.binding(r.stage); b != nil {
 		req.Only = b.Agent
 	}
-	d := t.core.cfg.Picker.Pick(t.now, &r.Bundle.Policy, req)
+	return t.core.cfg.Picker.Pick(t.now, &r.Bundle.Policy, req)
+}
+
+// decision returns what is logged of a choice.
+func (t *turn) decision(d route.Decision) Log {
+	r := t.r
+	stage := r.stageAt(r.stage)
 	log := Log{RequestID: r.RequestID, Stage: stage.Name, Pool: stage.Pool, Attempt: r.attemptsOf(r.stage) + 1,
-		Hedge: hedge, Candidates: d.Candidates, Considered: d.Considered, Reason: d.Reason}
+		Candidates: d.Candidates, Considered: d.Considered, Reason: d.Reason, Unusable: d.Unusable}
 	if d.Endpoint != nil {
 		log.Endpoint = d.Endpoint.Name
 	}
-	t.emit(log)
-	return d
+	return log
 }
 
 // send makes the call.
@@ -178,7 +191,10 @@
 	}
 	// Content under suspicion is not put on a second endpoint at the same time.
 	if !verdict.Alone {
-		d := t.pick(true)
+		d := t.pick()
+		log := t.decision(d)
+		log.Hedge = true
+		t.emit(log)
 		if d.Endpoint != nil && pays(d.Endpoint) && t.core.cfg.Retrier.Hedge(r.stageAt(r.stage).Pool, t.now) {
 			t.send(d.Endpoint, true, false)
 			return
@@ -202,6 +218,9 @@
 // retry makes another attempt after a failed one, or gives the request up.
 func (t *turn) retry(failed *attempt) {
 	r := t.r
+	if r.ticket != nil {
+		return
+	}
 	bound := r.binding(r.stage) != nil
 	c := failed.causeOf(bound)
 	if !t.mayRetry(failed, bound) {
@@ -215,6 +234,7 @@
 		return
 	}
 	c.detail = join(c.detail, "no other endpoint")
+	r.confirmLast(failed)
 	t.start(c)
 }
 
--- a/retry/adaptive.go
+++ b/retry/adaptive.go
@@ -36,7 +36,7 @@
 		return Verdict{Reason: ReasonAttempts}
 	case f.Remaining < f.Need:
 		return Verdict{Reason: ReasonNoTime}
-	case !a.budget.Take(f.Pool, now):
+	case !f.NotReached && !a.budget.Take(f.Pool, now):
 		return Verdict{Reason: ReasonBudget}
 	default:
 		return Verdict{Retry: true, Reason: ReasonRetry}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -30,6 +30,9 @@
 	// Attempts made so far, this one included.
 	Attempts     int
 	Unrepeatable bool
+	// NotReached: the call got to no endpoint, which was down or could not be
+	// reached, so that another attempt is no further load for the pool.
+	NotReached bool
 	// Remaining is the time left before the deadline.
 	Remaining time.Duration
 	// Need is the expected time of this stage and those after it.
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -42,6 +42,7 @@
 		"second retry":    {with(func(f *Failure) { f.Attempts = 2 }), ReasonRetry, ReasonRetry},
 		"attempts used":   {with(func(f *Failure) { f.Attempts = 3 }), ReasonAttempts, ReasonRetry},
 		"all used":        {with(func(f *Failure) { f.Attempts = 4 }), ReasonAttempts, ReasonAttempts},
+		"not reached":     {with(func(f *Failure) { f.NotReached = true }), ReasonRetry, ReasonRetry},
 		"no time":         {with(func(f *Failure) { f.Need = 3 * time.Second }), ReasonNoTime, ReasonRetry},
 		"unrepeatable":    {with(func(f *Failure) { f.Unrepeatable = true }), ReasonUnrepeatable, ReasonUnrepeatable},
 		"earlier sending": {with(func(f *Failure) { f.Status = wire.StatusUnknown }), ReasonUnrepeatable, ReasonUnrepeatable},
--- a/route/load.go
+++ b/route/load.go
@@ -81,3 +81,17 @@
 	faded := float64(age-reportTrusted) / float64(reportForgotten-reportTrusted)
 	return own + (pool-own)*faded
 }
+
+// Free returns how many further calls the pool's endpoints would start at once,
+// and whether any of them would accept a call.
+func (p *Pool) Free(now time.Time) (free int, usable bool) {
+	for _, e := range p.Endpoints {
+		if !e.available() {
+			continue
+		}
+		usable = true
+		service := e.service(now, serviceUnknown.Seconds())
+		free += max(0, int(e.capacity()-e.load(now, service)))
+	}
+	return free, usable
+}
--- a/route/plugin.go
+++ b/route/plugin.go
@@ -110,12 +110,12 @@
 
 var sets = map[bundle.PolicyName]set{
 	bundle.PolicyAdaptive: {
-		filters: []kernel.ModuleID{filterAvailable, filterExclude, filterModel},
+		filters: []kernel.ModuleID{filterAvailable, filterExclude, filterFresh, filterModel},
 		scorers: []kernel.ModuleID{scorerWait, scorerLocality, scorerAffinity, scorerIdentity},
 		picker:  pickerSample,
 	},
 	bundle.PolicyNaive: {
-		filters: []kernel.ModuleID{filterAvailable, filterExclude, filterModel},
+		filters: []kernel.ModuleID{filterAvailable, filterExclude, filterFresh, filterModel},
 		picker:  pickerRoundRobin,
 	},
 }
--- a/route/route.go
+++ b/route/route.go
@@ -46,6 +46,8 @@
 	Name   string
 	Pool   string
 	Domain string
+	// Away is why a leaving endpoint takes no work.
+	Away Away
 	// Report is the latest from its agent; zero until the first.
 	Report     wire.AgentReport
 	ReportedAt time.Time
@@ -55,6 +57,20 @@
 	Load *Load
 }
 
+// Tried is an endpoint that a request's stage has been sent to.
+type Tried struct {
+	Endpoint string
+	// LostAt is when the endpoint, or the way to it, was found to be lost; zero
+	// if it answered. An endpoint that has reported since may have restarted,
+	// so it is worth another attempt.
+	LostAt time.Time
+}
+
+// returned tells whether e has been heard of since it was lost.
+func (t Tried) returned(e *Endpoint) bool {
+	return !t.LostAt.IsZero() && e.ReportedAt.After(t.LostAt)
+}
+
 // Load counts one entry's own calls to an endpoint. It is updated without
 // rebuilding the snapshot.
 type Load struct {
@@ -96,8 +112,10 @@
 	AffinityHash uint64
 	// Remaining is the time left before the request's deadline.
 	Remaining time.Duration
-	// Exclude lists endpoints already tried.
-	Exclude []string
+	// Tried lists the endpoints that the stage has been sent to.
+	Tried []Tried
+	// HeardSince leaves only endpoints that have reported after it; zero for any.
+	HeardSince time.Time
 	// Only restricts the choice to one endpoint, for bound stages; empty for any.
 	Only string
 }
@@ -111,6 +129,8 @@
 	// Considered is the size of the pool.
 	Considered int
 	Reason     string
+	// Unusable says why, of some endpoints of the pool, when none was chosen.
+	Unusable []Unusable
 }
 
 // Router chooses endpoints.
--- a/route/router.go
+++ b/route/router.go
@@ -105,6 +105,9 @@
 	} else {
 		d = r.picker.Pick(q, &r.chain)
 	}
+	if d.Endpoint == nil {
+		d.Unusable = r.chain.unusable(q)
+	}
 	q.release()
 	r.queries.Put(q)
 	return d
--- a/route/router_test.go
+++ b/route/router_test.go
@@ -110,7 +110,7 @@
 			req: Request{Pool: "llm"}, name: "llm-0000", reason: ReasonLastResort,
 		},
 		"all tried": {
-			req:    Request{Pool: "llm", Exclude: []string{"llm-0000", "llm-0001", "llm-0002"}},
+			req:    Request{Pool: "llm", Tried: []Tried{{Endpoint: "llm-0000"}, {Endpoint: "llm-0001"}, {Endpoint: "llm-0002"}}},
 			reason: ReasonAllTried,
 		},
 	}
@@ -171,14 +171,21 @@
 	}
 	for _, e := range endpoints {
 		if rapid.IntRange(0, 5).Draw(t, "exclude") == 0 {
-			req.Exclude = append(req.Exclude, e.Name)
+			tried := Tried{Endpoint: e.Name}
+			if rapid.Bool().Draw(t, "lost") {
+				tried.LostAt = start.Add(-20 * time.Second)
+			}
+			req.Tried = append(req.Tried, tried)
 		}
 	}
+	if rapid.IntRange(0, 5).Draw(t, "heard") == 0 {
+		req.HeardSince = start.Add(-20 * time.Second)
+	}
 	seed := rapid.Uint64().Draw(t, "seed")
 	d := r.Pick(snap, req, start, rand.New(rand.NewPCG(seed, 1)))
 	usable := map[State]int{}
 	for _, e := range endpoints {
-		if mayUse(e, req.Exclude) {
+		if mayUse(e, req) {
 			usable[e.State]++
 		}
 	}
@@ -187,7 +194,7 @@
 	if d.Endpoint == nil {
 		return
 	}
-	assert.Assert(t, mayUse(d.Endpoint, req.Exclude))
+	assert.Assert(t, mayUse(d.Endpoint, req))
 	if policy == bundle.PolicyNaive {
 		return
 	}
@@ -199,12 +206,14 @@
 	}
 }
 
-func mayUse(e *Endpoint, exclude []string) bool {
-	if e.State == StateLeaving || e.Report.Down || e.Report.Draining {
+func mayUse(e *Endpoint, req *Request) bool {
+	silent := !req.HeardSince.IsZero() && !req.HeardSince.Before(e.ReportedAt)
+	if e.State == StateLeaving || e.Report.Down || e.Report.Draining || silent {
 		return false
 	}
-	for _, name := range exclude {
-		if name == e.Name {
+	for _, t := range req.Tried {
+		back := !t.LostAt.IsZero() && t.LostAt.Before(e.ReportedAt)
+		if t.Endpoint == e.Name && !back {
 			return false
 		}
 	}
--- a/route/sample.go
+++ b/route/sample.go
@@ -199,7 +199,7 @@
 // it is a first attempt, and has time for another should this one fail. With
 // at most one such call in flight, an endpoint that is still slow takes few.
 func mayProbe(q *Query, e *Endpoint) bool {
-	if len(q.Request.Exclude) > 0 {
+	if len(q.Request.Tried) > 0 {
 		return false
 	}
 	service := e.service(q.Now, serviceUnknown.Seconds())
@@ -221,7 +221,7 @@
 		}
 	}
 	d.Reason = ReasonNone
-	if len(q.Request.Exclude) > 0 {
+	if len(q.Request.Tried) > 0 {
 		d.Reason = ReasonAllTried
 	}
 	return d
