Jobs that have begun wait for model engines that were lost

The same fault as in the pipeline, in the gateway's queue: when the last stage of a job ended while all engines of its service were lost, the job was refused with no_endpoint at once, its results thrown away, though lost engines are back within seconds and jobs do wait for lost endpoints of stages.

Engines that leave or are evacuated are known not to come back: refused at once, as before. So are new jobs.

Looked at and left: gateway/plain.go, where nothing has run before the send, so that a refusal with 250 ms loses the caller nothing; hedges, which are only left out; streams, which take the pipeline's way.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -183,6 +183,15 @@
 	return names
 }
 
+// awaitsEngine tells whether a job is kept although its service has no engine
+// that takes work. Engines that were lost are back within seconds, and the
+// stages of a job that has begun would have to run again; giveUp bounds the wait.
+// Engines that leave do not come back.
+func (c *Core) awaitsEngine(j *job) bool {
+	es := c.engines[j.Service]
+	return j.started && es != nil && len(es.all) == 0
+}
+
 // grant chooses the model engine, now that the results are there. While all
 // engines are cold and have got what they bear, the job waits for the next tick.
 func (c *Core) grant(j *job, now time.Time) {
@@ -197,7 +206,7 @@
 	}
 	e := c.engines[j.Service].choose(j, inputs, now)
 	if e == nil {
-		if !c.engines[j.Service].usable() {
+		if !c.engines[j.Service].usable() && !c.awaitsEngine(j) {
 			c.refuse(j, ReasonNoEndpoint, now)
 		}
 		return
