Requests wait only for endpoints that may serve them, and not behind each other

The decision says whether an endpoint that is away could serve the request: one that answered would fail it again, one that the list shows as leaving does not come back. Requests called in vain keep their place, 64 at a time are passed over.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -283,9 +283,9 @@
 // one that is unreachable could not be written.
 func away(m *member.Member) route.Away {
 	switch {
-	case m.State != member.StateLive:
+	case m.State == member.StateLeaving:
 		return route.AwayLeaving
-	case !m.Connected:
+	case m.State != member.StateLive, !m.Connected:
 		return route.AwayUnreachable
 	default:
 		return ""
--- a/pipeline/model_test.go
+++ b/pipeline/model_test.go
@@ -225,7 +225,7 @@
 	silent := !req.HeardSince.IsZero() && w.chance("silent", 50)
 	if len(names) == 0 || silent || w.chance("none available", 5) {
 		w.after(w.span("away", 200), func() { w.back(req.Pool) })
-		return route.Decision{}
+		return route.Decision{MayReturn: w.chance("may return", 80)}
 	}
 	a := w.agents[rapid.SampledFrom(names).Draw(w.T, "pick")]
 	e := &route.Endpoint{Name: a.name}
--- a/pipeline/stage.go
+++ b/pipeline/stage.go
@@ -41,7 +41,6 @@
 // start makes one attempt of the current stage; otherwise is why the request
 // ends if there is no endpoint for it.
 func (t *turn) start(otherwise cause) {
-	t.stopWaiting()
 	if !t.now.Before(t.r.giveUpAt) {
 		t.conclude(cause{reason: api.ReasonDeadline, detail: "no time left for the stage"})
 		return
@@ -63,18 +62,27 @@
 		if otherwise.detail == "" {
 			otherwise.detail = d.Reason
 		}
-		log := t.decision(d)
-		log.Waits = t.wait(otherwise)
-		t.emit(log)
-		if !log.Waits {
-			t.conclude(otherwise)
-		}
+		t.startLater(d, otherwise)
 		return
 	}
+	t.stopWaiting()
 	t.emit(t.decision(d))
 	t.send(d.Endpoint, false, verdict.Alone)
 }
 
+// startLater takes in that no endpoint can be used now.
+func (t *turn) startLater(d route.Decision, otherwise cause) {
+	waited := t.r.ticket != nil
+	log := t.decision(d)
+	log.Waits = d.MayReturn && t.wait(otherwise)
+	if !waited || !log.Waits {
+		t.emit(log)
+	}
+	if !log.Waits {
+		t.conclude(otherwise)
+	}
+}
+
 // pick asks for an endpoint.
 func (t *turn) pick() route.Decision {
 	r := t.r
--- a/pipeline/wait.go
+++ b/pipeline/wait.go
@@ -10,6 +10,9 @@
 // agent checks its endpoint that often, and tells of a change at once.
 const confirmWait = time.Second
 
+// maxPassedOver bounds the requests that are tried in vain at one time.
+const maxPassedOver = 64
+
 // Waiting is the number of requests that wait for an endpoint.
 func (c *Core) Waiting() int { return c.waiting.len() }
 
@@ -24,27 +27,37 @@
 // Like EndpointEjected it is no event of one request.
 func (c *Core) EndpointsBack(now time.Time, pool string, places int) []Effect {
 	var effects []Effect
-	for range min(places, c.waiting.len()) {
+	var stay []*ticket
+	for places > 0 && len(stay) < maxPassedOver {
 		k := c.waiting.call(pool)
 		if k == nil {
 			break
 		}
-		effects = append(effects, c.resume(now, k)...)
+		more, waits := c.resume(now, k)
+		effects = append(effects, more...)
+		if waits {
+			stay = append(stay, k)
+		} else {
+			places--
+		}
 	}
+	c.waiting.enterAgain(stay)
 	return effects
 }
 
-func (c *Core) resume(now time.Time, k *ticket) []Effect {
+// resume tries the stage of a waiting request again and tells whether the
+// request still waits: the endpoint that is back need not be one for it.
+func (c *Core) resume(now time.Time, k *ticket) (effects []Effect, waits bool) {
 	s := c.shard(k.requestID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.requests[k.requestID]
 	if r == nil || r.ticket != k {
-		return nil
+		return nil, false
 	}
 	t := &turn{core: c, shard: s, r: r, now: now}
 	t.start(r.unserved)
-	return t.effects
+	return t.effects, r.ticket == k
 }
 
 // wait keeps a request until an endpoint of its pool is back, if that can
@@ -59,6 +72,9 @@
 	if !r.begun() || !t.now.Before(until) {
 		return false
 	}
+	if r.ticket != nil {
+		return true
+	}
 	k := &ticket{requestID: r.RequestID, pool: r.stageAt(r.stage).Pool, until: until}
 	if !t.core.waiting.enter(k) {
 		return false
@@ -80,6 +96,7 @@
 		return
 	}
 	r.heardSince = time.Time{}
+	t.stopWaiting()
 	t.start(r.unserved)
 }
 
--- a/pipeline/wait_test.go
+++ b/pipeline/wait_test.go
@@ -20,19 +20,24 @@
 	// heard is the time of the latest report of each endpoint.
 	heard time.Time
 	picks int
+	// useless is a request that no endpoint can serve at present.
+	useless string
 }
 
 func (p *poolPicker) Pick(_ time.Time, _ *bundle.Policy, req *route.Request) route.Decision {
 	p.picks++
-	if p.away || !req.HeardSince.IsZero() && !p.heard.After(req.HeardSince) {
-		return route.Decision{Reason: route.ReasonNone}
+	if p.away || req.ID == p.useless || !req.HeardSince.IsZero() && !p.heard.After(req.HeardSince) {
+		return route.Decision{Reason: route.ReasonNone, MayReturn: true}
 	}
+	mayReturn := false
 	for _, name := range []string{"e1", "e2", "e3"} {
-		if !tried(req, name) || p.heard.After(lostAt(req, name)) {
+		at := lostAt(req, name)
+		if (!tried(req, name) || p.heard.After(at)) && (req.Only == "" || req.Only == name) {
 			return route.Decision{Endpoint: &route.Endpoint{Name: name}}
 		}
+		mayReturn = mayReturn || at.Before(epoch.Add(time.Hour))
 	}
-	return route.Decision{Reason: route.ReasonAllTried}
+	return route.Decision{Reason: route.ReasonAllTried, MayReturn: mayReturn}
 }
 
 // lostAt is when the endpoint was lost last; the end of time if it answered.
@@ -271,3 +276,35 @@
 	}
 	return rest
 }
+
+// Guards against requests that wait behind one for which the endpoint that is
+// back is of no use, as it is not the one that it needs.
+func TestWaitingRequestDoesNotBlockOthers(t *testing.T) {
+	pool := &poolPicker{heard: epoch}
+	p := newWaiting(pool, 0)
+	for i, left := range []time.Duration{500 * ms, 900 * ms} {
+		a := admit(minted, one, two)
+		a.RequestID, a.Ref, a.Deadline = fmt.Sprint("r", i), uint64(i+1), epoch.Add(left)
+		p.play(send(a))
+	}
+	pool.away = true
+	p.play(done(1), done(2))
+	assert.Equal(t, p.core.Waiting(), 2)
+	pool.useless = "r0"
+	p.back(pool, 1)
+	assert.Equal(t, p.calls[len(p.calls)-1].ID.Request, "r1")
+	assert.Equal(t, p.core.Waiting(), 1)
+}
+
+// Guards against a request that is held though every endpoint of its pool has
+// answered it with an error and none will do better.
+func TestRequestThatAllHaveFailedIsNotHeld(t *testing.T) {
+	pool := &poolPicker{heard: epoch}
+	p := newWaiting(pool, 0)
+	a := admit(minted, one, two)
+	a.Bundle.Policy.MaxAttempts = 5
+	failed := func(call int) step { return result(call, wire.StatusFailed, "") }
+	p.play(send(a), done(1), failed(2), failed(3), failed(4))
+	assert.Equal(t, all[Reply](p)[0].Problem.Reason, api.ReasonEndpointFailed)
+	assert.Equal(t, p.core.Waiting(), 0)
+}
--- a/pipeline/waitroom.go
+++ b/pipeline/waitroom.go
@@ -16,6 +16,8 @@
 	until time.Time
 	// index is the ticket's position in its queue, or outside.
 	index int
+	// void: the request does not wait any more.
+	void bool
 }
 
 // outside is the index of a ticket that is in no queue.
@@ -42,6 +44,22 @@
 	if w.size >= w.limit {
 		return false
 	}
+	w.push(k)
+	return true
+}
+
+// enterAgain puts back tickets that were called in vain.
+func (w *waitRoom) enterAgain(tickets []*ticket) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, k := range tickets {
+		if !k.void {
+			w.push(k)
+		}
+	}
+}
+
+func (w *waitRoom) push(k *ticket) {
 	q := w.pools[k.pool]
 	if q == nil {
 		q = new(waitQueue)
@@ -49,13 +67,13 @@
 	}
 	heap.Push(q, k)
 	w.size++
-	return true
 }
 
-// leave gives the place back; a ticket that was called has none any more.
+// leave gives the place back, if the ticket has one.
 func (w *waitRoom) leave(k *ticket) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	k.void = true
 	if k.index == outside {
 		return
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -129,6 +129,8 @@
 	// Considered is the size of the pool.
 	Considered int
 	Reason     string
+	// MayReturn: none was chosen, and one that is away now could serve the request.
+	MayReturn bool
 	// Unusable says why, of some endpoints of the pool, when none was chosen.
 	Unusable []Unusable
 }
--- a/route/router.go
+++ b/route/router.go
@@ -106,7 +106,7 @@
 		d = r.picker.Pick(q, &r.chain)
 	}
 	if d.Endpoint == nil {
-		d.Unusable = r.chain.unusable(q)
+		d.Unusable, d.MayReturn = r.chain.unusable(q), mayReturn(q)
 	}
 	q.release()
 	r.queries.Put(q)
--- a/route/unusable.go
+++ b/route/unusable.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -58,7 +59,7 @@
 		if len(list) == unusableShown {
 			break
 		}
-		if c.Keep(q, e) || (q.Request.Only != "" && q.Request.Only != e.Name) {
+		if c.Keep(q, e) || !q.Request.allows(e) {
 			continue
 		}
 		u := Unusable{Endpoint: e.Name, Reason: e.unusableFor(q), ReportAge: -1}
@@ -70,6 +71,23 @@
 	return list
 }
 
+// mayReturn tells whether an endpoint that is away now could serve the request
+// once it is back. One that answered would fail it again, and one that leaves
+// does not come back.
+func mayReturn(q *Query) bool {
+	return slices.ContainsFunc(q.Pool.Endpoints, func(e *Endpoint) bool {
+		return e.Away != AwayLeaving && q.Request.allows(e) && !q.Request.answeredBy(e) && (modelFilter{}).Keep(q, e)
+	})
+}
+
+// allows tells whether the stage may run on e, or is bound to another.
+func (r *Request) allows(e *Endpoint) bool { return r.Only == "" || r.Only == e.Name }
+
+// answeredBy tells whether the stage was sent to e, which answered.
+func (r *Request) answeredBy(e *Endpoint) bool {
+	return slices.ContainsFunc(r.Tried, func(t Tried) bool { return t.Endpoint == e.Name && t.LostAt.IsZero() })
+}
+
 // unusableFor names the first reason for which e is not given the request.
 func (e *Endpoint) unusableFor(q *Query) string {
 	switch {
