A starting fleet's queue is owned by one of its strongest VMs

Change: of claims with one term the stronger holds, then the name (in term 0 the older). A process that finds a weaker owner in its first 3 s takes the queue with the next term: else a weak VM that was ready first keeps it for good.

Tests of both, and one of any order of starts and first contacts, failed before.

--- a/fleet/claim.go
+++ b/fleet/claim.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // Claim says who owns the queue. Of two claims that with the higher term
 // holds, so that all processes that hear of each other end up with one owner.
 type Claim struct {
@@ -16,8 +18,8 @@
 	return Claim{Term: term, Owner: m.Name, Incarnation: m.Incarnation, Cores: m.Cores, Started: m.Started}
 }
 
-// newer tells whether c takes the place of o: by the term, and in a fleet that
-// starts by the stronger owner, then by the one that started first.
+// newer tells whether c takes the place of o: by the term, then by the stronger
+// owner, and in a fleet that starts by the one that started first.
 //
 // The failure that the last guards against: all processes are lost and come back
 // within half a second, each claiming the queue for itself. If each that starts
@@ -28,12 +30,23 @@
 	switch {
 	case c.Term != o.Term:
 		return c.Term > o.Term
-	case c.Term > 0:
-		return c.Owner < o.Owner
 	case c.Cores != o.Cores:
 		return c.Cores > o.Cores
-	case c.Started != o.Started:
+	case c.Term == 0 && c.Started != o.Started:
 		return c.Started < o.Started
 	}
 	return c.Owner < o.Owner
 }
+
+// startSpan is how long a process that starts takes the queue from a weaker owner.
+const startSpan = 3 * time.Second
+
+// outmatched tells whether this process takes the queue from the owner that it
+// has found at its start.
+//
+// It guards against a weak VM that owns the queue for good because it was ready
+// first. Later the queue stays where it is: a change costs the jobs that have begun.
+func (c *Core) outmatched(now time.Time) bool {
+	starting := now.Sub(c.began) < startSpan
+	return starting && !c.leaving && c.claim.Owner != c.self.Name && c.claim.Cores < c.self.Cores
+}
--- /dev/null
+++ b/fleet/claim_test.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// part cuts the processes of two groups off from each other, or joins them.
+func (w *world) part(some, others []string, cut bool) {
+	for _, a := range some {
+		for _, b := range others {
+			w.cut[a+b] = cut
+		}
+	}
+}
+
+// Guards against a weak VM that owns the queue all day since two groups of a
+// starting fleet had agreed on owners of their own, and names decided between them.
+func TestStrongerOfTwoAgreedOwnersHolds(t *testing.T) {
+	weak, strong := []string{"a", "b"}, []string{"x", "y"}
+	w := newWorld()
+	for _, name := range weak {
+		w.start(name, 0.144)
+	}
+	for _, name := range strong {
+		w.start(name, 0.8)
+	}
+	w.part(weak, strong, true)
+	w.steps(2)
+	w.part(weak, strong, false)
+	w.steps(2 * idleBeats)
+	assert.Equal(t, w.cores[w.oneOwner(t)].self.Cores, 0.8)
+}
+
+// Guards against a weak VM that keeps the queue since it was ready before the strong ones.
+func TestStrongerThatStartsLateTakesTheQueue(t *testing.T) {
+	w := newWorld()
+	w.start("a", 0.144)
+	w.start("b", 0.144)
+	w.steps(2 * idleBeats)
+	w.start("x", 0.8)
+	w.start("y", 0.8)
+	w.steps(2 * idleBeats)
+	assert.Equal(t, w.cores[w.oneOwner(t)].self.Cores, 0.8)
+}
+
+// TestStartingFleetIsOwnedByTheStrongest: whatever the order of starts and of
+// the first contacts, one of the strongest owns the queue, and keeps it.
+func TestStartingFleetIsOwnedByTheStrongest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		size := rapid.IntRange(2, 9).Draw(t, "size")
+		most := 0.0
+		for i := range size {
+			cores := rapid.SampledFrom([]float64{0.144, 0.3, 0.8}).Draw(t, "cores")
+			most = max(most, cores)
+			w.start(fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "name"), i), cores)
+			for other := range w.cores {
+				for name := range w.cores {
+					w.cut[other+name] = w.cut[other+name] || rapid.IntRange(0, 3).Draw(t, "cut") == 0
+				}
+			}
+			w.steps(rapid.IntRange(0, 2).Draw(t, "steps"))
+		}
+		clear(w.cut)
+		w.steps(3 * idleBeats)
+		owner := w.oneOwner(t)
+		assert.Equal(t, w.cores[owner].self.Cores, most)
+		w.steps(3 * idleBeats)
+		assert.Equal(t, w.oneOwner(t), owner)
+	})
+}
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -134,6 +134,9 @@
 	if b.Claim.newer(c.claim) && c.alive(now, b.Claim) {
 		c.take(now, b.Claim)
 	}
+	if c.outmatched(now) {
+		c.take(now, claimOf(c.self, c.claim.Term+1))
+	}
 	return c.claim != before
 }
 
