The number of dials under way follows what handshakes take

Operators would see: entries that start into a large fleet beside load are not connected for minutes and refuse; dial_failures grows by hundreds a second.

Cause: each process makes 64 handshakes at once. Beside load all of them take longer than the 2 s after which either side gives up, the work is thrown away and done again, and links that one side counts are dropped by the other, which has given up waiting for the reply. Measured beforehand: 27,920 dials in a minute, 21,903 failed, never more than 1,841 of 5,980 ends connected. In virtual time (TestStartingFleetConverges, 20 diallers, 140 targets, ten busy processes): 0 of 2,800 joined in a minute.

Change: the number under way begins at 8 and grows by one with each handshake done in less than a second, 64 at most; one that takes longer halves it, once for all that were under way; from then on it grows by one for each round. A dial that is not connected after 300 ms gives its place back: a VM that is gone costs nobody work. Peers connect and join in two steps, so that the two are told apart. Diallers take turns in order; dial_limit is in the metrics.

In virtual time all joined after 8.7 s.

Ruled out: a fixed lower bound (4 passed in a trial beforehand, but follows from nothing and would bound a quiet start of thousands of links); a bound on handshakes accepted at once, which silent strangers could fill.

--- a/member/dial.go
+++ b/member/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -59,7 +60,6 @@
 // dialAll runs a keeper for each target and ends it when the target goes.
 func (s *Service) dialAll() {
 	keepers := make(map[target]context.CancelFunc)
-	slots := make(chan struct{}, maxDials)
 	for {
 		wanted := make(map[target]bool)
 		for _, t := range s.targets() {
@@ -69,7 +69,7 @@
 			}
 			ctx, cancel := context.WithCancel(s.ctx)
 			keepers[t] = cancel
-			s.spawn(func() { s.keepLink(ctx, t, slots) })
+			s.spawn(func() { s.keepLink(ctx, t) })
 		}
 		for t, cancel := range keepers {
 			if !wanted[t] {
@@ -86,7 +86,7 @@
 }
 
 // keepLink connects to one target, and again whenever the connection ends.
-func (s *Service) keepLink(ctx context.Context, t target, slots chan struct{}) {
+func (s *Service) keepLink(ctx context.Context, t target) {
 	wait := newBackoff()
 	yield := time.Duration(0)
 	if t.role == s.cfg.Self.Role && !prefersDial(s.cfg.VM, t.vm) {
@@ -98,9 +98,7 @@
 			return
 		}
 		if s.links.get(t.vm) == nil {
-			slots <- struct{}{}
 			s.dial(ctx, t)
-			<-slots
 		}
 		pause = wait.NextBackOff()
 		l := s.links.get(t.vm)
@@ -122,12 +120,17 @@
 	}
 }
 
-// dial makes one attempt.
+// dial makes one attempt, once there is a place for it.
 func (s *Service) dial(ctx context.Context, t target) {
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
+	if !s.dials.enter(ctx) {
+		return
+	}
+	if s.links.get(t.vm) != nil {
+		s.dials.leave()
+		return
+	}
 	s.stats.Dials.Add(1)
-	_, err := s.node.Dial(dialCtx, t.address)
+	err := s.join(ctx, t)
 	if s.links.get(t.vm) != nil || ctx.Err() != nil {
 		return
 	}
@@ -139,6 +142,25 @@
 	s.markDirty()
 }
 
+// join connects to a target and tells the gate how long it took. It gives back
+// the place that dial took.
+func (s *Service) join(ctx context.Context, t target) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	leave := sync.OnceFunc(s.dials.leave)
+	defer leave()
+	patience := time.AfterFunc(connectPatience, leave)
+	conn, err := s.node.Connect(ctx, t.address)
+	patience.Stop()
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	_, err = s.node.Join(ctx, conn)
+	s.dials.ended(began, time.Now(), resultOf(err == nil, time.Since(began)))
+	return err
+}
+
 // dialWhenLonely connects an agent to peers when it starts and whenever none
 // has connected to it for a while, as when the entries read a list that does
 // not have it yet.
--- a/member/service.go
+++ b/member/service.go
@@ -19,6 +19,7 @@
 	cfg   Config
 	node  *peer.Node
 	links *links
+	dials *dialGate
 	stats Stats
 
 	// coreMu guards views and leaving; it is never held during I/O.
@@ -68,6 +69,7 @@
 	s := &Service{
 		cfg:        cfg,
 		links:      newLinks(cfg.VM),
+		dials:      newDialGate(maxDials),
 		views:      newViewCore(cfg.VM),
 		spread:     newSpreadCore(cfg.VM, cfg.Self, cfg.FleetSize, rng),
 		dirty:      make(chan struct{}, 1),
--- a/member/stats.go
+++ b/member/stats.go
@@ -40,12 +40,14 @@
 	Refused          int64 `json:"refused"`
 	Dials            int64 `json:"dials"`
 	DialFailures     int64 `json:"dial_failures"`
-	Wakes            int64 `json:"wakes"`
-	PeerBytesIn      int64 `json:"peer_bytes_in"`
-	PeerBytesOut     int64 `json:"peer_bytes_out"`
-	PeerMessagesIn   int64 `json:"peer_messages_in"`
-	PeerMessagesOut  int64 `json:"peer_messages_out"`
-	PeerRejected     int64 `json:"peer_rejected"`
+	// DialLimit is how many dials may be under way at present.
+	DialLimit       int   `json:"dial_limit"`
+	Wakes           int64 `json:"wakes"`
+	PeerBytesIn     int64 `json:"peer_bytes_in"`
+	PeerBytesOut    int64 `json:"peer_bytes_out"`
+	PeerMessagesIn  int64 `json:"peer_messages_in"`
+	PeerMessagesOut int64 `json:"peer_messages_out"`
+	PeerRejected    int64 `json:"peer_rejected"`
 	// PeerHandshakesRefused counts connections of strangers, who had no
 	// certificate of the authorities.
 	PeerHandshakesRefused int64 `json:"peer_handshakes_refused"`
@@ -56,6 +58,7 @@
 	st, traffic := &s.stats, &s.node.Traffic
 	return StatsSnapshot{
 		ListCalls:        st.ListCalls.Load(),
+		DialLimit:        s.dials.size(),
 		ReadCalls:        st.ReadCalls.Load(),
 		WatchCalls:       st.WatchCalls.Load(),
 		PlatformFailures: st.PlatformFailures.Load(),
--- a/peer/closed_test.go
+++ b/peer/closed_test.go
@@ -17,7 +17,7 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	near, err = net.Dial("tcp", listener.Addr().String())
 	assert.NilError(t, err)
 	far, err = listener.Accept()
@@ -62,10 +62,10 @@
 func BenchmarkClosedByPeer(b *testing.B) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b, err)
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	assert.NilError(b, err)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	raw := rawConn(conn)
 	for b.Loop() {
 		if closedByPeer(raw) {
--- a/peer/node.go
+++ b/peer/node.go
@@ -193,13 +193,37 @@
 	}
 }
 
-// Dial connects to addr and exchanges hellos.
+// Dial connects to addr and joins the process there.
 func (n *Node) Dial(ctx context.Context, addr string) (*Conn, error) {
-	conn, err := n.dialConn(ctx, addr)
+	conn, err := n.Connect(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return n.Join(ctx, conn)
+}
+
+// Connect opens a connection to addr, on which nothing has been said.
+func (n *Node) Connect(ctx context.Context, addr string) (net.Conn, error) {
+	dial := n.cfg.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: helloTimeout, KeepAlive: keepAlive}).DialContext
+	}
+	conn, err := dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, ErrNotWritten.Wrap(err, "dial %s", addr)
 	}
-	c := n.open(conn)
+	return conn, nil
+}
+
+// Join makes the TLS handshake on a connection from Connect and exchanges hellos.
+func (n *Node) Join(ctx context.Context, conn net.Conn) (*Conn, error) {
+	addr := conn.RemoteAddr()
+	secure, err := n.secure(ctx, conn)
+	if err != nil {
+		_ = conn.Close()
+		return nil, ErrNotWritten.Wrap(err, "handshake with %s", addr)
+	}
+	c := n.open(secure)
 	c.dialed.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
@@ -212,16 +236,23 @@
 	return c, nil
 }
 
-func (n *Node) dialConn(ctx context.Context, addr string) (net.Conn, error) {
-	if n.cfg.Dial != nil {
-		return n.cfg.Dial(ctx, "tcp", addr)
+func (n *Node) secure(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	if n.cfg.TLS == nil || n.cfg.Dial != nil {
+		return conn, nil
 	}
-	dialer := &net.Dialer{Timeout: helloTimeout, KeepAlive: keepAlive}
-	if n.cfg.TLS == nil {
-		return dialer.DialContext(ctx, "tcp", addr)
+	cfg := n.cfg.TLS
+	if cfg.ServerName == "" {
+		host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+		if err != nil {
+			return nil, err
+		}
+		cfg = cfg.Clone()
+		cfg.ServerName = host
 	}
-	tlsDialer := &tls.Dialer{NetDialer: dialer, Config: n.cfg.TLS}
-	return tlsDialer.DialContext(ctx, "tcp", addr)
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	secure := tls.Client(conn, cfg)
+	return secure, secure.HandshakeContext(ctx)
 }
 
 func (n *Node) serveHello(_ context.Context, from *Conn, theirs wire.Hello) (wire.Hello, error) {
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -103,7 +103,7 @@
 	addr, err := server.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
 	client := testNode(t, "client", NewMux())
-	raw, err := client.dialConn(context.Background(), addr.String())
+	raw, err := client.Connect(context.Background(), addr.String())
 	assert.NilError(t, err)
 	err = client.open(raw).Call(context.Background(), "run", wire.Revoke{}, nil)
 	assert.Assert(t, errorx.IsOfType(err, ErrRemote), "%v", err)
