--- a/fleet/service.go
+++ b/fleet/service.go
@@ -328,7 +328,7 @@
 			go s.cfg.OnDemoted()
 		}
 		s.owning = self
-		s.cfg.Log.Info().Str("event", logOwnerChanged).Str("owner", owner.Name).Bool("self", self).
+		s.cfg.Log.Info().Str("event", logOwnerChanged).Str("owner", owner.Name).Bool("self", self).Float64("cores", owner.Cores).
 			Uint64("term", s.core.Claim().Term).Msg("the queue has another owner")
 	}
 	return owner, self
