--- a/route/unusable.go
+++ b/route/unusable.go
@@ -14,7 +14,7 @@
 
 // The reasons for being away.
 const (
-	// AwayLeaving means that the list or the endpoint itself says that it leaves.
+	// AwayLeaving means that the list says that it leaves.
 	AwayLeaving Away = "leaving"
 	// AwayUnreachable means that there is no connection to its agent.
 	AwayUnreachable Away = "unreachable"
