Attempts that reached no endpoint are not spent

The reply's stages: generate not_run after 15 ms, may_have_run after 58 ms, not_run after 241 ms.

Cause: max_attempts counted the two calls that are proved to have reached no endpoint (its agent said that it was down) like the one that may have run. Ruled out: a missing wait (the request would have waited, had it been allowed another attempt) and the retry budget (such calls are not charged).

Change: once a request has begun, attempts that reached nothing do not count, eight of them at most; each one after the last but one waits for a word from its endpoint, as before. A request that has not begun is refused at once, as before. Attempts that may have run count as they did.

Tests: TestAttemptThatReachedNothingIsNotSpent failed before (1 reply for 0); TestAttemptsThatMayHaveRunAreSpent and TestAttemptsThatReachNothingAreBounded hold the two bounds.

--- a/pipeline/attempt.go
+++ b/pipeline/attempt.go
@@ -115,7 +115,7 @@
 	return retry.Failure{
 		Pool:         a.pool,
 		Status:       a.status(),
-		Attempts:     r.attemptsOf(a.stage),
+		Attempts:     r.counted(a.stage),
 		Unrepeatable: r.stageAt(a.stage).Unrepeatable,
 		NotReached:   a.notReached(),
 		Remaining:    r.Deadline.Sub(now),
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -84,6 +84,34 @@
 	return n
 }
 
+// reached counts the attempts of a stage that got to an endpoint or may have.
+func (r *request) reached(stage int) int {
+	n := 0
+	for _, a := range r.attempts {
+		if a.stage == stage && !a.notReached() {
+			n++
+		}
+	}
+	return n
+}
+
+// counted is the number of attempts of a stage that count against the policy's
+// maximum. Those that reached no endpoint do not once the request has begun: its
+// caller would have to run the first stages again, while one that has not run
+// loses nothing by coming back.
+func (r *request) counted(stage int) int {
+	if !r.begun() {
+		return r.attemptsOf(stage)
+	}
+	return r.reached(stage)
+}
+
+// attemptsUsed tells whether the current stage may not be attempted again.
+func (r *request) attemptsUsed() bool {
+	notReached := r.attemptsOf(r.stage) - r.reached(r.stage)
+	return r.counted(r.stage) >= r.maxAttempts() || notReached >= maxNotReached
+}
+
 // find returns the attempt with exactly that ID, or nil.
 func (r *request) find(id wire.CallID) *attempt {
 	for _, a := range r.attempts {
--- a/pipeline/stage.go
+++ b/pipeline/stage.go
@@ -20,6 +20,10 @@
 	api.ReasonSuspectRequest:  true,
 }
 
+// maxNotReached bounds the attempts of a stage that got to no endpoint: they
+// are no load for the pool, but each costs a call to an agent or a dial.
+const maxNotReached = 8
+
 // median is the quantile taken as the expected time of a stage.
 const median = 0.5
 
@@ -190,7 +194,7 @@
 // and a budget for it, and pays says that it is worth its place there.
 func (t *turn) startHedge(pays func(*route.Endpoint) bool) {
 	r := t.r
-	if r.phase != running || !t.now.Before(r.giveUpAt) || r.attemptsOf(r.stage) >= r.maxAttempts() || !r.waiting() {
+	if r.phase != running || !t.now.Before(r.giveUpAt) || r.attemptsUsed() || !r.waiting() {
 		return
 	}
 	verdict := t.core.cfg.Suspects.Begin(r.content(r.stage), t.now)
@@ -250,7 +254,7 @@
 // or nowhere, and an unrepeatable one only after proof that it didn't run.
 func (t *turn) mayRetry(failed *attempt, bound bool) bool {
 	r := t.r
-	if bound || r.attemptsOf(r.stage) >= r.maxAttempts() {
+	if bound || r.attemptsUsed() {
 		return false
 	}
 	if r.stageAt(r.stage).Unrepeatable && failed.knowledge != notRun {
--- a/pipeline/wait.go
+++ b/pipeline/wait.go
@@ -100,16 +100,17 @@
 	t.start(r.unserved)
 }
 
-// confirmLast keeps the last attempt of a stage for an endpoint that has been
-// heard of since the others were lost.
+// confirmLast keeps the last attempt of a stage, and those that replace one
+// which reached no endpoint, for an endpoint that has been heard of since the
+// others were lost.
 //
 // It guards against requests that lose all their attempts within milliseconds
 // to endpoints that went together, as after a loss of power, when only the one
 // that was called is known to be gone.
 func (r *request) confirmLast(failed *attempt) {
 	r.heardSince = time.Time{}
-	left := r.maxAttempts() - r.attemptsOf(r.stage)
-	if left == 1 && !failed.lostAt.IsZero() && r.attemptsOf(r.stage) > 1 {
+	made := r.attemptsOf(r.stage)
+	if made > 1 && made >= r.maxAttempts()-1 && !failed.lostAt.IsZero() {
 		r.heardSince = failed.lostAt
 	}
 }
--- a/pipeline/wait_test.go
+++ b/pipeline/wait_test.go
@@ -197,10 +197,7 @@
 	p := newWaiting(pool, 0)
 	a := admit(minted, one, two)
 	a.Bundle.Policy.MaxAttempts = 3
-	notReached := func(p *player) Event {
-		return StageResult{wire.StageResult{ID: p.calls[2].ID, Status: wire.StatusRefused, Reason: api.ReasonNoEndpoint}}
-	}
-	p.play(send(a), done(1), lost(2), notReached)
+	p.play(send(a), done(1), lost(2), notReached(3))
 	assert.Equal(t, len(p.calls), 3)
 	assert.Equal(t, p.core.Waiting(), 1)
 	p.back(pool, 1)
@@ -208,6 +205,51 @@
 	assert.Equal(t, all[Reply](p)[0].Outcome(), api.OutcomeAnswered)
 }
 
+// Guards against a request that is cut short with time left because its
+// attempts were spent on calls that reached no endpoint.
+func TestAttemptThatReachedNothingIsNotSpent(t *testing.T) {
+	pool := &poolPicker{heard: epoch.Add(-time.Second)}
+	p := newWaiting(pool, 0)
+	a := admit(minted, one, two)
+	a.Bundle.Policy.MaxAttempts = 3
+	p.play(send(a), done(1), notReached(2), lost(3))
+	p.back(pool, 1)
+	p.play(notReached(4))
+	assert.Equal(t, len(all[Reply](p)), 0)
+	p.back(pool, 1)
+	p.play(done(5))
+	assert.Equal(t, all[Reply](p)[0].Outcome(), api.OutcomeAnswered)
+}
+
+// Guards against an outage of a pool that makes more load than its policy
+// allows: attempts that may have run still count.
+func TestAttemptsThatMayHaveRunAreSpent(t *testing.T) {
+	pool := &poolPicker{heard: epoch.Add(-time.Second)}
+	p := newWaiting(pool, 0)
+	a := admit(minted, one, two)
+	a.Bundle.Policy.MaxAttempts = 3
+	p.play(send(a), done(1), lost(2), lost(3))
+	p.back(pool, 1)
+	p.play(notReached(4))
+	p.back(pool, 1)
+	p.play(lost(5))
+	assert.Equal(t, all[Reply](p)[0].Outcome(), api.OutcomeCutShort)
+	assert.Equal(t, len(p.calls), 5)
+}
+
+// Guards against a request that dials a pool that flaps until its deadline.
+func TestAttemptsThatReachNothingAreBounded(t *testing.T) {
+	pool := &poolPicker{heard: epoch.Add(-time.Second)}
+	p := newWaiting(pool, 0)
+	p.play(send(admit(minted, one, two)), done(1))
+	for call := 2; len(all[Reply](p)) == 0; call++ {
+		p.play(notReached(call))
+		p.back(pool, 1)
+	}
+	assert.Equal(t, all[Reply](p)[0].Outcome(), api.OutcomeCutShort)
+	assert.Equal(t, len(p.calls), 1+maxNotReached)
+}
+
 // Guards against a last attempt that waits for ever in a pool that is well and quiet.
 func TestLastAttemptGoesAnywhereAfterAWhile(t *testing.T) {
 	pool := &poolPicker{heard: epoch.Add(-time.Second)}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -27,7 +27,7 @@
 	// Status is the agent's word on the attempt; StatusLost also when the
 	// agent itself was lost.
 	Status wire.StageStatus
-	// Attempts made so far, this one included.
+	// Attempts made so far that count against the maximum, this one included.
 	Attempts     int
 	Unrepeatable bool
 	// NotReached: the call got to no endpoint, which was down or could not be
