The owner's work for one event no longer grows with all that waits

Cause, by a benchmark without network (45 endpoints a stage, all without room): - admission walked all jobs for each stage of each new job (ahead, aheadLate), and for each job that gives way (victim); - each event, also one that frees nothing, sorted all workers of each pool and walked its queue four times for each idle worker, even if that had no room for the smallest result that was waited for; for each stage with a home the workers were walked again; - each tick sorted all jobs by ticket, granted ones included.

Change: the demand of a pool is kept as sums (package sumtree, a treap by latest start; late jobs by priority), the jobs that may give way in a heap. A pool is looked at when something changed in it and with each tick; workers without room for the smallest waiting result are passed over; the queue is walked by its two halves, before and behind now. Ticks sort only the jobs that are due.

Decisions: the sums equal the old ones (TestDemandAsTheNaiveOne compares them with walks of all jobs over random events, TestBatchAsTheNaiveOne and TestNoPieceWaitsForAnIdleEndpoint hold unchanged).

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/mangostage/mangostage/internal/sumtree"
 )
 
 const (
@@ -35,31 +37,20 @@
 	sizeWeight = 0.05
 )
 
-// backlog is work that is accepted and not yet at an endpoint.
-type backlog struct {
-	pieces int
-	bytes  int64
-}
-
-func (b *backlog) add(s *stage) {
-	b.pieces += len(s.waiting)
-	b.bytes += int64(len(s.waiting)) * s.ResultBytes
-}
-
 // clear is the time that the pool needs for the backlog: by the places of its
 // calls, or by the memory that results take until they are read.
-func (p *pool) clear(b backlog) time.Duration {
-	workers := p.usable()
+func (p *pool) clear(b sumtree.Amount) time.Duration {
+	workers := p.usable
 	if workers == 0 {
 		return time.Hour
 	}
 	places := float64(workers*p.spec.Items) * fillShare
-	calls := time.Duration(float64(p.took) * float64(b.pieces) / places)
+	calls := time.Duration(float64(p.took) * float64(b.Pieces) / places)
 	room := float64(p.spec.Room) * float64(workers)
 	if room <= 0 {
 		return calls
 	}
-	return max(calls, time.Duration(float64(p.hold)*float64(b.bytes)/room))
+	return max(calls, time.Duration(float64(p.hold)*float64(b.Bytes)/room))
 }
 
 // countTaken notes the pieces of a job that is taken to be in time.
@@ -81,7 +72,7 @@
 
 // spare is the part of the pool's calls that jobs in time leave to late ones.
 func (p *pool) spare(now time.Time) float64 {
-	places := float64(p.usable()*p.spec.Items) * fillShare / p.took.Seconds()
+	places := float64(p.usable*p.spec.Items) * fillShare / p.took.Seconds()
 	rate := p.takenAt(now) * math.Ln2 / takenHalfLife.Seconds()
 	if places <= 0 {
 		return spareMin
@@ -89,39 +80,6 @@
 	return max(spareMin, 1-rate/places)
 }
 
-// ahead is the backlog of pool p of jobs in time that must start by the time.
-func (c *Core) ahead(p *pool, by time.Time) backlog {
-	var b backlog
-	for _, j := range c.jobs {
-		if j.engine != nil || j.late {
-			continue
-		}
-		for _, s := range j.stages {
-			if s.Service == p.name && !s.startBy.After(by) {
-				b.add(s)
-			}
-		}
-	}
-	return b
-}
-
-// aheadLate is the backlog of pool p of all jobs but late ones that are less
-// urgent than the priority.
-func (c *Core) aheadLate(p *pool, priority int) backlog {
-	var b backlog
-	for _, j := range c.jobs {
-		if j.engine != nil || j.late && j.Priority > priority {
-			continue
-		}
-		for _, s := range j.stages {
-			if s.Service == p.name {
-				b.add(s)
-			}
-		}
-	}
-	return b
-}
-
 // tight returns the first pool in which the job would start too late to meet
 // its objective, or nil.
 func (c *Core) tight(j *job, now time.Time) *pool {
@@ -130,7 +88,7 @@
 			continue
 		}
 		p := c.pools[s.Service]
-		s.forecast = now.Add(p.clear(c.ahead(p, s.startBy)))
+		s.forecast = now.Add(p.clear(p.demand.inTime.UpTo(s.startBy)))
 		for _, a := range s.After {
 			if before := j.stages[a]; before.Pieces > 0 {
 				s.forecast = later(s.forecast, before.forecast.Add(c.pools[before.Service].took))
@@ -181,9 +139,10 @@
 		p := c.tight(j, now)
 		if p == nil {
 			c.countTaken(j, now)
+			c.mayGiveWay(j)
 			return true
 		}
-		victim := c.victim(j, p)
+		victim := p.victim(j)
 		if victim == nil {
 			break
 		}
@@ -194,23 +153,28 @@
 
 // victim is the job that gives way to j in the pool: one without any piece
 // made that is worth less for its place. Nil if there is none.
-func (c *Core) victim(j *job, p *pool) *job {
-	var worst *job
-	for _, o := range c.jobs {
-		if o == j || o.late || o.started || o.engine != nil || !o.uses(p.name) || !j.outweighs(o, p) {
-			continue
-		}
-		if worst == nil || worst.outweighs(o, p) || !o.outweighs(worst, p) && o.Ticket < worst.Ticket {
-			worst = o
+func (p *pool) victim(j *job) *job {
+	o := p.demand.yielding.least()
+	if o == nil || !j.outweighs(o, p) {
+		return nil
+	}
+	return o
+}
+
+// mayGiveWay notes a job that was taken to be in time.
+func (c *Core) mayGiveWay(j *job) {
+	for i, s := range j.stages {
+		if s.Pieces > 0 && !j.usesBefore(i) {
+			p := c.pools[s.Service]
+			p.demand.yielding.add(j, p)
 		}
 	}
-	return worst
 }
 
-// uses tells whether the job has pieces for the service.
-func (j *job) uses(service string) bool {
-	for _, s := range j.stages {
-		if s.Service == service && s.Pieces > 0 {
+// usesBefore tells whether a stage before stage i has pieces for its service.
+func (j *job) usesBefore(i int) bool {
+	for _, s := range j.stages[:i] {
+		if s.Service == j.stages[i].Service && s.Pieces > 0 {
 			return true
 		}
 	}
@@ -248,6 +212,7 @@
 // client nothing.
 func (c *Core) giveWay(j *job, now time.Time) {
 	j.late = true
+	j.book()
 	if now.Sub(j.submitted) <= time.Duration(freeShare*float64(j.Objective)) && !c.takeLate(j, now) {
 		c.refuse(j, ReasonOverload, now)
 	}
@@ -257,6 +222,7 @@
 // well within its deadline.
 func (c *Core) takeLate(j *job, now time.Time) bool {
 	j.late = true
+	j.book()
 	limit := time.Duration(lateFactor * float64(j.Usual))
 	if j.Again {
 		limit = min(time.Duration(lateFactorAgain*float64(j.Usual)), time.Duration(deadlineShare*float64(j.deadlineAt.Sub(now))))
@@ -266,7 +232,7 @@
 			continue
 		}
 		p := c.pools[s.Service]
-		if time.Duration(float64(p.clear(c.aheadLate(p, j.Priority)))/p.spare(now)) > limit {
+		if time.Duration(float64(p.clear(p.demand.upTo(j.Priority)))/p.spare(now)) > limit {
 			return false
 		}
 	}
--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -43,6 +43,9 @@
 	w := cl.worker
 	delete(w.calls, id)
 	w.used -= cl.bytes
+	if p := c.pools[w.endpoint.Service]; p != nil {
+		p.changed = true
+	}
 	switch fault {
 	case CallOK:
 		c.callDone(cl, outcomes, now)
@@ -50,7 +53,7 @@
 		w.pause.Hold(pauseRefused, now)
 		c.requeue(cl, now, false)
 	case CallOther:
-		w.gone = true
+		c.loseWorker(w)
 		c.requeue(cl, now, false)
 	case CallLost:
 		c.bookLost(cl, now)
@@ -60,6 +63,14 @@
 	c.dispatch(now)
 }
 
+// loseWorker notes that an endpoint is no longer the one that is listed.
+func (c *Core) loseWorker(w *worker) {
+	w.gone = true
+	if p := c.pools[w.endpoint.Service]; p != nil {
+		p.countWorkers()
+	}
+}
+
 // bookLost keeps the room of a call that may still run: its results take
 // memory that nobody can free, until the endpoint drops them.
 func (c *Core) bookLost(cl *call, now time.Time) {
@@ -160,6 +171,7 @@
 	}
 	p.remove(s)
 	s.waiting = append(s.waiting, indices...)
+	s.book()
 	if !s.since.IsZero() {
 		p.push(s)
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
-	"sort"
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -23,16 +25,20 @@
 // Core is the state of all jobs, stages and endpoints. It is not safe for
 // concurrent use; its shell serializes events.
 type Core struct {
-	jobs    map[string]*job
-	pools   map[string]*pool
+	jobs  map[string]*job
+	pools map[string]*pool
+	// byName are the pools in the order of their names.
+	byName  []*pool
 	engines map[string]*engines
 	calls   map[uint64]*call
 	// frees are the results given up whose endpoints have not answered yet.
 	frees map[uint64][]*result
 	// sizes is the usual size of the jobs of each route, in weighted tokens.
-	sizes   map[string]float64
-	nextID  uint64
-	effects []Effect
+	sizes  map[string]float64
+	nextID uint64
+	// nextStage numbers the stages in the demand of the pools.
+	nextStage uint64
+	effects   []Effect
 }
 
 // New returns a Core that knows no endpoints.
@@ -92,13 +98,16 @@
 			c.refuse(j, ReasonUnknownStage, now)
 			return false
 		}
-		if p.usable() == 0 {
+		if p.usable == 0 {
 			c.refuse(j, ReasonNoEndpoint, now)
 			return false
 		}
 	}
 	for _, s := range j.stages {
 		s.startBy = j.aimAt.Add(-c.remaining(j, s.index) - j.first)
+		c.nextStage++
+		s.booking.pool, s.booking.id = c.pools[s.Service], c.nextStage
+		s.book()
 	}
 	c.weigh(j)
 	if !c.admit(j, now) {
@@ -147,40 +156,56 @@
 	}
 }
 
-// dispatch starts calls at idle workers while work waits.
+// dispatch starts calls at idle workers while work waits, in the pools in which
+// something has changed since the last time.
 func (c *Core) dispatch(now time.Time) {
-	for _, name := range c.poolNames() {
-		p := c.pools[name]
-		if len(p.queue) == 0 {
+	for _, p := range c.byName {
+		if !p.changed {
 			continue
 		}
-		for _, w := range p.byPreference() {
-			for w.idle(now) {
-				w.expire(now)
-				pieces := p.batch(w, now)
-				if len(pieces) == 0 {
-					break
-				}
-				c.start(p, w, pieces, now)
+		p.changed = false
+		if len(p.queue) > 0 {
+			c.fill(p, now)
+		}
+	}
+}
+
+// fill starts calls at the idle workers of a pool.
+func (c *Core) fill(p *pool, now time.Time) {
+	for _, w := range p.idle(now) {
+		for w.idle(now) {
+			pieces := p.batch(w, now)
+			if len(pieces) == 0 {
+				break
 			}
+			c.start(p, w, pieces, now)
 		}
 	}
 }
 
-// byPreference lists the workers, the fastest first.
-func (p *pool) byPreference() []*worker {
-	workers := append([]*worker(nil), p.workers...)
-	sort.SliceStable(workers, func(i, j int) bool { return workers[i].speed < workers[j].speed })
+// idle lists the idle workers with room for a result, the fastest first.
+func (p *pool) idle(now time.Time) []*worker {
+	least := p.smallest()
+	var workers []*worker
+	for _, w := range p.workers {
+		if !w.idle(now) {
+			continue
+		}
+		w.expire(now)
+		if w.room(p.roomShare) >= least {
+			workers = append(workers, w)
+		}
+	}
+	slices.SortStableFunc(workers, func(a, b *worker) int { return cmp.Compare(a.speed, b.speed) })
 	return workers
 }
 
-func (c *Core) poolNames() []string {
-	names := make([]string, 0, len(c.pools))
-	for name := range c.pools {
-		names = append(names, name)
+// sortPools lists the pools in a fixed order, so that a run can be repeated.
+func (c *Core) sortPools() {
+	c.byName = c.byName[:0]
+	for _, name := range slices.Sorted(maps.Keys(c.pools)) {
+		c.byName = append(c.byName, c.pools[name])
 	}
-	sort.Strings(names)
-	return names
 }
 
 // awaitsEngine tells whether a job is kept although its service has no engine
@@ -277,7 +302,7 @@
 		if p == nil || s.Pieces == 0 {
 			continue
 		}
-		places := max(1, p.usable()) * p.spec.Items
+		places := max(1, p.usable) * p.spec.Items
 		wait = max(wait, time.Duration(float64(p.took)*float64(p.waiting)/float64(places)))
 	}
 	return wait
@@ -295,6 +320,7 @@
 			p.remove(s)
 		}
 	}
+	j.book()
 	if j.engine != nil {
 		j.engine.end(j.Ticket)
 	}
--- /dev/null
+++ b/dispatch/demand_test.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mangostage/mangostage/internal/sumtree"
+)
+
+// naiveUpTo is the work of jobs in time that must start by a time, by a walk of
+// all jobs.
+func (c *Core) naiveUpTo(p *pool, by time.Time) sumtree.Amount {
+	return c.naiveDemand(p, func(s *stage) bool { return !s.job.late && !s.startBy.After(by) })
+}
+
+// naiveLate is the work of all jobs but late ones that are less urgent.
+func (c *Core) naiveLate(p *pool, priority int) sumtree.Amount {
+	return c.naiveDemand(p, func(s *stage) bool { return !s.job.late || s.job.Priority <= priority })
+}
+
+func (c *Core) naiveDemand(p *pool, counts func(*stage) bool) sumtree.Amount {
+	var sum sumtree.Amount
+	for _, j := range c.jobs {
+		for _, s := range j.stages {
+			if j.engine == nil && s.Service == p.name && counts(s) {
+				sum.Pieces += len(s.waiting)
+				sum.Bytes += int64(len(s.waiting)) * s.ResultBytes
+			}
+		}
+	}
+	return sum
+}
+
+// naiveLeast compares all jobs that may give way.
+func (c *Core) naiveLeast(p *pool) *job {
+	var least *job
+	for _, o := range c.jobs {
+		if !o.mayYield() || !o.uses(p.name) || least != nil && !worthLess(o, least, p) {
+			continue
+		}
+		least = o
+	}
+	return least
+}
+
+// uses tells whether the job has pieces for the service.
+func (j *job) uses(service string) bool {
+	for _, s := range j.stages {
+		if s.Service == service && s.Pieces > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func worthLess(a, b *job, p *pool) bool {
+	if a.Priority != b.Priority {
+		return a.Priority > b.Priority
+	}
+	if a.density(p) != b.density(p) {
+		return a.density(p) < b.density(p)
+	}
+	return a.Ticket < b.Ticket
+}
+
+// TestDemandAsTheNaiveOne guards against admission by sums that have drifted
+// from the jobs: too high ones refuse requests for good, too low ones let in
+// what ends in vain.
+func TestDemandAsTheNaiveOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(testView([]string{"north", "south"}, 1))
+		w.fate = func(StartCall) (CallFault, Fault) {
+			switch rapid.IntRange(0, 11).Draw(t, "fate") {
+			case 0:
+				return CallLost, FaultNone
+			case 1:
+				return CallRefused, FaultNone
+			case 2:
+				return CallOK, FaultWork
+			case 3:
+				return CallOK, FaultRoom
+			}
+			return CallOK, FaultNone
+		}
+		check := func() {
+			by := w.now.Add(time.Duration(rapid.IntRange(-1000, 2000).Draw(t, "by")) * time.Millisecond)
+			priority := rapid.IntRange(0, 2).Draw(t, "priority")
+			for _, p := range w.core.pools {
+				assert.Equal(t, p.demand.inTime.UpTo(by), w.core.naiveUpTo(p, by))
+				assert.Equal(t, p.demand.upTo(priority), w.core.naiveLate(p, priority))
+				assert.Equal(t, p.demand.yielding.least(), w.core.naiveLeast(p))
+			}
+		}
+		w.afterTick = check
+		for i := range rapid.IntRange(1, 40).Draw(t, "jobs") {
+			j := testJob(fmt.Sprint(i))
+			j.Priority = rapid.IntRange(0, 2).Draw(t, "priority")
+			j.Stages[0].Pieces = rapid.IntRange(0, 6).Draw(t, "heavy")
+			j.TokensIn = rapid.IntRange(100, 5000).Draw(t, "tokens")
+			j.Again = rapid.Bool().Draw(t, "again")
+			w.submit(j)
+			check()
+			w.run(time.Duration(rapid.IntRange(0, 6).Draw(t, "gap")) * 10 * time.Millisecond)
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0:
+				w.core.Cancel(w.now, j.Ticket)
+				w.drain()
+			case 1:
+				w.core.HandOver(w.now)
+				w.drain()
+			case 2:
+				w.core.Done(w.now, j.Ticket, true)
+				w.drain()
+			}
+			check()
+		}
+	})
+}
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -42,7 +42,7 @@
 	if s.home == "" || s.home == domain {
 		return true
 	}
-	return now.Sub(s.since) >= s.homeWait() || !p.hasHome(s.home)
+	return now.Sub(s.since) >= s.homeWait() || !p.domains[s.home]
 }
 
 // settle keeps the rest of a stage's pieces in the domain in which the first ones
@@ -54,16 +54,6 @@
 	}
 }
 
-// hasHome tells whether a usable worker is in the domain.
-func (p *pool) hasHome(domain string) bool {
-	for _, w := range p.workers {
-		if w.usable() && w.endpoint.Domain == domain {
-			return true
-		}
-	}
-	return false
-}
-
 // homeWait is how long the pieces of s wait for an endpoint in their domain.
 // Pieces with inputs read all of them, so they wait in any case. Those for the
 // engine alone wait for a part of what their job has to spare: a long prompt needs
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -110,9 +110,10 @@
 	forecast time.Time
 	queued   bool
 	// avoid is the Key of an endpoint that has just failed pieces of this stage.
-	avoid string
-	tries int
-	freed bool
+	avoid   string
+	tries   int
+	freed   bool
+	booking booking
 }
 
 // done tells whether all pieces have a result.
--- a/dispatch/lose.go
+++ b/dispatch/lose.go
@@ -101,6 +101,7 @@
 	s.results[index] = nil
 	s.left++
 	s.waiting = append(s.waiting, index)
+	s.book()
 }
 
 // remake queues what is missing of a job, after what it reads.
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -114,8 +115,8 @@
 		if spare := s.startBy.Sub(s.since); spare >= 0 && len(s.After) == 0 {
 			patience = min(homeWait, time.Duration(spareShare*float64(spare)))
 		}
-		elsewhere := s.home != "" && s.home != w.endpoint.Domain && now.Sub(s.since) < patience && p.hasHome(s.home)
-		if elsewhere || s.avoid == w.endpoint.ID && p.usable() > 1 {
+		elsewhere := s.home != "" && s.home != w.endpoint.Domain && now.Sub(s.since) < patience && hasHome(p, s.home)
+		if elsewhere || s.avoid == w.endpoint.ID && usableWorkers(p) > 1 {
 			continue
 		}
 		for range s.waiting {
@@ -130,6 +131,21 @@
 	return taken
 }
 
+// hasHome tells whether a usable worker is in the domain.
+func hasHome(p *pool, domain string) bool {
+	return slices.ContainsFunc(p.workers, func(w *worker) bool { return w.usable() && w.endpoint.Domain == domain })
+}
+
+func usableWorkers(p *pool) int {
+	n := 0
+	for _, w := range p.workers {
+		if w.usable() {
+			n++
+		}
+	}
+	return n
+}
+
 func TestBatchAsTheNaiveOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		view := testView([]string{"north", "south"}, 1)
--- /dev/null
+++ b/dispatch/owner_bench_test.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+)
+
+// BenchmarkAdmit measures what one more job costs beside so many that wait: it
+// is admitted, queued and given up again.
+func BenchmarkAdmit(b *testing.B) {
+	for _, jobs := range []int{10, 1000, 10000} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			c := waitingJobs(jobs)
+			more := testJob("more")
+			b.ReportAllocs()
+			for b.Loop() {
+				if err := c.Submit(epoch, more); err != nil {
+					b.Fatal(err)
+				}
+				c.Cancel(epoch, more.Ticket)
+				c.Effects()
+			}
+		})
+	}
+}
+
+// BenchmarkEvent measures an event that starts no call while so many jobs wait
+// for endpoints without room.
+func BenchmarkEvent(b *testing.B) {
+	for _, jobs := range []int{10, 1000, 10000} {
+		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
+			c := waitingJobs(jobs)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.FreeEnded(epoch, 0, true)
+			}
+		})
+	}
+}
+
+// waitingJobs returns a Core with 45 endpoints a stage, all of them full, and
+// so many jobs that wait in time.
+func waitingJobs(jobs int) *Core {
+	c := New()
+	c.SetView(epoch, testView([]string{"a", "b", "c", "d", "e"}, 9))
+	for _, p := range c.pools {
+		for _, w := range p.workers {
+			w.used = w.spec.Room
+		}
+	}
+	for i := range jobs {
+		j := testJob(fmt.Sprint(i))
+		j.Objective += 10*time.Hour + time.Duration(i)*time.Millisecond
+		j.Deadline += 20 * time.Hour
+		j.Prefix = []catalog.PrefixPart{{ID: "shared", Tokens: 500}, {ID: j.Ticket, Tokens: 500}}
+		if err := c.Submit(epoch, j); err != nil {
+			panic(err)
+		}
+	}
+	c.Effects()
+	return c
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -25,6 +26,14 @@
 	name    string
 	spec    *catalog.Batch
 	workers []*worker
+	// usable counts the workers that may get calls, domains are theirs.
+	usable  int
+	domains map[string]bool
+	// changed is set when a piece may fit an idle worker that did not before. Time
+	// that passes is looked at with each tick.
+	changed bool
+	// sizes counts the queued stages by the size of their results.
+	sizes map[int64]int
 	// queue holds the stages with waiting pieces, by startBy.
 	queue []*stage
 	// waiting counts the waiting pieces.
@@ -45,6 +54,7 @@
 	// sizes of results are only about known, so books that are full to the last
 	// byte overflow, and a piece that finds no room is made one call later.
 	roomShare float64
+	demand    demand
 }
 
 const (
@@ -67,7 +77,10 @@
 }
 
 func newPool(name string, spec *catalog.Batch) *pool {
-	return &pool{name: name, spec: spec, took: fullCall(spec), hold: 2 * fullCall(spec), roomShare: 1}
+	return &pool{
+		name: name, spec: spec, took: fullCall(spec), hold: 2 * fullCall(spec), roomShare: 1, demand: newDemand(),
+		domains: make(map[string]bool), sizes: make(map[int64]int),
+	}
 }
 
 // fullCall is the nominal time of a call with all its places taken.
@@ -81,6 +94,8 @@
 		return
 	}
 	s.queued = true
+	p.changed = true
+	p.sizes[s.ResultBytes]++
 	p.waiting += len(s.waiting)
 	at := sort.Search(len(p.queue), func(i int) bool { return p.queue[i].startBy.After(s.startBy) })
 	p.queue = append(p.queue, nil)
@@ -93,7 +108,7 @@
 	if !s.queued {
 		return
 	}
-	s.queued = false
+	p.left(s)
 	p.waiting -= len(s.waiting)
 	for i, q := range p.queue {
 		if q == s {
@@ -103,25 +118,35 @@
 	}
 }
 
-// worker returns the worker of the endpoint with that Key, or nil.
-func (p *pool) worker(key string) *worker {
-	for _, w := range p.workers {
-		if w.key == key {
-			return w
-		}
+// left notes that a stage is queued no longer.
+func (p *pool) left(s *stage) {
+	s.queued = false
+	p.sizes[s.ResultBytes]--
+	if p.sizes[s.ResultBytes] == 0 {
+		delete(p.sizes, s.ResultBytes)
 	}
-	return nil
 }
 
-// usable counts the workers that may get calls.
-func (p *pool) usable() int {
-	n := 0
+// smallest is the size of the smallest result that is waited for, in bytes.
+func (p *pool) smallest() int64 {
+	least := int64(math.MaxInt64)
+	for bytes := range p.sizes {
+		least = min(least, bytes)
+	}
+	return least
+}
+
+// countWorkers brings up to date which workers may get calls.
+func (p *pool) countWorkers() {
+	p.usable = 0
+	clear(p.domains)
 	for _, w := range p.workers {
 		if w.usable() {
-			n++
+			p.usable++
+			p.domains[w.endpoint.Domain] = true
 		}
 	}
-	return n
+	p.changed = true
 }
 
 // batch takes pieces off the queue for one call to w. Jobs that can still meet
@@ -129,11 +154,15 @@
 // half-made jobs hold room at endpoints, and to put them off stalls everything.
 func (p *pool) batch(w *worker, now time.Time) []placed {
 	pick := picker{pool: p, worker: w, now: now, room: w.room(p.roomShare), places: p.spec.Items}
-	hopeful := func(s *stage) bool { return !s.startBy.Add(startTolerance).Before(now) }
-	pick.pass(func(s *stage) bool { return hopeful(s) && !s.job.late })
-	pick.pass(func(s *stage) bool { return hopeful(s) && s.job.late })
-	pick.pass(func(s *stage) bool { return !hopeful(s) && s.job.started })
-	pick.pass(func(s *stage) bool { return !hopeful(s) && !s.job.started })
+	if pick.room < p.smallest() {
+		return nil
+	}
+	first := sort.Search(len(p.queue), func(i int) bool { return !p.queue[i].startBy.Add(startTolerance).Before(now) })
+	hopeless, hopeful := p.queue[:first], p.queue[first:]
+	pick.pass(hopeful, func(s *stage) bool { return !s.job.late })
+	pick.pass(hopeful, func(s *stage) bool { return s.job.late })
+	pick.pass(hopeless, func(s *stage) bool { return s.job.started })
+	pick.pass(hopeless, func(s *stage) bool { return !s.job.started })
 	pick.sweep()
 	return pick.taken
 }
@@ -148,9 +177,9 @@
 	taken  []placed
 }
 
-// pass walks the queue once for the stages that fit.
-func (k *picker) pass(want func(*stage) bool) {
-	for _, s := range k.pool.queue {
+// pass walks a part of the queue once for the stages that fit.
+func (k *picker) pass(queue []*stage, want func(*stage) bool) {
+	for _, s := range queue {
 		if k.places == 0 {
 			return
 		}
@@ -165,7 +194,7 @@
 	if len(s.waiting) == 0 || s.ResultBytes > k.room {
 		return false
 	}
-	if s.avoid == k.worker.key && k.pool.usable() > 1 {
+	if s.avoid == k.worker.key && k.pool.usable > 1 {
 		return false
 	}
 	return s.mayRunIn(k.worker.endpoint.Domain, k.pool, k.now)
@@ -181,6 +210,7 @@
 		k.taken = append(k.taken, placed{stage: s, index: index})
 	}
 	s.waiting = s.waiting[n:]
+	s.book()
 	k.pool.waiting -= n
 	k.places -= n
 	k.room -= int64(n) * s.ResultBytes
@@ -202,7 +232,7 @@
 			kept = append(kept, s)
 			continue
 		}
-		s.queued = false
+		k.pool.left(s)
 	}
 	clear(k.pool.queue[len(kept):])
 	k.pool.queue = kept
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -60,10 +60,18 @@
 	}
 	for _, r := range results {
 		r.worker.release(r)
+		c.roomFreed(r.worker)
 	}
 	c.dispatch(now)
 }
 
+// roomFreed notes that a worker may have room for what did not fit.
+func (c *Core) roomFreed(w *worker) {
+	if p := c.pools[w.endpoint.Service]; p != nil {
+		p.changed = true
+	}
+}
+
 // held learns how long results take up memory.
 func (c *Core) held(r *result, now time.Time) {
 	if p := c.pools[r.worker.endpoint.Service]; p != nil {
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -65,9 +65,8 @@
 // Stats returns the state at now.
 func (c *Core) Stats(now time.Time) Stats {
 	stats := Stats{Jobs: len(c.jobs), Calls: len(c.calls)}
-	for _, name := range c.poolNames() {
-		p := c.pools[name]
-		s := PoolStats{Service: name, Waiting: p.waiting, Workers: p.usable(), Took: p.took}
+	for _, p := range c.byName {
+		s := PoolStats{Service: p.name, Waiting: p.waiting, Workers: p.usable, Took: p.took}
 		var used, room int64
 		for _, w := range p.workers {
 			if len(w.calls) > 0 {
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -1,7 +1,8 @@
 package dispatch
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -10,6 +11,7 @@
 // 20 ms while there are jobs.
 func (c *Core) Tick(now time.Time) {
 	for _, p := range c.pools {
+		p.changed = true
 		for _, w := range p.workers {
 			w.expire(now)
 		}
@@ -19,7 +21,7 @@
 			e.expire(now)
 		}
 	}
-	for _, j := range c.tickets() {
+	for _, j := range c.due(now) {
 		if j.engine == nil && j.stagesDone() {
 			c.grant(j, now)
 		}
@@ -32,45 +34,63 @@
 func (c *Core) Idle() bool { return len(c.jobs) == 0 && len(c.calls) == 0 }
 
 // tickets lists the jobs in a fixed order, so that a run can be repeated.
-func (c *Core) tickets() []*job {
-	jobs := make([]*job, 0, len(c.jobs))
+func (c *Core) tickets() []*job { return c.sorted(func(*job) bool { return true }) }
+
+// due lists the jobs that have to be granted or given up.
+func (c *Core) due(now time.Time) []*job {
+	return c.sorted(func(j *job) bool {
+		_, hopeless := j.hopeless(now)
+		return hopeless || j.engine == nil && j.stagesDone()
+	})
+}
+
+// sorted lists the jobs that are wanted by ticket.
+func (c *Core) sorted(want func(*job) bool) []*job {
+	var jobs []*job
 	for _, j := range c.jobs {
-		jobs = append(jobs, j)
+		if want(j) {
+			jobs = append(jobs, j)
+		}
 	}
-	sort.Slice(jobs, func(a, b int) bool { return jobs[a].Ticket < jobs[b].Ticket })
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.Ticket, b.Ticket) })
 	return jobs
 }
 
-// giveUp refuses a job that has no hope left. To hold it until its deadline
-// would serve nobody: its client could come back meanwhile.
+// giveUp ends a job that has no hope left. To hold it until its deadline would
+// serve nobody: its client could come back meanwhile.
 func (c *Core) giveUp(j *job, now time.Time) {
+	reason, hopeless := j.hopeless(now)
+	switch {
+	case !hopeless:
+	case j.engine != nil:
+		c.end(j, now)
+	default:
+		c.refuse(j, reason, now)
+	}
+}
+
+// hopeless tells whether a job has waited in vain, and why it is refused. The
+// entry of a granted one is gone and will not tell of its end.
+func (j *job) hopeless(now time.Time) (Reason, bool) {
 	if j.engine != nil {
-		if now.After(j.deadlineAt.Add(runMargin)) {
-			// Its entry is gone and will not tell.
-			c.end(j, now)
-		}
-		return
+		return "", now.After(j.deadlineAt.Add(runMargin))
 	}
 	limit := j.deadlineAt.Add(-time.Duration((1 - deadlineShare) * float64(j.Deadline)))
 	if now.After(limit) {
-		c.refuse(j, ReasonDeadline, now)
-		return
+		return ReasonDeadline, true
 	}
 	if j.started {
-		return
+		return "", false
 	}
 	if j.late {
-		if now.Sub(j.submitted) > time.Duration(lateGiveUp*float64(j.Deadline)) {
-			c.refuse(j, ReasonOverload, now)
-		}
-		return
+		return ReasonOverload, now.Sub(j.submitted) > time.Duration(lateGiveUp*float64(j.Deadline))
 	}
 	for _, s := range j.stages {
 		if s.queued && now.Sub(s.startBy) > lateWait && now.Sub(s.since) > lateWait {
-			c.refuse(j, ReasonOverload, now)
-			return
+			return ReasonOverload, true
 		}
 	}
+	return "", false
 }
 
 // Holds tells whether a call is under way, or results are kept that only this
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -34,11 +34,16 @@
 	if p == nil {
 		p = newPool(s.Name, s.Batch)
 		c.pools[s.Name] = p
+		c.sortPools()
 	}
 	p.spec = s.Batch
+	known := make(map[string]*worker, len(p.workers))
+	for _, w := range p.workers {
+		known[w.key] = w
+	}
 	var workers []*worker
 	for _, e := range view.Endpoints(s.Name) {
-		w := p.worker(e.Key())
+		w := known[e.Key()]
 		if w == nil {
 			w = newWorker(e, s.Batch)
 		}
@@ -53,6 +58,7 @@
 		}
 	}
 	p.workers = workers
+	p.countWorkers()
 }
 
 func (c *Core) setEngines(s *catalog.Service, view *catalog.View) {
