A new view costs the owner no walk of the prompts it remembers

Cause: with each view the owner of the queue made the table of who read which part of a prompt anew (beyond 64 engines), and found each worker by a walk of all.

Change: the table stays, engines that have left are taken out of it; only shared parts are kept; workers are found by a map.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -189,11 +189,16 @@
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// sharedTokens is the length of the parts that other requests may share: all
-// but the last, which is the request's own.
+// sharedParts are the parts that other requests may share: all but the last,
+// which is the request's own.
+func sharedParts(prefix []catalog.PrefixPart) []catalog.PrefixPart {
+	return prefix[:max(0, len(prefix)-1)]
+}
+
+// sharedTokens is the length of the shared parts.
 func sharedTokens(j *job) int {
 	n := 0
-	for _, p := range j.Prefix[:max(0, len(j.Prefix)-1)] {
+	for _, p := range sharedParts(j.Prefix) {
 		n += p.Tokens
 	}
 	return n
--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -55,13 +55,14 @@
 	es.keep(e, j.Prefix)
 }
 
-// keep notes that an engine keeps a prompt.
+// keep notes that an engine keeps a prompt. The last part is the request's own:
+// no other is looked for by it.
 func (es *engines) keep(e *engine, prefix []catalog.PrefixPart) {
 	e.cache.touch(prefix)
 	if len(es.all) <= compareAll {
 		return
 	}
-	for _, p := range prefix {
+	for _, p := range sharedParts(prefix) {
 		es.remember(p.ID, e)
 	}
 }
@@ -82,6 +83,18 @@
 	es.readers[part] = append(readers, e)
 }
 
+// forgetGone takes the engines that have left out of the readers.
+func (es *engines) forgetGone() {
+	for part, readers := range es.readers {
+		readers = slices.DeleteFunc(readers, func(e *engine) bool { return e.gone })
+		if len(readers) == 0 {
+			delete(es.readers, part)
+			continue
+		}
+		es.readers[part] = readers
+	}
+}
+
 // maxParts bounds the parts whose readers are remembered.
 const maxParts = 1 << 16
 
--- a/dispatch/owner_bench_test.go
+++ b/dispatch/owner_bench_test.go
@@ -63,3 +63,24 @@
 	c.Effects()
 	return c
 }
+
+// BenchmarkView measures a new view of 225 engines of which so many prompts are
+// remembered.
+func BenchmarkView(b *testing.B) {
+	for _, prompts := range []int{100, 10000} {
+		b.Run(fmt.Sprint(prompts), func(b *testing.B) {
+			c := New()
+			view := testView([]string{"a", "b", "c", "d", "e"}, 45)
+			c.SetView(epoch, view)
+			es := c.engines[serviceModel]
+			for i := range prompts {
+				own := fmt.Sprint("own", i)
+				es.keep(es.all[i%len(es.all)], []catalog.PrefixPart{{ID: "shared", Tokens: 1}, {ID: own, Tokens: 1}})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.SetView(epoch, view)
+			}
+		})
+	}
+}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -64,9 +64,9 @@
 func (c *Core) setEngines(s *catalog.Service, view *catalog.View) {
 	known := c.engines[s.Name]
 	if known == nil {
-		known = &engines{times: newPromptTimes()}
+		known = &engines{times: newPromptTimes(), readers: make(map[string][]*engine)}
 	}
-	next := &engines{times: known.times, byKey: make(map[string]*engine), readers: make(map[string][]*engine)}
+	next := &engines{times: known.times, byKey: make(map[string]*engine), readers: known.readers}
 	for _, ep := range view.Endpoints(s.Name) {
 		e := known.byKey[ep.Key()]
 		if e == nil {
@@ -79,15 +79,13 @@
 		next.byKey[e.key] = e
 		next.all = append(next.all, e)
 	}
+	left := false
 	for _, e := range known.all {
 		e.gone = next.byKey[e.key] == nil
+		left = left || e.gone
 	}
-	for part, readers := range known.readers {
-		for _, e := range readers {
-			if !e.gone {
-				next.remember(part, e)
-			}
-		}
+	if left {
+		next.forgetGone()
 	}
 	c.engines[s.Name] = next
 }
