A reader answers while it decodes a large configuration

Seen: TestEndpointLeavesDuringALargeConfig 12 of 24 beside load; on the large site 79 to 153 reader_lost in two seconds.

Cause: a Follower decoded a configuration and built its index with its state locked; all that peers ask of a reader (changes, parts) waits for that lock, and a call ends after 300 to 750 ms. Ruled out: the store (it answers), the packing (another lock).

Change: configurations are decoded before the state is locked, by the same code.

TestReaderAnswersWhileItDecodes: did not answer for 212 of 218 ms before; passes now.

--- a/discovery/state.go
+++ b/discovery/state.go
@@ -47,6 +47,8 @@
 type State struct {
 	at     uint64
 	config platform.Item
+	// prepared are configurations that were decoded before they are applied.
+	prepared []preparedConfig
 	// refused is the newest value under the configuration's key that is none.
 	refused platform.Item
 	index   *catalog.Index
@@ -163,24 +165,55 @@
 // A value that is no configuration leaves the last good one in force: without
 // one all requests would be refused until the operator writes again.
 func (s *State) applyConfig(item platform.Item) {
-	if item.Gone || item.Revision <= s.config.Revision || item.Revision == s.refused.Revision {
+	if !s.wantsConfig(item) {
 		return
 	}
-	config, err := decodeConfig(item)
-	if err != nil {
-		s.refuseConfig(item, err)
+	config := s.preparedOf(item)
+	if config.err != nil {
+		s.refuseConfig(item, config.err)
 		return
 	}
-	if s.index != nil && config.Version <= s.index.Config.Version {
+	if s.index != nil && config.index.Config.Version <= s.index.Config.Version {
 		return
 	}
 	first := s.index == nil
 	s.config = item
-	s.index = catalog.NewIndex(config)
+	s.index = config.index
 	s.dirty = true
 	s.nameServices(first)
 }
 
+// preparedConfig is what an item says, decoded, or why it says nothing.
+type preparedConfig struct {
+	revision uint64
+	index    *catalog.Index
+	err      error
+}
+
+func prepareConfig(item platform.Item) preparedConfig {
+	config, err := decodeConfig(item)
+	if err != nil {
+		return preparedConfig{revision: item.Revision, err: err}
+	}
+	return preparedConfig{revision: item.Revision, index: catalog.NewIndex(config)}
+}
+
+// preparedOf returns what an item says.
+func (s *State) preparedOf(item platform.Item) preparedConfig {
+	for _, prepared := range s.prepared {
+		if prepared.revision == item.Revision {
+			return prepared
+		}
+	}
+	return prepareConfig(item)
+}
+
+// wantsConfig tells whether an item is a configuration that Apply would decode.
+func (s *State) wantsConfig(item platform.Item) bool {
+	return item.Key == platform.KeyConfig && !item.Gone &&
+		item.Revision > s.config.Revision && item.Revision != s.refused.Revision
+}
+
 func decodeConfig(item platform.Item) (*catalog.Config, error) {
 	value, err := item.Read()
 	if err != nil {
