A refusal says what was short

Half of the refusals of a burst on the large site named no queue: those of jobs that gave way to a more urgent one.

--- a/cmd/mangostage/gateway.go
+++ b/cmd/mangostage/gateway.go
@@ -120,6 +120,7 @@
 	number("pieces", l.Pieces)
 	number("failed", l.Failed)
 	text("queue", l.Queue)
+	text("short", l.Short)
 	millis("behind", l.Behind)
 	millis("waited", l.Waited)
 	if l.Slack != nil {
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -37,20 +37,24 @@
 	sizeWeight = 0.05
 )
 
-// clear is the time that the pool needs for the backlog: by the places of its
-// calls, or by the memory that results take until they are read.
-func (p *pool) clear(b sumtree.Amount) time.Duration {
+// clear is the time that the pool needs for the backlog, and what it is short
+// of: the places of its calls, or the memory that results take until they are read.
+func (p *pool) clear(b sumtree.Amount) (time.Duration, Resource) {
 	workers := p.usable
 	if workers == 0 {
-		return time.Hour
+		return time.Hour, ResourceEndpoints
 	}
 	places := float64(workers*p.spec.Items) * fillShare
 	calls := time.Duration(float64(p.took) * float64(b.Pieces) / places)
-	room := float64(p.spec.Room) * float64(workers)
-	if room <= 0 {
-		return calls
+	memory := float64(p.spec.Room) * float64(workers)
+	if memory <= 0 {
+		return calls, ResourceCalls
 	}
-	return max(calls, time.Duration(float64(p.hold)*float64(b.Bytes)/room))
+	read := time.Duration(float64(p.hold) * float64(b.Bytes) / memory)
+	if read > calls {
+		return read, ResourceMemory
+	}
+	return calls, ResourceCalls
 }
 
 // countTaken notes the pieces of a job that is taken to be in time.
@@ -88,7 +92,9 @@
 			continue
 		}
 		p := c.pools[s.Service]
-		s.forecast = now.Add(p.clear(p.demand.inTime.UpTo(s.startBy)))
+		ahead := p.demand.inTime.UpTo(s.startBy)
+		wait, short := p.clear(ahead)
+		s.forecast = now.Add(wait)
 		for _, a := range s.After {
 			if before := j.stages[a]; before.Pieces > 0 {
 				s.forecast = later(s.forecast, before.forecast.Add(c.pools[before.Service].took))
@@ -96,7 +102,7 @@
 		}
 		margin := p.biasAt(now) + time.Duration(j.Priority)*urgencyMargin
 		if s.forecast.Add(margin).After(s.startBy) {
-			j.queue = p.name
+			j.queue, j.short = p.name, short
 			j.behind = s.forecast.Add(margin).Sub(s.startBy)
 			return p
 		}
@@ -146,6 +152,7 @@
 		if victim == nil {
 			break
 		}
+		victim.lacks(p, j.short)
 		c.giveWay(victim, now)
 	}
 	return c.takeLate(j, now)
@@ -208,6 +215,13 @@
 // weightMargin keeps jobs of about the same size from displacing each other.
 const weightMargin = 1.5
 
+// lacks notes what a job is late for; the first cause stands.
+func (j *job) lacks(p *pool, short Resource) {
+	if j.queue == "" {
+		j.queue, j.short = p.name, short
+	}
+}
+
 // giveWay puts a job behind those in time, or refuses it while that costs its
 // client nothing.
 func (c *Core) giveWay(j *job, now time.Time) {
@@ -232,7 +246,9 @@
 			continue
 		}
 		p := c.pools[s.Service]
-		if time.Duration(float64(p.clear(p.demand.upTo(j.Priority)))/p.spare(now)) > limit {
+		wait, short := p.clear(p.demand.upTo(j.Priority))
+		if time.Duration(float64(wait)/p.spare(now)) > limit {
+			j.lacks(p, short)
 			return false
 		}
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -81,7 +81,7 @@
 // of its stages.
 func (c *Core) plan(j *job, now time.Time) bool {
 	if !c.engines[j.Service].usable() {
-		c.refuse(j, ReasonNoEndpoint, now)
+		c.refuseUnserved(j, j.Service, now)
 		return false
 	}
 	j.first = c.engines[j.Service].times.of(promptTokens(j))
@@ -99,7 +99,7 @@
 			return false
 		}
 		if p.usable == 0 {
-			c.refuse(j, ReasonNoEndpoint, now)
+			c.refuseUnserved(j, p.name, now)
 			return false
 		}
 	}
@@ -232,7 +232,7 @@
 	e := c.engines[j.Service].choose(j, inputs, now)
 	if e == nil {
 		if !c.engines[j.Service].usable() && !c.awaitsEngine(j) {
-			c.refuse(j, ReasonNoEndpoint, now)
+			c.refuseUnserved(j, j.Service, now)
 		}
 		return
 	}
@@ -290,10 +290,16 @@
 	if j.ended {
 		return
 	}
-	c.emit(Refuse{Ticket: j.Ticket, Reason: reason, RetryAfter: c.retryAfter(j), Queue: j.queue, Behind: j.behind})
+	c.emit(Refuse{Ticket: j.Ticket, Reason: reason, RetryAfter: c.retryAfter(j), Queue: j.queue, Short: j.short, Behind: j.behind})
 	c.end(j, now)
 }
 
+// refuseUnserved ends a job for lack of endpoints of a service.
+func (c *Core) refuseUnserved(j *job, service string, now time.Time) {
+	j.queue, j.short = service, ResourceEndpoints
+	c.refuse(j, ReasonNoEndpoint, now)
+}
+
 // retryAfter is about when the queues of the job's stages will have been worked off.
 func (c *Core) retryAfter(j *job) time.Duration {
 	wait := time.Duration(retryShare * float64(j.Deadline))
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -63,12 +63,28 @@
 	Reason Reason `json:"reason"`
 	// RetryAfter is when another try may succeed.
 	RetryAfter time.Duration `json:"retry_after"`
-	// Queue is the service whose queue was too long, if that is the reason,
-	// and Behind how much too late the job would have started there.
-	Queue  string        `json:"queue,omitempty"`
+	// Queue is the service that was short of something, and Short of what.
+	Queue string   `json:"queue,omitempty"`
+	Short Resource `json:"short,omitempty"`
+	// Behind is how much too late the job would have started there.
 	Behind time.Duration `json:"behind,omitempty"`
 }
 
+// Resource is what a service can be short of.
+type Resource string
+
+// The resources.
+const (
+	// ResourceCalls are places in calls.
+	ResourceCalls Resource = "calls"
+	// ResourceMemory is memory for results.
+	ResourceMemory Resource = "result_memory"
+	// ResourceEndpoints are endpoints that take work.
+	ResourceEndpoints Resource = "endpoints"
+	// ResourceEngine is a model engine that bears a request now.
+	ResourceEngine Resource = "engine"
+)
+
 // Move gives a job without any piece made back to its entry, which gives it to
 // the present owner of the queue.
 type Move struct {
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -12,23 +12,27 @@
 // do wait for those.
 func (c *Core) refuseEvacuated(now time.Time) {
 	for _, j := range c.tickets() {
-		if j.engine == nil && c.evacuated(j) {
-			c.refuse(j, ReasonNoEndpoint, now)
+		if j.engine != nil {
+			continue
+		}
+		if service := c.evacuated(j); service != "" {
+			c.refuseUnserved(j, service, now)
 		}
 	}
 }
 
-// evacuated tells whether a service that the job still needs is evacuated.
-func (c *Core) evacuated(j *job) bool {
+// evacuated returns a service that the job still needs and that is evacuated, or
+// the empty string.
+func (c *Core) evacuated(j *job) string {
 	if es := c.engines[j.Service]; es != nil && allEvacuated(es.all) {
-		return true
+		return j.Service
 	}
 	for _, s := range j.stages {
 		if p := c.pools[s.Service]; p != nil && len(s.waiting) > 0 && allEvacuated(p.workers) {
-			return true
+			return p.name
 		}
 	}
-	return false
+	return ""
 }
 
 // target is an endpoint that work goes to.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -71,8 +71,10 @@
 	// late is set when the job will miss its objective; it then goes behind
 	// those that can meet theirs.
 	late bool
-	// queue is the first service whose queue made the job late, behind how late.
+	// queue is the service that made the job late, or without hope, short what it
+	// lacks, and behind how late the job would have been.
 	queue  string
+	short  Resource
 	behind time.Duration
 	// first is the expected time from the grant to the first event.
 	first time.Duration
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -65,10 +65,26 @@
 	case j.engine != nil:
 		c.end(j, now)
 	default:
+		c.noteShortage(j)
 		c.refuse(j, reason, now)
 	}
 }
 
+// noteShortage says what a job has waited for in vain, if nothing was said before.
+func (c *Core) noteShortage(j *job) {
+	if j.stagesDone() && j.queue == "" {
+		j.queue, j.short = j.Service, ResourceEngine
+	}
+	for _, s := range j.stages {
+		if !s.queued {
+			continue
+		}
+		p := c.pools[s.Service]
+		_, short := p.clear(p.demand.inTime.Sum())
+		j.lacks(p, short)
+	}
+}
+
 // hopeless tells whether a job has waited in vain, and why it is refused. The
 // entry of a granted one is gone and will not tell of its end.
 func (j *job) hopeless(now time.Time) (Reason, bool) {
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -77,7 +77,7 @@
 		return nil, ended(m.request, "queue_unreachable", busyRetry)
 	case lease.Refuse != nil:
 		p := ended(m.request, string(lease.Refuse.Reason), lease.Refuse.RetryAfter)
-		p.queue, p.behind = lease.Refuse.Queue, lease.Refuse.Behind
+		p.queue, p.short, p.behind = lease.Refuse.Queue, lease.Refuse.Short, lease.Refuse.Behind
 		return nil, p
 	}
 	m.chosen = time.Now()
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/platform"
 )
 
@@ -15,8 +16,10 @@
 	reason string
 	// retryAfter is set where the request has not run and may come back.
 	retryAfter time.Duration
-	// queue and behind say which queue was too long, and by how much.
+	// queue says which service was short of something, short of what, and behind
+	// how much too late the request would have been.
 	queue  string
+	short  dispatch.Resource
 	behind time.Duration
 	// close ends the connection after the answer.
 	close bool
@@ -61,7 +64,7 @@
 	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", routeName(req)).
 		Int("status", p.status).Str("reason", p.reason).Bool("offered", req.offered).
 		Bool("may_have_run", req.mayHaveRun).Bool("client_left", left).Uint64("config", req.version).
-		Str("queue", p.queue).Dur("behind_ms", p.behind).Dur("retry_after_ms", p.retryAfter).Dur("took_ms", time.Since(req.arrived)).Msg("own answer")
+		Str("queue", p.queue).Str("short", string(p.short)).Dur("behind_ms", p.behind).Dur("retry_after_ms", p.retryAfter).Dur("took_ms", time.Since(req.arrived)).Msg("own answer")
 	if left {
 		panic(http.ErrAbortHandler)
 	}
--- a/reqlog/reqlog.go
+++ b/reqlog/reqlog.go
@@ -47,8 +47,10 @@
 	Expired    bool   `json:"expired,omitempty"`
 	Error      string `json:"error,omitempty"`
 	Fault      string `json:"fault,omitempty"`
-	// Queue is the stage queue that was too long, Behind by how many milliseconds.
+	// Queue is the service that was short of something, Short of what, and Behind
+	// by how many milliseconds the request would have been late.
 	Queue  string  `json:"queue,omitempty"`
+	Short  string  `json:"short,omitempty"`
 	Behind float64 `json:"behind_ms,omitempty"`
 	Pieces int     `json:"pieces,omitempty"`
 	Failed int     `json:"failed,omitempty"`
