A starting fleet does not call its endpoints in vain

A job counted as begun once a call with its pieces was sent, also if it was refused. Begun jobs are not handed over, so each process kept its own and called for them every 60 ms. 2. A process that claims the queue because it has heard of nobody yet calls all endpoints at once, and is refused by most. 3. A process that knows the owner and is not connected to it yet runs the job in a queue of its own.

Change: a job all of whose calls were refused has not begun; it may give way, and moves to the owner as soon as that is another process. An owner that hears a part of the fleet begins with that part of the endpoints, one call a service while nobody has confirmed its claim; the window doubles with each round without refusals, and follows what was granted while there are some. Owners that share try the endpoints in different orders. An endpoint that refuses calls in a row is left alone for 60 to 480 ms. A job waits 300 ms for the connection to an owner that is known.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -112,7 +112,7 @@
 	toEndpoints.Check = func() { g.follower.CheckPause() }
 	store := platform.NewStore(p.Store, &http.Client{Transport: toStore}, discovery.StorePatience)
 	stages := platform.NewStages(&http.Client{Transport: toEndpoints})
-	g.scheduler = scheduler.New(stages, g.log)
+	g.scheduler = scheduler.New(p.Name, stages, g.log)
 	g.fleet = fleet.New(fleet.Config{
 		Self:    fleet.Member{Name: p.Name, Addr: cmp.Or(g.own.Advertise, p.Peer), Domain: p.Domain, Cores: p.Cores},
 		Listen:  p.Peer,
@@ -122,6 +122,8 @@
 		StoreAt: func() uint64 { return g.follower.At() },
 
 		StoreSteady: func() bool { return g.follower.Steady() },
+		OnPromoted:  g.scheduler.Promoted,
+		OnShare:     g.scheduler.Share,
 		OnDemoted:   g.scheduler.HandOver,
 	})
 	g.follower = discovery.NewFollower(store, discovery.NewPeerRelay(g.fleet, g.log), p.Bounds.ConfigApply, g.log, g.viewChanged)
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -40,7 +40,7 @@
 // clear is the time that the pool needs for the backlog, and what it is short
 // of: the places of its calls, or the memory that results take until they are read.
 func (p *pool) clear(b sumtree.Amount) (time.Duration, Resource) {
-	workers := p.usable
+	workers := p.width()
 	if workers == 0 {
 		return time.Hour, ResourceEndpoints
 	}
@@ -76,7 +76,7 @@
 
 // spare is the part of the pool's calls that jobs in time leave to late ones.
 func (p *pool) spare(now time.Time) float64 {
-	places := float64(p.usable*p.spec.Items) * fillShare / p.took.Seconds()
+	places := float64(p.width()*p.spec.Items) * fillShare / p.took.Seconds()
 	rate := p.takenAt(now) * math.Ln2 / takenHalfLife.Seconds()
 	if places <= 0 {
 		return spareMin
--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -10,6 +10,7 @@
 	for _, placed := range pieces {
 		s := placed.stage
 		s.job.started = true
+		s.job.underway++
 		cl.bytes += s.ResultBytes
 		piece := Piece{
 			Request:   s.job.Request,
@@ -26,6 +27,7 @@
 	w.used += cl.bytes
 	w.pace.Sent(now, w.endpoint)
 	w.calls[cl.id] = cl
+	p.window.underway++
 	c.calls[cl.id] = cl
 	slow := max(1, min(w.speed, timeoutFactor))
 	effect.Timeout = time.Duration(float64(cl.expects)*timeoutFactor*slow) + timeoutSlack
@@ -43,18 +45,20 @@
 	w := cl.worker
 	delete(w.calls, id)
 	w.used -= cl.bytes
+	cl.ended(fault == CallOK || fault == CallLost)
 	if p := c.pools[w.endpoint.Service]; p != nil {
 		p.changed = true
+		p.window.end(fault == CallRefused, p.took, p.places(), now)
 	}
 	switch fault {
 	case CallOK:
 		c.callDone(cl, outcomes, now)
 	case CallRefused:
-		w.pause.Hold(pauseRefused, now)
-		c.requeue(cl, now, false)
+		w.refused(now)
+		c.notRun(cl, now)
 	case CallOther:
 		c.loseWorker(w)
-		c.requeue(cl, now, false)
+		c.notRun(cl, now)
 	case CallLost:
 		c.bookLost(cl, now)
 		w.pause.Fail(pauseFirst, pauseMax, now)
@@ -71,6 +75,35 @@
 	}
 }
 
+// ended counts the pieces of a call off.
+func (cl *call) ended(mayHaveRun bool) {
+	for _, placed := range cl.pieces {
+		j := placed.stage.job
+		j.underway--
+		j.mayHaveRun = j.mayHaveRun || mayHaveRun
+	}
+}
+
+// notRun puts the pieces of a call back that the endpoint did not run. Jobs of
+// which nothing has run have not started: they may give way again, and go to the
+// present owner of the queue if that is another process.
+func (c *Core) notRun(cl *call, now time.Time) {
+	c.requeue(cl, now, false)
+	for _, placed := range cl.pieces {
+		j := placed.stage.job
+		if j.ended || !j.started || j.underway > 0 || j.mayHaveRun {
+			continue
+		}
+		j.started = false
+		switch {
+		case c.handedOver:
+			c.move(j, now)
+		case !j.late:
+			c.mayGiveWay(j)
+		}
+	}
+}
+
 // bookLost keeps the room of a call that may still run: its results take
 // memory that nobody can free, until the endpoint drops them.
 func (c *Core) bookLost(cl *call, now time.Time) {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -36,14 +38,22 @@
 	// sizes is the usual size of the jobs of each route, in weighted tokens.
 	sizes  map[string]float64
 	nextID uint64
+	// share is the part of the fleet that gives its jobs to this owner, as far as
+	// it knows; salt tells its choices from those of other owners.
+	share float64
+	salt  uint64
+	// handedOver is set while another process owns the queue.
+	handedOver bool
 	// nextStage numbers the stages in the demand of the pools.
 	nextStage uint64
 	effects   []Effect
 }
 
-// New returns a Core that knows no endpoints.
-func New() *Core {
+// New returns a Core that knows no endpoints; name is that of its process.
+func New(name string) *Core {
 	return &Core{
+		share:   1,
+		salt:    xxhash.Sum64String(name),
 		jobs:    make(map[string]*job),
 		pools:   make(map[string]*pool),
 		engines: make(map[string]*engines),
@@ -53,6 +63,30 @@
 	}
 }
 
+// Promoted notes that this process has come to own the queue, and which part of
+// the fleet it hears. An owner that hears few begins with as few endpoints: the
+// rest of the fleet may have owners of its own.
+func (c *Core) Promoted(share float64) {
+	c.share = share
+	c.handedOver = false
+	for _, p := range c.pools {
+		p.window.bound(share, p.places())
+	}
+}
+
+// Share notes that the owner hears another part of the fleet. One that hears
+// less goes on as before: those that it has lost may be gone, and if they have an
+// owner of their own, the endpoints' refusals say so.
+func (c *Core) Share(share float64) {
+	if share <= c.share {
+		return
+	}
+	c.share = share
+	for _, p := range c.pools {
+		p.window.widen(share, p.places())
+	}
+}
+
 // Effects returns what the shell has to do since the last call.
 func (c *Core) Effects() []Effect {
 	effects := c.effects
@@ -172,8 +206,8 @@
 
 // fill starts calls at the idle workers of a pool.
 func (c *Core) fill(p *pool, now time.Time) {
-	for _, w := range p.idle(now) {
-		for w.idle(now) {
+	for _, w := range c.idle(p, now) {
+		for w.idle(now) && !p.window.full(now) {
 			pieces := p.batch(w, now)
 			if len(pieces) == 0 {
 				break
@@ -184,7 +218,7 @@
 }
 
 // idle lists the idle workers with room for a result, the fastest first.
-func (p *pool) idle(now time.Time) []*worker {
+func (c *Core) idle(p *pool, now time.Time) []*worker {
 	least := p.smallest()
 	var workers []*worker
 	for _, w := range p.workers {
@@ -197,9 +231,18 @@
 		}
 	}
 	slices.SortStableFunc(workers, func(a, b *worker) int { return cmp.Compare(a.speed, b.speed) })
+	if p.window.limit != unbounded {
+		c.scatter(workers)
+	}
 	return workers
 }
 
+// scatter orders workers by hash, differently at each owner: several that share
+// the endpoints would meet at the fastest ones.
+func (c *Core) scatter(workers []*worker) {
+	slices.SortFunc(workers, func(a, b *worker) int { return cmp.Compare(mix(a.hash^c.salt), mix(b.hash^c.salt)) })
+}
+
 // sortPools lists the pools in a fixed order, so that a run can be repeated.
 func (c *Core) sortPools() {
 	c.byName = c.byName[:0]
@@ -308,7 +351,7 @@
 		if p == nil || s.Pieces == 0 {
 			continue
 		}
-		places := max(1, p.usable) * p.spec.Items
+		places := max(1, p.width()) * p.spec.Items
 		wait = max(wait, time.Duration(float64(p.took)*float64(p.waiting)/float64(places)))
 	}
 	return wait
--- a/dispatch/home_test.go
+++ b/dispatch/home_test.go
@@ -58,7 +58,7 @@
 // idle endpoint in another domain at once, and each piece of the next stage read
 // half of its inputs from there.
 func TestPiecesOfAStageKeepTogether(t *testing.T) {
-	c := New()
+	c := New("test")
 	c.SetView(epoch, testView([]string{"north", "south"}, 1))
 	p := c.pools[serviceLight]
 	for _, ticket := range []string{"a", "b"} {
--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -166,7 +166,7 @@
 // a new process runs there, which has done nothing wrong.
 func TestRestartForgetsEvidence(t *testing.T) {
 	view := bornAll(testView([]string{"north"}, 1))
-	c := New()
+	c := New("test")
 	c.SetView(epoch, view)
 	w := c.pools[serviceHeavy].workers[0]
 	w.speed = speedMax
@@ -190,7 +190,7 @@
 // not keep: an entry told it where it had sent them, to the process before.
 func TestPlacementAtEndedProcess(t *testing.T) {
 	view := bornAll(testView([]string{"north"}, 1))
-	c := New()
+	c := New("test")
 	c.SetView(epoch, restarted(view, 2, "model-north-0"))
 	parts := []catalog.PrefixPart{{ID: "p", Tokens: 9}}
 	place := func(e *catalog.Endpoint) {
@@ -207,7 +207,7 @@
 // now, and one that failed at this process goes elsewhere if it can.
 func TestAvoidedProcess(t *testing.T) {
 	view := bornAll(testView([]string{"north"}, 2))
-	c := New()
+	c := New("test")
 	c.SetView(epoch, view)
 	j := newJob(testJob("j"), epoch)
 	first := c.engines[serviceModel].choose(j, nil, epoch).endpoint
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -82,8 +82,13 @@
 	weight float64
 	// lostAt is when results of the job were last lost, to be made again.
 	lostAt time.Time
-	// started is set when the first piece is sent.
+	// started is set when the first piece is sent, and taken back if all calls with
+	// pieces of the job were refused: then nothing of it has run.
 	started bool
+	// underway counts the pieces in calls; mayHaveRun is set when a call with some
+	// has ended that was not refused.
+	underway   int
+	mayHaveRun bool
 	// granted is when the engine was chosen.
 	granted time.Time
 	// engine is set when the job is granted.
--- a/dispatch/lose.go
+++ b/dispatch/lose.go
@@ -47,6 +47,10 @@
 		cl := w.calls[id]
 		delete(w.calls, id)
 		delete(c.calls, id)
+		cl.ended(true)
+		if p := c.pools[w.endpoint.Service]; p != nil {
+			p.window.end(false, p.took, p.places(), now)
+		}
 		c.requeue(cl, now, true)
 	}
 	for _, j := range c.tickets() {
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -149,7 +149,7 @@
 func TestBatchAsTheNaiveOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		view := testView([]string{"north", "south"}, 1)
-		c := New()
+		c := New("test")
 		c.SetView(epoch, view)
 		p := c.pools[serviceHeavy]
 		w := p.workers[0]
@@ -194,7 +194,7 @@
 // keeps prompts together.
 func TestChooseAsTheNaiveOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := New()
+		c := New("test")
 		c.SetView(epoch, testView([]string{"north", "south"}, rapid.IntRange(1, 10).Draw(t, "engines")))
 		es := c.engines[serviceModel]
 		draw := func(ticket string) *job {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -55,6 +55,7 @@
 	// byte overflow, and a piece that finds no room is made one call later.
 	roomShare float64
 	demand    demand
+	window    window
 }
 
 const (
@@ -79,7 +80,7 @@
 func newPool(name string, spec *catalog.Batch) *pool {
 	return &pool{
 		name: name, spec: spec, took: fullCall(spec), hold: 2 * fullCall(spec), roomShare: 1, demand: newDemand(),
-		domains: make(map[string]bool), sizes: make(map[int64]int),
+		domains: make(map[string]bool), sizes: make(map[int64]int), window: window{limit: unbounded},
 	}
 }
 
@@ -149,6 +150,14 @@
 	p.changed = true
 }
 
+// places is how many calls the endpoints take at a time.
+func (p *pool) places() int { return p.usable * p.spec.Slots }
+
+// width is how many of the endpoints the owner may use at a time.
+func (p *pool) width() int {
+	return min(p.usable, max(1, p.window.limit/max(1, p.spec.Slots)))
+}
+
 // batch takes pieces off the queue for one call to w. Jobs that can still meet
 // their objective, or have pieces made already, go before those that cannot:
 // half-made jobs hold room at endpoints, and to put them off stalls everything.
--- a/dispatch/prompt_test.go
+++ b/dispatch/prompt_test.go
@@ -102,7 +102,7 @@
 // it reads wait five times as long, until others get the prompts; once it is well
 // again it gets its share.
 func TestSlowEngineGetsFewerPrompts(t *testing.T) {
-	c := New()
+	c := New("test")
 	c.SetView(epoch, testView([]string{"north"}, 2))
 	es := c.engines[serviceModel]
 	slow := es.all[0]
--- a/dispatch/readers_test.go
+++ b/dispatch/readers_test.go
@@ -12,7 +12,7 @@
 // their shared parts, to an engine that has left, and against a view that makes
 // an owner forget where the others were read.
 func TestGoneEngineIsNoReader(t *testing.T) {
-	c := New()
+	c := New("test")
 	c.SetView(epoch, testView([]string{"north", "south"}, compareAll))
 	es := c.engines[serviceModel]
 	north, south := es.all[0], es.all[len(es.all)-1]
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -127,14 +127,20 @@
 // for the same endpoints fill each other's calls badly; jobs that have begun
 // end here, since only this process knows their results.
 func (c *Core) HandOver(now time.Time) {
+	c.handedOver = true
 	for _, j := range c.tickets() {
 		if j.engine == nil && !j.started {
-			c.emit(Move{Ticket: j.Ticket})
-			c.end(j, now)
+			c.move(j, now)
 		}
 	}
 }
 
+// move gives a job back to its entry.
+func (c *Core) move(j *job, now time.Time) {
+	c.emit(Move{Ticket: j.Ticket})
+	c.end(j, now)
+}
+
 // Placed notes what engines have read by the word of the entries, for an owner
 // that takes over.
 func (c *Core) Placed(placements []Placement) {
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -31,7 +31,8 @@
 
 func (c *Core) setPool(s *catalog.Service, view *catalog.View) {
 	p := c.pools[s.Name]
-	if p == nil {
+	first := p == nil
+	if first {
 		p = newPool(s.Name, s.Batch)
 		c.pools[s.Name] = p
 		c.sortPools()
@@ -59,6 +60,9 @@
 	}
 	p.workers = workers
 	p.countWorkers()
+	if first {
+		p.window.bound(c.share, p.places())
+	}
 }
 
 func (c *Core) setEngines(s *catalog.Service, view *catalog.View) {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/internal/health"
 	"github.com/mangostage/mangostage/warm"
@@ -21,6 +23,8 @@
 	// pauseRefused is shorter: the endpoint is alive and busy with somebody
 	// else's call, which takes about this long.
 	pauseRefused = 60 * time.Millisecond
+	// refusedDoublings is how often it doubles with refusals in a row.
+	refusedDoublings = 3
 	// ttlMargin is added to the time after which an endpoint drops a result by
 	// itself, so that room is not counted as free before it is.
 	ttlMargin = 200 * time.Millisecond
@@ -30,7 +34,9 @@
 type worker struct {
 	endpoint *catalog.Endpoint
 	// key is the endpoint's Key.
-	key   string
+	key string
+	// hash is that of the key.
+	hash  uint64
 	spec  *catalog.Batch
 	calls map[uint64]*call
 	// used is the memory of results that are kept, made or expected, in bytes.
@@ -42,6 +48,8 @@
 	speed float64
 	// pause is under way after failed and refused calls.
 	pause health.Pause
+	// refusals counts the calls refused since one succeeded.
+	refusals int
 	// pace is what was sent to the endpoint while it is cold.
 	pace warm.Pace
 	gone bool
@@ -67,6 +75,7 @@
 	return &worker{
 		endpoint: e,
 		key:      e.Key(),
+		hash:     xxhash.Sum64String(e.Key()),
 		spec:     spec,
 		calls:    make(map[uint64]*call),
 		results:  make(map[*result]struct{}),
@@ -94,9 +103,17 @@
 	return w.spec.CallTime + time.Duration(n)*w.spec.ItemTime
 }
 
+// refused keeps calls off for a while, longer with each refusal in a row: those
+// of other owners fill the endpoint.
+func (w *worker) refused(now time.Time) {
+	w.pause.Hold(pauseRefused<<min(w.refusals, refusedDoublings), now)
+	w.refusals++
+}
+
 // succeeded learns from a call that took a time.
 func (w *worker) succeeded(took, expected time.Duration) {
 	w.pause.Clear()
+	w.refusals = 0
 	factor := min(speedMax, float64(took)/float64(expected))
 	w.speed += speedWeight * (factor - w.speed)
 }
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -100,7 +100,7 @@
 
 func newWorld(view *catalog.View) *world {
 	w := &world{
-		core: New(), now: epoch,
+		core: New("test"), now: epoch,
 		grants: make(map[string]Grant), ends: make(map[string]string), freed: make(map[string]int),
 		made: make(map[string]madePiece), slow: make(map[string]float64),
 		answers: make(map[string]time.Time),
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -50,6 +50,18 @@
 	return size
 }
 
+// Share is the part of the members known of that this process hears, itself
+// included. Members that were lost for good are known for some time. It is 0
+// while this process claims the queue and nobody has confirmed it, unless there
+// are no others: a fleet that starts as one has as many claims as processes.
+func (c *Core) Share(now time.Time) float64 {
+	if c.claim.Term == 0 && len(c.addrs) > 0 {
+		return 0
+	}
+	known := max(c.Size(now), len(c.addrs)+1)
+	return float64(c.heardSize(now)) / float64(known)
+}
+
 // heardSize counts the members that this process hears itself.
 func (c *Core) heardSize(now time.Time) int {
 	n := 1
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -53,6 +53,9 @@
 	// StoreSteady tells whether the store has answered this process for some
 	// seconds; nil if it cannot tell.
 	StoreSteady func() bool
+	// OnPromoted is called when this process has come to own the queue, OnShare in
+	// each round while it does; share is the part of the fleet that it hears.
+	OnPromoted, OnShare func(share float64)
 	// OnDemoted is called when this process has ceased to own the queue.
 	OnDemoted func()
 }
@@ -174,6 +177,9 @@
 	for conn := range s.lost {
 		s.checkLostLocked(now, conn)
 	}
+	if s.owning && s.cfg.OnShare != nil {
+		go s.cfg.OnShare(s.core.Share(now))
+	}
 	beat := s.core.Beat(now, at, round)
 	due := s.dueLocked(now, round)
 	unwanted := s.unwantedLocked()
@@ -327,6 +333,9 @@
 		if s.owning && !self && s.cfg.OnDemoted != nil {
 			go s.cfg.OnDemoted()
 		}
+		if !s.owning && self && s.cfg.OnPromoted != nil {
+			go s.cfg.OnPromoted(s.core.Share(now))
+		}
 		s.owning = self
 		s.cfg.Log.Info().Str("event", logOwnerChanged).Str("owner", owner.Name).Bool("self", self).Float64("cores", owner.Cores).
 			Uint64("term", s.core.Claim().Term).Msg("the queue has another owner")
@@ -373,6 +382,9 @@
 	return Ownership{Owner: owner.Name, Self: self, Term: s.core.Claim().Term}
 }
 
+// Owns tells whether this process owns the queue.
+func (s *Service) Owns() bool { return s.Ownership().Self }
+
 // OwnerConn returns the connection to the queue's owner; nil if this process
 // owns it or the owner cannot be reached.
 func (s *Service) OwnerConn() *peer.Conn {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -30,6 +30,7 @@
 type alone struct{ settled chan struct{} }
 
 func (a alone) OwnerConn() *peer.Conn           { return nil }
+func (a alone) Owns() bool                      { return true }
 func (a alone) Lost(*peer.Conn) <-chan struct{} { return nil }
 func (a alone) Settled() <-chan struct{}        { return a.settled }
 func newAlone() alone                           { a := alone{make(chan struct{})}; close(a.settled); return a }
@@ -83,7 +84,7 @@
 	transport := gateway.NewTransport()
 	t.Cleanup(transport.CloseIdleConnections)
 	log := zerolog.New(&r.logs).With().Timestamp().Str("process", "g").Logger()
-	r.scheduler = scheduler.New(platform.NewStages(&http.Client{Transport: transport}), log)
+	r.scheduler = scheduler.New("test", platform.NewStages(&http.Client{Transport: transport}), log)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { r.scheduler.Run(ctx) })
--- a/pipeline/core_test.go
+++ b/pipeline/core_test.go
@@ -113,6 +113,7 @@
 		return StageResult{wire.StageResult{ID: p.calls[call-1].ID, Status: wire.StatusRefused, Reason: api.ReasonKeyConflict}}
 	}
 }
+
 // notReached is the answer of an agent whose endpoint is down.
 func notReached(call int) step {
 	return func(p *player) Event {
--- a/scheduler/remote.go
+++ b/scheduler/remote.go
@@ -41,6 +41,11 @@
 	peer.HandleNote(mux, MethodDone, func(_ *peer.Conn, n Note) { s.Done(n.Ticket, n.Served) })
 }
 
+// reachPatience is how long a job waits for the connection to an owner that is
+// known: a dial takes milliseconds, and a second queue for the same endpoints costs
+// the jobs of both.
+const reachPatience = 300 * time.Millisecond
+
 // resubmitPause keeps a job that finds no owner from spinning.
 const resubmitPause = 20 * time.Millisecond
 
@@ -49,6 +54,8 @@
 	// OwnerConn returns the connection to the owner; nil if this process owns
 	// the queue or does not reach the owner.
 	OwnerConn() *peer.Conn
+	// Owns tells whether this process owns the queue.
+	Owns() bool
 	// Lost returns what is closed when the process at the other end is taken
 	// for lost.
 	Lost(conn *peer.Conn) <-chan struct{}
@@ -99,7 +106,7 @@
 		if try > 0 {
 			j.Ticket = base + "+" + strconv.Itoa(try)
 		}
-		conn := c.owners.OwnerConn()
+		conn := c.reach(ctx)
 		c.tell(conn)
 		v, err := c.submit(ctx, conn, j)
 		if err == nil && v.Moved && conn == c.owners.OwnerConn() {
@@ -123,6 +130,19 @@
 	}
 }
 
+// reach returns the connection to the owner; nil if this process owns the queue
+// or does not reach the owner.
+func (c *Client) reach(ctx context.Context) *peer.Conn {
+	until := time.Now().Add(reachPatience)
+	for {
+		conn := c.owners.OwnerConn()
+		if conn != nil || c.owners.Owns() || ctx.Err() != nil || time.Now().After(until) {
+			return conn
+		}
+		sleep.For(ctx, resubmitPause)
+	}
+}
+
 // tell tells an owner that has just taken over where this process's requests
 // were sent.
 func (c *Client) tell(conn *peer.Conn) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -50,12 +50,12 @@
 	ctx  context.Context
 }
 
-// New returns a Scheduler; Run lets its time pass.
-func New(stages *platform.Stages, log zerolog.Logger) *Scheduler {
+// New returns a Scheduler; Run lets its time pass. The name is that of the process.
+func New(name string, stages *platform.Stages, log zerolog.Logger) *Scheduler {
 	return &Scheduler{
 		stages:  stages,
 		log:     log,
-		core:    dispatch.New(),
+		core:    dispatch.New(name),
 		waiting: make(map[string]chan Verdict),
 		busy:    make(chan struct{}, 1),
 		ctx:     context.Background(),
@@ -156,6 +156,17 @@
 	s.event(func(now time.Time, c *dispatch.Core) { c.HandOver(now) })
 }
 
+// Promoted notes that this process has come to own the queue, and which part of
+// the fleet it hears, up to 1.
+func (s *Scheduler) Promoted(share float64) {
+	s.event(func(_ time.Time, c *dispatch.Core) { c.Promoted(share) })
+}
+
+// Share notes which part of the fleet the owner hears by now.
+func (s *Scheduler) Share(share float64) {
+	s.event(func(_ time.Time, c *dispatch.Core) { c.Share(share) })
+}
+
 // Holds tells whether this process has begun stages, its own or others', whose
 // results would be lost, or kept in vain, if it ended now.
 func (s *Scheduler) Holds() bool {
