An owner knows its own lag

An owner of the queue whose processor is at its bound starts each stage later than the queues alone tell, and takes jobs that end late. The lag, from an event's arrival, or a tick's due time, to its handling, is kept as a moving average, is in the metrics and in gateway status, and counts in the forecast of admission.

--- a/cmd/mangostage/gateway_status.go
+++ b/cmd/mangostage/gateway_status.go
@@ -88,7 +88,8 @@
 }
 
 func printQueues(w io.Writer, q *dispatch.Stats) {
-	_, _ = fmt.Fprintf(w, "  queue\t%d jobs\t%d calls\n", q.Jobs, q.Calls)
+	_, _ = fmt.Fprintf(w, "  queue\t%d jobs\t%d calls\tevents handled %s late\thears %.0f%% of the fleet\n",
+		q.Jobs, q.Calls, duration(q.Lag), 100*q.Share)
 	for _, p := range q.Pools {
 		_, _ = fmt.Fprintf(w, "  stage\t%s\t%d pieces wait\t%d of %d busy\t%.0f%% of the room booked\n",
 			p.Service, p.Waiting, p.Busy, p.Workers, 100*p.RoomUsed)
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -94,7 +94,7 @@
 		p := c.pools[s.Service]
 		ahead := p.demand.inTime.UpTo(s.startBy)
 		wait, short := p.clear(ahead)
-		s.forecast = now.Add(wait)
+		s.forecast = now.Add(wait + c.lag)
 		for _, a := range s.After {
 			if before := j.stages[a]; before.Pieces > 0 {
 				s.forecast = later(s.forecast, before.forecast.Add(c.pools[before.Service].took))
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -42,6 +42,8 @@
 	// it knows; salt tells its choices from those of other owners.
 	share float64
 	salt  uint64
+	// lag is a moving average of how late events are handled.
+	lag time.Duration
 	// handedOver is set while another process owns the queue.
 	handedOver bool
 	// nextStage numbers the stages in the demand of the pools.
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -8,9 +8,13 @@
 
 // Stats is the state of the queues for metrics and logs.
 type Stats struct {
-	Jobs  int         `json:"jobs"`
-	Calls int         `json:"calls"`
-	Pools []PoolStats `json:"pools"`
+	Jobs  int `json:"jobs"`
+	Calls int `json:"calls"`
+	// Lag is how late events are handled, Share the part of the fleet that this
+	// process hears as the owner.
+	Lag   time.Duration `json:"lag"`
+	Share float64       `json:"share"`
+	Pools []PoolStats   `json:"pools"`
 	// Workers are the endpoints of stages, Engines those of models.
 	Workers []WorkerStats `json:"workers"`
 	Engines []EngineStats `json:"engines"`
@@ -64,7 +68,7 @@
 
 // Stats returns the state at now.
 func (c *Core) Stats(now time.Time) Stats {
-	stats := Stats{Jobs: len(c.jobs), Calls: len(c.calls)}
+	stats := Stats{Jobs: len(c.jobs), Calls: len(c.calls), Lag: c.lag, Share: c.share}
 	for _, p := range c.byName {
 		s := PoolStats{Service: p.name, Waiting: p.waiting, Workers: p.usable, Took: p.took}
 		var used, room int64
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -77,17 +77,18 @@
 			select {
 			case <-ctx.Done():
 				return
-			case now := <-ticker.C:
-				idle = s.tick(now)
+			case due := <-ticker.C:
+				idle = s.tick(due)
 			}
 		}
 		ticker.Stop()
 	}
 }
 
-// tick tells whether there is nothing left to wait for.
-func (s *Scheduler) tick(now time.Time) bool {
-	s.mu.Lock()
+// tick tells whether there is nothing left to wait for; due is when it should
+// have come.
+func (s *Scheduler) tick(due time.Time) bool {
+	now := s.lock(due)
 	s.core.Tick(now)
 	idle := s.core.Idle()
 	effects := s.core.Effects()
@@ -105,9 +106,9 @@
 // context ends gets ErrLeft, and the job is given up.
 func (s *Scheduler) Submit(ctx context.Context, j dispatch.Job) (Verdict, error) {
 	verdict := make(chan Verdict, 1)
-	s.mu.Lock()
+	now := s.lock(time.Now())
 	s.waiting[j.Ticket] = verdict
-	err := s.core.Submit(time.Now(), j)
+	err := s.core.Submit(now, j)
 	effects := s.core.Effects()
 	s.mu.Unlock()
 	if err != nil {
@@ -182,9 +183,18 @@
 	return s.core.Stats(time.Now())
 }
 
-func (s *Scheduler) event(apply func(time.Time, *dispatch.Core)) {
+// lock takes the core for an event that arrived at a time, and returns the time
+// at which it is handled.
+func (s *Scheduler) lock(arrived time.Time) time.Time {
 	s.mu.Lock()
-	apply(time.Now(), s.core)
+	now := time.Now()
+	s.core.Lagged(now.Sub(arrived))
+	return now
+}
+
+func (s *Scheduler) event(apply func(time.Time, *dispatch.Core)) {
+	now := s.lock(time.Now())
+	apply(now, s.core)
 	effects := s.core.Effects()
 	s.mu.Unlock()
 	s.carryOut(effects)
