--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -183,6 +183,7 @@
 		c.refuse(s.job, ReasonStageFailed, now)
 		return
 	case fault == FaultLate:
+		s.job.lacks(s.booking.pool, ResourceCalls)
 		c.refuse(s.job, ReasonDeadline, now)
 		return
 	case fault == FaultRoom:
