Jobs wait for a confirmed owner while a fleet starts

After a loss of all, processes gave their first jobs to whatever owner they took for one as soon as they had heard any other process: to themselves, mostly, whose claim nobody had confirmed. Now the queue counts as settled once a claim is shared by another process, or after the 900 ms that a lone process waits anyway. The share of an owner rests on what it hears itself, not on what others claim to hear (TestShareOfAnOwner).

--- a/fleet/claim.go
+++ b/fleet/claim.go
@@ -38,6 +38,10 @@
 	return c.Owner < o.Owner
 }
 
+// Confirmed tells whether another process shares the present claim. While a
+// fleet starts as one, each process first claims the queue for itself.
+func (c *Core) Confirmed() bool { return c.claim.Term > 0 }
+
 // startSpan is how long a process that starts takes the queue from a weaker owner.
 const startSpan = 3 * time.Second
 
--- a/fleet/claim_test.go
+++ b/fleet/claim_test.go
@@ -73,3 +73,28 @@
 		assert.Equal(t, w.oneOwner(t), owner)
 	})
 }
+
+func member(name string, cores float64) Member {
+	return Member{Name: name, Incarnation: name, Addr: name + ":1", Cores: cores}
+}
+
+// TestShareOfAnOwner guards against an owner that takes all endpoints for its own
+// although it hears a part of the fleet, or nobody has confirmed it.
+func TestShareOfAnOwner(t *testing.T) {
+	now := epoch
+	alone := NewCore(member("a", 0.8), nil)
+	_, self := alone.Owner(now)
+	assert.Assert(t, self)
+	assert.Equal(t, alone.Share(now), 1.0)
+
+	c := NewCore(member("a", 0.8), []string{"b:1", "c:1", "d:1"})
+	_, self = c.Owner(now)
+	assert.Assert(t, self && !c.Confirmed())
+	assert.Equal(t, c.Share(now), 0.0)
+	c.Heard(now, Beat{From: member("b", 0.144), Claim: c.Claim()})
+	assert.Assert(t, c.Confirmed())
+	assert.Equal(t, c.Share(now), 0.5)
+
+	c.Heard(now, Beat{From: member("c", 0.144), Claim: c.Claim(), Hears: 1 << 40})
+	assert.Equal(t, c.Share(now), 0.75, "a member that claims to hear an absurd number")
+}
--- a/fleet/hubs.go
+++ b/fleet/hubs.go
@@ -55,11 +55,11 @@
 // while this process claims the queue and nobody has confirmed it, unless there
 // are no others: a fleet that starts as one has as many claims as processes.
 func (c *Core) Share(now time.Time) float64 {
-	if c.claim.Term == 0 && len(c.addrs) > 0 {
+	if !c.Confirmed() && len(c.addrs) > 0 {
 		return 0
 	}
-	known := max(c.Size(now), len(c.addrs)+1)
-	return float64(c.heardSize(now)) / float64(known)
+	heard := c.heardSize(now)
+	return float64(heard) / float64(max(heard, len(c.addrs)+1))
 }
 
 // heardSize counts the members that this process hears itself.
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -24,8 +24,8 @@
 	// A VM that is starting or cut off does not answer, and a fleet that starts
 	// as one finds its owner only once it is dialled again.
 	dialTimeout = 300 * time.Millisecond
-	// settleTime is how long after its start a process that has heard of no
-	// other waits for one before it owns the queue by itself. A fleet that
+	// settleTime is how long after its start a process that knows of no confirmed
+	// owner waits for one before it owns the queue by itself. A fleet that
 	// starts as one would otherwise have as many owners as processes, whose
 	// calls and results stand in each other's way for seconds.
 	settleTime = 900 * time.Millisecond
@@ -74,9 +74,9 @@
 	// lost holds, for connections with jobs, what is closed when the other
 	// side is taken for lost.
 	lost map[*peer.Conn]chan struct{}
-	// settled is closed once another process is heard or settleTime is over.
-	settled  chan struct{}
-	heardAny bool
+	// settled is closed once a claim is confirmed or settleTime is over.
+	settled   chan struct{}
+	isSettled bool
 }
 
 // link is the way to one address.
@@ -133,8 +133,8 @@
 }
 
 func (s *Service) settleLocked() {
-	if !s.heardAny {
-		s.heardAny = true
+	if !s.isSettled {
+		s.isSettled = true
 		close(s.settled)
 	}
 }
@@ -274,7 +274,9 @@
 	at := s.cfg.StoreAt()
 	s.mu.Lock()
 	s.core.Heard(now, b)
-	s.settleLocked()
+	if s.core.Confirmed() {
+		s.settleLocked()
+	}
 	s.ownerLocked(now)
 	l := s.linkLocked(b.From.Addr)
 	first := l.back != conn && !conn.Dialed()
