Configurations are decoded beside the reading of the store

With the mend before, a reader answered while it decoded, but that its knowledge was not fresh: its next call to the store waited for the decoding.

Change: the state notes a configuration and advances past it; a goroutine decodes the newest one. What peers ask for includes it at once, endpoints that leave are heard of meanwhile, and the store is asked on. A read after a pause waits for the decoding, within its bound. An endpoint whose service only the awaited configuration names is no fault (TestEndpointOfAServiceThatIsBeingDecoded).

TestReaderAnswersWhileItDecodes now also asks that peers are told before it is decoded.

--- a/discovery/entries.go
+++ b/discovery/entries.go
@@ -14,6 +14,8 @@
 	endpoint *catalog.Endpoint
 	// unnamed is what the item says, while no configuration has named its service.
 	unnamed *catalog.Endpoint
+	// told is set once it is a fault that the service is not named.
+	told bool
 	// goneAt is when the removal was heard of; zero while it is listed.
 	goneAt time.Time
 	// until is when a lapsed or spoiled endpoint counts as gone.
@@ -27,7 +29,7 @@
 // nameServices takes the endpoints of services that the configuration names and
 // none before it has. A service keeps its endpoints when a later configuration
 // names it no longer: requests of the version before are still under way there.
-func (s *State) nameServices(first bool) {
+func (s *State) nameServices() {
 	for _, service := range s.index.Config.ServiceNames() {
 		s.named[service] = true
 	}
@@ -36,7 +38,8 @@
 		case e.unnamed == nil:
 		case s.named[e.unnamed.Service]:
 			s.list(id, &entry{item: e.item, endpoint: e.unnamed})
-		case first:
+		case !e.told:
+			e.told = true
 			s.fault(e.item, unnamedService(e.unnamed))
 		}
 	}
@@ -71,8 +74,11 @@
 		s.list(id, &entry{item: item, endpoint: endpoint})
 		return
 	}
-	s.spoil(now, id, &entry{item: item, unnamed: endpoint})
-	if s.index != nil {
+	// A configuration that is not decoded yet may name the service.
+	_, awaited := s.Awaited()
+	tell := s.index != nil && !awaited
+	s.spoil(now, id, &entry{item: item, unnamed: endpoint, told: tell})
+	if tell {
 		s.fault(item, unnamedService(endpoint))
 	}
 }
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -87,6 +87,8 @@
 	began    time.Time
 	onChange func(*catalog.View)
 	pauses   *pause.Watch
+	// undecoded wakes what decodes configurations.
+	undecoded chan struct{}
 	// catchingUp is closed when the read after the last pause has ended.
 	catchingUp atomic.Pointer[chan struct{}]
 	// onWake is called before anything is read after a pause.
@@ -96,7 +98,8 @@
 // NewFollower returns a follower. A configuration must be in force within
 // apply; onChange is called with each new view.
 func NewFollower(store *platform.Store, relay Relay, apply time.Duration, log zerolog.Logger, onChange func(*catalog.View)) *Follower {
-	f := &Follower{store: store, relay: relay, log: log, state: NewState(), changed: make(chan struct{}), began: time.Now(), onChange: onChange}
+	f := &Follower{store: store, relay: relay, log: log, state: NewState(), changed: make(chan struct{}), began: time.Now(), onChange: onChange, undecoded: make(chan struct{}, 1)}
+	f.state.defers = true
 	f.wait = min(platform.MaxWatch, time.Duration(float64(apply)*watchShare))
 	f.view.Store(catalog.NewView(nil, nil, 0))
 	f.pauses = pause.NewWatch(time.Now, f.woke)
@@ -149,6 +152,7 @@
 // catchUp reads what has changed and does not wait for more. What it does not
 // get the run of the follower does.
 func (f *Follower) catchUp(ctx context.Context) error {
+	defer f.awaitDecoded(ctx)
 	if f.At() == 0 || f.follow(ctx, 0) {
 		return nil
 	}
@@ -204,6 +208,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.pauses.Tick()
 	go f.expire(ctx)
+	go f.decode(ctx)
 	retries := backoff.NewExponentialBackOff()
 	retries.InitialInterval = retryFirst
 	retries.MaxInterval = retryMax
--- a/discovery/publish.go
+++ b/discovery/publish.go
@@ -19,35 +19,6 @@
 	return FaultCounts{Endpoints: f.badEndpoints.Load(), Configurations: f.badConfigs.Load()}
 }
 
-// updateBy changes the state by items. Configurations among them are decoded
-// before the state is locked: a large one takes hundreds of milliseconds on a
-// weak VM, in which a reader would not answer those that follow it.
-func (f *Follower) updateBy(items []platform.Item, change func(time.Time, *State)) {
-	prepared := f.prepare(items)
-	f.update(func(now time.Time, s *State) {
-		s.prepared = prepared
-		change(now, s)
-		s.prepared = nil
-	})
-}
-
-// prepare decodes the configurations among items that the state wants.
-func (f *Follower) prepare(items []platform.Item) []preparedConfig {
-	var wanted []platform.Item
-	f.mu.Lock()
-	for _, item := range items {
-		if f.state.wantsConfig(item) {
-			wanted = append(wanted, item)
-		}
-	}
-	f.mu.Unlock()
-	var prepared []preparedConfig
-	for _, item := range wanted {
-		prepared = append(prepared, prepareConfig(item))
-	}
-	return prepared
-}
-
 // update changes the state and publishes the view if it is another.
 func (f *Follower) update(change func(time.Time, *State)) {
 	now := time.Now()
@@ -70,7 +41,11 @@
 	if view != nil {
 		f.view.Store(view)
 	}
+	_, awaited := f.state.Awaited()
 	f.mu.Unlock()
+	if awaited {
+		f.wakeDecoder()
+	}
 	f.tell(faults)
 	f.tellTurns(turns)
 	if view == nil {
--- a/discovery/read.go
+++ b/discovery/read.go
@@ -30,7 +30,7 @@
 	if config != nil {
 		items = append(items, *config)
 	}
-	f.updateBy(items, func(now time.Time, s *State) { s.Listed(now, items, at) })
+	f.update(func(now time.Time, s *State) { s.Listed(now, items, at) })
 	return nil
 }
 
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	f.updateBy(changes.Events, func(now time.Time, s *State) { applyAll(now, s, changes.Events, changes.At) })
+	f.update(func(now time.Time, s *State) { applyAll(now, s, changes.Events, changes.At) })
 	return nil
 }
 
@@ -85,7 +85,7 @@
 	}
 	items, at, ok := f.relay.Follow(ctx, f.At(), wait)
 	if ok && at > 0 {
-		f.updateBy(items, func(now time.Time, s *State) { applyAll(now, s, items, at) })
+		f.update(func(now time.Time, s *State) { applyAll(now, s, items, at) })
 	}
 	return ok && at > 0
 }
@@ -100,7 +100,7 @@
 		return
 	}
 	f.log.Info().Str("event", logViewFromPeer).Int("items", len(items)).Uint64("at", at).Msg("view taken from a peer")
-	f.updateBy(items, func(now time.Time, s *State) { applyAll(now, s, items, at) })
+	f.update(func(now time.Time, s *State) { applyAll(now, s, items, at) })
 }
 
 // lacksConfig tells whether the process waits for a configuration that the
@@ -119,7 +119,7 @@
 		return
 	}
 	items, _ := f.relay.Newer(ctx, 0)
-	f.updateBy(items, func(now time.Time, s *State) {
+	f.update(func(now time.Time, s *State) {
 		for _, item := range items {
 			s.Apply(now, item)
 		}
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -47,8 +47,10 @@
 type State struct {
 	at     uint64
 	config platform.Item
-	// prepared are configurations that were decoded before they are applied.
-	prepared []preparedConfig
+	// defers is set if configurations are decoded elsewhere; awaited is the newest
+	// one that is not decoded yet. Peers are told of it like of any other item.
+	defers  bool
+	awaited platform.Item
 	// refused is the newest value under the configuration's key that is none.
 	refused platform.Item
 	index   *catalog.Index
@@ -161,14 +163,28 @@
 	}
 }
 
-// applyConfig never goes back to an older version, whatever a stale read says.
-// A value that is no configuration leaves the last good one in force: without
-// one all requests would be refused until the operator writes again.
+// applyConfig takes an item of the configuration, to be decoded now or later.
 func (s *State) applyConfig(item platform.Item) {
-	if !s.wantsConfig(item) {
-		return
+	switch {
+	case item.Gone || item.Revision <= s.config.Revision || item.Revision == s.refused.Revision:
+	case !s.defers:
+		s.adoptConfig(item, prepareConfig(item))
+	case item.Revision > s.awaited.Revision:
+		s.awaited = item
+	}
+}
+
+// Awaited returns the configuration that is to be decoded; false if there is none.
+func (s *State) Awaited() (platform.Item, bool) { return s.awaited, s.awaited.Revision > 0 }
+
+// adoptConfig takes a decoded configuration. It never goes back to an older
+// version, whatever a stale read says. A value that is no configuration leaves the
+// last good one in force: without one all requests would be refused until the
+// operator writes again.
+func (s *State) adoptConfig(item platform.Item, config preparedConfig) {
+	if item.Revision == s.awaited.Revision {
+		s.awaited = platform.Item{}
 	}
-	config := s.preparedOf(item)
 	if config.err != nil {
 		s.refuseConfig(item, config.err)
 		return
@@ -176,42 +192,24 @@
 	if s.index != nil && config.index.Config.Version <= s.index.Config.Version {
 		return
 	}
-	first := s.index == nil
 	s.config = item
 	s.index = config.index
 	s.dirty = true
-	s.nameServices(first)
+	s.nameServices()
 }
 
 // preparedConfig is what an item says, decoded, or why it says nothing.
 type preparedConfig struct {
-	revision uint64
-	index    *catalog.Index
-	err      error
+	index *catalog.Index
+	err   error
 }
 
 func prepareConfig(item platform.Item) preparedConfig {
 	config, err := decodeConfig(item)
 	if err != nil {
-		return preparedConfig{revision: item.Revision, err: err}
+		return preparedConfig{err: err}
 	}
-	return preparedConfig{revision: item.Revision, index: catalog.NewIndex(config)}
-}
-
-// preparedOf returns what an item says.
-func (s *State) preparedOf(item platform.Item) preparedConfig {
-	for _, prepared := range s.prepared {
-		if prepared.revision == item.Revision {
-			return prepared
-		}
-	}
-	return prepareConfig(item)
-}
-
-// wantsConfig tells whether an item is a configuration that Apply would decode.
-func (s *State) wantsConfig(item platform.Item) bool {
-	return item.Key == platform.KeyConfig && !item.Gone &&
-		item.Revision > s.config.Revision && item.Revision != s.refused.Revision
+	return preparedConfig{index: catalog.NewIndex(config)}
 }
 
 func decodeConfig(item platform.Item) (*catalog.Config, error) {
@@ -274,6 +272,9 @@
 
 // Item returns the item under a key, as Since lists it.
 func (s *State) Item(key string) (platform.Item, bool) {
+	if key == platform.KeyConfig && s.awaited.Revision > 0 {
+		return s.awaited, true
+	}
 	if key == platform.KeyConfig {
 		return s.config, s.config.Revision > 0
 	}
@@ -288,7 +289,7 @@
 // that could not be used are among them, without their values.
 func (s *State) Since(after uint64) []platform.Item {
 	var items []platform.Item
-	for _, item := range []platform.Item{s.config, s.refused} {
+	for _, item := range []platform.Item{s.config, s.refused, s.awaited} {
 		if item.Revision > after {
 			items = append(items, item)
 		}
