An outage convicts no request that had nothing to do with it

A second crash, alone, convicts.

The stated bound holds: twice the limit, as for content that always crashes beside the same other. Two crashing requests that crash at the same moments, and copies of one, are stopped (TestCrashingRequestsDoNotCoverForEachOther, TestOutageOfItsOwnMakingConvicts).

--- /dev/null
+++ b/suspect/outage_test.go
@@ -0,0 +1,63 @@
+package suspect
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestOutageConvictsNobody guards against a request that is refused for minutes
+// because it was lost with one endpoint, and alone with the next, in an outage
+// that took others, too.
+func TestOutageConvictsNobody(t *testing.T) {
+	table := New("entry-1/a", limit)
+	crashOn(table, "other", "engine-3", start, "third")
+	crashOn(table, "a", "engine-1", start, "b")
+	now := start.Add(15 * time.Millisecond)
+	assert.Equal(t, crashOn(table, "a", "engine-2", now), Verdict{Alone: true})
+	assert.Equal(t, table.Refused("a", now), time.Duration(0))
+	assert.Equal(t, table.Begin("a", now), Verdict{Alone: true})
+	table.Succeeded("a", now)
+	assert.Equal(t, table.Begin("a", now), Verdict{})
+}
+
+// TestOutageOfItsOwnMakingConvicts guards against content that is not stopped
+// because the endpoints that it crashes go one after the other.
+func TestOutageOfItsOwnMakingConvicts(t *testing.T) {
+	for name, crash := range map[string]func(*Table){
+		"its copies":           func(table *Table) { crashOn(table, "bad", "engine-1", start, "a", "b") },
+		"with companions":      func(table *Table) { crashOn(table, "a", "engine-1", start, "bad") },
+		"unknown companions":   func(table *Table) { table.Crashed("a", Crash{Endpoint: "engine-1", Companions: 3}, start) },
+		"an old crash":         func(table *Table) { crashOn(table, "a", "engine-1", start.Add(-2*outageSpan)) },
+		"the same endpoint":    func(table *Table) { crashOn(table, "a", "engine-2", start) },
+		"no crash but its own": func(*Table) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New("entry-1/a", limit)
+			crash(table)
+			crashOn(table, "bad", "engine-1", start, "a")
+			crashOn(table, "bad", "engine-2", start.Add(time.Millisecond))
+			assert.Assert(t, table.Refused("bad", start.Add(time.Millisecond)) > 0)
+		})
+	}
+}
+
+// TestCrashingRequestsDoNotCoverForEachOther guards against two requests that
+// crash endpoints at the same moments and are never stopped.
+func TestCrashingRequestsDoNotCoverForEachOther(t *testing.T) {
+	table := New("entry-1/a", limit)
+	crashes := 0
+	for i := range 50 {
+		now := start.Add(time.Duration(i) * time.Second)
+		for _, key := range []string{"bad-1", "bad-2"} {
+			if !crashOn(table, key, fmt.Sprint(key, "-engine-", i), now).Refuse {
+				crashes++
+			}
+		}
+	}
+	assert.Assert(t, crashes <= 2*2*limit, "%d crashes", crashes)
+	assert.Assert(t, table.Refused("bad-1", start.Add(50*time.Second)) > 0)
+	assert.Assert(t, table.Refused("bad-2", start.Add(50*time.Second)) > 0)
+}
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -5,7 +5,9 @@
 // does not tell which part of it was the cause. Suspect content is run alone
 // from then on. Content is convicted, and refused for a time, by
 //
-//   - a crash with nothing else on the endpoint, if it is not the first crash;
+//   - a crash with nothing else on the endpoint, if it is not the first crash,
+//     and if no other endpoint has just gone under other content: then that
+//     content counts as a companion;
 //   - the limit of crashes, if no other content was there each time;
 //   - twice the limit, even if one was.
 //
@@ -16,8 +18,8 @@
 // limit, or as copies of it were running when the first crash became known,
 // whichever is more: afterwards no more are started at once than the limit
 // leaves. Usually there are two: one in a batch and one alone. If agents do
-// not run suspects alone and the same other content crashes with it each
-// time, it is twice the limit. Entries exchange their counts, so the bound
+// not run suspects alone, or other endpoints go at the same time, and the same
+// other content crashes with it each time, it is twice the limit. Entries exchange their counts, so the bound
 // holds for all entries that reach each other, plus the copies that each
 // started before it heard. Under a partition it holds for each part; with n
 // entries that each see only themselves, n times the bound. After a conviction
@@ -114,6 +116,7 @@
 type Table struct {
 	entry  string
 	limit  int
+	outage outage
 	shards [shardCount]shard
 }
 
@@ -163,6 +166,9 @@
 
 // Crashed ends a run by a crash of its endpoint.
 func (t *Table) Crashed(key string, crash Crash, now time.Time) {
+	if others := t.outage.companions(key, crash, now); crash.Companions == 0 && len(others) > 0 {
+		crash.Companions, crash.With = len(others), others
+	}
 	t.end(key, now, func(c *content) { c.crashed(t.entry, key, t.limit, crash, now) })
 }
 
