--- a/dispatch/demand_test.go
+++ b/dispatch/demand_test.go
@@ -73,19 +73,7 @@
 func TestDemandAsTheNaiveOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(testView([]string{"north", "south"}, 1))
-		w.fate = func(StartCall) (CallFault, Fault) {
-			switch rapid.IntRange(0, 11).Draw(t, "fate") {
-			case 0:
-				return CallLost, FaultNone
-			case 1:
-				return CallRefused, FaultNone
-			case 2:
-				return CallOK, FaultWork
-			case 3:
-				return CallOK, FaultRoom
-			}
-			return CallOK, FaultNone
-		}
+		w.fate = anyFate(t)
 		check := func() {
 			by := w.now.Add(time.Duration(rapid.IntRange(-1000, 2000).Draw(t, "by")) * time.Millisecond)
 			priority := rapid.IntRange(0, 2).Draw(t, "priority")
--- a/dispatch/model_test.go
+++ b/dispatch/model_test.go
@@ -20,19 +20,7 @@
 func TestPromisesUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(testView([]string{"north", "south"}, 1))
-		w.fate = func(StartCall) (CallFault, Fault) {
-			switch rapid.IntRange(0, 11).Draw(t, "fate") {
-			case 0:
-				return CallLost, FaultNone
-			case 1:
-				return CallRefused, FaultNone
-			case 2:
-				return CallOK, FaultWork
-			case 3:
-				return CallOK, FaultRoom
-			}
-			return CallOK, FaultNone
-		}
+		w.fate = anyFate(t)
 		jobs := rapid.IntRange(1, 25).Draw(t, "jobs")
 		cancelled := make(map[string]bool)
 		for i := range jobs {
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/mangostage/mangostage/catalog"
 )
 
@@ -87,6 +89,23 @@
 	afterTick func()
 }
 
+// anyFate lets calls fail in each way now and then.
+func anyFate(t *rapid.T) func(StartCall) (CallFault, Fault) {
+	return func(StartCall) (CallFault, Fault) {
+		switch rapid.IntRange(0, 11).Draw(t, "fate") {
+		case 0:
+			return CallLost, FaultNone
+		case 1:
+			return CallRefused, FaultNone
+		case 2:
+			return CallOK, FaultWork
+		case 3:
+			return CallOK, FaultRoom
+		}
+		return CallOK, FaultNone
+	}
+}
+
 type flying struct {
 	call StartCall
 	at   time.Time
