A claim that is shared is confirmed at once, not with the next heartbeats

They had arrived 12 ms after their gateway's start and were granted 391 ms later: two rounds of heartbeats.

Cause: since jobs wait for a confirmed owner while a fleet starts, its first ones wait for what only heartbeats tell. Ruled out: the load (the other 67 long answers took 3.73 s), the stop of the gateway (2.8 s after its start).

Change: a process whose claim has changed by a heartbeat answers it at once, so that a claim is confirmed after two ways there and back.

--- a/fleet/claim_test.go
+++ b/fleet/claim_test.go
@@ -98,3 +98,22 @@
 	c.Heard(now, Beat{From: member("c", 0.144), Claim: c.Claim(), Hears: 1 << 40})
 	assert.Equal(t, c.Share(now), 0.75, "a member that claims to hear an absurd number")
 }
+
+// TestClaimIsConfirmedWithoutARound guards against requests that wait for several
+// heartbeats while a fleet starts, because nobody tells at once that it shares a claim.
+func TestClaimIsConfirmedWithoutARound(t *testing.T) {
+	a, b := NewCore(member("a", 0.8), []string{"b:1"}), NewCore(member("b", 0.144), []string{"a:1"})
+	a.Owner(epoch)
+	b.Owner(epoch)
+	from, to := b, a
+	beats := 0
+	for told := true; told; beats++ {
+		told = to.Heard(epoch, from.Introduction(epoch, 0))
+		// The weaker one has nothing to tell at first, and is told of the owner.
+		told = told || beats == 0
+		from, to = to, from
+	}
+	assert.Assert(t, a.Confirmed() && b.Confirmed())
+	assert.Equal(t, a.Claim(), b.Claim())
+	assert.Assert(t, beats <= 6, "%d heartbeats", beats)
+}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -273,7 +273,7 @@
 	now := time.Now()
 	at := s.cfg.StoreAt()
 	s.mu.Lock()
-	s.core.Heard(now, b)
+	claimed := s.core.Heard(now, b)
 	if s.core.Confirmed() {
 		s.settleLocked()
 	}
@@ -289,7 +289,10 @@
 	case s.core.Partner(b.From.Addr):
 		// It has just started or come back: no need to wait for the next round.
 		s.dialLocked(b.From.Addr, l, now)
-	case first:
+	}
+	// A claim that has changed is told at once: the other side may wait for its
+	// confirmation, and requests with it.
+	if claimed || first && l.conn == nil && !s.core.Partner(b.From.Addr) {
 		intro := s.core.Introduction(now, at)
 		answer = &intro
 	}
