An owner whose loss of the queue is told late keeps its refused jobs

The words that a process has come to own the queue, or has lost it, are given by goroutines of their own and may come in the wrong order; an owner would then have given refused jobs back to their entries, which give them to it again. What it is told in each round while it owns the queue now takes that back (TestOwnerKeepsRefusedJobs failed before: no job was left). Found by reading.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -77,6 +77,7 @@
 // less goes on as before: those that it has lost may be gone, and if they have an
 // owner of their own, the endpoints' refusals say so.
 func (c *Core) Share(share float64) {
+	c.handedOver = false
 	if share <= c.share {
 		return
 	}
--- a/dispatch/owners_test.go
+++ b/dispatch/owners_test.go
@@ -218,6 +218,22 @@
 	assert.Equal(t, len(c.jobs), 0)
 }
 
+// TestOwnerKeepsRefusedJobs guards against an owner that gives its own jobs back
+// time and again: the word that it had lost the queue came after the word that it
+// had it again.
+func TestOwnerKeepsRefusedJobs(t *testing.T) {
+	c := New("owner")
+	c.SetView(epoch, testView([]string{"north"}, 1))
+	c.Promoted(1)
+	c.HandOver(epoch)
+	c.Share(1)
+	assert.NilError(t, c.Submit(epoch, testJob("a")))
+	for _, call := range startedCalls(c.Effects()) {
+		c.CallEnded(epoch, call.Call, CallRefused, nil)
+	}
+	assert.Equal(t, len(c.jobs), 1)
+}
+
 // TestBegunJobsStayWithTheirOwner guards against a job that is moved although the
 // results of its first pieces are known to this process alone.
 func TestBegunJobsStayWithTheirOwner(t *testing.T) {
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -19,11 +19,12 @@
 // whichever is more: afterwards no more are started at once than the limit
 // leaves. Usually there are two: one in a batch and one alone. If agents do
 // not run suspects alone, or other endpoints go at the same time, and the same
-// other content crashes with it each time, it is twice the limit. Entries exchange their counts, so the bound
-// holds for all entries that reach each other, plus the copies that each
-// started before it heard. Under a partition it holds for each part; with n
-// entries that each see only themselves, n times the bound. After a conviction
-// has expired, one more crash renews it: one crash for each convictedFor.
+// other content crashes with it each time, it is twice the limit. Entries
+// exchange their counts, so the bound holds for all entries that reach each
+// other, plus the copies that each started before it heard. Under a partition it
+// holds for each part; with n entries that each see only themselves, n times the
+// bound. After a conviction has expired, one more crash renews it: one crash for
+// each convictedFor.
 package suspect
 
 import (
