Logs say who ended a request: the client, its deadline, the route's timeout

Ruled out: a flag read beside the reason says it already, but counters by reason and searches by reason do not have it.

Change: the reason of a request whose context has ended is client_left, client_deadline or route_timeout (the shorter of the two), or stopping; deadline stays what the queue's owner says. The same where endpoints were asked.

TestLogsTellWhoEndedARequest, eight ways to end: seven failed before (the eighth is the owner's word, which stays), all pass now. No decision changes.

--- a/gateway/logs_test.go
+++ b/gateway/logs_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"context"
+	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -98,3 +102,49 @@
 		})
 	}
 }
+
+// TestLogsTellWhoEndedARequest guards against lines that blame a deadline for
+// clients that have left: on-call engineers would look for a slow stage.
+func TestLogsTellWhoEndedARequest(t *testing.T) {
+	const shorter, longer, timeout = 200 * time.Millisecond, 4 * time.Second, 400 * time.Millisecond
+	tests := []struct {
+		name, path       string
+		deadline, leaves time.Duration
+		want             string
+	}{
+		{"client left in stages", "/staged/", longer, shorter, "client_left"},
+		{"client left at the engine", "/stream/", longer, shorter, "client_left"},
+		{"client left at an endpoint", "/idem/", longer, shorter, "client_left"},
+		{"owner gave up", "/staged/", longer, longer, "deadline"},
+		{"client's deadline at the engine", "/stream/", shorter, longer, "client_deadline"},
+		{"client's deadline at an endpoint", "/idem/", shorter, longer, "client_deadline"},
+		{"route's timeout at the engine", "/stream/", longer, longer, "route_timeout"},
+		{"route's timeout at an endpoint", "/idem/", longer, longer, "route_timeout"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t)
+			for i := range r.config.Routes {
+				r.config.Routes[i].Timeout = timeout
+			}
+			hangs := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+				// The server notices that a caller has left only once the body is read.
+				_, _ = io.Copy(io.Discard, req.Body)
+				<-req.Context().Done()
+			}))
+			for _, service := range []string{"plain", "model", "stage"} {
+				r.add(service, service+"-1", hangs)
+			}
+			req := r.request(http.MethodPost, test.path, "prompt")
+			req.Header.Set("Mangostage-Deadline-Ms", strconv.FormatInt(test.deadline.Milliseconds(), 10))
+			if test.path == "/staged/" {
+				req.Header.Set("Mangostage-Segments", "1")
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), test.leaves)
+			defer cancel()
+			r.do(req.WithContext(ctx))
+			id := req.Header.Get("Mangostage-Attempt-Id")
+			r.logs.has(t, `"event":"answered"`, `"request":"`+id+`"`, `"reason":"`+test.want+`"`)
+		})
+	}
+}
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -71,10 +71,8 @@
 	switch {
 	case err != nil && endedByStop(ctx):
 		return nil, ended(m.request, reasonStopping, g.elsewhere(need))
-	case err != nil && m.ctx.Err() != nil:
-		return nil, ended(m.request, "deadline_in_stages", busyRetry)
 	case err != nil:
-		return nil, ended(m.request, "queue_unreachable", busyRetry)
+		return nil, ended(m.request, m.endedBy("queue_unreachable"), busyRetry)
 	case lease.Refuse != nil:
 		p := ended(m.request, string(lease.Refuse.Reason), lease.Refuse.RetryAfter)
 		p.queue, p.short, p.behind = lease.Refuse.Queue, lease.Refuse.Short, lease.Refuse.Behind
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -214,7 +214,7 @@
 	if p := g.refuseUnfit(req); p != nil {
 		return p
 	}
-	return ended(req, "no_endpoint_served", busyRetry)
+	return ended(req, req.endedBy("no_endpoint_served"), busyRetry)
 }
 
 // relayPlain passes an answer on.
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -28,6 +28,30 @@
 	readEnded bool
 }
 
+// Reasons of requests that ended before their answer came, by who ended them.
+const (
+	reasonClientLeft = "client_left"
+	// reasonClientDeadline and reasonRouteTimeout say which of the two was shorter.
+	reasonClientDeadline = "client_deadline"
+	reasonRouteTimeout   = "route_timeout"
+)
+
+// endedBy is the reason of a request that got no answer: who ended it, or what
+// else there is to say if nobody did.
+func (req *request) endedBy(otherwise string) string {
+	switch {
+	case endedByStop(req.ctx):
+		return reasonStopping
+	case req.gone():
+		return reasonClientLeft
+	case !req.expired():
+		return otherwise
+	case req.routeLimits():
+		return reasonRouteTimeout
+	}
+	return reasonClientDeadline
+}
+
 // unavailable says that the request has not run and when to come back.
 func unavailable(reason string, retryAfter time.Duration) *problem {
 	return &problem{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -137,6 +137,11 @@
 	return left
 }
 
+// routeLimits tells whether the route's timeout is shorter than the client's deadline.
+func (req *request) routeLimits() bool {
+	return req.route.Timeout > 0 && (req.Deadline <= 0 || req.route.Timeout < req.Deadline)
+}
+
 // shareSteps is how finely weights are told apart.
 const shareSteps = 1 << 20
 
