dispatch: speed is learned from pieces made, and an overdue endpoint gets one at a time

A call whose pieces found no room was back after 2 ms and counted as a fast one: the endpoint that could make nothing was asked first, and admission believed in shorter calls.

Change: an endpoint's speed is learned from the pieces that it worked on, the pool's time of a call from calls without left-out pieces; an overdue call is a lower bound of the endpoint's speed, and from then on it gets one piece a call, the one with the most time to spare, until one comes back in time.

--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -61,7 +61,7 @@
 		c.notRun(cl, now)
 	case CallLost:
 		c.bookLost(cl, now)
-		w.pause.Fail(pauseFirst, pauseMax, now)
+		w.overdue(cl, now)
 		c.requeue(cl, now, true)
 	}
 	c.dispatch(now)
@@ -116,9 +116,11 @@
 func (c *Core) callDone(cl *call, outcomes []Outcome, now time.Time) {
 	w := cl.worker
 	took := now.Sub(cl.sentAt)
-	w.succeeded(took, cl.expects)
+	n := worked(outcomes)
+	w.answered()
+	w.learn(took, n)
 	if p := c.pools[cl.pieces[0].stage.Service]; p != nil {
-		p.took += (took - p.took) / 8
+		p.learnTook(took, n, len(outcomes))
 		p.learnRoom(withoutRoom(outcomes))
 	}
 	var touched []*job
@@ -147,6 +149,17 @@
 	}
 }
 
+// worked counts the pieces that the endpoint worked on, with success or not.
+func worked(outcomes []Outcome) int {
+	n := 0
+	for _, o := range outcomes {
+		if o.Fault == FaultNone || o.Fault == FaultWork {
+			n++
+		}
+	}
+	return n
+}
+
 func withoutRoom(outcomes []Outcome) int {
 	n := 0
 	for _, o := range outcomes {
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -68,6 +69,18 @@
 	roomShareGain = 0.0005
 )
 
+// tookWeight is the share of the newest call in the pool's time of a call.
+const tookWeight = 0.125
+
+// learnTook takes the time of a call of some pieces. Calls in which the endpoint
+// left pieces out are shorter than those that admission counts on.
+func (p *pool) learnTook(took time.Duration, worked, pieces int) {
+	if worked < pieces {
+		return
+	}
+	p.took += time.Duration(tookWeight * float64(took-p.took))
+}
+
 // learnRoom takes how many pieces of a call found no room.
 func (p *pool) learnRoom(without int) {
 	if without > 0 {
@@ -162,10 +175,14 @@
 // their objective, or have pieces made already, go before those that cannot:
 // half-made jobs hold room at endpoints, and to put them off stalls everything.
 func (p *pool) batch(w *worker, now time.Time) []placed {
-	pick := picker{pool: p, worker: w, now: now, room: w.room(p.roomShare), places: p.spec.Items}
+	pick := picker{pool: p, worker: w, now: now, room: w.room(p.roomShare), places: w.places()}
 	if pick.room < p.smallest() {
 		return nil
 	}
+	if w.suspect {
+		pick.probe()
+		return pick.taken
+	}
 	first := sort.Search(len(p.queue), func(i int) bool { return !p.queue[i].startBy.Add(startTolerance).Before(now) })
 	hopeless, hopeful := p.queue[:first], p.queue[first:]
 	pick.pass(hopeful, func(s *stage) bool { return !s.job.late })
@@ -198,6 +215,19 @@
 	}
 }
 
+// probe takes one piece that can bear to be made late: of those in time the one
+// with the most time to spare.
+func (k *picker) probe() {
+	for _, s := range slices.Backward(k.pool.queue) {
+		if !k.fits(s) {
+			continue
+		}
+		k.take(s)
+		break
+	}
+	k.sweep()
+}
+
 // fits tells whether pieces of s may be made at the worker now.
 func (k *picker) fits(s *stage) bool {
 	if len(s.waiting) == 0 || s.ResultBytes > k.room {
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -46,6 +46,8 @@
 	firstExpiry time.Time
 	// speed is the measured time of a call over the expected one.
 	speed float64
+	// suspect is set from a call that did not come back in time until one does.
+	suspect bool
 	// pause is under way after failed and refused calls.
 	pause health.Pause
 	// refusals counts the calls refused since one succeeded.
@@ -110,12 +112,39 @@
 	w.refusals++
 }
 
-// succeeded learns from a call that took a time.
-func (w *worker) succeeded(took, expected time.Duration) {
+// answered notes that the endpoint has answered a call.
+func (w *worker) answered() {
 	w.pause.Clear()
 	w.refusals = 0
-	factor := min(speedMax, float64(took)/float64(expected))
+}
+
+// learn takes the time of a call in which the endpoint worked on some pieces. One
+// that had room for none, or to which all came too late, is back at once and says
+// nothing of the endpoint's speed. A call that came back in time clears a suspect.
+func (w *worker) learn(took time.Duration, worked int) {
+	if worked == 0 {
+		return
+	}
+	factor := min(speedMax, float64(took)/float64(w.expect(worked)))
 	w.speed += speedWeight * (factor - w.speed)
+	w.suspect = w.suspect && factor > timeoutFactor
+}
+
+// overdue notes a call that was given up: it takes at least the time that has
+// passed, and until one comes back in time the endpoint gets a piece at a time.
+func (w *worker) overdue(cl *call, now time.Time) {
+	w.pause.Fail(pauseFirst, pauseMax, now)
+	least := min(speedMax, float64(now.Sub(cl.sentAt))/float64(cl.expects))
+	w.speed = max(w.speed, least)
+	w.suspect = true
+}
+
+// places is how many pieces the worker gets in a call.
+func (w *worker) places() int {
+	if w.suspect {
+		return 1
+	}
+	return w.spec.Items
 }
 
 // keep books a result until it is released or the endpoint drops it by itself.
