An owner knows which failure domains it does not reach, and keeps work from there

Change: the owner is told in each round which domains it reaches no member of, in both directions, although some were heard lately. Endpoints there become suspects (one piece until one comes back in time), engines there cost as much as failing ones. A member whose connection ended at once was killed, which says nothing of its domain. All members answer an alarmed one in every round, silent owner or deaf, so that it knows whom to choose.

Tests without network: calm, cut either way, killed; a new owner knows; a dispatch core that gives an unreached domain one piece a call and no request, and takes it back when it answers.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -123,7 +123,7 @@
 
 		StoreSteady: func() bool { return g.follower.Steady() },
 		OnPromoted:  g.scheduler.Promoted,
-		OnShare:     g.scheduler.Share,
+		OnReach:     g.scheduler.Reach,
 		OnDemoted:   g.scheduler.HandOver,
 	})
 	g.follower = discovery.NewFollower(store, discovery.NewPeerRelay(g.fleet, g.log), p.Bounds.ConfigApply, g.log, g.viewChanged)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -41,6 +41,8 @@
 	salt  uint64
 	// lag is a moving average of how late events are handled.
 	lag time.Duration
+	// unreached are the failure domains that the owner does not reach.
+	unreached []string
 	// handedOver is set while another process owns the queue.
 	handedOver bool
 	// nextStage numbers the stages in the demand of the pools.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -64,6 +64,8 @@
 	// pace is what was sent to the engine while it is cold.
 	pace warm.Pace
 	gone bool
+	// unreached is set while the owner does not reach its failure domain.
+	unreached bool
 }
 
 // run is a request that an engine was given.
@@ -181,7 +183,7 @@
 	if len(e.runs) >= e.spec.Slots {
 		ms += failPenalty
 	}
-	if e.pause.Active(now) {
+	if e.pause.Active(now) || e.unreached {
 		ms += failPenalty
 	}
 	return ms
--- /dev/null
+++ b/dispatch/reach_test.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestUnreachedDomainGetsNoFullCalls guards against an owner that takes over while a
+// failure domain is cut off: its first call to each endpoint there is lost, with
+// all its pieces, and so are requests to the engines there.
+func TestUnreachedDomainGetsNoFullCalls(t *testing.T) {
+	const cut = "north"
+	view := testView([]string{cut, "south"}, 3)
+	w := newWorld(view)
+	w.core.Promoted(1)
+	w.core.Reach([]string{cut})
+	in := func(endpoint string) bool { return view.Endpoint(endpoint).Domain == cut }
+	w.fate = func(c StartCall) (CallFault, Fault) {
+		if !in(c.Endpoint) {
+			return CallOK, FaultNone
+		}
+		assert.Equal(t, len(c.Pieces), 1, c.Endpoint)
+		return CallLost, FaultNone
+	}
+	w.burst(20, 2*time.Second)
+	w.run(time.Second)
+	assert.Assert(t, len(w.grants) > 0)
+	for _, g := range w.grants {
+		assert.Assert(t, !in(g.Endpoint), "%s was granted", g.Endpoint)
+	}
+	// The cut heals.
+	w.core.Reach(nil)
+	w.fate = nil
+	calls := callsTo(w)
+	w.burst(40, 3*time.Second)
+	most, granted := 0, 0
+	for _, e := range view.Endpoints(serviceHeavy) {
+		for _, c := range calls[e.ID] {
+			if in(c.Endpoint) {
+				most = max(most, len(c.Pieces))
+			}
+		}
+	}
+	for _, g := range w.grants {
+		if in(g.Endpoint) {
+			granted++
+		}
+	}
+	assert.Assert(t, most > 1 && granted > 0, "%d pieces at most, %d grants after the heal", most, granted)
+}
+
+// TestUnreachedDomainThatAnswersIsUsed guards against a failure domain whose gateways
+// were all lost, and whose endpoints are well and are left idle.
+func TestUnreachedDomainThatAnswersIsUsed(t *testing.T) {
+	w := newWorld(testView([]string{"north", "south"}, 2))
+	w.core.Promoted(1)
+	w.core.Reach([]string{"north"})
+	calls := callsTo(w)
+	w.burst(40, 2*time.Second)
+	for i := range 2 {
+		most := 0
+		for _, c := range calls[fmt.Sprintf("encode-north-%d", i)] {
+			most = max(most, len(c.Pieces))
+		}
+		assert.Assert(t, most > 1, "%d pieces at most in a call", most)
+	}
+}
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
@@ -80,6 +81,7 @@
 		e.spec = s.Model
 		e.times = next.times
 		e.gone = false
+		e.unreached = slices.Contains(c.unreached, ep.Domain)
 		next.byKey[e.key] = e
 		next.all = append(next.all, e)
 	}
--- a/fleet/beat.go
+++ b/fleet/beat.go
@@ -22,9 +22,9 @@
 	// started, and Acked the latest Sent that it has heard from the receiver.
 	Sent  int64 `json:"sent,omitempty"`
 	Acked int64 `json:"acked,omitempty"`
-	// Unheard says that the owner of the claim has not acknowledged From's
-	// heartbeats for a while.
-	Unheard bool `json:"unheard,omitempty"`
+	// Alarmed says that From's owner has begun to be silent or deaf: From needs to
+	// know who hears it.
+	Alarmed bool `json:"alarmed,omitempty"`
 	// Hubs are the members that From ranks first, in a fleet that is no full mesh.
 	Hubs []Member `json:"hubs,omitempty"`
 }
@@ -63,7 +63,7 @@
 func (c *Core) beat(now time.Time, storeAt uint64, named int, hubs bool) Beat {
 	b := Beat{From: c.self, Leaving: c.leaving, Claim: c.claim, StoreAt: storeAt, Steady: c.steady, Hears: c.heardSize(now)}
 	b.Sent = c.clock(now)
-	b.Unheard = c.unheard() >= unheardAlarm
+	b.Alarmed = c.alarmed(now)
 	if named > 0 {
 		b.Peers = c.liveAddrs(now)
 	}
@@ -102,8 +102,7 @@
 	return c.mesh && p != nil && p.Addr == addr || c.asksFor(now, addr)
 }
 
-// asksFor tells whether the member at addr goes unheard by its owner: it needs to
-// know who hears it.
+// asksFor tells whether the member at addr is alarmed.
 func (c *Core) asksFor(now time.Time, addr string) bool {
 	at, ok := c.asked[addr]
 	return ok && now.Sub(at) < alarm
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -65,8 +65,8 @@
 	// acknowledged, ackedAt when it said so, at first when it was first heard.
 	acked   int64
 	ackedAt time.Time
-	// unheard is what the member last said of the owner, see Beat.
-	unheard bool
+	// alarmed is what the member last said of its owner, see Beat.
+	alarmed bool
 	// deaf is set on an owner that was replaced since it did not hear this process,
 	// until it acknowledges another heartbeat.
 	deaf bool
@@ -86,7 +86,7 @@
 	// connection to each other; partners are the addresses to connect to.
 	mesh     bool
 	partners map[string]bool
-	// asked is when members last said that their owner does not hear them, by address.
+	// asked is when members last said that they are alarmed, by address.
 	asked map[string]time.Time
 	// named holds the hubs that were heard of, by name.
 	named map[string]hub
@@ -97,6 +97,8 @@
 	claim Claim
 	// claimed is when the claim was taken up.
 	claimed time.Time
+	// gaveUp is the failure domain of the owner before, if it was silent or deaf.
+	gaveUp string
 	// last is when the core was last used.
 	last time.Time
 	// owned is when this process last owned the queue.
@@ -161,7 +163,7 @@
 // note keeps what a heartbeat says of its sender.
 func (c *Core) note(now time.Time, b Beat) {
 	p := &peerState{Member: b.From, heard: now, leaving: b.Leaving, steady: b.Steady, storeAt: b.StoreAt, hears: b.Hears}
-	p.sent, p.unheard, p.acked, p.ackedAt = b.Sent, b.Unheard, b.Acked, now
+	p.sent, p.alarmed, p.acked, p.ackedAt = b.Sent, b.Alarmed, b.Acked, now
 	if b.Acked > c.clock(now) {
 		// It is that of a process that had this name before.
 		p.acked = 0
@@ -171,8 +173,7 @@
 		p.acked, p.ackedAt, p.deaf = old.acked, old.ackedAt, old.deaf
 	}
 	c.peers[b.From.Name] = p
-	delete(c.asked, b.From.Addr)
-	if b.Unheard {
+	if b.Alarmed {
 		c.asked[b.From.Addr] = now
 	}
 }
@@ -222,6 +223,10 @@
 
 // take puts another claim into force.
 func (c *Core) take(now time.Time, claim Claim) {
+	c.gaveUp = ""
+	if c.alarmed(now) {
+		c.gaveUp = c.peers[c.claim.Owner].Domain
+	}
 	c.claim = claim
 	c.claimed = now
 }
--- a/fleet/deaf.go
+++ b/fleet/deaf.go
@@ -46,15 +46,15 @@
 	return c.unheard() >= unheardSilence && c.unheardTogether(now)
 }
 
-// unheardTogether tells whether another member of the failure domain goes
-// unheard as well, or there is none.
+// unheardTogether tells whether another member of the failure domain is alarmed
+// as well, or there is none.
 func (c *Core) unheardTogether(now time.Time) bool {
 	alone := c.mesh
 	for _, p := range c.peers {
 		if p.Domain != c.self.Domain || p.Name == c.claim.Owner || !p.live(now) {
 			continue
 		}
-		if p.unheard {
+		if p.alarmed {
 			return true
 		}
 		alone = false
@@ -75,9 +75,18 @@
 // within a round, if it can be heard at all, so that the word of others is taken
 // only for want of an owner.
 func (c *Core) follows(now time.Time, b Beat) bool {
-	if p := c.peers[b.Claim.Owner]; p != nil && p.unacked() >= unheardIdle {
+	if p := c.peers[b.Claim.Owner]; p != nil && p.unacked() >= c.ackPatience(now, p) {
 		return false
 	}
 	firstHand := b.Claim.Owner == b.From.Name || b.Claim.Owner == c.self.Name
 	return firstHand || !c.mesh || !c.Confirmed() || !c.alive(now, c.claim) || c.ownerSilent(now)
 }
+
+// ackPatience is how long a member may be heard without a new acknowledgement: one
+// that was alarmed a short time ago was answered in every round.
+func (c *Core) ackPatience(now time.Time, p *peerState) time.Duration {
+	if at, ok := c.asked[p.Addr]; ok && now.Sub(at) < silence {
+		return unheardSilence
+	}
+	return unheardIdle
+}
--- a/fleet/deaf_test.go
+++ b/fleet/deaf_test.go
@@ -147,3 +147,74 @@
 	w.steps(4 * idleBeats)
 	w.oneOwner(t)
 }
+
+// TestCutOffDomainIsNotReached guards against an owner that takes the endpoints of a
+// failure domain for reachable that is cut off, either way, and against one that gives
+// a domain up because its members were killed or are idle.
+func TestCutOffDomainIsNotReached(t *testing.T) {
+	const within = 8 * BeatEvery
+	owner := func(w *world) *Core { return w.cores[w.oneOwner(t)] }
+	t.Run("calm", func(t *testing.T) {
+		w := domainsOf(3)
+		w.steps(2 * idleBeats)
+		for range 8 * idleBeats {
+			w.step()
+			assert.Equal(t, len(owner(w).Reach(w.now).Unreached), 0)
+		}
+	})
+	for _, outward := range []bool{true, false} {
+		t.Run(fmt.Sprintf("cut, outward %v", outward), func(t *testing.T) {
+			w := domainsOf(3)
+			w.steps(4 * idleBeats)
+			c := owner(w)
+			other := "a"
+			if c.self.Domain == "a" {
+				other = "b"
+			}
+			from, to := []string{other}, []string{"a", "b", "c"}
+			if !outward {
+				from, to = to, from
+			}
+			w.stopPassing(from, to, true)
+			w.steps(int(within / BeatEvery))
+			assert.DeepEqual(t, c.Reach(w.now).Unreached, []string{other})
+			w.stopPassing(from, to, false)
+			w.steps(idleBeats + 2)
+			assert.Equal(t, len(c.Reach(w.now).Unreached), 0)
+		})
+	}
+	t.Run("killed", func(t *testing.T) {
+		w := domainsOf(3)
+		w.steps(4 * idleBeats)
+		c := owner(w)
+		for name, k := range w.cores {
+			if k.self.Domain != c.self.Domain {
+				c.Closed(w.now, name, k.self.Incarnation)
+				delete(w.cores, name)
+			}
+		}
+		w.steps(2 * idleBeats)
+		assert.Equal(t, len(c.Reach(w.now).Unreached), 0)
+	})
+}
+
+// TestNewOwnerKnowsWhatIsCutOff guards against an owner that takes over while a
+// failure domain is cut off, and first sends a full call to each endpoint there.
+func TestNewOwnerKnowsWhatIsCutOff(t *testing.T) {
+	w := domainsOf(3)
+	w.steps(4 * idleBeats)
+	old := w.cores[w.oneOwner(t)]
+	all := []string{"a", "b", "c"}
+	w.stopPassing(all, []string{old.self.Domain}, true)
+	for range 8 {
+		w.step()
+		for _, c := range w.cores {
+			_, self := c.Owner(w.now)
+			if self && c.self.Domain != old.self.Domain {
+				assert.DeepEqual(t, c.Reach(w.now).Unreached, []string{old.self.Domain})
+				return
+			}
+		}
+	}
+	t.Fatal("no other owner")
+}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -53,9 +53,9 @@
 	// StoreSteady tells whether the store has answered this process for some
 	// seconds; nil if it cannot tell.
 	StoreSteady func() bool
-	// OnPromoted is called when this process has come to own the queue, OnShare in
-	// each round while it does; share is the part of the fleet that it hears.
-	OnPromoted, OnShare func(share float64)
+	// OnPromoted is called when this process has come to own the queue, OnReach in
+	// each round while it does.
+	OnPromoted, OnReach func(Reach)
 	// OnDemoted is called when this process has ceased to own the queue.
 	OnDemoted func()
 }
@@ -177,8 +177,8 @@
 	for conn := range s.lost {
 		s.checkLostLocked(now, conn)
 	}
-	if s.owning && s.cfg.OnShare != nil {
-		go s.cfg.OnShare(s.core.Share(now))
+	if s.owning && s.cfg.OnReach != nil {
+		go s.cfg.OnReach(s.core.Reach(now))
 	}
 	beat := s.core.Beat(now, at, round)
 	messages := s.addressLocked(beat, s.dueLocked(now, round))
@@ -354,7 +354,7 @@
 			go s.cfg.OnDemoted()
 		}
 		if !s.owning && self && s.cfg.OnPromoted != nil {
-			go s.cfg.OnPromoted(s.core.Share(now))
+			go s.cfg.OnPromoted(s.core.Reach(now))
 		}
 		s.owning = self
 		s.cfg.Log.Info().Str("event", logOwnerChanged).Str("owner", owner.Name).Bool("self", self).Float64("cores", owner.Cores).
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -13,6 +13,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/dispatch"
+	"github.com/mangostage/mangostage/fleet"
 	"github.com/mangostage/mangostage/platform"
 )
 
@@ -157,15 +158,20 @@
 	s.event(func(now time.Time, c *dispatch.Core) { c.HandOver(now) })
 }
 
-// Promoted notes that this process has come to own the queue, and which part of
-// the fleet it hears, up to 1.
-func (s *Scheduler) Promoted(share float64) {
-	s.event(func(_ time.Time, c *dispatch.Core) { c.Promoted(share) })
+// Promoted notes that this process has come to own the queue, and what it reaches.
+func (s *Scheduler) Promoted(r fleet.Reach) {
+	s.event(func(_ time.Time, c *dispatch.Core) {
+		c.Promoted(r.Share)
+		c.Reach(r.Unreached)
+	})
 }
 
-// Share notes which part of the fleet the owner hears by now.
-func (s *Scheduler) Share(share float64) {
-	s.event(func(_ time.Time, c *dispatch.Core) { c.Share(share) })
+// Reach notes what the owner reaches by now.
+func (s *Scheduler) Reach(r fleet.Reach) {
+	s.event(func(_ time.Time, c *dispatch.Core) {
+		c.Share(r.Share)
+		c.Reach(r.Unreached)
+	})
 }
 
 // Holds tells whether this process has begun stages, its own or others', whose
