Logs and status say why an owner was replaced and what an endpoint's rank rests on

owner_changed has cause; reach_changed tells the failure domains that the owner does not reach; stage_call has speed and suspect, status says of each endpoint why it gets a piece a call or is not reached. No decision changes.

--- a/cmd/mangostage/gateway_status.go
+++ b/cmd/mangostage/gateway_status.go
@@ -96,19 +96,22 @@
 	}
 	for _, s := range q.Workers {
 		_, _ = fmt.Fprintf(w, "  worker\t%s\t%d calls\t%.1f times nominal\t%s\n",
-			s.Endpoint, s.Calls, s.Speed, condition{paused: s.Paused, leaving: s.Leaving, evacuated: s.Evacuated, cold: s.ColdLeft, speed: s.Speed})
+			s.Endpoint, s.Calls, s.Speed, condition{paused: s.Paused, suspect: s.Suspect, leaving: s.Leaving, evacuated: s.Evacuated, cold: s.ColdLeft, speed: s.Speed})
 	}
 	for _, e := range q.Engines {
 		_, _ = fmt.Fprintf(w, "  engine\t%s\t%d running\t%d tokens to read\t%s\n",
-			e.Endpoint, e.Running, e.Prefill, condition{paused: e.Paused, leaving: e.Leaving, evacuated: e.Evacuated, cold: e.ColdLeft, failureRate: e.FailureRate, speed: e.Slowness})
+			e.Endpoint, e.Running, e.Prefill, condition{paused: e.Paused, unreached: e.Unreached, leaving: e.Leaving, evacuated: e.Evacuated, cold: e.ColdLeft, failureRate: e.FailureRate, speed: e.Slowness})
 	}
 }
 
 // condition is what is believed of an endpoint.
 type condition struct {
 	paused, leaving, evacuated bool
-	cold                       time.Duration
-	failureRate, speed         float64
+	// suspect endpoints get one piece a call, unreached ones are in a failure domain
+	// that the queue's owner does not reach.
+	suspect, unreached bool
+	cold               time.Duration
+	failureRate, speed float64
 }
 
 // String says why the endpoint gets less, or that it is well.
@@ -126,6 +129,12 @@
 	if c.paused {
 		words = append(words, "paused after a failure or refusal")
 	}
+	if c.suspect {
+		words = append(words, "a piece a call, until one is back in time")
+	}
+	if c.unreached {
+		words = append(words, "not reached")
+	}
 	if c.failureRate >= failing {
 		words = append(words, fmt.Sprintf("fails %.0f%%", 100*c.failureRate))
 	}
--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -6,7 +6,10 @@
 func (c *Core) start(p *pool, w *worker, pieces []placed, now time.Time) {
 	c.nextID++
 	cl := &call{id: c.nextID, worker: w, pieces: pieces, sentAt: now, expects: w.expect(len(pieces))}
-	effect := StartCall{Call: cl.id, Service: p.name, Waiting: p.waiting, Endpoint: w.endpoint.ID, Addr: w.endpoint.Addr}
+	effect := StartCall{
+		Call: cl.id, Service: p.name, Waiting: p.waiting, Endpoint: w.endpoint.ID, Addr: w.endpoint.Addr,
+		Speed: w.speed, Suspect: w.suspect,
+	}
 	for _, placed := range pieces {
 		s := placed.stage
 		s.job.started = true
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -21,6 +21,11 @@
 	Timeout time.Duration
 	// Waiting is the number of pieces left in the service's queue.
 	Waiting int
+	// Speed is the endpoint's measured time of calls over the nominal one, by which
+	// it was chosen; a Suspect gets one piece, since its last call was overdue or
+	// its failure domain is not reached.
+	Speed   float64
+	Suspect bool
 }
 
 // Piece is one piece of a call.
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -31,7 +31,10 @@
 	// Speed is the measured time of calls over the nominal one.
 	Speed float64 `json:"speed"`
 	// Paused endpoints have just failed or refused a call.
-	Paused    bool `json:"paused,omitempty"`
+	Paused bool `json:"paused,omitempty"`
+	// Suspect endpoints get one piece a call: the last one was overdue, or their
+	// failure domain is not reached.
+	Suspect   bool `json:"suspect,omitempty"`
 	Leaving   bool `json:"leaving,omitempty"`
 	Evacuated bool `json:"evacuated,omitempty"`
 	// ColdLeft is how much longer the endpoint bears few calls.
@@ -47,10 +50,12 @@
 	Prefill     int     `json:"prefill"`
 	FailureRate float64 `json:"failure_rate"`
 	// Slowness is what its expected time to a first event is multiplied by.
-	Slowness  float64 `json:"slowness"`
-	Paused    bool    `json:"paused,omitempty"`
-	Leaving   bool    `json:"leaving,omitempty"`
-	Evacuated bool    `json:"evacuated,omitempty"`
+	Slowness float64 `json:"slowness"`
+	Paused   bool    `json:"paused,omitempty"`
+	// Unreached engines are in a failure domain that the owner does not reach.
+	Unreached bool `json:"unreached,omitempty"`
+	Leaving   bool `json:"leaving,omitempty"`
+	Evacuated bool `json:"evacuated,omitempty"`
 	// ColdLeft is how much longer the endpoint bears few requests.
 	ColdLeft time.Duration `json:"cold_left,omitempty"`
 }
@@ -102,6 +107,7 @@
 		Room:     w.spec.Room,
 		Speed:    w.speed,
 		Paused:   w.pause.Active(now),
+		Suspect:  w.suspect,
 		Leaving:  w.endpoint.Leaving,
 
 		Evacuated: w.endpoint.Evacuated,
@@ -118,6 +124,7 @@
 		FailureRate: e.failures.At(failHalfLife, now),
 		Slowness:    e.slowness.factor(now),
 		Paused:      e.pause.Active(now),
+		Unreached:   e.unreached,
 		Leaving:     e.endpoint.Leaving,
 		Evacuated:   e.endpoint.Evacuated,
 		ColdLeft:    max(0, e.endpoint.ColdUntil.Sub(now)),
--- a/fleet/claim.go
+++ b/fleet/claim.go
@@ -13,6 +13,31 @@
 	Started     int64   `json:"started,omitempty"`
 }
 
+// Cause tells why a process believes in a claim.
+type Cause string
+
+// The causes.
+const (
+	// CauseStart is a process that knows of no owner yet.
+	CauseStart Cause = "start"
+	// CauseConfirmed is a first claim that another process shares.
+	CauseConfirmed Cause = "confirmed"
+	// CauseNewer is a claim that was heard of.
+	CauseNewer Cause = "newer_claim"
+	// CauseStronger is a stronger process that starts.
+	CauseStronger Cause = "stronger"
+	// CauseHeld is an owner that is cut off from a newer one.
+	CauseHeld Cause = "held_against"
+	// CauseSilent is an owner that was heard no more, CauseDeaf one that did not
+	// hear this process, CauseGone one that has ended or leaves.
+	CauseSilent Cause = "owner_silent"
+	CauseDeaf   Cause = "owner_deaf"
+	CauseGone   Cause = "owner_gone"
+)
+
+// Cause is why the present claim was taken up.
+func (c *Core) Cause() Cause { return c.cause }
+
 // claimOf returns the claim of a member to own the queue.
 func claimOf(m Member, term uint64) Claim {
 	return Claim{Term: term, Owner: m.Name, Incarnation: m.Incarnation, Cores: m.Cores, Started: m.Started}
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -97,6 +97,8 @@
 	claim Claim
 	// claimed is when the claim was taken up.
 	claimed time.Time
+	// cause is why the claim was taken up.
+	cause Cause
 	// gaveUp is the failure domain of the owner before, if it was silent or deaf.
 	gaveUp string
 	// last is when the core was last used.
@@ -137,7 +139,7 @@
 	}
 	if c.claim.Owner == "" {
 		// Any claim would be newer than none, be it that of a weaker process.
-		c.take(now, claimOf(c.self, 0))
+		c.take(now, claimOf(c.self, 0), CauseStart)
 	}
 	c.note(now, b)
 	c.hearOfHubs(now, b)
@@ -150,12 +152,12 @@
 	switch {
 	case !b.Claim.newer(c.claim):
 	case c.alive(now, b.Claim) && c.follows(now, b):
-		c.take(now, b.Claim)
+		c.take(now, b.Claim, CauseNewer)
 	case c.holdsAgainst(now, b.Claim):
-		c.take(now, claimOf(c.self, b.Claim.Term+1))
+		c.take(now, claimOf(c.self, b.Claim.Term+1), CauseHeld)
 	}
 	if c.outmatched(now) {
-		c.take(now, claimOf(c.self, c.claim.Term+1))
+		c.take(now, claimOf(c.self, c.claim.Term+1), CauseStronger)
 	}
 	return c.claim != before
 }
@@ -217,12 +219,13 @@
 // heard of the owner; without this its claim could displace an owner at work.
 func (c *Core) confirm(now time.Time, theirs Claim) {
 	if c.claim.Term == 0 && c.claim.Owner == c.self.Name && theirs == c.claim {
-		c.take(now, claimOf(c.self, 1))
+		c.take(now, claimOf(c.self, 1), CauseConfirmed)
 	}
 }
 
 // take puts another claim into force.
-func (c *Core) take(now time.Time, claim Claim) {
+func (c *Core) take(now time.Time, claim Claim, why Cause) {
+	c.cause = why
 	c.gaveUp = ""
 	if c.alarmed(now) {
 		c.gaveUp = c.peers[c.claim.Owner].Domain
--- a/fleet/deaf_test.go
+++ b/fleet/deaf_test.go
@@ -218,3 +218,30 @@
 	}
 	t.Fatal("no other owner")
 }
+
+// TestCauseOfAnOwner guards against logs in which an owner that does not hear looks
+// like one that is silent or was killed.
+func TestCauseOfAnOwner(t *testing.T) {
+	tests := map[Cause]func(w *world, owner *Core){
+		CauseDeaf: func(w *world, owner *Core) {
+			w.stopPassing([]string{"a", "b", "c"}, []string{owner.self.Domain}, true)
+		},
+		CauseSilent: func(w *world, owner *Core) { w.frozen[owner.self.Name] = true },
+		CauseGone:   func(_ *world, owner *Core) { owner.Leave() },
+	}
+	for cause, fault := range tests {
+		t.Run(string(cause), func(t *testing.T) {
+			w := domainsOf(2)
+			w.steps(4 * idleBeats)
+			fault(w, w.cores[w.oneOwner(t)])
+			seen := make(map[Cause]bool)
+			for range 8 {
+				w.step()
+				for _, c := range w.cores {
+					seen[c.Cause()] = true
+				}
+			}
+			assert.Assert(t, seen[cause], "%v", seen)
+		})
+	}
+}
--- a/fleet/lognames.go
+++ b/fleet/lognames.go
@@ -5,4 +5,5 @@
 	logOwnerChanged  = "owner_changed"
 	logPeerConnected = "peer_connected"
 	logPeerLost      = "peer_lost"
+	logReachChanged  = "reach_changed"
 )
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -16,9 +16,13 @@
 	}
 	switch {
 	case deaf && !c.anyInTouch(now):
-		c.take(now, claimOf(c.self, max(1, c.claim.Term)-1))
-	case deaf || !c.alive(now, c.claim) || c.ownerSilent(now):
-		c.replace(now)
+		c.take(now, claimOf(c.self, max(1, c.claim.Term)-1), CauseDeaf)
+	case deaf:
+		c.replace(now, CauseDeaf)
+	case !c.alive(now, c.claim):
+		c.replace(now, CauseGone)
+	case c.ownerSilent(now):
+		c.replace(now, CauseSilent)
 	}
 	if c.claim.Owner == c.self.Name {
 		c.owned = now
@@ -91,7 +95,7 @@
 
 // replace chooses the owner by rank among the live members. All processes
 // rank alike, so that those who lose the owner together choose the same.
-func (c *Core) replace(now time.Time) {
+func (c *Core) replace(now time.Time, why Cause) {
 	lost := c.claim.Owner
 	best := c.self
 	stays := c.someoneStays(now)
@@ -112,7 +116,7 @@
 	if len(c.peers) > 0 {
 		term++
 	}
-	c.take(now, claimOf(best, term))
+	c.take(now, claimOf(best, term), why)
 }
 
 // outranks orders members: the most processor time first, then by hash.
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -71,6 +72,8 @@
 	owner string
 	// owning is set while this process owns the queue.
 	owning bool
+	// unreached are the failure domains that the owner, this process, does not reach.
+	unreached []string
 	// lost holds, for connections with jobs, what is closed when the other
 	// side is taken for lost.
 	lost map[*peer.Conn]chan struct{}
@@ -178,7 +181,7 @@
 		s.checkLostLocked(now, conn)
 	}
 	if s.owning && s.cfg.OnReach != nil {
-		go s.cfg.OnReach(s.core.Reach(now))
+		go s.cfg.OnReach(s.reachLocked(now))
 	}
 	beat := s.core.Beat(now, at, round)
 	messages := s.addressLocked(beat, s.dueLocked(now, round))
@@ -195,6 +198,17 @@
 	}
 }
 
+// reachLocked is what this process reaches as the owner.
+func (s *Service) reachLocked(now time.Time) Reach {
+	r := s.core.Reach(now)
+	if !slices.Equal(r.Unreached, s.unreached) {
+		s.unreached = r.Unreached
+		s.cfg.Log.Warn().Str("event", logReachChanged).Strs("unreached", r.Unreached).Float64("share", r.Share).
+			Msg("the queue's owner reaches other failure domains")
+	}
+	return r
+}
+
 // message is a heartbeat to one member.
 type message struct {
 	conn *peer.Conn
@@ -354,11 +368,11 @@
 			go s.cfg.OnDemoted()
 		}
 		if !s.owning && self && s.cfg.OnPromoted != nil {
-			go s.cfg.OnPromoted(s.core.Reach(now))
+			go s.cfg.OnPromoted(s.reachLocked(now))
 		}
 		s.owning = self
 		s.cfg.Log.Info().Str("event", logOwnerChanged).Str("owner", owner.Name).Bool("self", self).Float64("cores", owner.Cores).
-			Uint64("term", s.core.Claim().Term).Msg("the queue has another owner")
+			Uint64("term", s.core.Claim().Term).Str("cause", string(s.core.Cause())).Msg("the queue has another owner")
 	}
 	return owner, self
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -258,7 +258,7 @@
 	}
 	line.Str("event", logStageCall).Uint64("call", e.Call).Str("service", e.Service).Str("endpoint", e.Endpoint).
 		Strs("requests", requestsOf(e.Pieces)).Int("waiting", e.Waiting).Int("pieces", len(pieces)).Int("failed", failed).Str("fault", string(fault)).
-		Dur("took_ms", time.Since(sent)).Msg("call for a stage ended")
+		Float64("speed", e.Speed).Bool("suspect", e.Suspect).Dur("took_ms", time.Since(sent)).Msg("call for a stage ended")
 	s.event(func(now time.Time, c *dispatch.Core) { c.CallEnded(now, e.Call, fault, outcomes) })
 }
 
