A cut that has healed is not taken for deafness

The owner of a part held against it, or members that had followed it chose another one, and a weak VM owned the queue.

Change: a gap between heartbeats that is longer than those of a member that is heard counts as silence, not as time without an acknowledgement.

TestHealedCutIsNotTakenForDeafness.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -173,6 +173,10 @@
 	old := c.peers[b.From.Name]
 	if old != nil && old.Incarnation == b.From.Incarnation && p.acked <= old.acked {
 		p.acked, p.ackedAt, p.deaf = old.acked, old.ackedAt, old.deaf
+		if gap := now.Sub(old.heard); gap > c.longestGap(b.From.Name) {
+			// It was cut off, and has had no time to hear what came since.
+			p.ackedAt = p.ackedAt.Add(gap)
+		}
 	}
 	c.peers[b.From.Name] = p
 	if b.Alarmed {
--- a/fleet/deaf.go
+++ b/fleet/deaf.go
@@ -24,6 +24,15 @@
 // which it says nothing does not count: that is silence.
 func (p *peerState) unacked() time.Duration { return p.heard.Sub(p.ackedAt) }
 
+// longestGap is the longest time between two heartbeats of a member that is heard
+// all along.
+func (c *Core) longestGap(name string) time.Duration {
+	if name == c.claim.Owner {
+		return 2 * BeatEvery
+	}
+	return (idleBeats + 1) * BeatEvery
+}
+
 // unheard is how long the owner, another process, was heard since the claim
 // without acknowledging anything new; zero if this process owns the queue.
 func (c *Core) unheard() time.Duration {
--- a/fleet/deaf_test.go
+++ b/fleet/deaf_test.go
@@ -245,3 +245,32 @@
 		})
 	}
 }
+
+// TestHealedCutIsNotTakenForDeafness guards against an owner of a part that keeps the
+// queue when a cut has healed, since the fleet's owner has had no time to hear it.
+func TestHealedCutIsNotTakenForDeafness(t *testing.T) {
+	w := domainsOf(2)
+	w.steps(4 * idleBeats)
+	owner := w.oneOwner(t)
+	domain := w.cores[owner].self.Domain
+	other := "a"
+	if domain == "a" {
+		other = "b"
+	}
+	all := []string{"a", "b", "c"}
+	// The strongest of the other domain is cut off from all, both ways.
+	w.stopPassing([]string{other}, all, true)
+	w.stopPassing(all, []string{other}, true)
+	w.steps(20)
+	// The others change their owner meanwhile, so that their term is the higher.
+	w.cores[owner].Leave()
+	w.steps(20)
+	clear(w.dropped)
+	for range 2 * idleBeats {
+		w.step()
+		for name, c := range w.cores {
+			assert.Assert(t, c.Cause() != CauseHeld, "%s holds against %s", name, c.Claim().Owner)
+		}
+	}
+	w.oneOwner(t)
+}
