platform, discovery: the store's era, and what a list has read

Every answer of the store, refusals included, is read for its era (metric store_era); each list is logged with era and revision (store_listed), as a warning if that revision is lower than the known one. No decision depends on it yet.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -388,6 +388,7 @@
 	m.Set("ownership", expvar.Func(func() any { return g.fleet.Ownership() }))
 	m.Set("fleet_size", expvar.Func(func() any { return g.fleet.Size() }))
 	m.Set("store_at", expvar.Func(func() any { return g.follower.At() }))
+	m.Set("store_era", expvar.Func(func() any { return g.follower.StoreEra() }))
 	m.Set("store_healthy", expvar.Func(func() any { return g.follower.Healthy() }))
 	m.Set("evacuated_domains", expvar.Func(func() any { return g.follower.Evacuated() }))
 	m.Set("store_items_malformed", expvar.Func(func() any { return g.follower.Faults() }))
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -167,6 +167,9 @@
 // Healthy reports whether the store answered the latest call to it.
 func (f *Follower) Healthy() bool { return f.healthy.Load() }
 
+// StoreEra returns the highest era that the store has named to this process.
+func (f *Follower) StoreEra() uint64 { return f.store.Era() }
+
 // Fresh reports whether the store has answered recently. Without this check a reader whose
 // call hangs would report to its followers until the call's timeout that nothing has
 // changed: when both readers of a fleet were cut off from the store, a revoked key still
--- a/discovery/lognames.go
+++ b/discovery/lognames.go
@@ -9,6 +9,7 @@
 	logReaderRegained     = "reader_regained"
 	logStoreHistoryGone   = "store_history_gone"
 	logStoreItemMalformed = "store_item_malformed"
+	logStoreListed        = "store_listed"
 	logStoreLost          = "store_lost"
 	logStoreRegained      = "store_regained"
 	logValueFetched       = "value_fetched"
--- a/discovery/read.go
+++ b/discovery/read.go
@@ -29,10 +29,23 @@
 	if config != nil {
 		items = append(items, *config)
 	}
+	f.logList(len(items), at)
 	f.update(func(now time.Time, s *State) { s.ApplyList(now, items, at) })
 	return nil
 }
 
+// logList logs that all items were read from the store, and whether its revision is lower
+// than the one that this process knows.
+func (f *Follower) logList(items int, at uint64) {
+	event := f.log.Info()
+	known := f.At()
+	if at < known {
+		event = f.log.Warn()
+	}
+	event.Str("event", logStoreListed).Uint64("era", f.store.Era()).Uint64("at", at).Uint64("known", known).
+		Int("items", items).Msg("all items read from the store")
+}
+
 // listPrefix reads all items under a prefix; at is the store revision of the first page.
 func (f *Follower) listPrefix(ctx context.Context, prefix string) (items []platform.Item, at uint64, err error) {
 	after := ""
