--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/mangostage/mangostage/kernel"
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 	"github.com/mangostage/mangostage/quota"
 	"github.com/mangostage/mangostage/retryafter"
 	"github.com/mangostage/mangostage/scheduler"
@@ -125,12 +126,12 @@
 	store := platform.NewStore(p.Store, &http.Client{Transport: toStore}, discovery.StoreTimeouts)
 	stages := platform.NewStageClient(&http.Client{Transport: toEndpoints})
 	g.fleet = fleet.New(fleet.Config{
-		Self:          fleet.Member{Name: p.Name, Addr: cmp.Or(g.options.Advertise, p.Peer), Domain: p.Domain, Cores: p.Cores},
-		Listen:        p.Peer,
-		Seeds:         p.Seeds,
-		Mux:           mux,
-		Log:           g.log,
-		StoreRevision: func() uint64 { return g.follower.At() },
+		Self:   fleet.Member{Name: p.Name, Addr: cmp.Or(g.options.Advertise, p.Peer), Domain: p.Domain, Cores: p.Cores},
+		Listen: p.Peer,
+		Seeds:  p.Seeds,
+		Mux:    mux,
+		Log:    g.log,
+		Store:  func() position.Knowledge { return g.follower.Knowledge() },
 
 		StoreSteady: func() bool { return g.follower.Steady() },
 		OnPromoted:  func(r fleet.Reach) { g.scheduler.BecomeOwner(r) },
@@ -387,8 +388,8 @@
 	m.Set("backoffs", expvar.Func(func() any { return g.backoffs.Stats(time.Now()) }))
 	m.Set("ownership", expvar.Func(func() any { return g.fleet.Ownership() }))
 	m.Set("fleet_size", expvar.Func(func() any { return g.fleet.Size() }))
-	m.Set("store_at", expvar.Func(func() any { return g.follower.At() }))
-	m.Set("store_era", expvar.Func(func() any { return g.follower.StoreEra() }))
+	m.Set("store_at", expvar.Func(func() any { return g.follower.At().Revision }))
+	m.Set("store_era", expvar.Func(func() any { return g.follower.At().Era }))
 	m.Set("store_healthy", expvar.Func(func() any { return g.follower.Healthy() }))
 	m.Set("evacuated_domains", expvar.Func(func() any { return g.follower.Evacuated() }))
 	m.Set("store_items_malformed", expvar.Func(func() any { return g.follower.Faults() }))
--- a/discovery/decode_test.go
+++ b/discovery/decode_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
 // TestReaderAnswersWhileItDecodes guards against a reader of the store that does not answer
@@ -25,10 +26,10 @@
 	defer cancel()
 	go f.decode(ctx)
 	began := time.Now()
-	f.update(func(now time.Time, s *State) { applyAll(now, s, []platform.Item{item}, 7) })
-	assert.Equal(t, f.At(), uint64(7))
-	items, _ := f.Since(6)
-	assert.Equal(t, len(items), 1, "peers can read it before it is decoded")
+	f.update(func(now time.Time, s *State) { s.applyAll(now, []platform.Item{item}, position.Position{Revision: 7}) })
+	assert.Equal(t, f.At(), position.Position{Revision: 7})
+	changes := f.Since(position.Position{Revision: 6})
+	assert.Equal(t, len(changes.Items), 1, "peers can read it before it is decoded")
 	var locked time.Duration
 	for f.View().Index == nil {
 		time.Sleep(sample)
--- a/discovery/entries.go
+++ b/discovery/entries.go
@@ -6,6 +6,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
 // entry is what is known about one endpoint.
@@ -24,6 +25,23 @@
 	graceUntil time.Time
 }
 
+// isRemoved reports whether the entry has been removed from the store.
+func (e *entry) isRemoved() bool { return !e.removedAt.IsZero() }
+
+// listed returns the endpoint of an entry that has not been removed, or nil; e may be nil.
+func (e *entry) listed() *catalog.Endpoint {
+	if e == nil || e.isRemoved() {
+		return nil
+	}
+	return e.endpoint
+}
+
+// heldAcross reports whether the entry was lost in an earlier era than that of the position,
+// and its endpoint is still in the view.
+func (e *entry) heldAcross(at position.Position) bool {
+	return e.item.Lost && e.endpoint != nil && at.Era > e.item.Era
+}
+
 // unknownServiceError returns the fault of an endpoint whose service no configuration names.
 func unknownServiceError(e *catalog.Endpoint) error {
 	return platform.ErrMalformed.New("no configuration names service %q", e.Service)
@@ -53,7 +71,7 @@
 func (s *State) applyEndpoint(now time.Time, item platform.Item) {
 	id := platform.EndpointID(item.Key)
 	known := s.entries[id]
-	if known != nil && item.Revision <= known.item.Revision {
+	if !s.isNews(knownItem(known), item) {
 		return
 	}
 	if item.Gone {
@@ -66,12 +84,16 @@
 		s.fault(item, err)
 		return
 	}
-	if known != nil && known.removedAt.IsZero() && known.endpoint != nil {
-		endpoint.Incarnation = cmp.Or(endpoint.Incarnation, known.endpoint.Incarnation)
-		if fromEarlierProcess(endpoint, known.endpoint) {
+	if listed := known.listed(); listed != nil {
+		endpoint.Incarnation = cmp.Or(endpoint.Incarnation, listed.Incarnation)
+		if fromEarlierProcess(endpoint, listed) || s.takesBackLeaving(known, item, endpoint) {
 			return
 		}
 	}
+	if s.repeatsEndpoint(known, item, endpoint) {
+		s.restoreEntry(id, known, item)
+		return
+	}
 	s.forgetReplaced(known, endpoint)
 	if endpoint.ColdLeft > 0 {
 		endpoint.ColdUntil = now.Add(endpoint.ColdLeft)
@@ -89,6 +111,45 @@
 	}
 }
 
+// knownItem returns the item of an entry, which may be nil.
+func knownItem(e *entry) platform.Item {
+	if e == nil {
+		return platform.Item{}
+	}
+	return e.item
+}
+
+// takesBackLeaving reports whether an item that may be one of a copy lists an endpoint as
+// ready that is known to leave: an endpoint process that leaves does not return.
+func (s *State) takesBackLeaving(known *entry, item platform.Item, endpoint *catalog.Endpoint) bool {
+	unusable := !known.graceUntil.IsZero()
+	if unusable || item.Era == known.item.Era || !s.maybeRepeated(item) {
+		return false
+	}
+	return known.endpoint.Leaving && !endpoint.Leaving && known.endpoint.Key() == endpoint.Key()
+}
+
+// repeatsEndpoint reports whether an item, the first one in its era, says of an endpoint in
+// the view what is known.
+func (s *State) repeatsEndpoint(known *entry, item platform.Item, endpoint *catalog.Endpoint) bool {
+	if known == nil || known.endpoint == nil || item.Era == known.item.Era && !known.item.Lost {
+		return false
+	}
+	before, after := *known.endpoint, *endpoint
+	after.Incarnation = cmp.Or(after.Incarnation, before.Incarnation)
+	before.ColdLeft, after.ColdLeft = 0, 0
+	before.ColdUntil, after.ColdUntil = time.Time{}, time.Time{}
+	return before == after
+}
+
+// restoreEntry notes that an endpoint has written the entry that is known again.
+func (s *State) restoreEntry(id string, known *entry, item platform.Item) {
+	known.item = item
+	known.pendingEndpoint = nil
+	known.removedAt, known.graceUntil = time.Time{}, time.Time{}
+	delete(s.expiring, id)
+}
+
 // putUsable stores an entry whose endpoint can be used.
 func (s *State) putUsable(id string, e *entry) {
 	s.entries[id] = e
@@ -145,9 +206,10 @@
 		s.expiring[id] = known
 		return
 	}
+	wasRemoved := known.isRemoved() && !known.heldAcross(item.Position())
 	known.item = item
 	known.pendingEndpoint = nil
-	if !known.removedAt.IsZero() {
+	if wasRemoved {
 		return
 	}
 	known.removedAt = now
@@ -156,6 +218,10 @@
 	if known.endpoint == nil {
 		return
 	}
+	if item.Lost {
+		known.graceUntil = now.Add(restoreGrace)
+		return
+	}
 	if now.Sub(s.lastTrouble) < troublePeriod && !known.endpoint.Leaving {
 		known.graceUntil = now.Add(lapseGrace)
 	}
@@ -193,9 +259,12 @@
 }
 
 // Expire removes lapsed and unusable endpoints from the view after their grace period and
-// forgets old removals. An unusable entry is kept while it is listed, so that its revision
+// forgets old removals, and ends the evacuations whose items stay lost. An unusable entry is kept while it is listed, so that its revision
 // hides older ones and its fault is reported once.
 func (s *State) Expire(now time.Time) {
+	for _, item := range s.evacuations.expire(now) {
+		s.noteEvacuation(now, item)
+	}
 	for id, e := range s.expiring {
 		if e.endpoint != nil && !now.Before(e.graceUntil) {
 			e.endpoint = nil
--- a/discovery/evacuation_test.go
+++ b/discovery/evacuation_test.go
@@ -12,6 +12,7 @@
 	"github.com/mangostage/mangostage/discovery"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/platform/standin"
+	"github.com/mangostage/mangostage/position"
 )
 
 // putEndpointIn writes the entry of an endpoint in a failure domain.
@@ -121,7 +122,7 @@
 			model.apply(item)
 		}
 		relayed := discovery.NewState()
-		for _, item := range state.Since(0) {
+		for _, item := range state.Since(position.Position{}) {
 			relayed.Apply(now, item)
 		}
 		for _, view := range []*catalog.View{state.View(now), relayed.View(now)} {
--- a/discovery/evacuations.go
+++ b/discovery/evacuations.go
@@ -2,56 +2,98 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
 // maxEvacuations bounds the failure domains whose evacuation state is kept. Deployments
 // have tens of domains, but a foreign writer may name any number.
 const maxEvacuations = 1000
 
-// evacuationList holds the newest evacuation item of each failure domain, by key. An ended
-// evacuation is kept with its revision, so that an older item from a peer or a stale read
-// does not evacuate the domain again.
-type evacuationList map[string]platform.Item
+// evacuationList holds the evacuations of failure domains.
+type evacuationList struct {
+	// items holds the newest item of each domain, by key. An ended evacuation is kept with
+	// its position, so that an older item from a peer or a stale read does not evacuate the
+	// domain again.
+	items map[string]platform.Item
+	// heldUntil holds, by key, until when an evacuation counts whose item is lost.
+	heldUntil map[string]time.Time
+}
 
-// apply applies an item and reports whether its domain's evacuation began or ended. The
-// error is that of an item that names no domain, or one domain too many.
-func (l evacuationList) apply(item platform.Item) (changed bool, err error) {
-	before, known := l[item.Key]
-	if known && item.Revision <= before.Revision {
-		return false, nil
-	}
+func newEvacuationList() evacuationList {
+	return evacuationList{items: make(map[string]platform.Item), heldUntil: make(map[string]time.Time)}
+}
+
+// apply applies a newer item and reports whether its domain's evacuation began or ended.
+// The error is that of an item that names no domain, or one domain too many.
+func (l evacuationList) apply(now time.Time, item platform.Item) (changed bool, err error) {
+	_, known := l.items[item.Key]
 	if domainOf(item) == "" {
 		return false, platform.ErrMalformed.New("the key names no failure domain")
 	}
-	if !known && len(l) >= maxEvacuations {
+	if !known && len(l.items) >= maxEvacuations {
 		return false, platform.ErrMalformed.New("more than %d failure domains are named", maxEvacuations)
 	}
 	// The key alone says what is evacuated. An unreadable value does not invalidate the
 	// evacuation: sending no work is the safe side.
 	item.Value, item.Fault = nil, ""
-	l[item.Key] = item
-	return !known && !item.Gone || known && before.Gone != item.Gone, nil
+	before := l.evacuated(item.Key)
+	l.items[item.Key] = item
+	delete(l.heldUntil, item.Key)
+	if item.Lost {
+		l.heldUntil[item.Key] = now.Add(restoreGrace)
+	}
+	return before != l.evacuated(item.Key), nil
+}
+
+// evacuated reports whether the domain of a key is evacuated.
+func (l evacuationList) evacuated(key string) bool {
+	item, known := l.items[key]
+	_, held := l.heldUntil[key]
+	return known && !item.Gone || held
 }
 
-// missing returns the removals of the evacuations that are not in a list that is complete
-// as of revision at.
-func (l evacuationList) missing(listed map[string]bool, at uint64) []platform.Item {
-	var gone []platform.Item
-	for key, item := range l {
-		if !listed[key] && !item.Gone && item.Revision <= at {
-			gone = append(gone, platform.Item{Key: key, Revision: at, Gone: true})
+// expire returns the items of the evacuations that have ended because they are still lost.
+func (l evacuationList) expire(now time.Time) []platform.Item {
+	var ended []platform.Item
+	for key, until := range l.heldUntil {
+		if !now.Before(until) {
+			delete(l.heldUntil, key)
+			ended = append(ended, l.items[key])
 		}
 	}
-	return gone
+	return ended
+}
+
+// missing returns the keys of the evacuations that are not in a list that is complete as of
+// the position at.
+func (l evacuationList) missing(listed map[string]bool, at position.Position) []string {
+	var missing []string
+	for key, item := range l.items {
+		if listed[key] || item.Position().After(at) {
+			continue
+		}
+		if !item.Gone || l.heldAcross(key, at) {
+			missing = append(missing, key)
+		}
+	}
+	return missing
+}
+
+// heldAcross reports whether the item of a key was lost in an earlier era than that of the
+// position, and its evacuation still counts.
+func (l evacuationList) heldAcross(key string, at position.Position) bool {
+	_, held := l.heldUntil[key]
+	return held && at.Era > l.items[key].Era
 }
 
 // domains returns the evacuated failure domains, each with the revision of its item.
 func (l evacuationList) domains() map[string]uint64 {
 	domains := make(map[string]uint64)
-	for _, item := range l {
-		if !item.Gone {
+	for key, item := range l.items {
+		if l.evacuated(key) {
 			domains[domainOf(item)] = item.Revision
 		}
 	}
--- a/discovery/fetch.go
+++ b/discovery/fetch.go
@@ -8,6 +8,7 @@
 
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
 const (
@@ -19,38 +20,45 @@
 	partsFetchPeriod = 300 * time.Millisecond
 )
 
-// fetchLargeValues fetches the large values of an answer and returns the answer's items and
-// the revision up to which they are complete. If a value stays incomplete, that is the
-// revision before it: the items of that value and of later large ones are left out, and the
-// other items are still valid. The error says that no part of a value arrived, or that a
-// value is damaged.
-func (r *PeerRelay) fetchLargeValues(ctx context.Context, conn *peer.Conn, reply changesReply) ([]platform.Item, uint64, error) {
-	items, at := reply.Items, reply.At
+// fetchLargeValues fetches the large values of an answer and returns its changes. If a value
+// stays incomplete, they are complete up to the position before it: the items of that value
+// and of later large ones are left out, and the other items are still valid. The error says
+// that no part of a value arrived, or that a value is damaged.
+func (r *PeerRelay) fetchLargeValues(ctx context.Context, conn *peer.Conn, reply changesReply) (Batch, error) {
+	batch := reply.batch()
 	until := time.Now().Add(partsFetchPeriod)
 	incomplete := false
 	for _, want := range reply.Large {
 		if incomplete {
-			items = withValue(items, want, nil)
+			batch.Items = withValue(batch.Items, want, nil)
 			continue
 		}
 		value, err := r.fetchValue(ctx, conn, want, until)
 		if err != nil {
-			return nil, 0, err
+			return Batch{}, err
 		}
 		if value == nil {
 			incomplete = true
-			at = min(at, want.Revision-1)
+			batch.At = earliest(batch.At, want.before())
 		}
-		items = withValue(items, want, value)
+		batch.Items = withValue(batch.Items, want, value)
 	}
-	return items, at, nil
+	return batch, nil
+}
+
+// earliest returns the earlier of two positions.
+func earliest(a, b position.Position) position.Position {
+	if a.After(b) {
+		return b
+	}
+	return a
 }
 
 // withValue returns the items with a large value filled in; nil removes its item.
 func withValue(items []platform.Item, want largeValue, value []byte) []platform.Item {
 	var all []platform.Item
 	for _, item := range items {
-		if item.Key == want.Key && item.Revision == want.Revision {
+		if item.Key == want.Key && item.Position() == want.position() {
 			if value == nil {
 				continue
 			}
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -15,6 +15,7 @@
 	"github.com/mangostage/mangostage/internal/pause"
 	"github.com/mangostage/mangostage/internal/sleep"
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
 const (
@@ -55,13 +56,16 @@
 
 // Relay reads the store's items from peers.
 type Relay interface {
-	// Newer returns the items that changed after the revision, and the revision up to
-	// which they are complete; at is 0 if no peer has a higher one.
-	Newer(ctx context.Context, after uint64) (items []platform.Item, at uint64)
+	// Newer returns the changes after the position; the zero Batch if no peer has a later
+	// one.
+	Newer(ctx context.Context, after position.Position) Batch
 	// Follow asks a peer that reads the store for the fleet for changes after the
-	// revision, and waits for one for at most wait. It returns the revision up to which
-	// the items are complete; ok is false if this process has to read the store itself.
-	Follow(ctx context.Context, after uint64, wait time.Duration) (items []platform.Item, at uint64, ok bool)
+	// position, and waits for one for at most wait; ok is false if this process has to
+	// read the store itself.
+	Follow(ctx context.Context, after position.Position, wait time.Duration) (batch Batch, ok bool)
+	// Informed returns the changes since Before of a process that is less informed than a
+	// peer; ok is false if there is no such peer, or it does not answer.
+	Informed(ctx context.Context, known position.Knowledge) (batch Batch, ok bool)
 	// OthersStoreSteady reports whether the store has answered a peer without interruption
 	// for some seconds.
 	OthersStoreSteady() bool
@@ -79,7 +83,7 @@
 	mu    sync.Mutex
 	state *State
 	view  atomic.Pointer[catalog.View]
-	// changed is closed and replaced when the state's store revision has changed.
+	// changed is closed and replaced when the state's position has changed.
 	changed chan struct{}
 	// healthy means that the store answered the latest call to it.
 	healthy atomic.Bool
@@ -150,7 +154,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), catchUpTimeout)
 		defer cancel()
 		err := f.catchUp(ctx)
-		f.log.Warn().Str("event", logPaused).Dur("gap", gap).Uint64("at", f.At()).Err(err).Msg("process was paused")
+		f.log.Warn().Str("event", logPaused).Dur("gap", gap).Uint64("at", f.At().Revision).Err(err).Msg("process was paused")
 	}()
 }
 
@@ -158,10 +162,14 @@
 // fails to read is left to Run.
 func (f *Follower) catchUp(ctx context.Context) error {
 	defer f.awaitDecoded(ctx)
-	if f.At() == 0 || f.followPeer(ctx, 0) {
+	if f.At().IsZero() || f.followPeer(ctx, 0) {
 		return nil
 	}
-	return f.watch(ctx, 0)
+	err := f.watch(ctx, 0)
+	if errors.Is(err, errNewEra) && !f.awaitPeers(ctx) {
+		return f.list(ctx)
+	}
+	return err
 }
 
 // Healthy reports whether the store answered the latest call to it.
@@ -191,18 +199,22 @@
 	return now.Sub(f.startedAt) >= troublePeriod && f.state.Steady(now)
 }
 
-// At returns the store revision up to which this process is complete.
-func (f *Follower) At() uint64 {
+// At returns the position up to which this process is complete.
+func (f *Follower) At() position.Position { return f.Knowledge().At }
+
+// Knowledge returns what this process knows of the store.
+func (f *Follower) Knowledge() position.Knowledge {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.At()
+	return f.state.Knowledge()
 }
 
-// Since returns the items that changed after the revision, and this process's revision.
-func (f *Follower) Since(after uint64) ([]platform.Item, uint64) {
+// Since returns the changes after the position, for a peer.
+func (f *Follower) Since(after position.Position) Batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.Since(after), f.state.At()
+	known := f.state.Knowledge()
+	return Batch{Items: f.state.Since(after), At: known.At, Start: f.state.Start(), Before: known.Before}
 }
 
 // Item returns the item of a key, see State.Item.
@@ -249,20 +261,31 @@
 	if f.lacksConfig() {
 		f.fetchLastGoodConfig(ctx)
 	}
+	f.adoptFromPeer(ctx)
 	if f.followPeer(ctx, f.wait/followDivisor) {
 		*listed = true
 		return errFollowed
 	}
+	if f.storeReturned() {
+		*listed = f.awaitPeers(ctx)
+		if *listed {
+			return errFollowed
+		}
+	}
 	if !*listed {
-		if err := f.list(ctx); err != nil {
-			return err
+		err := f.list(ctx)
+		*listed = err == nil
+		if errors.Is(err, errNewEra) {
+			return nil
 		}
-		*listed = true
-		return nil
+		return err
 	}
 	err := f.watch(ctx, f.wait)
+	if errors.Is(err, errNewEra) {
+		return nil
+	}
 	if errorx.IsOfType(err, platform.ErrCompacted) {
-		f.log.Info().Str("event", logStoreHistoryGone).Uint64("after", f.At()).Msg("the store has dropped the history; listing all items again")
+		f.log.Info().Str("event", logStoreHistoryGone).Uint64("after", f.At().Revision).Msg("the store has dropped the history; listing all items again")
 		*listed = false
 		return nil
 	}
@@ -276,20 +299,27 @@
 	return err
 }
 
-// Await waits until the state has advanced past the revision, for at most wait, and returns
-// the items that changed after it and this process's revision.
-func (f *Follower) Await(ctx context.Context, after uint64, wait time.Duration) ([]platform.Item, uint64) {
+// storeReturned reports whether the store has returned from a copy since this process was
+// complete. One member that has listed the items since is enough for the others.
+func (f *Follower) storeReturned() bool {
+	at := f.At()
+	return !at.IsZero() && f.store.Era() > at.Era
+}
+
+// Await waits until the state has advanced past the position, for at most wait, and returns
+// the changes after it.
+func (f *Follower) Await(ctx context.Context, after position.Position, wait time.Duration) Batch {
 	f.await(ctx, after, wait)
 	return f.Since(after)
 }
 
-// await returns when the state has advanced past the revision, after wait, or when ctx ends.
-func (f *Follower) await(ctx context.Context, after uint64, wait time.Duration) {
+// await returns when the state has advanced past the position, after wait, or when ctx ends.
+func (f *Follower) await(ctx context.Context, after position.Position, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		f.mu.Lock()
-		newer, changed := f.state.At() > after, f.changed
+		newer, changed := f.state.At().After(after), f.changed
 		f.mu.Unlock()
 		if newer {
 			return
@@ -319,6 +349,6 @@
 func (f *Follower) storeRegained() {
 	f.lastAnswer.Store(int64(time.Since(f.startedAt)))
 	if !f.healthy.Swap(true) {
-		f.log.Info().Str("event", logStoreRegained).Uint64("at", f.At()).Msg("the store answers")
+		f.log.Info().Str("event", logStoreRegained).Uint64("at", f.At().Revision).Msg("the store answers")
 	}
 }
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -19,6 +19,7 @@
 	"github.com/mangostage/mangostage/internal/testwait"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/platform/standin"
+	"github.com/mangostage/mangostage/position"
 )
 
 const (
@@ -149,10 +150,16 @@
 
 func (r stubRelay) OthersStoreSteady() bool { return r.othersSteady }
 
-func (r stubRelay) Newer(context.Context, uint64) ([]platform.Item, uint64) { return r.items, r.at }
+func (r stubRelay) Newer(context.Context, position.Position) discovery.Batch {
+	return discovery.Batch{Items: r.items, At: position.Position{Revision: r.at}}
+}
+
+func (r stubRelay) Follow(context.Context, position.Position, time.Duration) (discovery.Batch, bool) {
+	return discovery.Batch{}, false
+}
 
-func (r stubRelay) Follow(context.Context, uint64, time.Duration) ([]platform.Item, uint64, bool) {
-	return nil, 0, false
+func (r stubRelay) Informed(context.Context, position.Knowledge) (discovery.Batch, bool) {
+	return discovery.Batch{}, false
 }
 
 // Guards against a revoked key that one gateway still accepts because the store answers
@@ -222,14 +229,19 @@
 
 func (r readerRelay) OthersStoreSteady() bool { return false }
 
-func (r readerRelay) Newer(context.Context, uint64) ([]platform.Item, uint64) { return nil, 0 }
+func (r readerRelay) Newer(context.Context, position.Position) discovery.Batch {
+	return discovery.Batch{}
+}
+
+func (r readerRelay) Informed(context.Context, position.Knowledge) (discovery.Batch, bool) {
+	return discovery.Batch{}, false
+}
 
-func (r readerRelay) Follow(ctx context.Context, after uint64, wait time.Duration) ([]platform.Item, uint64, bool) {
+func (r readerRelay) Follow(ctx context.Context, after position.Position, wait time.Duration) (discovery.Batch, bool) {
 	if r.lost.Load() {
-		return nil, 0, false
+		return discovery.Batch{}, false
 	}
-	items, at := r.follower.Await(ctx, after, wait)
-	return items, at, true
+	return r.follower.Await(ctx, after, wait), true
 }
 
 // A fleet's store calls must not grow with its members, and a member whose
--- a/discovery/foreign_test.go
+++ b/discovery/foreign_test.go
@@ -19,6 +19,7 @@
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/platform/standin"
+	"github.com/mangostage/mangostage/position"
 	"github.com/mangostage/mangostage/wire"
 )
 
@@ -29,21 +30,23 @@
 // singleReader is the fleet as seen by a member that follows one reader.
 type singleReader struct{ conn *peer.Conn }
 
-func (p singleReader) Ahead(uint64) *peer.Conn { return p.conn }
-func (singleReader) OthersStoreSteady() bool   { return false }
+func (p singleReader) Ahead(position.Position) *peer.Conn   { return p.conn }
+func (singleReader) Informed(position.Knowledge) *peer.Conn { return nil }
+func (singleReader) OthersStoreSteady() bool                { return false }
 
 func (p singleReader) Readers() ([]*peer.Conn, bool) { return []*peer.Conn{p.conn}, false }
 
 // selfReader is the fleet as seen by a member that reads the store itself.
 type selfReader struct{ conn *peer.Conn }
 
-func (p selfReader) Ahead(after uint64) *peer.Conn {
-	if after > 0 {
+func (p selfReader) Ahead(after position.Position) *peer.Conn {
+	if !after.IsZero() {
 		return nil
 	}
 	return p.conn
 }
-func (selfReader) OthersStoreSteady() bool { return false }
+func (selfReader) Informed(position.Knowledge) *peer.Conn { return nil }
+func (selfReader) OthersStoreSteady() bool                { return false }
 
 func (p selfReader) Readers() ([]*peer.Conn, bool) { return nil, true }
 
@@ -328,7 +331,7 @@
 			p.awaitBoth(t, hasVersion(1))
 			store.PutRaw(platform.KeyConfig, value)
 			at := store.Put("other/tick", nil)
-			testwait.For(t, patience, func() bool { return p.reader.At() >= at })
+			testwait.For(t, patience, func() bool { return p.reader.At().Revision >= at })
 			fresh, _ := follow(t, store, discovery.NewPeerRelay(selfReader{conn: connect(t, p.reader)}, zerolog.Nop()))
 			testwait.For(t, patience, func() bool { return hasVersion(1)(fresh.View()) && fresh.View().Ready() })
 			putConfig(store, 2)
--- a/discovery/incarnation_test.go
+++ b/discovery/incarnation_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
 // bornItem returns an endpoint's entry with the start of its process; 0 leaves it out.
@@ -56,7 +57,7 @@
 func TestOlderIncarnationInList(t *testing.T) {
 	s := NewState()
 	apply(t, s, epoch, config(1, 1), bornItem("a", 2, 20, "ready"))
-	s.ApplyList(epoch, []platform.Item{bornItem("a", 3, 10, "draining")}, 5)
+	s.ApplyList(epoch, []platform.Item{bornItem("a", 3, 10, "draining")}, position.Position{Revision: 5})
 	assert.Equal(t, len(s.TakeFaults()), 0)
 	e := s.View(epoch).Endpoint("a@20")
 	assert.Assert(t, e != nil && e.Incarnation == 20 && !e.Leaving)
--- a/discovery/large_test.go
+++ b/discovery/large_test.go
@@ -19,6 +19,7 @@
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/platform/standin"
+	"github.com/mangostage/mangostage/position"
 )
 
 const (
@@ -150,9 +151,10 @@
 // multipleReaders is the fleet as seen by a member that can follow several readers.
 type multipleReaders struct{ conns []*peer.Conn }
 
-func (r multipleReaders) Ahead(uint64) *peer.Conn       { return nil }
-func (r multipleReaders) OthersStoreSteady() bool       { return false }
-func (r multipleReaders) Readers() ([]*peer.Conn, bool) { return r.conns, false }
+func (r multipleReaders) Ahead(position.Position) *peer.Conn     { return nil }
+func (r multipleReaders) Informed(position.Knowledge) *peer.Conn { return nil }
+func (r multipleReaders) OthersStoreSteady() bool                { return false }
+func (r multipleReaders) Readers() ([]*peer.Conn, bool)          { return r.conns, false }
 
 // twoReaders returns a member that follows two readers over a link, and the store that it
 // would ask if both failed.
--- a/discovery/leaving.go
+++ b/discovery/leaving.go
@@ -40,7 +40,7 @@
 // forgetReplaced drops what an endpoint said that has been removed and is listed again,
 // if it does not report its start: the key cannot tell its processes apart.
 func (s *State) forgetReplaced(known *entry, e *catalog.Endpoint) {
-	if e.Incarnation == 0 && known != nil && !known.removedAt.IsZero() {
+	if e.Incarnation == 0 && known != nil && known.isRemoved() && !known.item.Lost {
 		delete(s.announcedLeaving, e.Key())
 	}
 }
--- a/discovery/leaving_test.go
+++ b/discovery/leaving_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
 // Guards against new work for an endpoint that said that it leaves, by a list that still
@@ -20,7 +21,7 @@
 	assert.Assert(t, s.MarkLeaving(epoch, first.Key()))
 	assert.Assert(t, !s.MarkLeaving(epoch, first.Key()), "the second answer says nothing new")
 	assert.Assert(t, !s.View(epoch).EndpointByID("a").TakesWork())
-	s.ApplyList(epoch.Add(time.Second), []platform.Item{bornItem("a", 3, 1000, "ready")}, 3)
+	s.ApplyList(epoch.Add(time.Second), []platform.Item{bornItem("a", 3, 1000, "ready")}, position.Position{Revision: 3})
 	assert.Assert(t, !s.View(epoch.Add(time.Second)).EndpointByID("a").TakesWork())
 	apply(t, s, epoch.Add(2*time.Second), bornItem("a", 4, 2000, "ready"))
 	assert.Assert(t, s.View(epoch.Add(2*time.Second)).EndpointByID("a").TakesWork(), "another process")
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -9,7 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mangostage/mangostage/peer"
-	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
 const (
@@ -23,9 +23,12 @@
 
 // Peers returns the connections to the peers to read from.
 type Peers interface {
-	// Ahead returns the connection to a peer with a higher store revision than after, or
-	// nil if there is none.
-	Ahead(after uint64) *peer.Conn
+	// Ahead returns the connection to a peer with a later position than after, or nil if
+	// there is none.
+	Ahead(after position.Position) *peer.Conn
+	// Informed returns the connection to a peer that entered the era of the store with more
+	// knowledge than this process, or nil if there is none.
+	Informed(known position.Knowledge) *peer.Conn
 	// Readers returns the connections to the peers that read the store for the fleet; self
 	// is true if this process must read the store itself.
 	Readers() (conns []*peer.Conn, self bool)
@@ -38,7 +41,7 @@
 	errs = errorx.NewNamespace("discovery")
 	// ErrNotFresh means that the store has not answered the reader recently.
 	ErrNotFresh = errs.NewType("not_fresh")
-	// ErrBehind means that the reader has a lower store revision than this process.
+	// ErrBehind means that the reader has an earlier position than this process.
 	ErrBehind = errs.NewType("behind")
 	// ErrReplaced means that a peer no longer has the value that its answer referred to.
 	ErrReplaced = errs.NewType("replaced")
@@ -69,47 +72,82 @@
 func (r *PeerRelay) OthersStoreSteady() bool { return r.peers.OthersStoreSteady() }
 
 // Newer implements Relay.
-func (r *PeerRelay) Newer(ctx context.Context, after uint64) ([]platform.Item, uint64) {
+func (r *PeerRelay) Newer(ctx context.Context, after position.Position) Batch {
 	conn := r.peers.Ahead(after)
 	if conn == nil {
-		return nil, 0
+		return Batch{}
 	}
-	var all []platform.Item
-	var at uint64
+	changes, _ := r.readAll(ctx, conn, after)
+	if changes.knowsLess(after) {
+		return r.readComplete(ctx, conn)
+	}
+	return changes
+}
+
+// Informed implements Relay.
+func (r *PeerRelay) Informed(ctx context.Context, known position.Knowledge) (Batch, bool) {
+	conn := r.peers.Informed(known)
+	if conn == nil {
+		return Batch{}, false
+	}
+	changes, whole := r.readAll(ctx, conn, known.Before)
+	return changes, whole && known.LessInformed(position.Knowledge{At: changes.At, Before: changes.Before})
+}
+
+// readAll reads all pages of a peer's changes after the position; whole is false if the
+// peer has further ones.
+func (r *PeerRelay) readAll(ctx context.Context, conn *peer.Conn, after position.Position) (all Batch, whole bool) {
 	for {
-		reply, err := requestChanges(ctx, conn, changesQuery{After: max(after, at)})
+		reply, err := requestChanges(ctx, conn, queryAfter(position.Latest(after, all.At), 0))
 		if err != nil {
-			return all, at
+			return all, false
 		}
-		items, upTo, err := r.fetchLargeValues(ctx, conn, reply)
+		page, err := r.fetchLargeValues(ctx, conn, reply)
 		if err != nil {
-			return all, at
+			return all, false
 		}
-		all, at = append(all, items...), upTo
-		if !reply.More || upTo < reply.At {
-			return all, at
+		page.Items = append(all.Items, page.Items...)
+		all = page
+		if !reply.More || page.At != reply.position() {
+			return all, page.At == reply.position()
 		}
 	}
 }
 
+// knowsLess reports whether the peer entered the era of the changes without knowing all that
+// was known up to the position. It then cannot say what of that is lost.
+func (b Batch) knowsLess(than position.Position) bool {
+	return !than.IsZero() && b.At.Era > than.Era && than.After(b.Before)
+}
+
+// readComplete reads all items that a peer knows; the zero Batch if that fails.
+func (r *PeerRelay) readComplete(ctx context.Context, conn *peer.Conn) Batch {
+	all, whole := r.readAll(ctx, conn, position.Position{})
+	if !whole {
+		return Batch{}
+	}
+	all.Complete = true
+	return all
+}
+
 // Follow implements Relay. If the first reader does not answer, it asks the others without
 // letting them wait for changes. Otherwise all followers of a reader that fails would turn
 // to the store at once.
-func (r *PeerRelay) Follow(ctx context.Context, after uint64, wait time.Duration) ([]platform.Item, uint64, bool) {
+func (r *PeerRelay) Follow(ctx context.Context, after position.Position, wait time.Duration) (Batch, bool) {
 	conns, self := r.peers.Readers()
 	if self {
-		return nil, 0, false
+		return Batch{}, false
 	}
 	for _, conn := range r.responsiveFirst(conns) {
 		began := time.Now()
-		items, at, err := r.follow(ctx, conn, changesQuery{After: after, Wait: wait})
+		changes, err := r.follow(ctx, conn, after, wait)
 		r.recordResult(conn.Peer().Process.Name, after, time.Since(began), err)
 		if err == nil {
-			return items, at, true
+			return changes, true
 		}
 		wait = 0
 	}
-	return nil, 0, false
+	return Batch{}, false
 }
 
 // responsiveFirst returns the connections with the readers that recently did not answer at
@@ -131,23 +169,30 @@
 // follow asks a reader for changes. Its answer counts only if the store has answered it
 // recently. A large value of which only a part arrived is not an error: that part is kept
 // and the next call requests the rest.
-func (r *PeerRelay) follow(ctx context.Context, conn *peer.Conn, q changesQuery) ([]platform.Item, uint64, error) {
-	reply, err := requestChanges(ctx, conn, q)
+func (r *PeerRelay) follow(ctx context.Context, conn *peer.Conn, after position.Position, wait time.Duration) (Batch, error) {
+	reply, err := requestChanges(ctx, conn, queryAfter(after, wait))
 	switch {
 	case err != nil:
-		return nil, 0, err
+		return Batch{}, err
 	case !reply.Fresh:
-		return nil, 0, ErrNotFresh.New("the store has not answered the reader recently")
-	case reply.At < q.After:
-		return nil, 0, ErrBehind.New("the reader is behind, at revision %d", reply.At)
+		return Batch{}, ErrNotFresh.New("the store has not answered the reader recently")
+	case after.After(reply.position()):
+		return Batch{}, ErrBehind.New("the reader is behind, at revision %d of era %d", reply.At, reply.Era)
+	}
+	if !reply.batch().knowsLess(after) {
+		return r.fetchLargeValues(ctx, conn, reply)
+	}
+	changes := r.readComplete(ctx, conn)
+	if !changes.Complete {
+		return Batch{}, ErrBehind.New("the reader does not know all that was before era %d", reply.Era)
 	}
-	return r.fetchLargeValues(ctx, conn, reply)
+	return changes, nil
 }
 
 // recordResult notes whether a reader answered. It logs when a reader no longer answers,
 // with the revision asked for and the duration of the call, and when it answers again.
 // These lines explain why a process asks the store although a reader is running.
-func (r *PeerRelay) recordResult(reader string, after uint64, took time.Duration, err error) {
+func (r *PeerRelay) recordResult(reader string, after position.Position, took time.Duration, err error) {
 	r.mu.Lock()
 	_, wasUnresponsive := r.unresponsive[reader]
 	if err != nil {
@@ -158,10 +203,10 @@
 	r.mu.Unlock()
 	switch {
 	case err != nil && !wasUnresponsive:
-		r.log.Warn().Str("event", logReaderLost).Str("reader", reader).Uint64("after", after).
+		r.log.Warn().Str("event", logReaderLost).Str("reader", reader).Uint64("era", after.Era).Uint64("after", after.Revision).
 			Dur("took_ms", took).Err(err).Msg("a reader of the store does not answer")
 	case err == nil && wasUnresponsive:
-		r.log.Info().Str("event", logReaderRegained).Str("reader", reader).Uint64("after", after).
+		r.log.Info().Str("event", logReaderRegained).Str("reader", reader).Uint64("era", after.Era).Uint64("after", after.Revision).
 			Msg("a reader of the store answers again")
 	}
 }
--- a/discovery/publish.go
+++ b/discovery/publish.go
@@ -33,6 +33,7 @@
 	change(now, f.state)
 	faults := f.state.TakeFaults()
 	changes := f.state.TakeEvacuationChanges()
+	eraChange, eraChanged := f.state.TakeEraChange()
 	if f.state.At() != before {
 		close(f.changed)
 		f.changed = make(chan struct{})
@@ -50,10 +51,13 @@
 	}
 	f.logFaults(faults)
 	f.logEvacuationChanges(changes)
+	if eraChanged {
+		f.logEraChange(eraChange)
+	}
 	if view == nil {
 		return
 	}
-	f.log.Info().Str("event", logViewChanged).Uint64("config", version).Uint64("at", at).
+	f.log.Info().Str("event", logViewChanged).Uint64("config", version).Uint64("era", at.Era).Uint64("at", at.Revision).
 		Int("endpoints", view.Len()).Int("cold", countCold(view, now)).Msg("view changed")
 	f.onChange(view)
 }
@@ -83,6 +87,14 @@
 	}
 }
 
+// logEraChange logs that the store has returned from a copy, and what of the copy this
+// process does not take for news.
+func (f *Follower) logEraChange(c EraChange) {
+	f.log.Warn().Str("event", logStoreRestored).Uint64("from_era", c.From.Era).Uint64("from", c.From.Revision).
+		Uint64("era", c.To.Era).Uint64("at", c.To.Revision).Int("repeated", c.Repeated).Strs("lost", c.Lost).
+		Msg("the store has returned from a copy")
+}
+
 // logEvacuationChanges logs the evacuations that began or ended.
 func (f *Follower) logEvacuationChanges(changes []EvacuationChange) {
 	for _, c := range changes {
--- /dev/null
+++ b/discovery/restore.go
@@ -0,0 +1,194 @@
+package discovery
+
+import (
+	"time"
+
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
+)
+
+// restoreGrace is how long an item that the store lacks since it returned from a copy still
+// counts: its writer writes it again within that time if it is alive.
+const restoreGrace = 2 * time.Second
+
+// maxCopyAge is more than the age of a copy from which the store returns, some seconds.
+const maxCopyAge = 30 * time.Second
+
+// maxLostKeys bounds the keys that an EraChange names.
+const maxLostKeys = 20
+
+// EraChange says that the store has returned from a copy and begun a new era.
+type EraChange struct {
+	// From is the position in the earlier era, To the one in the new era.
+	From, To position.Position
+	// Repeated is the number of items that the copy repeats although they are outdated.
+	Repeated int
+	// Lost names some of the keys that the copy lacks.
+	Lost []string
+}
+
+// Batch holds changes that a peer has passed on.
+type Batch struct {
+	Items []platform.Item
+	// At is the position up to which the changes are complete.
+	At position.Position
+	// Start is the first position of the era at which the store is known to have been read.
+	Start position.Position
+	// Before is the Knowledge.Before of the peer.
+	Before position.Position
+	// Complete means that the changes are all items that the peer knows.
+	Complete bool
+}
+
+// Knowledge returns what is known of the store.
+func (s *State) Knowledge() position.Knowledge {
+	return position.Knowledge{At: s.at, Before: s.before}
+}
+
+// Start returns the first position of the latest era at which the store is known to have
+// been read. Items up to it may be those of the copy from which the store returned.
+func (s *State) Start() position.Position { return s.start }
+
+// noteStart notes that the store was read at a position.
+func (s *State) noteStart(at position.Position) {
+	if at.Era > s.start.Era || at.Era == s.start.Era && at.Revision < s.start.Revision {
+		s.start = at
+	}
+}
+
+// isNews reports whether an item says more than the known one under its key, which is the
+// zero Item if there is none.
+//
+// After a return of the store, an item of the copy has the position of the new era, but it
+// is older than what is known. It is told from an item that was written since by its
+// revision, which is then after the first one that was read in the era, or because it was
+// seen before as it is.
+func (s *State) isNews(known, item platform.Item) bool {
+	switch {
+	case item.Era == known.Era:
+		return item.Revision > known.Revision
+	case item.Era < known.Era:
+		return s.adopting && s.maybeRepeated(known)
+	case !known.Position().IsZero() && s.includes(item):
+		return false
+	case s.maybeRepeated(item) && s.seen.has(item):
+		s.noteRepeated(known, item)
+		return false
+	}
+	return true
+}
+
+// includes reports whether the item is of the era in which the state is complete beyond it,
+// so that it has been judged before.
+func (s *State) includes(item platform.Item) bool {
+	return item.Era == s.at.Era && item.Revision <= s.at.Revision
+}
+
+// maybeRepeated reports whether an item may be one that the store had before it returned
+// from a copy.
+func (s *State) maybeRepeated(item platform.Item) bool {
+	return item.Era != s.start.Era || item.Revision <= s.start.Revision
+}
+
+// noteRepeated counts an item of a copy that is older than the known one.
+func (s *State) noteRepeated(known, item platform.Item) {
+	if item.Revision != known.Revision {
+		s.eraChange.Repeated++
+	}
+}
+
+// ApplyBatch applies changes from a peer.
+func (s *State) ApplyBatch(now time.Time, b Batch) {
+	s.noteStart(b.Start)
+	from := s.at
+	if b.Complete {
+		s.ApplyList(now, b.Items, b.At)
+	} else {
+		s.applyAll(now, b.Items, b.At)
+	}
+	includesEarlier := b.Complete || from.IsZero() || from.Era < b.At.Era
+	if includesEarlier && s.at.Era == b.At.Era {
+		s.before = position.Latest(s.before, b.Before)
+	}
+}
+
+// Adopt applies all changes since Before of a peer that entered the era of the store with
+// more knowledge. Where this process took an item of the copy for a new one, the peer's
+// earlier item takes its place.
+func (s *State) Adopt(now time.Time, b Batch) {
+	if b.At.Era != s.at.Era || s.start.After(b.At) {
+		return
+	}
+	s.adopting = true
+	s.applyAll(now, b.Items, b.At)
+	s.adopting = false
+	s.before = position.Latest(s.before, b.Before)
+}
+
+// applyAll applies the items of an answer that is complete up to the position at.
+func (s *State) applyAll(now time.Time, items []platform.Item, at position.Position) {
+	for _, item := range items {
+		s.Apply(now, item)
+	}
+	s.Advance(now, at)
+}
+
+// Advance notes that all changes up to the position have been applied.
+func (s *State) Advance(now time.Time, at position.Position) {
+	if !at.After(s.at) {
+		return
+	}
+	switch {
+	case s.at.IsZero():
+		s.knownSince = now
+	case at.Era > s.at.Era:
+		s.enterEra(now, at)
+	}
+	s.at = at
+}
+
+// RemembersCopy reports whether the state was kept for longer than the copy from which the
+// store returns is old. If not, it may lack writes that the copy repeats.
+func (s *State) RemembersCopy(now time.Time) bool {
+	return !s.at.IsZero() && now.Sub(s.knownSince) > maxCopyAge
+}
+
+// enterEra notes that the store has returned from a copy. Leases may have run out while it
+// was away.
+func (s *State) enterEra(now time.Time, at position.Position) {
+	s.noteStart(at)
+	s.before = position.Position{}
+	if s.RemembersCopy(now) {
+		s.before = s.at
+	}
+	s.lastTrouble = now
+	s.eraChange.From, s.eraChange.To = s.at, at
+	s.eraChanged = true
+}
+
+// TakeEraChange returns the change of the era since the last call, and whether there was
+// one.
+func (s *State) TakeEraChange() (EraChange, bool) {
+	change, changed := s.eraChange, s.eraChanged
+	if changed {
+		s.eraChange, s.eraChanged = EraChange{}, false
+	}
+	return change, changed
+}
+
+// removal returns the item that says that a key is missing from a list of all items.
+func (s *State) removal(key string, at position.Position) platform.Item {
+	item := platform.Item{Key: key, Era: at.Era, Revision: at.Revision, Gone: true}
+	if at.Era > s.at.Era && !s.at.IsZero() {
+		item.Lost = true
+		s.noteLost(key)
+	}
+	return item
+}
+
+// noteLost notes a key that a copy lacks.
+func (s *State) noteLost(key string) {
+	if len(s.eraChange.Lost) < maxLostKeys {
+		s.eraChange.Lost = append(s.eraChange.Lost, key)
+	}
+}
--- a/discovery/serve.go
+++ b/discovery/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
 const (
@@ -25,26 +26,51 @@
 // in bytes.
 const itemOverhead = 80
 
-// changesQuery asks for the items that changed after a store revision, and lets the peer
-// wait for a change for at most Wait.
+// changesQuery asks for the items that changed after a position, and lets the peer wait for
+// a change for at most Wait.
 type changesQuery struct {
 	After uint64        `json:"after"`
+	Era   uint64        `json:"era,omitempty"`
 	Wait  time.Duration `json:"wait,omitempty"`
 }
 
+// queryAfter returns the query for changes after a position.
+func queryAfter(after position.Position, wait time.Duration) changesQuery {
+	return changesQuery{After: after.Revision, Era: after.Era, Wait: wait}
+}
+
+// position returns the position after which changes are asked for.
+func (q changesQuery) position() position.Position {
+	return position.Position{Era: q.Era, Revision: q.After}
+}
+
 // changesReply is the answer to a changesQuery.
 type changesReply struct {
 	Items []platform.Item `json:"items"`
 	// Large lists the items whose values are left out, to be read in parts.
 	Large []largeValue `json:"large,omitempty"`
-	// At is the store revision up to which the answer is complete; More means that the
+	// Era and At are the position up to which the answer is complete; More means that the
 	// peer has later changes.
+	Era  uint64 `json:"era,omitempty"`
 	At   uint64 `json:"at"`
 	More bool   `json:"more,omitempty"`
+	// Start and Before are as in Batch.
+	Start  position.Position `json:"start,omitzero"`
+	Before position.Position `json:"before,omitzero"`
 	// Fresh means that the store has answered the peer recently, see Follower.Fresh.
 	Fresh bool `json:"fresh"`
 }
 
+// position returns the position up to which the answer is complete.
+func (r changesReply) position() position.Position {
+	return position.Position{Era: r.Era, Revision: r.At}
+}
+
+// batch returns the changes of the answer.
+func (r changesReply) batch() Batch {
+	return Batch{Items: r.Items, At: r.position(), Start: r.Start, Before: r.Before}
+}
+
 // partQuery asks for a part of a packed value that begins at an offset in bytes.
 type partQuery struct {
 	largeValue
@@ -61,14 +87,15 @@
 func ServePeers(mux *peer.Mux, f *Follower) {
 	packs := newPacker()
 	peer.HandleCall(mux, MethodChanges, func(ctx context.Context, _ *peer.Conn, q changesQuery) (changesReply, error) {
-		items, at := f.Await(ctx, q.After, q.Wait)
-		reply, err := changesPage(items, at, packs)
+		changes := f.Await(ctx, q.position(), q.Wait)
+		reply, err := changesPage(changes.Items, changes.At, packs)
+		reply.Start, reply.Before = changes.Start, changes.Before
 		reply.Fresh = f.Fresh()
 		return reply, err
 	})
 	peer.HandleCall(mux, MethodPart, func(_ context.Context, _ *peer.Conn, q partQuery) (partReply, error) {
 		item, ok := f.Item(q.Key)
-		if !ok || item.Revision != q.Revision {
+		if !ok || item.Position() != q.position() {
 			return partReply{}, nil
 		}
 		value, err := packs.pack(item)
@@ -79,17 +106,15 @@
 	})
 }
 
-// changesPage returns an answer with the first changes, by revision, up to pageBytes. Items
-// of the same revision are not divided, because an answer is complete up to its revision.
-func changesPage(items []platform.Item, at uint64, packs *packer) (changesReply, error) {
-	slices.SortFunc(items, func(a, b platform.Item) int {
-		return int(int64(a.Revision) - int64(b.Revision))
-	})
-	reply := changesReply{At: at}
+// changesPage returns an answer with the first changes, by position, up to pageBytes. Items
+// of the same position are not divided, because an answer is complete up to its position.
+func changesPage(items []platform.Item, at position.Position, packs *packer) (changesReply, error) {
+	slices.SortFunc(items, func(a, b platform.Item) int { return a.Position().Compare(b.Position()) })
+	reply := changesReply{Era: at.Era, At: at.Revision}
 	size := 0
 	for n, item := range items {
-		if size > pageBytes && item.Revision != items[n-1].Revision {
-			reply.At, reply.More = items[n-1].Revision, true
+		if size > pageBytes && item.Position() != items[n-1].Position() {
+			reply.Era, reply.At, reply.More = items[n-1].Era, items[n-1].Revision, true
 			break
 		}
 		if len(item.Value) > maxInlineValue {
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -5,11 +5,13 @@
 package discovery
 
 import (
+	"bytes"
 	"strings"
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
 const (
@@ -47,8 +49,17 @@
 // State merges the items read from the store and from peers. It does no I/O and is not
 // safe for concurrent use.
 type State struct {
-	// storeRevision is the store revision up to which the state is complete.
-	storeRevision uint64
+	// at is the position up to which the state is complete, before the one in the previous
+	// era up to which it was, and start the one of Start.
+	at, before, start position.Position
+	// seen holds the latest writes, knownSince is when the state was first complete.
+	seen       *writes
+	knownSince time.Time
+	// adopting means that the items of a better informed peer are being applied.
+	adopting bool
+	// eraChange is what TakeEraChange returns next if eraChanged is set.
+	eraChange  EraChange
+	eraChanged bool
 	// config is the item of the configuration in force.
 	config platform.Item
 	// deferDecoding means that configurations are not decoded by Apply but by the caller,
@@ -70,8 +81,8 @@
 	// thousands of entries.
 	expiring    map[string]*entry
 	evacuations evacuationList
-	// lastRefusedEvacuation is the highest revision of an unusable evacuation item.
-	lastRefusedEvacuation uint64
+	// lastRefusedEvacuation is the latest position of an unusable evacuation item.
+	lastRefusedEvacuation position.Position
 	// evacuationChanges are those that TakeEvacuationChanges returns next.
 	evacuationChanges []EvacuationChange
 	// announcedLeaving holds, by Key, the endpoint processes that said in an answer that
@@ -95,15 +106,16 @@
 		knownServices:   make(map[string]bool),
 		entries:         make(map[string]*entry),
 		expiring:        make(map[string]*entry),
-		evacuations:     make(evacuationList),
+		evacuations:     newEvacuationList(),
+		seen:            newWrites(),
 		evacuationEnded: make(map[string]time.Time),
 
 		announcedLeaving: make(map[string]time.Time),
 	}
 }
 
-// At returns the store revision up to which the state is complete.
-func (s *State) At() uint64 { return s.storeRevision }
+// At returns the position up to which the state is complete.
+func (s *State) At() position.Position { return s.at }
 
 // ConfigVersion returns the version of the configuration in force, 0 without one.
 func (s *State) ConfigVersion() uint64 {
@@ -118,7 +130,7 @@
 
 // Steady reports whether the store has been read and has not failed for troublePeriod.
 func (s *State) Steady(now time.Time) bool {
-	return s.storeRevision > 0 && now.Sub(s.lastTrouble) >= troublePeriod
+	return !s.at.IsZero() && now.Sub(s.lastTrouble) >= troublePeriod
 }
 
 // ClearTrouble notes that the store has answered other members without interruption, so
@@ -154,8 +166,8 @@
 	s.faults = append(s.faults, Fault{Key: item.Key, Revision: item.Revision, Err: err})
 }
 
-// Apply applies one item of the store. Revisions older than the known one are ignored, so
-// items may come repeatedly and out of order. An item that is not valid is recorded as a
+// Apply applies one item of the store. Items that are no news, see isNews, are ignored, so
+// they may come repeatedly and out of order. An item that is not valid is recorded as a
 // fault and never prevents others from being applied.
 func (s *State) Apply(now time.Time, item platform.Item) {
 	switch {
@@ -166,36 +178,51 @@
 	case strings.HasPrefix(item.Key, platform.PrefixEvacuations):
 		s.applyEvacuation(now, item)
 	}
+	s.seen.add(item)
 }
 
 // applyEvacuation applies the item of an evacuation.
 func (s *State) applyEvacuation(now time.Time, item platform.Item) {
-	changed, err := s.evacuations.apply(item)
+	if !s.isNews(s.evacuations.items[item.Key], item) {
+		return
+	}
+	changed, err := s.evacuations.apply(now, item)
 	switch {
-	case err != nil && item.Revision > s.lastRefusedEvacuation:
-		s.lastRefusedEvacuation = item.Revision
+	case err != nil && item.Position().After(s.lastRefusedEvacuation):
+		s.lastRefusedEvacuation = item.Position()
 		s.fault(item, err)
 	case changed:
-		s.dirty = true
-		if item.Gone {
-			s.evacuationEnded[domainOf(item)] = now
-		}
-		s.evacuationChanges = append(s.evacuationChanges, EvacuationChange{Domain: domainOf(item), Evacuated: !item.Gone, Revision: item.Revision})
+		s.noteEvacuation(now, item)
+	}
+}
+
+// noteEvacuation notes that an item began or ended the evacuation of its domain.
+func (s *State) noteEvacuation(now time.Time, item platform.Item) {
+	s.dirty = true
+	if item.Gone {
+		s.evacuationEnded[domainOf(item)] = now
 	}
+	s.evacuationChanges = append(s.evacuationChanges, EvacuationChange{Domain: domainOf(item), Evacuated: !item.Gone, Revision: item.Revision})
 }
 
 // applyConfig decodes an item of the configuration and adopts it, or keeps it to be
 // decoded later.
 func (s *State) applyConfig(item platform.Item) {
 	switch {
-	case item.Gone || item.Revision <= s.config.Revision || item.Revision == s.refusedConfig.Revision:
+	case item.Gone || !s.isNews(s.config, item) || item.Position() == s.refusedConfig.Position():
+	case s.repeatsConfig(item):
 	case !s.deferDecoding:
 		s.adoptConfig(item, prepareConfig(item))
-	case item.Revision > s.undecodedConfig.Revision:
+	case s.isNews(s.undecodedConfig, item):
 		s.undecodedConfig = item
 	}
 }
 
+// repeatsConfig reports whether an item is the configuration in force, written again.
+func (s *State) repeatsConfig(item platform.Item) bool {
+	return s.index != nil && item.Fault == "" && bytes.Equal(item.Value, s.config.Value)
+}
+
 // UndecodedConfig returns the item of the configuration that is to be decoded, and whether
 // there is one.
 func (s *State) UndecodedConfig() (platform.Item, bool) {
@@ -207,7 +234,7 @@
 // last good one in force: without one all requests would be refused until the operator
 // writes again.
 func (s *State) adoptConfig(item platform.Item, config preparedConfig) {
-	if item.Revision == s.undecodedConfig.Revision {
+	if item.Position() == s.undecodedConfig.Position() {
 		s.undecodedConfig = platform.Item{}
 	}
 	if config.err != nil {
@@ -249,36 +276,36 @@
 
 // refuseConfig records an item under the configuration's key that is not a valid one.
 func (s *State) refuseConfig(item platform.Item, err error) {
-	if item.Revision < s.refusedConfig.Revision {
+	if s.refusedConfig.Position().After(item.Position()) {
 		return
 	}
 	s.refusedConfig = item.WithFault(err)
 	s.fault(item, err)
 }
 
-// ApplyList applies a list that is complete as of revision at: endpoints and evacuations
-// missing from it are removed, unless their revision is higher.
-func (s *State) ApplyList(now time.Time, items []platform.Item, at uint64) {
+// ApplyList applies a list that is complete as of the position at: endpoints and evacuations
+// missing from it are removed, unless their position is later. If the store has returned
+// from a copy since the state was complete, they are lost, and kept for restoreGrace.
+func (s *State) ApplyList(now time.Time, items []platform.Item, at position.Position) {
+	s.noteStart(at)
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key] = true
 		s.Apply(now, item)
 	}
 	for id, e := range s.entries {
-		if listed[platform.PrefixEndpoints+id] || !e.removedAt.IsZero() || e.item.Revision > at {
+		key := platform.PrefixEndpoints + id
+		if listed[key] || e.item.Position().After(at) || e.isRemoved() && !e.heldAcross(at) {
 			continue
 		}
-		s.remove(now, id, platform.Item{Key: platform.PrefixEndpoints + id, Revision: at, Gone: true})
+		s.remove(now, id, s.removal(key, at))
 	}
-	for _, gone := range s.evacuations.missing(listed, at) {
-		s.applyEvacuation(now, gone)
+	for _, key := range s.evacuations.missing(listed, at) {
+		s.applyEvacuation(now, s.removal(key, at))
 	}
-	s.Advance(at)
+	s.Advance(now, at)
 }
 
-// Advance notes that all changes up to revision at have been applied.
-func (s *State) Advance(at uint64) { s.storeRevision = max(s.storeRevision, at) }
-
 // View returns the current view, or nil if it has not changed since the last call.
 func (s *State) View(now time.Time) *catalog.View {
 	s.Expire(now)
@@ -316,24 +343,23 @@
 	return e.item, true
 }
 
-// Since returns the items that changed after the revision, for a peer. Unusable items are
+// Since returns the items that changed after the position, for a peer. Unusable items are
 // among them, without their values.
-func (s *State) Since(after uint64) []platform.Item {
+func (s *State) Since(after position.Position) []platform.Item {
 	var items []platform.Item
-	for _, item := range []platform.Item{s.config, s.refusedConfig, s.undecodedConfig} {
-		if item.Revision > after {
+	add := func(item platform.Item) {
+		if item.Position().After(after) {
 			items = append(items, item)
 		}
 	}
+	for _, item := range []platform.Item{s.config, s.refusedConfig, s.undecodedConfig} {
+		add(item)
+	}
 	for _, e := range s.entries {
-		if e.item.Revision > after {
-			items = append(items, e.item)
-		}
+		add(e.item)
 	}
-	for _, item := range s.evacuations {
-		if item.Revision > after {
-			items = append(items, item)
-		}
+	for _, item := range s.evacuations.items {
+		add(item)
 	}
 	return items
 }
--- a/discovery/state_test.go
+++ b/discovery/state_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -92,7 +93,7 @@
 func TestApplyListRemovesMissingEndpoints(t *testing.T) {
 	s := NewState()
 	apply(t, s, epoch, listed("a", 2), listed("new", 9))
-	s.ApplyList(epoch, []platform.Item{config(1, 1), listed("b", 3)}, 5)
+	s.ApplyList(epoch, []platform.Item{config(1, 1), listed("b", 3)}, position.Position{Revision: 5})
 	assert.Equal(t, len(s.TakeFaults()), 0)
 	view := s.View(epoch)
 	assert.Assert(t, view.Endpoint("a") == nil)
@@ -151,7 +152,7 @@
 	apply(t, s, epoch, config(1, 1), listed("a", 2))
 	bad := platform.Item{Key: platform.PrefixEndpoints + "a", Revision: 3, Value: make([]byte, 1<<20)}
 	s.Apply(epoch, bad)
-	items := s.Since(2)
+	items := s.Since(position.Position{Revision: 2})
 	assert.Equal(t, len(items), 1)
 	assert.Equal(t, len(items[0].Value), 0)
 
--- a/discovery/values.go
+++ b/discovery/values.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
 const (
@@ -28,12 +29,23 @@
 // largeValue identifies a value that is read in parts.
 type largeValue struct {
 	Key      string `json:"key"`
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	// Size is the length of the packed value in bytes, Digest the hash of its bytes.
 	Size   int    `json:"size"`
 	Digest string `json:"digest"`
 }
 
+// position returns the position of the item.
+func (v largeValue) position() position.Position {
+	return position.Position{Era: v.Era, Revision: v.Revision}
+}
+
+// before returns the position before that of the item.
+func (v largeValue) before() position.Position {
+	return position.Position{Era: v.Era, Revision: v.Revision - 1}
+}
+
 // packed is an item's value, compressed.
 type packed struct {
 	largeValue
@@ -55,7 +67,7 @@
 		return packed{}, err
 	}
 	return packed{
-		largeValue: largeValue{Key: item.Key, Revision: item.Revision, Size: data.Len(), Digest: digest(data.Bytes())},
+		largeValue: largeValue{Key: item.Key, Era: item.Era, Revision: item.Revision, Size: data.Len(), Digest: digest(data.Bytes())},
 		data:       data.Bytes(),
 	}, nil
 }
@@ -98,12 +110,12 @@
 
 func newPacker() *packer { return &packer{values: make(map[string]packed)} }
 
-// pack returns the item's value packed, from the cache if it has that revision. If the
+// pack returns the item's value packed, from the cache if it has that position. If the
 // cache is full, arbitrary values are dropped from it.
 func (p *packer) pack(item platform.Item) (packed, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if cached, ok := p.values[item.Key]; ok && cached.Revision == item.Revision {
+	if cached, ok := p.values[item.Key]; ok && cached.position() == item.Position() {
 		return cached, nil
 	}
 	value, err := pack(item)
--- a/discovery/values_test.go
+++ b/discovery/values_test.go
@@ -10,28 +10,33 @@
 	"pgregory.net/rapid"
 
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/position"
 )
 
-// drawItems draws changes, some with the same revision, some with large values.
+// drawItems draws changes, some with the same position, some in a new era at a lower
+// revision, some with large values.
 func drawItems(t *rapid.T) []platform.Item {
 	n := rapid.IntRange(0, 400).Draw(t, "items")
 	items := make([]platform.Item, n)
-	revision := uint64(1)
+	era, revision := uint64(1), uint64(50)
 	for i := range items {
-		if rapid.Bool().Draw(t, "next") {
+		switch rapid.IntRange(0, 40).Draw(t, "next") {
+		case 0:
+			era, revision = era+1, revision-rapid.Uint64Range(0, revision-1).Draw(t, "lost")
+		case 1, 3, 5, 7, 9, 11, 13, 15, 17, 19, 21, 23, 25, 27, 29, 31, 33, 35, 37, 39:
 			revision++
 		}
 		size := rapid.SampledFrom([]int{0, 250, 250, 250, maxInlineValue, maxInlineValue + 1}).Draw(t, "size")
-		items[i] = platform.Item{Key: fmt.Sprintf("servers/i-%d", i), Revision: revision, Value: bytes.Repeat([]byte("v"), size)}
+		items[i] = platform.Item{Key: fmt.Sprintf("servers/i-%d", i), Era: era, Revision: revision, Value: bytes.Repeat([]byte("v"), size)}
 	}
 	return items
 }
 
-// changesAfter is the naive model of pages: it returns all changes after a revision.
-func changesAfter(items []platform.Item, revision uint64) []platform.Item {
+// changesAfter is the naive model of pages: it returns all changes after a position.
+func changesAfter(items []platform.Item, after position.Position) []platform.Item {
 	var later []platform.Item
 	for _, item := range items {
-		if item.Revision > revision {
+		if item.Position().After(after) {
 			later = append(later, item)
 		}
 	}
@@ -39,13 +44,13 @@
 }
 
 // A member that reads page after page must get each change, and an answer must contain all
-// changes up to the revision that it states.
+// changes up to the position that it states.
 func TestPagesAddUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		items := drawItems(t)
-		at := uint64(len(items) + 2)
+		at := position.Position{Era: uint64(len(items) + 2), Revision: 1}
 		received := make(map[string]bool)
-		var known uint64
+		var known position.Position
 		for more := true; more; {
 			reply, err := changesPage(changesAfter(items, known), at, newPacker())
 			assert.NilError(t, err)
@@ -53,11 +58,11 @@
 				received[item.Key] = true
 			}
 			for _, item := range items {
-				assert.Assert(t, item.Revision > reply.At || received[item.Key], "%s is missing below %d", item.Key, reply.At)
+				assert.Assert(t, item.Position().After(reply.position()) || received[item.Key], "%s is missing below %v", item.Key, reply.position())
 			}
-			assert.Assert(t, !reply.More || reply.At > known)
-			assert.Equal(t, reply.At == at, !reply.More)
-			known, more = reply.At, reply.More
+			assert.Assert(t, !reply.More || reply.position().After(known))
+			assert.Equal(t, reply.position() == at, !reply.More)
+			known, more = reply.position(), reply.More
 		}
 		assert.Equal(t, len(received), len(items))
 	})
--- a/fleet/acks_test.go
+++ b/fleet/acks_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/mangostage/mangostage/position"
 )
 
 // newDomains starts three failure domains with the given number of members each. The
@@ -145,7 +147,7 @@
 	delete(w.cores, "a")
 	w.start("a", 1)
 	b, now := w.cores["b"], w.now.Add(HeartbeatInterval)
-	w.cores["a"].HandleHeartbeat(now, b.WithAck("a", b.Heartbeat(now, 0, 0)))
+	w.cores["a"].HandleHeartbeat(now, b.WithAck("a", b.Heartbeat(now, position.Knowledge{}, 0)))
 	w.steps(2)
 	assert.Assert(t, w.cores["a"].peers["b"].acked <= w.cores["a"].elapsedMs(w.now))
 	w.steps(4 * idleHeartbeatRounds)
--- a/fleet/claim_test.go
+++ b/fleet/claim_test.go
@@ -8,6 +8,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/mangostage/mangostage/position"
 )
 
 // setCut cuts the processes of two groups off from each other, or ends the cut.
@@ -113,7 +115,7 @@
 	from, to := b, a
 	messages := 0
 	for changed := true; changed; messages++ {
-		changed = to.HandleHeartbeat(epoch, from.Introduction(epoch, 0, to.self.Name))
+		changed = to.HandleHeartbeat(epoch, from.Introduction(epoch, position.Knowledge{}, to.self.Name))
 		// The stronger one's claim does not change on the first heartbeat, but it answers
 		// the first contact.
 		changed = changed || messages == 0
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -8,6 +8,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/mangostage/mangostage/position"
 )
 
 const (
@@ -61,9 +63,9 @@
 	// lastHeard is when the member's latest heartbeat arrived.
 	lastHeard time.Time
 	leaving   bool
-	// storeSteady and storeRevision are as in the member's latest heartbeat.
-	storeSteady   bool
-	storeRevision uint64
+	// storeSteady and store are as in the member's latest heartbeat.
+	storeSteady bool
+	store       position.Knowledge
 	// reportedLive is the number of members whose heartbeats reach the member.
 	reportedLive int
 	// lastSent is the Sent value of its latest heartbeat.
@@ -183,7 +185,7 @@
 
 // recordHeartbeat stores what a heartbeat says about its sender.
 func (c *Core) recordHeartbeat(now time.Time, h Heartbeat) {
-	p := &peerState{Member: h.From, lastHeard: now, leaving: h.Leaving, storeSteady: h.StoreSteady, storeRevision: h.StoreRevision, reportedLive: h.LiveCount}
+	p := &peerState{Member: h.From, lastHeard: now, leaving: h.Leaving, storeSteady: h.StoreSteady, store: h.store(), reportedLive: h.LiveCount}
 	p.lastSent, p.ownerSuspected, p.acked, p.ackedAt = h.Sent, h.OwnerSuspected, h.Acked, now
 	if h.Acked > c.elapsedMs(now) {
 		// It acknowledges a heartbeat of an earlier process of this name.
@@ -379,18 +381,36 @@
 	return firstRanked(members, n)
 }
 
-// Ahead returns the address of the live member with the highest store revision above
-// after, or an empty string if there is none.
-func (c *Core) Ahead(now time.Time, after uint64) string {
-	addr, most := "", after
+// Ahead returns the address of the live member with the latest position in the store's
+// changes after the given one, or an empty string if there is none.
+func (c *Core) Ahead(now time.Time, after position.Position) string {
+	addr, latest := "", after
 	for _, p := range c.peers {
-		if p.storeRevision > most && !p.dead(now) && now.Sub(p.lastHeard) < p.livenessTimeout() {
-			addr, most = p.Addr, p.storeRevision
+		if p.store.At.After(latest) && p.recentlyHeard(now) {
+			addr, latest = p.Addr, p.store.At
 		}
 	}
 	return addr
 }
 
+// Informed returns the address of the live member that entered the era of the store with
+// the most knowledge, if that is more than the given one, or an empty string.
+func (c *Core) Informed(now time.Time, known position.Knowledge) string {
+	addr, most := "", known
+	for _, p := range c.peers {
+		if most.LessInformed(p.store) && p.recentlyHeard(now) {
+			addr, most.Before = p.Addr, p.store.Before
+		}
+	}
+	return addr
+}
+
+// recentlyHeard reports whether the member is not known to be dead and its latest heartbeat
+// is no older than a live one's may be.
+func (p *peerState) recentlyHeard(now time.Time) bool {
+	return !p.dead(now) && now.Sub(p.lastHeard) < p.livenessTimeout()
+}
+
 // SetStoreSteady notes whether the store has answered this process without interruption
 // for some seconds.
 func (c *Core) SetStoreSteady(steady bool) { c.storeSteady = steady }
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -10,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/mangostage/mangostage/position"
 )
 
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -69,7 +71,7 @@
 		}
 		c := w.cores[from]
 		c.Owner(w.now)
-		heartbeat := c.Heartbeat(w.now, 0, w.round)
+		heartbeat := c.Heartbeat(w.now, position.Knowledge{}, w.round)
 		for _, to := range names {
 			other := w.cores[to]
 			if from == to || w.frozen[to] || w.cut[from+to] || w.cut[to+from] || w.dropped[from+">"+to] || !c.HeartbeatDue(w.now, to, w.round) {
@@ -128,7 +130,7 @@
 		w.round++
 		w.now = w.now.Add(HeartbeatInterval)
 		for _, c := range w.cores {
-			heartbeat := c.Heartbeat(w.now, 0, w.round)
+			heartbeat := c.Heartbeat(w.now, position.Knowledge{}, w.round)
 			assert.Assert(t, len(heartbeat.Peers) <= peersPerHeartbeat)
 			for _, to := range c.Addrs(w.now) {
 				w.cores[to].HandleHeartbeat(w.now, c.WithAck(to, heartbeat))
@@ -259,8 +261,8 @@
 	weak := NewCore(Member{Name: "a", Incarnation: "a", Addr: "a", Cores: 0.144}, nil)
 	strong := NewCore(Member{Name: "b", Incarnation: "b", Addr: "b", Cores: 0.8}, nil)
 	weak.Owner(epoch)
-	strong.HandleHeartbeat(epoch, weak.Introduction(epoch, 0, "b"))
-	weak.HandleHeartbeat(epoch, strong.Introduction(epoch, 0, "a"))
+	strong.HandleHeartbeat(epoch, weak.Introduction(epoch, position.Knowledge{}, "b"))
+	weak.HandleHeartbeat(epoch, strong.Introduction(epoch, position.Knowledge{}, "a"))
 	owner, self := strong.Owner(epoch)
 	assert.Assert(t, self, "%s owns the queue", owner.Name)
 	owner, _ = weak.Owner(epoch)
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"github.com/mangostage/mangostage/position"
 )
 
 // Heartbeat is the periodic message by which members learn who is live, who owns
@@ -13,8 +15,11 @@
 	Claim   Claim  `json:"claim"`
 	// Peers are addresses of some of the other members that are live for From.
 	Peers []string `json:"peers,omitempty"`
-	// StoreRevision is the store revision up to which From is complete.
-	StoreRevision uint64 `json:"store_at,omitempty"`
+	// StoreEra and StoreRevision are the position in the store's changes up to which From
+	// is complete, StoreBefore is its position.Knowledge.Before.
+	StoreEra      uint64            `json:"store_era,omitempty"`
+	StoreRevision uint64            `json:"store_at,omitempty"`
+	StoreBefore   position.Position `json:"store_before,omitzero"`
 	// StoreSteady means that the store has answered From without interruption for
 	// some seconds.
 	StoreSteady bool `json:"steady,omitempty"`
@@ -31,9 +36,14 @@
 	Hubs []Member `json:"hubs,omitempty"`
 }
 
+// store returns what From knows of the store.
+func (h Heartbeat) store() position.Knowledge {
+	return position.Knowledge{At: position.Position{Era: h.StoreEra, Revision: h.StoreRevision}, Before: h.StoreBefore}
+}
+
 // Introduction returns the first heartbeat on a connection to the member named to.
-func (c *Core) Introduction(now time.Time, storeRevision uint64, to string) Heartbeat {
-	return c.WithAck(to, c.buildHeartbeat(now, storeRevision, introductionPeers, true))
+func (c *Core) Introduction(now time.Time, store position.Knowledge, to string) Heartbeat {
+	return c.WithAck(to, c.buildHeartbeat(now, store, introductionPeers, true))
 }
 
 // WithAck returns the heartbeat with the acknowledgement for its receiver, the
@@ -49,14 +59,14 @@
 // different ones each time. Naming all of them each time would cost bytes and
 // processor time that grow with the square of the fleet's size: 1.6 MB per second
 // and 70% of a core for each of 300 members.
-func (c *Core) Heartbeat(now time.Time, storeRevision uint64, round int) Heartbeat {
+func (c *Core) Heartbeat(now time.Time, store position.Knowledge, round int) Heartbeat {
 	if !c.fullMesh && round%idleHeartbeatRounds != 0 {
 		// In these rounds normally only the owner sends, five heartbeats per second
 		// to each member. It names members and hubs in every fifth only.
-		return c.buildHeartbeat(now, storeRevision, 0, false)
+		return c.buildHeartbeat(now, store, 0, false)
 	}
 	hubs := round%hubAdvertiseRounds == 0 || now.Sub(c.startedAt) < hubLearningPeriod
-	return c.buildHeartbeat(now, storeRevision, peersPerHeartbeat, hubs)
+	return c.buildHeartbeat(now, store, peersPerHeartbeat, hubs)
 }
 
 // peersPerHeartbeat is the number of members that a heartbeat names. Successive
@@ -66,8 +76,9 @@
 
 // buildHeartbeat returns a heartbeat that names at most the given number of live
 // members, and the hubs if hubs is set and the fleet is not a full mesh.
-func (c *Core) buildHeartbeat(now time.Time, storeRevision uint64, maxPeers int, hubs bool) Heartbeat {
-	h := Heartbeat{From: c.self, Leaving: c.leaving, Claim: c.claim, StoreRevision: storeRevision, StoreSteady: c.storeSteady, LiveCount: c.liveCount(now)}
+func (c *Core) buildHeartbeat(now time.Time, store position.Knowledge, maxPeers int, hubs bool) Heartbeat {
+	h := Heartbeat{From: c.self, Leaving: c.leaving, Claim: c.claim, StoreSteady: c.storeSteady, LiveCount: c.liveCount(now)}
+	h.StoreEra, h.StoreRevision, h.StoreBefore = store.At.Era, store.At.Revision, store.Before
 	h.Sent = c.elapsedMs(now)
 	h.OwnerSuspected = c.suspectsOwner(now)
 	if maxPeers > 0 {
--- a/fleet/hubs_test.go
+++ b/fleet/hubs_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/position"
 )
 
 // sparseWorld simulates a large fleet as its services connect it: heartbeats are sent on
@@ -64,14 +66,14 @@
 	for _, from := range w.names() {
 		c := w.cores[from]
 		c.Owner(w.now)
-		heartbeat := c.Heartbeat(w.now, 0, w.round)
+		heartbeat := c.Heartbeat(w.now, position.Knowledge{}, w.round)
 		for _, to := range c.Addrs(w.now) {
 			if w.cores[to] == nil {
 				continue
 			}
 			if !w.dialled[from][to] {
 				w.dialled[from][to] = true
-				w.deliver(from, to, c.Introduction(w.now, 0, to))
+				w.deliver(from, to, c.Introduction(w.now, position.Knowledge{}, to))
 			} else if c.HeartbeatDue(w.now, to, w.round) {
 				w.deliver(from, to, c.WithAck(to, heartbeat))
 			}
@@ -98,7 +100,7 @@
 	known := other.peers[from] != nil
 	other.HandleHeartbeat(w.now, h)
 	if !known && !other.IsDialTarget(from) {
-		w.cores[from].HandleHeartbeat(w.now, other.Introduction(w.now, 0, from))
+		w.cores[from].HandleHeartbeat(w.now, other.Introduction(w.now, position.Knowledge{}, from))
 	}
 }
 
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mangostage/mangostage/peer"
+	"github.com/mangostage/mangostage/position"
 )
 
 // Readers returns the connections to the members that read the store for the fleet,
@@ -30,12 +31,24 @@
 	return conns, len(conns) == 0
 }
 
-// Ahead returns the connection to the live member with the highest store revision above
-// after, or nil if there is none.
-func (s *Service) Ahead(after uint64) *peer.Conn {
+// Ahead returns the connection to the live member with the latest position in the store's
+// changes after the given one, or nil if there is none.
+func (s *Service) Ahead(after position.Position) *peer.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	addr := s.core.Ahead(time.Now(), after)
+	return s.dialedLocked(s.core.Ahead(time.Now(), after))
+}
+
+// Informed returns the connection to a live member that entered the era of the store with
+// more knowledge, or nil if there is none.
+func (s *Service) Informed(known position.Knowledge) *peer.Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dialedLocked(s.core.Informed(time.Now(), known))
+}
+
+// dialedLocked returns the connection to an address, or nil if there is none.
+func (s *Service) dialedLocked(addr string) *peer.Conn {
 	if l := s.links[addr]; l != nil {
 		return l.dialed
 	}
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/mangostage/mangostage/internal/dialer"
 	"github.com/mangostage/mangostage/peer"
+	"github.com/mangostage/mangostage/position"
 	"github.com/mangostage/mangostage/wire"
 )
 
@@ -51,8 +52,8 @@
 	Seeds []string
 	Mux   *peer.Mux
 	Log   zerolog.Logger
-	// StoreRevision returns the store revision up to which this process is complete.
-	StoreRevision func() uint64
+	// Store returns what this process knows of the store.
+	Store func() position.Knowledge
 	// StoreSteady reports whether the store has answered this process without
 	// interruption for some seconds; nil counts as false.
 	StoreSteady func() bool
@@ -187,7 +188,7 @@
 // needed.
 func (s *Service) sendHeartbeats(round int) {
 	now := time.Now()
-	storeRevision := s.cfg.StoreRevision()
+	store := s.cfg.Store()
 	steady := s.cfg.StoreSteady != nil && s.cfg.StoreSteady()
 	s.mu.Lock()
 	s.core.SetStoreSteady(steady)
@@ -198,7 +199,7 @@
 	if s.ownsQueue && s.cfg.OnReach != nil {
 		go s.cfg.OnReach(s.reachLocked(now))
 	}
-	heartbeat := s.core.Heartbeat(now, storeRevision, round)
+	heartbeat := s.core.Heartbeat(now, store, round)
 	messages := s.addressHeartbeatsLocked(heartbeat, s.recipientsLocked(now, round))
 	unwanted := s.detachUnwantedLocked()
 	s.mu.Unlock()
@@ -311,7 +312,7 @@
 	defer cancel()
 	conn, err := s.node.Dial(ctx, addr)
 	now := time.Now()
-	storeRevision := s.cfg.StoreRevision()
+	store := s.cfg.Store()
 	s.mu.Lock()
 	l := s.linkLocked(addr)
 	l.dialing = false
@@ -320,7 +321,7 @@
 		return
 	}
 	l.dialed = conn
-	introduction := s.core.Introduction(now, storeRevision, conn.Peer().Process.Name)
+	introduction := s.core.Introduction(now, store, conn.Peer().Process.Name)
 	s.mu.Unlock()
 	s.cfg.Log.Info().Str("event", logPeerConnected).Str("addr", addr).Str("peer", conn.Peer().Process.Name).Msg("connected to a peer")
 	_ = conn.Notify(MethodHeartbeat, introduction)
@@ -338,7 +339,7 @@
 // connected, and answers at once where a round's delay would matter.
 func (s *Service) handleHeartbeat(conn *peer.Conn, h Heartbeat) {
 	now := time.Now()
-	storeRevision := s.cfg.StoreRevision()
+	store := s.cfg.Store()
 	s.mu.Lock()
 	claimChanged := s.core.HandleHeartbeat(now, h)
 	if s.core.Confirmed() {
@@ -363,7 +364,7 @@
 	// its claim to be confirmed. So is the answer to a member that this process does not
 	// dial.
 	if claimChanged || acceptedOnly {
-		introduction := s.core.Introduction(now, storeRevision, h.From.Name)
+		introduction := s.core.Introduction(now, store, h.From.Name)
 		answer = &introduction
 	}
 	s.mu.Unlock()
--- a/integration/store_restore_test.go
+++ b/integration/store_restore_test.go
@@ -22,9 +22,6 @@
 	restoreMembers = 3
 	// applyLimit is the time within which a change must be in force.
 	applyLimit = 2 * time.Second
-	// restoreGrace is how long an endpoint that the copy lacks may be kept, and the time in
-	// which a gateway learns of the return.
-	restoreGrace = 2*time.Second + applyLimit
 )
 
 // restoreRig is a fleet of gateways whose store can return from a copy, before endpoints of
@@ -95,9 +92,6 @@
 	r.store.PutEndpoint(id, standin.Entry{Service: "shop", Addr: r.addrs[id], Domain: "z" + id[len(id)-1:], Slots: 16, State: state})
 }
 
-// remove removes the entry of an endpoint.
-func (r *restoreRig) remove(id string) { r.store.RemoveEndpoint(id) }
-
 // send sends one request on a route through gateway i and returns its status, 0 if there
 // is no answer.
 func (r *restoreRig) send(i int, route, key string) int {
