discovery: what the model of a returning store found

A model in virtual time (3, 30 and 300 members; writes, returns of the store, compaction, cuts, pauses, restarts, changes of readers) in which no member may go back and all must agree with what was written last. What callers would have seen, each with its cause:

- an endpoint or an evacuation that is lost in the copy stayed for good: the removal that a list implies had the revision and key of a removal seen before and counted as a repetition;
- a domain was evacuated again, or an endpoint came back, since a peer's lost item took the place of a removal that was known, or was held again long after its time (Item.Held now says that it counts still);
- an endpoint that had left got work after its entry was lost and the next copy listed it as ready: its word is now kept beyond its entry;
- a member that lacked the newest configuration kept the older one, since a configuration that is written again kept its old position and was not passed on;
- a better informed peer's older item replaced a removal that was known;
- a member that has not seen all writes (it started, or read from a list) took an item of the copy for a new one: what it knows to be gone now stays gone.

--- a/discovery/entries.go
+++ b/discovery/entries.go
@@ -36,6 +36,13 @@
 	return e.endpoint
 }
 
+// current returns the item as it is passed on to peers.
+func (e *entry) current() platform.Item {
+	item := e.item
+	item.Held = item.Lost && e.endpoint != nil
+	return item
+}
+
 // heldAcross reports whether the entry was lost in an earlier era than that of the position,
 // and its endpoint is still in the view.
 func (e *entry) heldAcross(at position.Position) bool {
@@ -84,6 +91,9 @@
 		s.fault(item, err)
 		return
 	}
+	if !endpoint.Leaving && s.mayBeOutdated(knownItem(known), item) {
+		return
+	}
 	if listed := known.listed(); listed != nil {
 		endpoint.Incarnation = cmp.Or(endpoint.Incarnation, listed.Incarnation)
 		if fromEarlierProcess(endpoint, listed) || s.takesBackLeaving(known, item, endpoint) {
@@ -201,6 +211,7 @@
 func (s *State) remove(now time.Time, id string, item platform.Item) {
 	known := s.entries[id]
 	if known == nil {
+		item.Held = false
 		known = &entry{item: item, removedAt: now}
 		s.entries[id] = known
 		s.expiring[id] = known
@@ -208,6 +219,7 @@
 	}
 	wasRemoved := known.isRemoved() && !known.heldAcross(item.Position())
 	known.item = item
+	known.item.Held = false
 	known.pendingEndpoint = nil
 	if wasRemoved {
 		return
@@ -218,7 +230,10 @@
 	if known.endpoint == nil {
 		return
 	}
-	if item.Lost {
+	if item.Lost && known.endpoint.Leaving {
+		s.MarkLeaving(now, known.endpoint.Key())
+	}
+	if item.Held {
 		known.graceUntil = now.Add(restoreGrace)
 		return
 	}
--- a/discovery/evacuations.go
+++ b/discovery/evacuations.go
@@ -40,14 +40,23 @@
 	// evacuation: sending no work is the safe side.
 	item.Value, item.Fault = nil, ""
 	before := l.evacuated(item.Key)
+	hold := item.Held && (before || !known)
+	item.Held = false
 	l.items[item.Key] = item
 	delete(l.heldUntil, item.Key)
-	if item.Lost {
+	if hold {
 		l.heldUntil[item.Key] = now.Add(restoreGrace)
 	}
 	return before != l.evacuated(item.Key), nil
 }
 
+// current returns the item of a key as it is passed on to peers.
+func (l evacuationList) current(key string) platform.Item {
+	item := l.items[key]
+	_, item.Held = l.heldUntil[key]
+	return item
+}
+
 // evacuated reports whether the domain of a key is evacuated.
 func (l evacuationList) evacuated(key string) bool {
 	item, known := l.items[key]
--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -65,12 +65,16 @@
 // seen before as it is.
 func (s *State) isNews(known, item platform.Item) bool {
 	switch {
+	case item.Lost && known.Gone && !known.Lost:
+		return false
 	case item.Era == known.Era:
 		return item.Revision > known.Revision
 	case item.Era < known.Era:
-		return s.adopting && s.maybeRepeated(known)
+		return s.adopting && known.Era == s.at.Era && s.maybeRepeated(known)
 	case !known.Position().IsZero() && s.includes(item):
-		return false
+		return s.adopting
+	case known.Lost || item.Lost:
+		return true
 	case s.maybeRepeated(item) && s.seen.has(item):
 		s.noteRepeated(known, item)
 		return false
@@ -78,6 +82,30 @@
 	return true
 }
 
+// mayBeOutdated reports whether an item that was not seen before may be one of a copy all
+// the same, because this process has not seen all writes of that time. What it was told to
+// be gone is then not taken for back.
+func (s *State) mayBeOutdated(known, item platform.Item) bool {
+	if s.adopting || !known.Gone || known.Lost || item.Era == known.Era {
+		return false
+	}
+	return s.maybeRepeated(item) && item.Revision <= s.observedFrom
+}
+
+// noteObserved notes the revisions of the items that lead to the position. If some are
+// missing, writes before that position may not have been seen.
+func (s *State) noteObserved(items []platform.Item, at position.Position) {
+	revisions := make(map[uint64]bool)
+	for _, item := range items {
+		if item.Position().After(s.at) && !item.Position().After(at) {
+			revisions[item.Revision] = true
+		}
+	}
+	if at.Era != s.at.Era || uint64(len(revisions)) != at.Revision-s.at.Revision {
+		s.observedFrom = at.Revision
+	}
+}
+
 // includes reports whether the item is of the era in which the state is complete beyond it,
 // so that it has been judged before.
 func (s *State) includes(item platform.Item) bool {
@@ -101,6 +129,9 @@
 func (s *State) ApplyBatch(now time.Time, b Batch) {
 	s.noteStart(b.Start)
 	from := s.at
+	if b.At.After(s.at) {
+		s.noteObserved(b.Items, b.At)
+	}
 	if b.Complete {
 		s.ApplyList(now, b.Items, b.At)
 	} else {
@@ -180,7 +211,7 @@
 func (s *State) removal(key string, at position.Position) platform.Item {
 	item := platform.Item{Key: key, Era: at.Era, Revision: at.Revision, Gone: true}
 	if at.Era > s.at.Era && !s.at.IsZero() {
-		item.Lost = true
+		item.Lost, item.Held = true, true
 		s.noteLost(key)
 	}
 	return item
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -55,6 +55,8 @@
 	// seen holds the latest writes, knownSince is when the state was first complete.
 	seen       *writes
 	knownSince time.Time
+	// observedFrom is the revision after which all writes have been seen.
+	observedFrom uint64
 	// adopting means that the items of a better informed peer are being applied.
 	adopting bool
 	// eraChange is what TakeEraChange returns next if eraChanged is set.
@@ -178,12 +180,17 @@
 	case strings.HasPrefix(item.Key, platform.PrefixEvacuations):
 		s.applyEvacuation(now, item)
 	}
-	s.seen.add(item)
+	if !item.Lost {
+		s.seen.add(item)
+	}
 }
 
 // applyEvacuation applies the item of an evacuation.
 func (s *State) applyEvacuation(now time.Time, item platform.Item) {
-	if !s.isNews(s.evacuations.items[item.Key], item) {
+	known := s.evacuations.items[item.Key]
+	// An evacuation that may be new counts: sending no work is the safe side.
+	isOlder := item.Revision < known.Revision
+	if !s.isNews(known, item) || !item.Gone && isOlder && s.mayBeOutdated(known, item) {
 		return
 	}
 	changed, err := s.evacuations.apply(now, item)
@@ -211,6 +218,8 @@
 	switch {
 	case item.Gone || !s.isNews(s.config, item) || item.Position() == s.refusedConfig.Position():
 	case s.repeatsConfig(item):
+		// Peers that lack it learn of it by the new position.
+		s.config = item
 	case !s.deferDecoding:
 		s.adoptConfig(item, prepareConfig(item))
 	case s.isNews(s.undecodedConfig, item):
@@ -288,6 +297,9 @@
 // from a copy since the state was complete, they are lost, and kept for restoreGrace.
 func (s *State) ApplyList(now time.Time, items []platform.Item, at position.Position) {
 	s.noteStart(at)
+	if at.After(s.at) {
+		s.noteObserved(items, at)
+	}
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		listed[item.Key] = true
@@ -356,10 +368,10 @@
 		add(item)
 	}
 	for _, e := range s.entries {
-		add(e.item)
+		add(e.current())
 	}
-	for _, item := range s.evacuations.items {
-		add(item)
+	for key := range s.evacuations.items {
+		add(s.evacuations.current(key))
 	}
 	return items
 }
