soak: returns of the store from a copy, in series and beside all other faults

A return excuses no lost answer and no step back; it only moves the time from which a write binds the fleet that the store lost before it was sure to be read.

The order of random numbers of planned work is as it was.

--- a/soak/book_test.go
+++ b/soak/book_test.go
@@ -33,6 +33,9 @@
 	violations []string
 	// faults are the time spans of injected faults, without planned work.
 	faults []span
+	// returns are the returns of the store from a copy. They excuse no lost answer and no
+	// step back, only that what the store lost is not yet known.
+	returns []storeReturn
 	// unanswered are the IDs of requests that were sent to a stopping gateway and
 	// got no complete answer: none of them may have run.
 	unanswered []string
@@ -111,7 +114,7 @@
 		b.checkInputs(run)
 	}
 	now := time.Now()
-	if !drainedAt.IsZero() && now.Sub(drainedAt) > drainLimit && b.faultFree(drainedAt, now) {
+	if !drainedAt.IsZero() && now.Sub(b.toldAt(drainedAt)) > drainLimit && b.faultFree(drainedAt, now) {
 		b.addViolation("%s reached %s %v after it began to drain", run.ID, endpoint, now.Sub(drainedAt))
 	}
 }
@@ -120,7 +123,7 @@
 // more than drainLimit after its evacuation.
 func (b *recorder) checkEvacuated(what, endpoint string, evacuatedAt time.Time) {
 	now := time.Now()
-	if !evacuatedAt.IsZero() && now.Sub(evacuatedAt) > drainLimit && b.faultFree(evacuatedAt, now) {
+	if !evacuatedAt.IsZero() && now.Sub(b.toldAt(evacuatedAt)) > drainLimit && b.faultFree(evacuatedAt, now) {
 		b.addViolation("%s reached %s %v after its failure domain was evacuated", what, endpoint, now.Sub(evacuatedAt))
 	}
 }
--- a/soak/evacuation_test.go
+++ b/soak/evacuation_test.go
@@ -32,15 +32,15 @@
 		return
 	}
 	r.evacuated[domain] = time.Now()
-	r.mu.Unlock()
 	r.store.Put(platform.PrefixEvacuations+domain, nil)
+	r.mu.Unlock()
 	wait(drainLimit + d)
 	r.mu.Lock()
 	// Requests may arrive as soon as the evacuation is withdrawn, so the record
 	// goes first.
 	delete(r.evacuated, domain)
-	r.mu.Unlock()
 	r.store.Remove(platform.PrefixEvacuations + domain)
+	r.mu.Unlock()
 }
 
 // checkArrival checks that a request or call that reached e was not sent after the
--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -22,6 +22,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +61,8 @@
 	reject      bool // the endpoint refuses all requests
 	drainedAt   time.Time
 	incarnation int
+	// listed is the state that its entry has if its writer has its way; empty without one.
+	listed string
 	// startedAtMS is the start of the current process in Unix milliseconds.
 	startedAtMS int64
 	// down is set from a crash until the next process starts.
@@ -107,10 +110,17 @@
 	signals     signalBook
 	// evacuated maps each evacuated failure domain to the time of its evacuation.
 	evacuated map[string]time.Time
+	// config is the newest configuration.
+	config []byte
+	// away counts the returns of the store in which it is away.
+	away atomic.Int32
+	// writeOrder draws the order in which writers write again.
+	writeOrder *rand.Rand
 }
 
 func newRig(t *testing.T, seed uint64) *rig {
 	r := &rig{t: t, rng: rand.New(rand.NewPCG(seed, seed)), store: standin.NewStore(), recorder: newRecorder(), evacuated: make(map[string]time.Time)}
+	r.writeOrder = rand.New(rand.NewPCG(seed, ^seed))
 	r.publish()
 	for _, service := range []string{"plain", "plain", "plain", "model", "model", "model", "stage", "stage"} {
 		r.addEndpoint(service)
@@ -143,9 +153,9 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-// publish writes the next version of the configuration. Each version adds a route
-// with its number, by which clients recognise it.
-func (r *rig) publish() {
+// publish writes the next version of the configuration and returns it. Each version adds
+// a route with its number, by which clients recognise it.
+func (r *rig) publish() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.version++
@@ -167,11 +177,13 @@
 	for n := range r.addedRoutes {
 		routes = append(routes, route(fmt.Sprintf("added-%08x", n*0x9e3779b1), "idempotent", "plain", ""))
 	}
-	r.store.Put(platform.KeyConfig, fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[
+	r.config = fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[
 		{"name":"plain"},{"name":"model","engine":{"slots":16,"kv_capacity":100000}},
 		{"name":"stage","segments":{"slots":1,"queue":2,"batch":8,"call_ms":20,"item_ms":2,"headroom_mb":1,"handle_ttl_s":3}}],
 		"limits":{"max_body_bytes":65536},"tenants":[{"name":"acme","api_keys":[%q]}]}`,
-		r.version, strings.Join(routes, ","), apiKey))
+		r.version, strings.Join(routes, ","), apiKey)
+	r.store.Put(platform.KeyConfig, r.config)
+	return r.version
 }
 
 func (r *rig) currentVersion() int {
@@ -214,11 +226,20 @@
 }
 
 func (r *rig) listLocked(e *endpoint, state string) {
+	e.listed = state
 	r.store.PutEndpoint(e.id, standin.Entry{
 		Service: e.service, Addr: e.addr, Domain: e.domain, Slots: 8, State: state, Born: e.startedAtMS,
 	})
 }
 
+// unlist removes the entry of the endpoint's process.
+func (r *rig) unlist(e *endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listed = ""
+	r.store.Remove(platform.PrefixEndpoints + e.id)
+}
+
 // anyInputLost reports whether a handle belongs to an endpoint process that has
 // ended.
 func (r *rig) anyInputLost(handles []string) bool {
--- a/soak/signals_test.go
+++ b/soak/signals_test.go
@@ -140,7 +140,7 @@
 	wait(drainLimit + 2*time.Second)
 	p.to = time.Now()
 	r.record(func(b *signalBook) *[]signalPeriod { return &b.departures }, p)
-	r.store.Remove("servers/" + id)
+	r.unlist(e)
 	r.register(e)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/mangostage/mangostage/internal/harness"
-	"github.com/mangostage/mangostage/platform"
 )
 
 var (
@@ -22,6 +21,7 @@
 	// gateways is the number of gateway processes; manual runs use up to a hundred.
 	gateways    = flag.Int("soak.gateways", 3, "number of gateway processes")
 	plannedOnly = flag.Bool("soak.clean", false, "inject planned work only: stops, reloads, changes")
+	returnsOnly = flag.Bool("soak.returns", false, "inject planned work and returns of the store only")
 )
 
 const (
@@ -44,10 +44,21 @@
 		run = append(run, *first+uint64(i))
 	}
 	for _, seed := range run {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, *plannedOnly) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, chosenSet()) })
 	}
 }
 
+// chosenSet returns the faults that the flags name.
+func chosenSet() faultSet {
+	switch {
+	case *plannedOnly:
+		return plannedWork
+	case *returnsOnly:
+		return storeReturns
+	}
+	return allFaults
+}
+
 // TestPlannedWork guards against requests that are lost to planned work alone:
 // overlapping stops, reloads, configuration changes, evacuations and draining
 // endpoints. Each request must get a complete answer. With the second seed,
@@ -55,11 +66,30 @@
 // them any more.
 func TestPlannedWork(t *testing.T) {
 	for _, seed := range []uint64{7, 700} {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, true) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, plannedWork) })
+	}
+}
+
+// TestStoreReturns guards against gateways that go back, lose requests or miss a change when
+// the store returns from copies, in series and beside planned work.
+func TestStoreReturns(t *testing.T) {
+	for _, seed := range []uint64{20, 44} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, storeReturns) })
 	}
 }
 
-func runSeed(t *testing.T, seed uint64, planned bool) {
+// faultSet says which faults are injected.
+type faultSet int
+
+const (
+	allFaults faultSet = iota
+	// plannedWork is what must cost no request its answer.
+	plannedWork
+	// storeReturns is planned work and returns of the store from a copy.
+	storeReturns
+)
+
+func runSeed(t *testing.T, seed uint64, set faultSet) {
 	r := newRig(t, seed)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -70,7 +100,7 @@
 		running.Go(func() { r.runClient(ctx, clients+n, seed, shortRoutes, briskInterval) })
 	}
 	running.Go(func() { r.probeGateways(ctx) })
-	r.inject(planned)
+	r.inject(set)
 	timer := time.NewTimer(quietPeriod)
 	defer timer.Stop()
 	<-timer.C
@@ -131,16 +161,15 @@
 	}
 }
 
-// inject starts overlapping faults for faultDuration and waits for their end.
-// With planned set it starts planned work only.
-func (r *rig) inject(planned bool) {
+// inject starts overlapping faults of the set for faultDuration and waits for their end.
+func (r *rig) inject(set faultSet) {
 	end := time.Now().Add(*faultDuration)
 	var running sync.WaitGroup
 	for _, signal := range r.firstSignals() {
 		running.Go(signal)
 	}
 	for time.Now().Before(end) {
-		fault := r.pickFault(planned)
+		fault := r.pickFault(set)
 		running.Go(fault)
 		wait(time.Duration(50+r.rng.IntN(400)) * time.Millisecond)
 	}
@@ -154,27 +183,32 @@
 	<-timer.C
 }
 
-// pickFault draws one fault, or planned work only if planned is set. All random
+// pickFault draws one fault of the set. All random
 // numbers of the fault series are drawn in one goroutine, so that a seed
 // reproduces it.
-func (r *rig) pickFault(planned bool) func() {
+func (r *rig) pickFault(set faultSet) func() {
 	g := r.gateways[r.rng.IntN(len(r.gateways))]
 	e := r.endpoints[r.rng.IntN(len(r.endpoints))]
 	d := time.Duration(200+r.rng.IntN(1500)) * time.Millisecond
 	f := foreignEntries[r.rng.IntN(len(foreignEntries))]
 	work := []func(){
-		r.publish,
+		func() { r.publish() },
 		func() { r.reload(g) },
 		func() { r.restartGracefully(g) },
 		func() { r.drainAndReplace(e) },
 		r.store.Compact,
 		r.growConfig,
-		func() { r.evacuate(e.domain, d, planned) },
+		func() { r.evacuate(e.domain, d, set != allFaults) },
 		func() { r.nameRate(e) },
 		func() { r.refuseFor(e, d) },
 		func() { r.announceAndReplace(e) },
 	}
-	if planned {
+	if set == plannedWork {
+		return work[r.rng.IntN(len(work))]
+	}
+	age, away := time.Duration(r.rng.IntN(3000))*time.Millisecond, time.Duration(r.rng.IntN(600))*time.Millisecond
+	if set == storeReturns {
+		work = append(work, func() { r.returnStore(age, away) }, func() { r.returnStore(age, away) }, func() { r.returnStore(age, away) })
 		return work[r.rng.IntN(len(work))]
 	}
 	faults := append(work,
@@ -198,6 +232,8 @@
 		func() { r.faultLink(g.toPeer, d, func(l *harness.Link) { l.Drop(harness.Upstream) }) },
 		func() { r.faultLink(g.toPeer, d, func(l *harness.Link) { l.Delay(300 * time.Millisecond) }) },
 		func() { r.faultLink(g.toPeer, d, (*harness.Link).Reset) },
+		func() { r.returnStore(age, away) },
+		func() { r.returnStore(age, away) },
 	)
 	return faults[r.rng.IntN(len(faults))]
 }
@@ -232,13 +268,12 @@
 		return
 	}
 	e.down = true
-	id := e.id
 	e.mu.Unlock()
 	r.recorder.recordFault(d)
 	apply(e.link)
 	wait(d / 2)
 	if expire {
-		r.store.Remove(platform.PrefixEndpoints + id)
+		r.unlist(e)
 	}
 	wait(d / 2)
 	e.mu.Lock()
@@ -328,10 +363,9 @@
 		return
 	}
 	e.drainedAt = time.Now()
-	id := e.id
 	e.mu.Unlock()
 	r.list(e, "draining")
 	wait(drainLimit + time.Second)
-	r.store.Remove("servers/" + id)
+	r.unlist(e)
 	r.register(e)
 }
