integration: what a fleet keeps and learns when the store returns from a copy

Eight more tests on real processes, three gateways and more: what was confirmed outlives the return; endpoints that the copy lacks; evacuations that had ended or begin after it; a start while only the copy is there, of one gateway and of all; a gateway that is cut off from the store; two returns within a second; a return in which nothing changes.

--- a/integration/store_restore_test.go
+++ b/integration/store_restore_test.go
@@ -22,6 +22,8 @@
 	restoreMembers = 3
 	// applyLimit is the time within which a change must be in force.
 	applyLimit = 2 * time.Second
+	// restoreGrace is how long an endpoint that the copy lacks still counts.
+	restoreGrace = 2 * time.Second
 )
 
 // restoreRig is a fleet of gateways whose store can return from a copy, before endpoints of
@@ -204,3 +206,192 @@
 	assert.Equal(t, r.gets("p-1", 2*time.Second), 0, "requests reach an endpoint that leaves")
 	testwait.For(t, recoveryTimeout, func() bool { return r.send(0, "base", "k1") == http.StatusOK })
 }
+
+// Guards against gateways that go back to a copy: a route that was added is unknown again, a
+// revoked key works again, an endpoint that was leaving gets work, an evacuated domain is
+// used.
+func TestConfirmedChangesOutliveTheReturn(t *testing.T) {
+	t.Parallel()
+	r := newRestoreRig(t)
+	r.store.Save()
+	r.list("p-3", "ready")
+	r.list("p-1", "draining")
+	r.store.Put(platform.PrefixEvacuations+"z2", nil)
+	r.publish("k1")
+	route := fmt.Sprintf("v%d", r.version)
+	r.within(time.Now(), applyLimit, "the changes are in force", r.serves(route, "k1", http.StatusOK))
+	waitUntil(time.Now(), applyLimit)
+	r.store.Restore()
+	returned := time.Now()
+	// The copy is all that the store has until the writers write again.
+	assert.Equal(t, r.gets("p-1", 300*time.Millisecond)+r.gets("p-2", 300*time.Millisecond), 0, "what was confirmed is forgotten")
+	r.within(time.Now(), time.Second, "the new route is known", r.serves(route, "k1", http.StatusOK))
+	r.within(time.Now(), time.Second, "the revoked key is refused", r.serves(route, "k2", http.StatusUnauthorized))
+	waitUntil(returned, time.Second)
+	r.list("p-3", "ready")
+	r.list("p-1", "draining")
+	r.store.Put(platform.PrefixEvacuations+"z2", nil)
+	waitUntil(returned, restoreGrace+time.Second)
+	assert.Equal(t, r.gets("p-1", 300*time.Millisecond)+r.gets("p-2", 300*time.Millisecond), 0, "what was confirmed is forgotten")
+	assert.Assert(t, r.gets("p-3", 300*time.Millisecond) > 0)
+}
+
+// Guards against an endpoint that is taken out of use because the copy is older than its
+// entry, and against one that stays in use although nobody writes its entry again.
+func TestEndpointsThatTheCopyLacks(t *testing.T) {
+	t.Parallel()
+	r := newRestoreRig(t)
+	r.list("p-1", "draining")
+	r.store.Save()
+	r.list("p-3", "ready")
+	r.list("p-4", "ready")
+	r.list("p-2", "draining")
+	r.advance(1)
+	waitUntil(time.Now(), applyLimit)
+	r.store.Restore()
+	returned := time.Now()
+	r.list("p-2", "draining")
+	// Only the two lost endpoints are left to serve.
+	assert.Assert(t, r.gets("p-3", time.Second)+r.gets("p-4", 300*time.Millisecond) > 0)
+	r.list("p-3", "ready")
+	waitUntil(returned, restoreGrace+time.Second)
+	assert.Equal(t, r.gets("p-4", 500*time.Millisecond), 0, "an endpoint that nobody lists again is kept")
+	r.list("p-5", "ready")
+	r.list("p-3", "draining")
+	waitUntil(time.Now(), applyLimit)
+	assert.Assert(t, r.gets("p-5", 500*time.Millisecond) > 0, "the new endpoint is not used")
+}
+
+// Guards against an evacuation that had ended and comes back with the copy, and against one
+// that is begun after the return and gets no attention.
+func TestEvacuationsOverTheReturn(t *testing.T) {
+	t.Parallel()
+	r := newRestoreRig(t)
+	r.store.Put(platform.PrefixEvacuations+"z1", nil)
+	waitUntil(time.Now(), applyLimit)
+	assert.Equal(t, r.gets("p-1", 300*time.Millisecond), 0)
+	r.store.Save()
+	r.store.Remove(platform.PrefixEvacuations + "z1")
+	r.advance(3)
+	r.store.Restore()
+	r.store.Put(platform.PrefixEvacuations+"z2", nil)
+	evacuated := time.Now()
+	// If the evacuation that had ended were back, nobody could serve.
+	statuses := r.load(time.Second)
+	assert.Equal(t, len(statuses), 1, "all are served: %v", statuses)
+	r.store.Remove(platform.PrefixEvacuations + "z1")
+	waitUntil(evacuated, applyLimit)
+	assert.Equal(t, r.gets("p-2", 500*time.Millisecond), 0, "a domain that is evacuated after the return gets requests")
+	assert.Assert(t, r.gets("p-1", 300*time.Millisecond) > 0)
+}
+
+// Guards against a gateway that starts while the store has only the copy and serves by it,
+// although its peers know more.
+func TestStartWhileOnlyTheCopyIsThere(t *testing.T) {
+	t.Parallel()
+	r := newRestoreRig(t)
+	r.store.Save()
+	r.list("p-3", "ready")
+	r.list("p-1", "draining")
+	r.publish("k1")
+	route := fmt.Sprintf("v%d", r.version)
+	r.within(time.Now(), applyLimit, "the changes are in force", r.serves(route, "k1", http.StatusOK))
+	r.store.Restore()
+	r.start()
+	r.members[1].Kill()
+	r.members[1].Restart()
+	for _, gateway := range []int{1, 3} {
+		testwait.For(t, recoveryTimeout, func() bool { return r.send(gateway, "base", "k1") == http.StatusOK })
+		assert.Equal(t, r.send(gateway, route, "k1"), http.StatusOK, "gateway %d does not know the newest route", gateway+1)
+		assert.Equal(t, r.send(gateway, "base", "k2"), http.StatusUnauthorized, "a revoked key works at gateway %d", gateway+1)
+	}
+	assert.Equal(t, r.gets("p-1", time.Second), 0, "requests reach an endpoint that leaves")
+}
+
+// Guards against gateways that never become ready when all start while the store has only
+// the copy: it is then all that anyone knows.
+func TestFleetStartsFromTheCopy(t *testing.T) {
+	t.Parallel()
+	r := newRestoreRig(t)
+	r.store.Save()
+	r.advance(2)
+	r.store.Restore()
+	for _, member := range r.members {
+		member.Kill()
+	}
+	for _, member := range r.members {
+		member.Restart()
+	}
+	r.within(time.Now(), recoveryTimeout, "the fleet serves again", r.serves("base", "k1", http.StatusOK))
+	version := r.publish("k1")
+	r.within(time.Now(), applyLimit, "the next version is in force", r.serves(fmt.Sprintf("v%d", version), "k1", http.StatusOK))
+}
+
+// Guards against a gateway that is cut off from the store over its return, keeps the high
+// revision of the time before and takes its peers for outdated, or they it for the most
+// advanced.
+func TestCutGatewayLearnsOfTheReturnFromPeers(t *testing.T) {
+	t.Parallel()
+	r := newRestoreRig(t)
+	r.store.Save()
+	r.advance(6)
+	for _, cut := range []int{0, 1, 2} {
+		r.links[cut].Cut()
+		r.store.Restore()
+		version := r.publish("k1")
+		route := fmt.Sprintf("v%d", version)
+		r.within(time.Now(), applyLimit, route+" is in force", r.serves(route, "k1", http.StatusOK))
+		r.within(time.Now(), applyLimit, "the key is revoked", r.serves("base", "k2", http.StatusUnauthorized))
+		r.links[cut].Heal()
+		r.advance(6)
+	}
+}
+
+// Guards against changes that are lost between two returns of the store within a second,
+// the second one from the same copy.
+func TestTwoReturnsWithinASecond(t *testing.T) {
+	t.Parallel()
+	r := newRestoreRig(t)
+	r.store.Save()
+	r.advance(4)
+	r.store.Restore()
+	waitUntil(time.Now(), 300*time.Millisecond)
+	r.publish("k1", "k2")
+	r.list("p-3", "ready")
+	r.store.Restore()
+	r.list("p-3", "ready")
+	r.list("p-1", "draining")
+	r.list("p-2", "draining")
+	version := r.publish("k1")
+	written := time.Now()
+	route := fmt.Sprintf("v%d", version)
+	r.within(written, applyLimit, route+" is in force", r.serves(route, "k1", http.StatusOK))
+	r.within(written, applyLimit, "the key is revoked", r.serves("base", "k2", http.StatusUnauthorized))
+	waitUntil(written, applyLimit)
+	assert.Equal(t, r.gets("p-1", 500*time.Millisecond), 0, "requests reach an endpoint that leaves")
+	assert.Assert(t, r.gets("p-3", 500*time.Millisecond) > 0, "the endpoint is not used")
+}
+
+// A return in which nothing changes costs nobody an answer, and the store no more than one
+// list by each reader.
+func TestReturnWithoutChangesCostsNothing(t *testing.T) {
+	t.Parallel()
+	r := newRestoreRig(t)
+	r.store.Save()
+	waitUntil(time.Now(), time.Second)
+	var lists atomic.Int64
+	r.store.SetBeforeCall(func(path string) bool {
+		if path == "/kv-key" {
+			lists.Add(1)
+		}
+		return true
+	})
+	go func() {
+		waitUntil(time.Now(), 500*time.Millisecond)
+		r.store.Restore()
+	}()
+	statuses := r.load(3 * time.Second)
+	t.Logf("%d lists, answers %v", lists.Load(), statuses)
+	assert.Equal(t, len(statuses), 1, "all are served: %v", statuses)
+	assert.Assert(t, lists.Load() >= 1 && lists.Load() <= 2, "%d lists by two readers", lists.Load())
+}
