dispatch: an endpoint of a stage is tried when its backoff ends

Callers saw a stage served by one endpoint for seconds after the other one's backoff was over (TestStageEndpointInBackoff, once on under load). The gateways try an endpoint once when its backoff ends; the queue's owner ordered idle endpoints by a speed learned before and had no such try, so that a slower one got nothing while a faster one was idle.

TestEndpointIsTriedWhenItsBackoffEnds failed before (no call in 3 s) and passes now: one idle worker whose backoff has ended goes to the front, once.

--- a/dispatch/fill.go
+++ b/dispatch/fill.go
@@ -57,9 +57,24 @@
 	if !c.quotas.Empty() {
 		c.putProbesFirst(workers, now)
 	}
+	if !c.backoffs.Empty() {
+		c.putRestedFirst(workers, now)
+	}
 	return workers
 }
 
+// putRestedFirst moves one worker whose backoff has ended to the front: what is known of
+// its speed is out of date. The others have their turn in later calls.
+func (c *Core) putRestedFirst(workers []*worker, now time.Time) {
+	for i, w := range workers {
+		if c.backoffs.TakeProbe(now, w.key) {
+			copy(workers[1:i+1], workers[:i])
+			workers[0] = w
+			return
+		}
+	}
+}
+
 // putProbesFirst moves workers with quotas that have got nothing for a while to the
 // front.
 func (c *Core) putProbesFirst(workers []*worker, now time.Time) {
