discovery: an item under an unknown key is news, whether seen before or not

A gateway that starts and follows a reader hears of the last valid configuration and of an invalid one that has overwritten it in one answer. The invalid one takes the place of the valid one before that is decoded, and is refused; when the valid one was then read again, it counted as a repetition, and the gateway was not ready until the operator wrote again.

TestFollowerStartsWhileTheConfigurationIsOverwritten failed before (not ready after 10 s, all six cases) and passes now.

--- a/discovery/foreign_test.go
+++ b/discovery/foreign_test.go
@@ -340,6 +340,26 @@
 	}
 }
 
+// As above for a gateway that follows a reader, from which it hears of the last valid version
+// and of the invalid one at once.
+func TestFollowerStartsWhileTheConfigurationIsOverwritten(t *testing.T) {
+	for name, value := range badConfigs {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := standin.NewStore()
+			putConfig(store, 1)
+			putEndpoint(store, "g1")
+			p := newPair(t, store)
+			p.awaitBoth(t, hasVersion(1))
+			store.PutRaw(platform.KeyConfig, value)
+			at := store.Put("other/tick", nil)
+			testwait.For(t, patience, func() bool { return p.reader.At().Revision >= at })
+			fresh, _ := follow(t, store, discovery.NewPeerRelay(singleReader{conn: connect(t, p.reader)}, zerolog.Nop()))
+			testwait.For(t, patience, func() bool { return hasVersion(1)(fresh.View()) && fresh.View().Ready() })
+		})
+	}
+}
+
 // A fleet that starts without a valid configuration must not be ready, and must become ready
 // with the first valid one.
 func TestOnlyAnInvalidConfiguration(t *testing.T) {
--- a/discovery/read.go
+++ b/discovery/read.go
@@ -44,10 +44,12 @@
 	}
 	f.logList(len(items), at)
 	f.update(func(now time.Time, s *State) {
-		err = checkEra(max(at.Era, s.At().Era), at.Era)
-		if err == nil {
-			s.ApplyList(now, items, at)
+		// Meanwhile a peer may have told of a later era.
+		if s.At().Era > at.Era {
+			err = errOldEra
+			return
 		}
+		s.ApplyList(now, items, at)
 	})
 	return err
 }
--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -60,10 +60,10 @@
 		return item.Revision > known.Revision
 	case item.Era < known.Era:
 		return s.adopting && known.Era == s.at.Era && s.maybeRepeated(known)
-	case !known.Position().IsZero() && s.includes(item):
-		return s.adopting
-	case known.Lost || item.Lost:
+	case known.Position().IsZero() || known.Lost || item.Lost:
 		return true
+	case s.includes(item):
+		return s.adopting
 	case s.maybeRepeated(item) && s.seen.has(item):
 		s.noteRepeated(known, item)
 		return false
@@ -141,6 +141,9 @@
 	if b.At.Era != s.at.Era || s.start.After(b.At) {
 		return
 	}
+	if b.At.After(s.at) {
+		s.noteObserved(b.Items, b.At)
+	}
 	s.adopting = true
 	s.applyAll(now, b.Items, b.At)
 	s.adopting = false
--- a/discovery/writes.go
+++ b/discovery/writes.go
@@ -61,7 +61,6 @@
 	_, _ = h.Write(number[:])
 	_, _ = h.WriteString(item.Key)
 	if !strings.HasPrefix(item.Key, platform.PrefixEvacuations) {
-		_, _ = h.Write(number[8:])
 		_, _ = h.Write(item.Value)
 	}
 	return h.Sum64()
