--- a/discovery/foreign_test.go
+++ b/discovery/foreign_test.go
@@ -317,6 +317,21 @@
 	}
 }
 
+// newOverwrittenPair returns a pair that has version 1 of the configuration, which another
+// writer has overwritten in the store with the JSON text value.
+func newOverwrittenPair(t *testing.T, value string) *pair {
+	t.Helper()
+	store := standin.NewStore()
+	putConfig(store, 1)
+	putEndpoint(store, "g1")
+	p := newPair(t, store)
+	p.awaitBoth(t, hasVersion(1))
+	store.PutRaw(platform.KeyConfig, value)
+	at := store.Put("other/tick", nil)
+	testwait.For(t, patience, func() bool { return p.reader.At().Revision >= at })
+	return p
+}
+
 // Guards against a starting gateway that never becomes ready although others serve requests:
 // the value under the configuration's key is invalid, and only its peers have the last valid
 // version. Here the gateway is one that reads the store itself.
@@ -324,17 +339,10 @@
 	for name, value := range badConfigs {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			store := standin.NewStore()
-			putConfig(store, 1)
-			putEndpoint(store, "g1")
-			p := newPair(t, store)
-			p.awaitBoth(t, hasVersion(1))
-			store.PutRaw(platform.KeyConfig, value)
-			at := store.Put("other/tick", nil)
-			testwait.For(t, patience, func() bool { return p.reader.At().Revision >= at })
-			fresh, _ := follow(t, store, discovery.NewPeerRelay(selfReader{conn: connect(t, p.reader)}, zerolog.Nop()))
+			p := newOverwrittenPair(t, value)
+			fresh, _ := follow(t, p.store, discovery.NewPeerRelay(selfReader{conn: connect(t, p.reader)}, zerolog.Nop()))
 			testwait.For(t, patience, func() bool { return hasVersion(1)(fresh.View()) && fresh.View().Ready() })
-			putConfig(store, 2)
+			putConfig(p.store, 2)
 			testwait.For(t, patience, func() bool { return hasVersion(2)(fresh.View()) })
 		})
 	}
@@ -346,15 +354,8 @@
 	for name, value := range badConfigs {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			store := standin.NewStore()
-			putConfig(store, 1)
-			putEndpoint(store, "g1")
-			p := newPair(t, store)
-			p.awaitBoth(t, hasVersion(1))
-			store.PutRaw(platform.KeyConfig, value)
-			at := store.Put("other/tick", nil)
-			testwait.For(t, patience, func() bool { return p.reader.At().Revision >= at })
-			fresh, _ := follow(t, store, discovery.NewPeerRelay(singleReader{conn: connect(t, p.reader)}, zerolog.Nop()))
+			p := newOverwrittenPair(t, value)
+			fresh, _ := follow(t, p.store, discovery.NewPeerRelay(singleReader{conn: connect(t, p.reader)}, zerolog.Nop()))
 			testwait.For(t, patience, func() bool { return hasVersion(1)(fresh.View()) && fresh.View().Ready() })
 		})
 	}
