--- a/gateway/lognames.go
+++ b/gateway/lognames.go
@@ -2,10 +2,11 @@
 
 // Event names of the log lines.
 const (
-	logAnswered = "answered"
-	logCrashed  = "endpoint_crashed"
-	logGranted  = "granted"
-	logSent     = "sent"
+	logAnswered   = "answered"
+	logSendBroken = "send_broken"
+	logCrashed    = "endpoint_crashed"
+	logGranted    = "granted"
+	logSent       = "sent"
 	// logArrivedDuringShutdown is logged for a request that arrived after the shutdown
 	// had begun.
 	logArrivedDuringShutdown = "taken_while_stopping"
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -136,6 +136,8 @@
 	if req.ctx.Err() != nil {
 		return
 	}
+	g.cfg.Log.Warn().Str("event", logSendBroken).Str("request", req.ID).Uint64("content", req.contentHash).
+		Str("endpoint", e.Key()).Bool("leaving", e.Leaving).Msg("the connection broke under a request")
 	g.crashTracker.addBroken(time.Now(), req.contentHash, e)
 	// The endpoint may already be missing from the view.
 	g.detectCrashes(g.cfg.View())
