--- a/broadcast/broadcast.go
+++ b/broadcast/broadcast.go
@@ -3,7 +3,11 @@
 // tells the others. A message may be lost or overtaken: receivers must bear that.
 package broadcast
 
-import "github.com/mangostage/mangostage/peer"
+import (
+	"slices"
+
+	"github.com/mangostage/mangostage/peer"
+)
 
 // maxUpdates bounds the updates of one message.
 const maxUpdates = 256
@@ -54,14 +58,19 @@
 }
 
 // Spread tells the other members what this process has learned.
-func (t *Topic[U]) Spread(u U) {
-	if conn := t.Fleet.OwnerConn(); conn != nil {
-		// A connection on which this fails is closed.
-		go func() { _ = conn.Notify(t.Report, []U{u}) }()
-		return
-	}
-	if t.Fleet.Owns() {
-		t.Fleet.Broadcast(t.Update, []U{u})
+func (t *Topic[U]) Spread(u U) { t.SpreadAll([]U{u}) }
+
+// SpreadAll tells the other members several things that this process has learned.
+func (t *Topic[U]) SpreadAll(updates []U) {
+	conn, owns := t.Fleet.OwnerConn(), t.Fleet.Owns()
+	for part := range slices.Chunk(updates, maxUpdates) {
+		switch {
+		case conn != nil:
+			// A connection on which this fails is closed.
+			go func() { _ = conn.Notify(t.Report, part) }()
+		case owns:
+			t.Fleet.Broadcast(t.Update, part)
+		}
 	}
 }
 
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -4,6 +4,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -208,6 +209,12 @@
 	return e.ID + "@" + strconv.FormatInt(int64(e.Incarnation), 10)
 }
 
+// IDOfKey returns the ID of the endpoint with the Key.
+func IDOfKey(key string) string {
+	id, _, _ := strings.Cut(key, "@")
+	return id
+}
+
 // PrefixPart is one part of a prompt that requests may share. A cached part
 // saves its tokens only if all parts before it are cached too.
 type PrefixPart struct {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/position"
+	"github.com/mangostage/mangostage/quarantine"
 	"github.com/mangostage/mangostage/quota"
 	"github.com/mangostage/mangostage/retryafter"
 	"github.com/mangostage/mangostage/scheduler"
@@ -66,20 +67,21 @@
 
 // Gateway is a running mangostage-gateway.
 type Gateway struct {
-	loaded    settings.LoadedGateway
-	options   settings.Gateway
-	log       zerolog.Logger
-	sink      *logsink.Sink
-	bus       *kernel.Bus
-	follower  *discovery.Follower
-	fleet     *fleet.Service
-	scheduler *scheduler.Scheduler
-	quotas    *quota.Client
-	backoffs  *retryafter.Table
-	signals   *signals
-	gateway   *gateway.Gateway
-	metrics   *gateway.Metrics
-	frontend  *http.Server
+	loaded     settings.LoadedGateway
+	options    settings.Gateway
+	log        zerolog.Logger
+	sink       *logsink.Sink
+	bus        *kernel.Bus
+	follower   *discovery.Follower
+	fleet      *fleet.Service
+	scheduler  *scheduler.Scheduler
+	quotas     *quota.Client
+	backoffs   *retryafter.Table
+	signals    *signals
+	quarantine *quarantine.Client
+	gateway    *gateway.Gateway
+	metrics    *gateway.Metrics
+	frontend   *http.Server
 	// clientConns are the client connections of frontend.
 	clientConns *keepalive.Conns
 	// auxServers serve readiness and metrics.
@@ -146,35 +148,41 @@
 	g.backoffs = retryafter.NewTable()
 	g.signals = newSignals(g.quotas, g.backoffs, g.follower, g.fleet, g.log)
 	g.signals.departures.Serve(mux)
-	g.scheduler = scheduler.New(p.Name, stages, g.quotas.Table(), g.backoffs, g.signals, g.log)
+	g.quarantine = quarantine.NewClient(quarantine.Config{
+		Drain: p.Bounds.Drain, Fleet: g.fleet, CheckPause: g.follower.CheckPause, Log: g.log,
+	})
+	g.follower.OnWake(g.quarantine.BeCautious)
+	g.scheduler = scheduler.New(p.Name, stages, g.quotas.Table(), g.backoffs, g.quarantine, g.signals, g.log)
 	discovery.ServePeers(mux, g.follower)
 	scheduler.Serve(mux, g.scheduler)
 	quota.Serve(mux, g.quotas)
 	g.gateway = gateway.New(gateway.Config{
-		Domain:           p.Domain,
-		Bounds:           p.Bounds,
-		View:             g.follower.View,
-		FreshView:        g.follower.FreshView,
-		FleetSize:        g.fleet.Size,
-		OthersAvailable:  g.fleet.OthersAvailable,
-		Scheduler:        scheduler.NewClient(g.scheduler, g.fleet, g.log),
-		Signals:          g.signals,
-		Quotas:           g.quotas,
-		Backoffs:         g.backoffs,
-		Transport:        toEndpoints,
-		Log:              g.log,
-		Metrics:          g.metrics,
-		BroadcastCrashes: func(crashes []gateway.Crash) { g.fleet.Broadcast(methodCrashed, crashes) },
+		Domain:          p.Domain,
+		Bounds:          p.Bounds,
+		View:            g.follower.View,
+		FreshView:       g.follower.FreshView,
+		FleetSize:       g.fleet.Size,
+		OthersAvailable: g.fleet.OthersAvailable,
+		Scheduler:       scheduler.NewClient(g.scheduler, g.fleet, g.log),
+		Signals:         g.signals,
+		Quotas:          g.quotas,
+		Backoffs:        g.backoffs,
+		Transport:       toEndpoints,
+		Log:             g.log,
+		Metrics:         g.metrics,
+		Quarantine:      g.quarantine,
 	})
-	peer.HandleNotification(mux, methodCrashed, func(_ *peer.Conn, crashes []gateway.Crash) { g.addPeerCrashes(crashes) })
+	quarantine.Serve(mux, g.quarantine)
 	kernel.Handle(g.bus, "scheduler", kernel.TopicView, func(kernel.ViewEvent) { g.scheduler.SetView(g.follower.View()) })
 	kernel.Handle(g.bus, "gateway", kernel.TopicView, func(kernel.ViewEvent) { g.gateway.SetView(g.follower.View()) })
 }
 
-// greet tells a member that has just connected what endpoints said about themselves.
+// greet tells a member that has just connected what endpoints said about themselves, and
+// which content crashes them.
 func (g *Gateway) greet(conn *peer.Conn) {
 	g.quotas.Greet(conn)
 	g.signals.departures.Greet(conn)
+	g.quarantine.Greet(conn)
 }
 
 // quotaAllowance returns what this process may spend of the quotas of endpoints.
@@ -183,23 +191,6 @@
 	return quota.Allowance{Share: share, Since: since}
 }
 
-// methodCrashed is the peer notification of endpoints that crashed while they ran requests.
-const methodCrashed = "gateway.crashed"
-
-// addPeerCrashes records crashes that another gateway observed. If the members
-// do not form a full mesh, crashes that were not known here are forwarded.
-func (g *Gateway) addPeerCrashes(crashes []gateway.Crash) {
-	var unseen []gateway.Crash
-	for _, c := range crashes {
-		if g.gateway.AddRemoteCrash(c) {
-			unseen = append(unseen, c)
-		}
-	}
-	if len(unseen) > 0 && !g.fleet.Mesh() {
-		g.fleet.Broadcast(methodCrashed, unseen)
-	}
-}
-
 // storeTransport returns a transport for calls to the platform's store.
 func storeTransport() *gateway.Transport {
 	t := gateway.NewTransport()
@@ -241,6 +232,7 @@
 	}
 	g.running.Go(func() { g.follower.Run(ctx) })
 	g.running.Go(func() { g.scheduler.Run(ctx) })
+	g.running.Go(func() { g.quarantine.Run(ctx) })
 	g.running.Go(func() { g.watchSettings(ctx) })
 	ready := chi.NewRouter()
 	ready.Get("/readyz", g.gateway.Ready)
@@ -392,6 +384,8 @@
 	m.Set("quota_changes", g.quotas.Counters)
 	m.Set("quotas", expvar.Func(func() any { return g.quotas.Stats() }))
 	m.Set("backoffs", expvar.Func(func() any { return g.backoffs.Stats(time.Now()) }))
+	m.Set("content_changes", g.quarantine.Counters)
+	m.Set("quarantine", expvar.Func(func() any { return g.quarantine.Table().Stats(time.Now()) }))
 	m.Set("ownership", expvar.Func(func() any { return g.fleet.Ownership() }))
 	m.Set("fleet_size", expvar.Func(func() any { return g.fleet.Size() }))
 	m.Set("store_at", expvar.Func(func() any { return g.follower.At().Revision }))
--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -8,7 +8,7 @@
 	cl := &call{id: c.lastEffectID, worker: w, pieces: pieces, sentAt: now, expectedTime: w.expectedCallTime(len(pieces))}
 	effect := StartCall{
 		Call: cl.id, Service: p.name, Waiting: p.waiting, Endpoint: w.endpoint.ID, Key: w.key, Addr: w.endpoint.Addr,
-		Speed: w.speed, Suspect: w.suspect,
+		Speed: w.speed, Suspect: w.suspect, Trial: c.callMode(pieces[0].stage.job, now) == callTrial,
 	}
 	for _, callPiece := range pieces {
 		s := callPiece.stage
@@ -17,6 +17,7 @@
 		cl.bytes += s.ResultBytes
 		piece := Piece{
 			Request:   s.job.Request,
+			Content:   s.job.Content,
 			Stage:     s.index,
 			Index:     callPiece.index,
 			Inputs:    s.inputs,
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -38,6 +38,8 @@
 	// stages that this process, which calls them, must leave alone for a while.
 	quotas   *quota.Table
 	backoffs *retryafter.Table
+	// contents limits the calls with content that was lost with endpoints; nil for none.
+	contents Contents
 	calls    map[uint64]*call
 	// pendingFrees holds, by effect ID, the results whose Free the endpoint has not
 	// answered yet.
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/quarantine"
 )
 
 // Effect is an action for the scheduler to carry out.
@@ -28,11 +29,14 @@
 	// be reached; the call then has only one piece.
 	Speed   float64
 	Suspect bool
+	// Trial is true if the call is a trial of quarantined content.
+	Trial bool
 }
 
 // Piece is one piece of a call.
 type Piece struct {
 	Request      string
+	Content      quarantine.Content
 	Stage, Index int
 	Remaining    time.Duration
 	// Key is set for stages without inputs, Inputs for the others.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/quarantine"
 )
 
 // Job is a request for a model engine, with the stages to run before it.
@@ -13,6 +14,8 @@
 	Ticket string `json:"ticket"`
 	// Request is the request ID that endpoints see.
 	Request string `json:"request"`
+	// Content identifies what stays the same when the request comes again.
+	Content quarantine.Content `json:"content,omitempty"`
 	// Service is the model service that serves the request after its stages.
 	Service string `json:"service"`
 	// Route and Account are used in logs and for fair sharing.
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -28,6 +28,8 @@
 	name    string
 	spec    *catalog.Batch
 	workers []*worker
+	// callMode returns in which calls the pieces of a job may run.
+	callMode func(*job, time.Time) callMode
 	// usable counts the usable workers; domains are their failure domains.
 	usable  int
 	domains map[string]bool
@@ -103,6 +105,7 @@
 	return &pool{
 		name: name, spec: spec, avgCallTime: fullCallTime(spec), avgHoldTime: 2 * fullCallTime(spec), memoryShare: 1, demand: newDemand(),
 		domains: make(map[string]bool), queuedSizes: make(map[int64]int), callWindow: callWindow{limit: unbounded},
+		callMode: func(*job, time.Time) callMode { return callShared },
 	}
 }
 
@@ -227,6 +230,17 @@
 	}
 }
 
+// fits reports whether pieces of s may join those that the call has.
+func (b *batchBuilder) fits(s *stage) bool {
+	switch b.pool.callMode(s.job, b.now) {
+	case callShared:
+		return true
+	case callHeld:
+		return false
+	}
+	return len(b.pieces) == 0
+}
+
 // takeProbe takes one piece for a suspect worker. It takes the one with the latest
 // startBy, which can best afford a delay.
 func (b *batchBuilder) takeProbe() {
@@ -248,7 +262,7 @@
 	if s.avoidKey == b.worker.key && b.pool.usable > 1 {
 		return false
 	}
-	return s.mayRunIn(b.worker.endpoint.Domain, b.pool, b.now)
+	return s.mayRunIn(b.worker.endpoint.Domain, b.pool, b.now) && b.fits(s)
 }
 
 // take moves waiting pieces of s into the call.
@@ -264,6 +278,9 @@
 	s.updateDemand()
 	b.pool.waiting -= n
 	b.places -= n
+	if b.pool.callMode(s.job, b.now) != callShared {
+		b.places = 0
+	}
 	b.freeMemory -= int64(n) * s.ResultBytes
 	if len(s.waiting) == 0 {
 		b.pool.learnForecastError(s, b.now)
--- a/dispatch/view.go
+++ b/dispatch/view.go
@@ -37,6 +37,7 @@
 	first := p == nil
 	if first {
 		p = newPool(s.Name, s.Batch)
+		p.callMode = c.callMode
 		c.pools[s.Name] = p
 		c.sortPools()
 	}
--- /dev/null
+++ b/gateway/content.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/quarantine"
+)
+
+const (
+	// reasonCrashes is the reason of requests whose content crashes endpoints,
+	// reasonAwaitsVerdict of those that waited in vain until it was known whether it does.
+	reasonCrashes       = "crashes_endpoints"
+	reasonAwaitsVerdict = "awaits_verdict"
+)
+
+// hashContent hashes the parts of a request that stay the same when a client
+// retries it.
+func hashContent(req *request) quarantine.Content {
+	h := xxhash.New()
+	for _, part := range []string{req.http.Method, hostOf(req.http), req.http.RequestURI, req.accountName()} {
+		// A digest takes all bytes and has no errors.
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(req.body)
+	return quarantine.Content(h.Sum64())
+}
+
+// refuseQuarantined refuses a request whose content is quarantined.
+func (g *Gateway) refuseQuarantined(req *request) *problem {
+	req.content = hashContent(req)
+	if left := g.cfg.Quarantine.RefusedFor(req.content); left > 0 {
+		return unavailable(reasonCrashes, left)
+	}
+	return nil
+}
+
+// beginRun asks whether the request's content may be run now. waited is true if that took
+// a while, so that the endpoint has to be chosen again.
+func (g *Gateway) beginRun(req *request) (waited bool, p *problem) {
+	req.endRun()
+	req.runs++
+	id := req.ID + "#" + strconv.Itoa(req.runs)
+	run, waited, refusal := g.cfg.Quarantine.Begin(req.ctx, req.content, req.ID, id, req.remaining())
+	if refusal == nil {
+		req.run = run
+		return waited, nil
+	}
+	reason := reasonAwaitsVerdict
+	if refusal.Quarantined {
+		reason = reasonCrashes
+	}
+	return waited, giveUp(req, req.endReason(reason), refusal.RetryAfter)
+}
+
+// endRun ends the request's run, if it has not ended.
+func (req *request) endRun() {
+	req.run.End()
+	req.run = nil
+}
+
+// recordBroken records a connection that broke under a request with an error, unless the
+// client left, the time ran out or a shutdown ended the request.
+func (g *Gateway) recordBroken(req *request, e *catalog.Endpoint, err error) {
+	if req.ctx.Err() != nil {
+		req.endRun()
+		return
+	}
+	req.run.Broken(quarantine.Endpoint{Key: e.Key(), Addr: e.Addr, Service: e.Service}, err)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/internal/keepalive"
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/quarantine"
 	"github.com/mangostage/mangostage/quota"
 	"github.com/mangostage/mangostage/retry"
 	"github.com/mangostage/mangostage/retryafter"
@@ -53,9 +54,8 @@
 	Metrics   *Metrics
 	// OthersAvailable reports whether another gateway is live and not shutting down.
 	OthersAvailable func() bool
-	// BroadcastCrashes sends the crashes that this process detected to the other gateways; nil
-	// if crashes are not shared.
-	BroadcastCrashes func([]Crash)
+	// Quarantine stops content that crashes endpoints.
+	Quarantine *quarantine.Client
 }
 
 // Gateway is the HTTP handler of client requests.
@@ -64,7 +64,6 @@
 	balance           *balance.Balancer
 	retryBudget       *retry.Window
 	ageEstimator      *ageEstimator
-	crashTracker      *crashTracker
 	durationEstimator *durationEstimator
 	shutdown          *shutdown
 	// fleet tracks the number of gateways, from which this process's share of the load
@@ -84,40 +83,21 @@
 		cfg:               cfg,
 		balance:           balance.New(cfg.Domain),
 		ageEstimator:      newAgeEstimator(),
-		crashTracker:      newCrashTracker(),
 		durationEstimator: newDurationEstimator(),
 		shutdown:          newShutdown(),
 		retryBudget:       retry.NewWindow(cfg.Bounds.RetryWindow, cfg.Bounds.RetryRatio*retryRatioShare),
 	}
 }
 
-// SetView passes a new view to the balancer and the transport, and detects
-// endpoints that crashed.
+// SetView passes a new view to the components that keep state per endpoint.
 func (g *Gateway) SetView(view *catalog.View) {
 	g.balance.Forget(view)
 	g.cfg.Quotas.SetView(view)
 	g.cfg.Backoffs.Expire(time.Now())
 	g.cfg.Transport.SetView(view)
-	g.detectCrashes(view)
+	g.cfg.Quarantine.SetView(view)
 }
 
-// detectCrashes reports endpoints that went away after a connection broke under a
-// request.
-func (g *Gateway) detectCrashes(view *catalog.View) {
-	found := g.crashTracker.detect(time.Now(), view)
-	for _, c := range found {
-		g.cfg.Log.Warn().Str("event", logCrashed).Uint64("content", c.Content).Str("endpoint", c.Endpoint).
-			Msg("endpoint crashed while running a request with this content")
-	}
-	if len(found) > 0 && g.cfg.BroadcastCrashes != nil {
-		g.cfg.BroadcastCrashes(found)
-	}
-}
-
-// AddRemoteCrash records a crash that another gateway detected and reports whether it
-// was unknown here.
-func (g *Gateway) AddRemoteCrash(c Crash) bool { return g.crashTracker.addRemote(time.Now(), c) }
-
 // EndpointStats returns the balancer's statistics of the endpoints that it sends to.
 func (g *Gateway) EndpointStats() []balance.Stats { return g.balance.Stats(time.Now()) }
 
@@ -138,9 +118,10 @@
 		p = g.readBody(w, req)
 	}
 	if p == nil {
-		p = g.refuseCrashingContent(req)
+		p = g.refuseQuarantined(req)
 	}
 	if p == nil {
+		defer req.endRun()
 		p = g.serve(w, req)
 	}
 	if p != nil {
@@ -148,16 +129,6 @@
 	}
 }
 
-// refuseCrashingContent refuses a request whose content has crashed crashLimit
-// endpoints.
-func (g *Gateway) refuseCrashingContent(req *request) *problem {
-	req.contentHash = hashContent(req)
-	if left, refused := g.crashTracker.refused(time.Now(), req.contentHash); refused {
-		return unavailable("crashes_endpoints", left)
-	}
-	return nil
-}
-
 // serve forwards the request and relays the answer. It returns a problem if nothing
 // has been written to the client.
 func (g *Gateway) serve(w http.ResponseWriter, req *request) *problem {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/platform/standin"
+	"github.com/mangostage/mangostage/quarantine"
 	"github.com/mangostage/mangostage/quota"
 	"github.com/mangostage/mangostage/retryafter"
 	"github.com/mangostage/mangostage/scheduler"
@@ -104,7 +105,8 @@
 	t.Cleanup(transport.CloseIdleConnections)
 	log := zerolog.New(&r.logs).With().Timestamp().Str("process", "g").Logger()
 	quotas := quota.NewClient(quota.NewTable(func() quota.Allowance { return quota.Allowance{Share: 1} }), newSingleProcess(), log)
-	r.scheduler = scheduler.New("test", platform.NewStageClient(&http.Client{Transport: transport}), quotas.Table(), nil, quotas, log)
+	contents := quarantine.NewClient(quarantine.Config{Log: log})
+	r.scheduler = scheduler.New("test", platform.NewStageClient(&http.Client{Transport: transport}), quotas.Table(), nil, contents, quotas, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { r.scheduler.Run(ctx) })
@@ -117,6 +119,7 @@
 			return r.view
 		},
 		FleetSize:       func() int { return 1 },
+		Quarantine:      contents,
 		OthersAvailable: func() bool { return false },
 		Scheduler:       scheduler.NewClient(r.scheduler, newSingleProcess(), log),
 		Signals:         &signalObserver{quotas: quotas, backoffs: r.backoffs},
--- a/gateway/lognames.go
+++ b/gateway/lognames.go
@@ -2,11 +2,9 @@
 
 // Event names of the log lines.
 const (
-	logAnswered   = "answered"
-	logSendBroken = "send_broken"
-	logCrashed    = "endpoint_crashed"
-	logGranted    = "granted"
-	logSent       = "sent"
+	logAnswered = "answered"
+	logGranted  = "granted"
+	logSent     = "sent"
 	// logArrivedDuringShutdown is logged for a request that arrived after the shutdown
 	// had begun.
 	logArrivedDuringShutdown = "taken_while_stopping"
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -80,6 +80,8 @@
 	_, estimate := g.estimateDuration(m.request)
 	ctx, cancel := g.shutdown.boundContext(m.ctx, estimate)
 	defer cancel()
+	ctx, unwatch := g.cfg.Quarantine.Bound(ctx, m.content)
+	defer unwatch()
 	job := m.job(g.cfg.Domain)
 	job.Excluded = g.excludedEngines(m)
 	lease, err := g.cfg.Scheduler.Submit(ctx, job)
@@ -87,6 +89,9 @@
 	case err != nil && cancelledByShutdown(ctx):
 		return nil, giveUp(m.request, reasonStopping, g.shutdownRetryAfter(estimate))
 	case err != nil:
+		if left := g.cfg.Quarantine.RefusedFor(m.content); left > 0 {
+			return nil, giveUp(m.request, m.endReason(reasonCrashes), left)
+		}
 		return nil, giveUp(m.request, m.endReason("queue_unreachable"), overloadRetryAfter)
 	case lease.Refuse != nil:
 		p := giveUp(m.request, string(lease.Refuse.Reason), lease.Refuse.RetryAfter)
@@ -105,6 +110,7 @@
 	j := dispatch.Job{
 		Ticket:         m.ID + "#" + strconv.Itoa(m.submits),
 		Request:        m.ID,
+		Content:        m.content,
 		Service:        m.serviceName,
 		Route:          m.route.Name,
 		Account:        m.accountName(),
@@ -168,6 +174,16 @@
 		case e == nil:
 			return false, g.unservedProblem(m.request)
 		}
+		waited, p := g.beginRun(m.request)
+		if p != nil || waited && !g.stillTakesWork(m.request, e) {
+			g.abandonPick(e, picked)
+			if p != nil {
+				// The engine was not called and is not at fault.
+				served = true
+				return false, p
+			}
+			continue
+		}
 		g.countFirstSend(m.request, &m.tries)
 		switch g.tryEngine(w, m, e, picked) {
 		case streamServed:
@@ -226,6 +242,13 @@
 	return e, e != nil, p
 }
 
+// abandonPick ends the balancer's count of a request that is not sent to the engine.
+func (g *Gateway) abandonPick(e *catalog.Endpoint, picked bool) {
+	if picked {
+		g.balance.Done(time.Now(), e.Key(), balance.Abandoned, 0, -1)
+	}
+}
+
 // hasToken reports whether the request may be sent to the engine that the queue owner
 // chose: the owner spent a token, or the engine has no quota, or a token is there now.
 func (g *Gateway) hasToken(m *modelRequest, e *catalog.Endpoint) bool {
@@ -299,7 +322,7 @@
 			return streamNotRun
 		}
 		m.mayHaveRun = true
-		g.recordBroken(m.request, e)
+		g.recordBroken(m.request, e, err)
 		return streamFailed
 	}
 	defer func() { _ = a.Body.Close() }()
@@ -315,19 +338,22 @@
 		return streamFailed
 	}
 	if a.StatusCode > 299 {
-		return g.relayFailure(w, m, a)
+		return g.relayFailure(w, m, e, a)
 	}
 	return g.relayStream(w, m, e, a)
 }
 
 // relayFailure relays an engine's own error, unless another attempt is possible.
-func (g *Gateway) relayFailure(w http.ResponseWriter, m *modelRequest, a *answer) streamResult {
+func (g *Gateway) relayFailure(w http.ResponseWriter, m *modelRequest, e *catalog.Endpoint, a *answer) streamResult {
 	if m.headSent || m.route.Repeatable() && m.tries.runs+1 < m.route.MaxAttempts {
 		return streamFailed
 	}
 	b := &bufferedAnswer{answer: a}
-	var truncated bool
-	if b.body, b.complete, truncated = a.buffer(); truncated || !b.complete {
+	var err error
+	if b.body, b.complete, err = a.buffer(); err != nil {
+		g.recordBroken(m.request, e, err)
+	}
+	if err != nil || !b.complete {
 		return streamFailed
 	}
 	b.write(w)
@@ -377,7 +403,7 @@
 // handleBrokenStream aborts the client's connection if no other engine can continue
 // the stream; otherwise it returns streamFailed.
 func (g *Gateway) handleBrokenStream(m *modelRequest, e *catalog.Endpoint, err error) streamResult {
-	g.recordBroken(m.request, e)
+	g.recordBroken(m.request, e, err)
 	if m.ctx.Err() != nil || m.headSent && !m.route.Repeatable() {
 		g.abortAnswer(m.request, e, err)
 	}
--- a/gateway/model_test.go
+++ b/gateway/model_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mangostage/mangostage/internal/harness"
 	"github.com/mangostage/mangostage/internal/testwait"
 	"github.com/mangostage/mangostage/platform/standin"
 )
@@ -189,40 +190,40 @@
 	assert.Equal(t, len(far.Runs()), 0)
 }
 
-// crashInterval is a little more than minCrashGap.
-const crashInterval = 350 * time.Millisecond
-
 // A request crashes each engine that begins to run it, and its client retries it under
 // new IDs. The engines' other requests must not suffer: after three engines the content
 // is refused with a Retry-After.
 func TestRequestThatCrashesEngines(t *testing.T) {
 	r := newRig(t)
-	crash := func(w http.ResponseWriter, run standin.Run) {
-		if string(run.Body) == "poison" {
-			standin.AbortAnswer()
-		}
-		standin.Seal(w)
-		standin.WriteEvents(w, 1, 2)
-	}
-	engines := make([]*standin.Endpoint, 5)
+	const engines = 5
+	runs := make([]*standin.Endpoint, engines)
+	servers := make([]*standin.CrashServer, engines)
 	for i := range engines {
-		engines[i] = r.startEndpoint("model", fmt.Sprintf("m-%d", i), crash)
+		servers[i] = &standin.CrashServer{Addr: harness.FreePort(t)}
+		runs[i] = &standin.Endpoint{ID: fmt.Sprintf("m-%d", i), Answer: func(w http.ResponseWriter, run standin.Run) {
+			if string(run.Body) == "poison" {
+				servers[i].Crash()
+				standin.AbortAnswer()
+			}
+			standin.Seal(w)
+			standin.WriteEvents(w, 1, 2)
+		}}
+		assert.NilError(t, servers[i].Start(runs[i]))
+		t.Cleanup(func() { servers[i].Crash() })
+		r.add("model", runs[i].ID, servers[i].Addr)
 	}
 	var got clientResult
 	crashed := 0
-	for range len(engines) {
+	for range engines {
 		got = r.do(r.request(http.MethodPost, "/stream/", "poison"))
-		for i, e := range engines {
+		for i, e := range runs {
 			if e != nil && len(e.Runs()) > 0 {
-				engines[i] = nil
+				runs[i] = nil
 				crashed++
 				// An engine's entry disappears some time after its connections.
 				r.remove(fmt.Sprintf("m-%d", i))
 			}
 		}
-		// Crashes less than minCrashGap apart count as one.
-		timer := time.NewTimer(crashInterval)
-		<-timer.C
 	}
 	assert.Equal(t, crashed, 3)
 	assert.Equal(t, got.status, http.StatusServiceUnavailable)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -45,6 +45,14 @@
 		if e == nil {
 			return g.finishUnserved(w, req, failed, p)
 		}
+		waited, p := g.beginRun(req)
+		if p != nil || waited && !g.stillTakesWork(req, e) {
+			g.balance.Done(time.Now(), e.Key(), balance.Abandoned, 0, -1)
+			if p != nil {
+				return g.finishUnserved(w, req, failed, p)
+			}
+			continue
+		}
 		g.countFirstSend(req, &tries)
 		a, result := g.tryPlain(req, e, &tries)
 		if result == resultRelay {
@@ -59,6 +67,12 @@
 	}
 }
 
+// stillTakesWork reports whether an endpoint that was chosen a while ago takes work.
+func (g *Gateway) stillTakesWork(req *request, e *catalog.Endpoint) bool {
+	now := g.viewFor(req).Endpoint(e.Key())
+	return now != nil && now.TakesWork() && !g.cfg.Backoffs.Active(time.Now(), e.Key())
+}
+
 // sendResult is the result of one send.
 type sendResult int
 
@@ -95,7 +109,7 @@
 		notSent := errorx.IsOfType(err, errNotSent)
 		if !notSent {
 			req.mayHaveRun = true
-			g.recordBroken(req, e)
+			g.recordBroken(req, e, err)
 		}
 		g.recordSend(req, e, nil, g.failureOutcome(req), duration, err)
 		if notSent {
@@ -110,12 +124,13 @@
 	}
 	req.mayHaveRun = true
 	b := &bufferedAnswer{answer: a}
-	var truncated bool
-	b.body, b.complete, truncated = a.buffer()
+	b.body, b.complete, err = a.buffer()
 	switch {
-	case truncated || !a.usable():
+	case err != nil || !a.usable():
 		_ = a.Body.Close()
-		g.recordBroken(req, e)
+		if err != nil {
+			g.recordBroken(req, e, err)
+		}
 		g.recordSend(req, e, a, g.failureOutcome(req), duration, errBroken.New("unusable answer with status %d", a.StatusCode))
 		return nil, resultFailed
 	case a.StatusCode >= http.StatusInternalServerError:
@@ -130,19 +145,6 @@
 	return b, resultRelay
 }
 
-// recordBroken records a connection that broke under a request, unless the client
-// left, the time ran out or a shutdown ended the request.
-func (g *Gateway) recordBroken(req *request, e *catalog.Endpoint) {
-	if req.ctx.Err() != nil {
-		return
-	}
-	g.cfg.Log.Warn().Str("event", logSendBroken).Str("request", req.ID).Uint64("content", req.contentHash).
-		Str("endpoint", e.Key()).Bool("leaving", e.Leaving).Msg("the connection broke under a request")
-	g.crashTracker.addBroken(time.Now(), req.contentHash, e)
-	// The endpoint may already be missing from the view.
-	g.detectCrashes(g.cfg.View())
-}
-
 // failureOutcome is the outcome of a send without an answer: balance.Abandoned if the
 // client has left, else balance.Silent.
 func (g *Gateway) failureOutcome(req *request) balance.Outcome {
@@ -241,9 +243,16 @@
 	}
 	req.markFirstByte()
 	a.writeHead(w)
-	if err := a.relay(w); err != nil {
+	if broke, err := a.relay(w); err != nil {
+		if broke {
+			g.recordBroken(req, e, err)
+		}
 		g.abortAnswer(req, e, err)
 	}
+	if a.endsWithConnection() && req.http.Method != http.MethodHead {
+		// The end of the endpoint looks like the end of such an answer.
+		g.recordBroken(req, e, errBroken.New("the answer ended with the connection"))
+	}
 	g.finish(req, a.StatusCode, "relayed")
 	return nil
 }
@@ -265,12 +274,12 @@
 	panic(http.ErrAbortHandler)
 }
 
-// finish logs and counts an answer that was relayed completely, and clears the
-// request's content of crashes.
+// finish logs and counts an answer that was relayed completely.
 func (g *Gateway) finish(req *request, status int, reason string) {
-	g.crashTracker.recordServed(req.contentHash)
-	// Failures are often immediate and say nothing about the duration of a success.
+	// Failures are often immediate and say nothing about the duration of a success, nor
+	// whether the content crashes endpoints that run it.
 	if status < http.StatusMultipleChoices {
+		req.run.Answered()
 		g.durationEstimator.recordServed(req.route.Name, req.timing(time.Now()))
 	}
 	g.cfg.Metrics.countAnswer(req, reason)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -28,14 +28,19 @@
 }
 
 // buffer reads a short body completely. It leaves a longer one, and one without a
-// length, to be relayed as it arrives. truncated is true if a short body ended early.
-func (a *answer) buffer() (body []byte, complete, truncated bool) {
+// length, to be relayed as it arrives. The error says that a short body ended early.
+func (a *answer) buffer() (body []byte, complete bool, err error) {
 	if a.ContentLength < 0 || a.ContentLength > maxBuffered {
-		return nil, false, false
+		return nil, false, nil
 	}
-	body, err := io.ReadAll(a.Body)
+	body, err = io.ReadAll(a.Body)
 	_ = a.Body.Close()
-	return body, true, err != nil
+	return body, true, err
+}
+
+// endsWithConnection reports whether nothing but the end of the connection ends the body.
+func (a *answer) endsWithConnection() bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0
 }
 
 // writeHead writes the endpoint's status and headers to the client.
@@ -50,13 +55,28 @@
 
 // relay copies the rest of the answer. If it ends early, the caller must abort the
 // client's connection, so that the answer does not look complete: the client then
-// misses bytes of a known length, or the last chunk.
-func (a *answer) relay(w http.ResponseWriter) error {
+// misses bytes of a known length, or the last chunk. broke is true if the endpoint's
+// connection ended it, not the client's.
+func (a *answer) relay(w http.ResponseWriter) (broke bool, err error) {
 	defer func() { _ = a.Body.Close() }()
-	if _, err := io.Copy(w, a.Body); err != nil {
-		return errBroken.Wrap(err, "answer")
+	body := &errorReader{Reader: a.Body}
+	if _, err := io.Copy(w, body); err != nil {
+		return body.failed, errBroken.Wrap(err, "answer")
 	}
-	return nil
+	return false, nil
+}
+
+// errorReader records whether its reader has failed.
+type errorReader struct {
+	io.Reader
+	failed bool
+}
+
+// Read implements io.Reader.
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.failed = r.failed || err != nil && err != io.EOF
+	return n, err
 }
 
 // eventReader reads a stream of server-sent events.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -14,6 +14,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/quarantine"
 )
 
 // defaultDeadline applies to requests without a deadline on routes without a timeout.
@@ -32,9 +33,12 @@
 	serviceName string
 	account     *catalog.Account
 	body        []byte
-	// contentHash identifies the content of the request across a client's retries.
-	contentHash uint64
-	arrived     time.Time
+	// content identifies the content of the request across a client's retries.
+	content quarantine.Content
+	// run is the current send to an endpoint, runs the number of sends.
+	run     *quarantine.Run
+	runs    int
+	arrived time.Time
 	// deadline is the earlier of the client's deadline and the route's timeout.
 	deadline time.Time
 	// age is the estimated time since the client first sent the request; 0 for a first
--- /dev/null
+++ b/quarantine/client.go
@@ -0,0 +1,249 @@
+package quarantine
+
+import (
+	"context"
+	"expvar"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mangostage/mangostage/broadcast"
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/peer"
+)
+
+// Methods between processes.
+const (
+	MethodReport = "quarantine.report"
+	MethodUpdate = "quarantine.update"
+	MethodBegin  = "quarantine.begin"
+	MethodEnd    = "quarantine.end"
+)
+
+const (
+	// maxRunWait bounds the wait of a request for a run of its content, maxRunWaitShare the
+	// part of its time left.
+	maxRunWait      = 2 * time.Second
+	maxRunWaitShare = 0.5
+	// askInterval is the interval at which a waiting request asks again.
+	askInterval = 50 * time.Millisecond
+	// ownerTimeout bounds a call to the owner of the queue: many round trips within a
+	// region. Without an answer this process decides alone.
+	ownerTimeout = 200 * time.Millisecond
+	// cautiousTime is how long after a start or a pause all runs are asked for: what the
+	// other members know may not have arrived.
+	cautiousTime = time.Second
+	// waitRetryAfter is the Retry-After of a request that has waited in vain for a run.
+	waitRetryAfter = 500 * time.Millisecond
+)
+
+// Config holds the dependencies of a Client.
+type Config struct {
+	// Drain is how long a leaving endpoint serves.
+	Drain time.Duration
+	// Fleet reaches the other members; nil for none.
+	Fleet broadcast.Fleet
+	// CheckPause returns once a pause of this process, if there was one, has been handled;
+	// nil for none.
+	CheckPause func()
+	Log        zerolog.Logger
+}
+
+// Client records what happens to content at this process, exchanges it with other members,
+// and asks the owner of the queue for runs of suspect content.
+type Client struct {
+	table  *Table
+	cfg    Config
+	log    zerolog.Logger
+	topic  broadcast.Topic[Loss]
+	prober *prober
+	outbox outbox
+	// cautiousUntil is the end of the time in which all runs are asked for, in Unix
+	// nanoseconds.
+	cautiousUntil atomic.Int64
+	// Counters counts events by name.
+	Counters *expvar.Map
+}
+
+// NewClient returns a client with an empty table.
+func NewClient(cfg Config) *Client {
+	if cfg.CheckPause == nil {
+		cfg.CheckPause = func() {}
+	}
+	c := &Client{table: NewTable(cfg.Drain), cfg: cfg, log: cfg.Log, prober: newProber(), Counters: new(expvar.Map).Init()}
+	c.topic = broadcast.Topic[Loss]{
+		Report: MethodReport, Update: MethodUpdate, Fleet: cfg.Fleet, Apply: c.apply,
+		Known: func(most int) []Loss { return c.table.Known(time.Now(), most) },
+	}
+	c.BeCautious()
+	c.outbox.wake = make(chan struct{}, 1)
+	return c
+}
+
+// beginCall asks the owner for a run.
+type beginCall struct {
+	Content Content `json:"content"`
+	Run     string  `json:"run"`
+	// Left is the time in which the run ends.
+	Left time.Duration `json:"left_ns"`
+	// Losses are what the caller knows of the content.
+	Losses []Loss `json:"losses,omitempty"`
+}
+
+// beginReply is the owner's answer.
+type beginReply struct {
+	Permission
+	// Losses are what the owner knows of the content.
+	Losses []Loss `json:"losses,omitempty"`
+}
+
+// endNote tells the owner that a run has ended, and what it showed.
+type endNote struct {
+	Content Content `json:"content"`
+	Run     string  `json:"run"`
+	Losses  []Loss  `json:"losses,omitempty"`
+}
+
+// Serve registers the methods by which other processes use the client.
+func Serve(mux *peer.Mux, c *Client) {
+	c.topic.Serve(mux)
+	peer.HandleCall(mux, MethodBegin, func(_ context.Context, from *peer.Conn, call beginCall) (beginReply, error) {
+		c.mergeAll(call.Losses, from.Peer().Process.Name)
+		now := time.Now()
+		p := c.table.Begin(now, call.Content, call.Run, now.Add(call.Left))
+		return beginReply{Permission: p, Losses: c.table.Losses(now, call.Content)}, nil
+	})
+	peer.HandleNotification(mux, MethodEnd, func(from *peer.Conn, note endNote) {
+		c.mergeAll(note.Losses, from.Peer().Process.Name)
+		c.table.End(note.Content, note.Run)
+	})
+}
+
+// Table returns the table of what this process knows.
+func (c *Client) Table() *Table { return c.table }
+
+// Greet tells a member that has just connected what is known here.
+func (c *Client) Greet(conn *peer.Conn) { c.topic.Greet(conn) }
+
+// BeCautious makes all runs be asked for during cautiousTime.
+func (c *Client) BeCautious() { c.cautiousUntil.Store(time.Now().Add(cautiousTime).UnixNano()) }
+
+// SetView records a new list of endpoints.
+func (c *Client) SetView(view *catalog.View) { c.resolved(c.table.SetView(time.Now(), view)) }
+
+// RefusedFor returns how long a content is refused; 0 if it is not.
+func (c *Client) RefusedFor(content Content) time.Duration {
+	return c.table.State(time.Now(), content).RefusedFor
+}
+
+// Bound returns a context that also ends when the content is refused, and a function that
+// ends the watch.
+func (c *Client) Bound(ctx context.Context, content Content) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	watch := c.table.Watch(content)
+	go func() {
+		for ctx.Err() == nil {
+			changed := watch.Changed()
+			if c.RefusedFor(content) > 0 {
+				cancel()
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+		}
+		watch.Stop()
+	}()
+	return ctx, cancel
+}
+
+// apply merges a loss that the member of that name knows.
+func (c *Client) apply(l Loss, from string) bool {
+	if !c.table.Merge(time.Now(), l) {
+		return false
+	}
+	if l.Verdict == Crashed {
+		c.logLoss(logCrashed, l, from).Msg("endpoint crashed under a request with this content")
+	}
+	c.logChanges(from)
+	return true
+}
+
+// mergeAll merges losses of another member. If this process owns the queue, it tells the
+// other members what was news.
+func (c *Client) mergeAll(losses []Loss, from string) {
+	for _, l := range losses {
+		if c.apply(l, from) && l.Verdict == Crashed && c.cfg.Fleet != nil && c.cfg.Fleet.Owns() {
+			c.outbox.add(l, time.Now())
+		}
+	}
+}
+
+// Broken records a connection that broke with an error, and finds out what became of the
+// endpoint. It does nothing on nil.
+func (c *Client) Broken(b Break, err error) {
+	if c == nil {
+		return
+	}
+	b.TimedOut = timedOut(err)
+	l, isNew := c.table.RecordBreak(time.Now(), b)
+	if !isNew {
+		return
+	}
+	c.logLoss(logSendHeld, l, "").Bool("trial", l.Trial).Bool("served_before", l.Served).Msg("a connection broke under a request")
+	c.logChanges("")
+	if l.Verdict != Pending {
+		c.resolved([]Resolved{{Loss: l}})
+		return
+	}
+	c.prober.probe(context.Background(), b.Endpoint, func(opened time.Time, v Verdict, from Evidence) bool {
+		resolved, more := c.table.Resolve(time.Now(), opened, b.Endpoint.Key, v, from)
+		c.resolved(resolved)
+		return more
+	})
+}
+
+// resolved logs the losses that have got a verdict, and tells the other members.
+func (c *Client) resolved(losses []Resolved) {
+	for _, l := range losses {
+		name, text := logSendCleared, "the endpoint has not crashed, as far as is known"
+		if l.Verdict == Crashed {
+			name, text = logCrashed, "endpoint crashed under a request with this content"
+		}
+		c.logLoss(name, l.Loss, "").Msg(text)
+		if l.Verdict == Crashed || l.Known {
+			c.outbox.add(l.Loss, time.Now())
+		}
+	}
+	c.logChanges("")
+}
+
+// answered records a complete answer and returns the losses that it forgives.
+func (c *Client) answered(content Content, request string, trial bool) []Loss {
+	forgiven := c.table.RecordAnswer(time.Now(), content, trial)
+	for _, l := range forgiven {
+		c.logLoss(logForgiven, l, "").Str("answered", request).Int("answers", l.Answers).Msg("a complete answer forgives a crash")
+		c.outbox.add(l, time.Now())
+	}
+	c.logChanges("")
+	return forgiven
+}
+
+// logLoss counts an event and begins its log line.
+func (c *Client) logLoss(event string, l Loss, from string) *zerolog.Event {
+	c.Counters.Add(event, 1)
+	return c.log.Warn().Str("event", event).Str("request", l.Request).Stringer("content", l.Content).
+		Str("endpoint", l.Endpoint).Stringer("verdict", l.Verdict).Str("evidence", string(l.Evidence)).
+		Dur("ran_ms", l.RanFor).Dur("after_ms", l.Age).Str("from", from)
+}
+
+// logChanges logs the changes of standings; from is the member that told of their cause.
+func (c *Client) logChanges(from string) {
+	for _, change := range c.table.TakeChanges() {
+		c.Counters.Add(logStanding+" "+change.To.String(), 1)
+		c.log.Warn().Str("event", logStanding).Stringer("content", change.Content).Stringer("was", change.From).
+			Stringer("now", change.To).Int("crashes", change.Crashes).Dur("trial_in_ms", change.TrialIn).
+			Str("from", from).Msg("the standing of a content has changed")
+	}
+}
--- /dev/null
+++ b/quarantine/loss.go
@@ -0,0 +1,135 @@
+package quarantine
+
+import (
+	"fmt"
+	"time"
+)
+
+// Content is the hash of what stays the same when a request comes again.
+type Content uint64
+
+// String returns the hash as logs show it.
+func (c Content) String() string { return fmt.Sprintf("%016x", uint64(c)) }
+
+// Verdict says what became of an endpoint whose connection broke. A verdict is only
+// replaced by a higher one.
+type Verdict int
+
+// The verdicts.
+const (
+	// Pending means that it is not known yet.
+	Pending Verdict = iota
+	// Silent means that the endpoint's address does not answer: it is cut off or its VM is
+	// down.
+	Silent
+	// Alive means that the process lives or ended as planned.
+	Alive
+	// Crashed means that the process has ended.
+	Crashed
+)
+
+// String returns the verdict as logs show it.
+func (v Verdict) String() string {
+	switch v {
+	case Pending:
+		return "pending"
+	case Silent:
+		return "silent"
+	case Alive:
+		return "alive"
+	case Crashed:
+		return "crashed"
+	}
+	return "unknown"
+}
+
+// Evidence says what a verdict rests on.
+type Evidence string
+
+// The kinds of evidence.
+const (
+	// EvidenceTimeout means that the broken connection itself had timed out.
+	EvidenceTimeout Evidence = "timeout"
+	// EvidenceRefused, EvidenceAccepted and EvidenceNoAnswer are the results of a new
+	// connection to the endpoint's address.
+	EvidenceRefused  Evidence = "connection_refused"
+	EvidenceAccepted Evidence = "connection_accepted"
+	EvidenceNoAnswer Evidence = "connection_unanswered"
+	// EvidenceUnlisted and EvidenceReplaced mean that the store lists no process, or
+	// another one, under the endpoint's ID.
+	EvidenceUnlisted Evidence = "unlisted"
+	EvidenceReplaced Evidence = "replaced"
+	// EvidencePlanned means that the endpoint had been leaving for as long as it had to
+	// serve.
+	EvidencePlanned Evidence = "planned_end"
+)
+
+// Endpoint is an endpoint to which a request was sent.
+type Endpoint struct {
+	// Key is the endpoint's Key, which differs for each process.
+	Key     string
+	Addr    string
+	Service string
+}
+
+// Loss is the possible loss of an endpoint under a content. Members exchange losses; merging
+// the same ones in any order gives the same result.
+type Loss struct {
+	Content Content `json:"content"`
+	// Endpoint is the endpoint's Key.
+	Endpoint string   `json:"endpoint"`
+	Service  string   `json:"service"`
+	Verdict  Verdict  `json:"verdict"`
+	Evidence Evidence `json:"evidence,omitempty"`
+	// Request is the request whose connection broke.
+	Request string `json:"request,omitempty"`
+	// RanFor is the time from the sending of the request to the break.
+	RanFor time.Duration `json:"ran_for_ns,omitempty"`
+	// Answers is the number of complete answers that forgive the loss.
+	Answers int `json:"answers,omitempty"`
+	// Trial is true if the run was a trial of quarantined content.
+	Trial bool `json:"trial,omitempty"`
+	// Served is true if the content was answered shortly before.
+	Served bool `json:"served,omitempty"`
+	// ServiceLost is true if no endpoint of the service was left.
+	ServiceLost bool `json:"service_lost,omitempty"`
+	// Age is the time since the break. It is relative because members' clocks differ.
+	Age time.Duration `json:"age_ns"`
+}
+
+// loss is a Loss with the time of the break by this process's clock; its Age is not used.
+type loss struct {
+	Loss
+	at time.Time
+	// shared is true if other members may know the loss.
+	shared bool
+}
+
+// export returns the loss for another member.
+func (l *loss) export(now time.Time) Loss {
+	l.shared = true
+	out := l.Loss
+	out.Age = max(0, now.Sub(l.at))
+	return out
+}
+
+// weight is what is left of the loss after the answers that forgive it, in answers.
+func (l *loss) weight() int { return max(0, answersToForgive-l.Answers) }
+
+// merge merges what another member knows of the same loss and reports whether it was news.
+func (l *loss) merge(other Loss, at time.Time) bool {
+	before := l.Loss
+	if other.Verdict > l.Verdict {
+		l.Verdict, l.Evidence = other.Verdict, other.Evidence
+	}
+	l.Answers = max(l.Answers, min(other.Answers, answersToForgive))
+	l.RanFor = max(l.RanFor, other.RanFor)
+	l.Trial = l.Trial || other.Trial
+	l.Served = l.Served || other.Served
+	l.ServiceLost = l.ServiceLost || other.ServiceLost
+	if at.Before(l.at) {
+		// Each message adds its delay; ages that travel in a circle must not shrink.
+		l.at = at
+	}
+	return l.Loss != before
+}
--- /dev/null
+++ b/quarantine/run.go
@@ -0,0 +1,186 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/mangostage/mangostage/internal/sleep"
+	"github.com/mangostage/mangostage/peer"
+)
+
+// Run is one send of a request to an endpoint. The first of its methods that is called ends
+// it. A nil Run does nothing.
+type Run struct {
+	client  *Client
+	content Content
+	request string
+	id      string
+	trial   bool
+	began   time.Time
+	// leased is true if the run was granted and has to be ended; owner is the connection to
+	// the member that granted it, nil for this process.
+	leased bool
+	owner  *peer.Conn
+	once   sync.Once
+}
+
+// Refusal says why a run may not begin.
+type Refusal struct {
+	// Quarantined is true if the content is refused; else it has waited in vain.
+	Quarantined bool
+	RetryAfter  time.Duration
+}
+
+// Begin asks for a run of the content for a request. left is the time that the request has
+// left. waited is true if some time has passed. Exactly one of run and refusal is set.
+func (c *Client) Begin(ctx context.Context, content Content, request, id string, left time.Duration) (run *Run, waited bool, refusal *Refusal) {
+	c.cfg.CheckPause()
+	asked := ask{Content: content, Run: id, began: time.Now(), left: left}
+	run = &Run{client: c, content: content, request: request, id: id}
+	var watch *Watch
+	defer func() { watch.Stop() }()
+	for ; ; waited = true {
+		p := c.permission(ctx, run, asked)
+		switch {
+		case p.Outcome == Granted:
+			c.granted(run, p)
+			return run, waited, nil
+		case p.Outcome == Refused:
+			c.Counters.Add(countRefused, 1)
+			return nil, waited, &Refusal{Quarantined: true, RetryAfter: p.RetryAfter}
+		case ctx.Err() != nil || asked.waitedLong(time.Now()):
+			return nil, true, &Refusal{RetryAfter: waitRetryAfter}
+		}
+		if !waited {
+			c.Counters.Add(countWaited, 1)
+			watch = c.table.Watch(content)
+		}
+		awaitChange(ctx, watch.Changed())
+	}
+}
+
+// ask is a request for a run.
+type ask struct {
+	Content Content
+	Run     string
+	began   time.Time
+	// left is the time that the request had left when it began to ask.
+	left time.Duration
+}
+
+// waitedLong reports whether the request has waited as long as it may.
+func (a *ask) waitedLong(now time.Time) bool {
+	return now.Sub(a.began) > min(maxRunWait, time.Duration(maxRunWaitShare*float64(a.left)))
+}
+
+// permission decides on a run by what is known here, or else asks for it.
+func (c *Client) permission(ctx context.Context, run *Run, a ask) Permission {
+	now := time.Now()
+	s := c.table.State(now, a.Content)
+	switch {
+	case s.RefusedFor > 0:
+		return Permission{Outcome: Refused, RetryAfter: s.RefusedFor}
+	case s.Standing == Clear && now.UnixNano() >= c.cautiousUntil.Load():
+		return Permission{}
+	}
+	return c.ask(ctx, run, a.left-now.Sub(a.began))
+}
+
+// awaitChange waits for a change, at most askInterval.
+func awaitChange(ctx context.Context, changed <-chan struct{}) {
+	timer := time.NewTimer(askInterval)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		// Many requests wait for the same change: those that come later find the answer of
+		// the first.
+		sleep.For(ctx, time.Millisecond)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// granted completes a run that was granted.
+func (c *Client) granted(run *Run, p Permission) {
+	run.began = time.Now()
+	run.trial = p.Trial
+	if !p.Trial {
+		return
+	}
+	c.Counters.Add(logTrial, 1)
+	c.log.Info().Str("event", logTrial).Str("request", run.request).Stringer("content", run.content).Msg("trial of quarantined content")
+}
+
+// ask asks the owner of the queue for a run, or decides alone if there is none.
+func (c *Client) ask(ctx context.Context, run *Run, left time.Duration) Permission {
+	now := time.Now()
+	var conn *peer.Conn
+	if c.cfg.Fleet != nil {
+		conn = c.cfg.Fleet.OwnerConn()
+	}
+	if conn != nil {
+		if p, ok := c.askOwner(ctx, conn, run, left); ok {
+			return p
+		}
+	}
+	p := c.table.Begin(now, run.content, run.id, now.Add(left))
+	run.leased, run.owner = p.Outcome == Granted, nil
+	return p
+}
+
+// askOwner asks the owner for a run; ok is false without an answer.
+func (c *Client) askOwner(ctx context.Context, conn *peer.Conn, run *Run, left time.Duration) (p Permission, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	call := beginCall{Content: run.content, Run: run.id, Left: left, Losses: c.table.Losses(time.Now(), run.content)}
+	var reply beginReply
+	if err := conn.Call(ctx, MethodBegin, call, &reply); err != nil {
+		c.Counters.Add(countNoOwner, 1)
+		// The owner may have granted the run.
+		go func() { _ = conn.Notify(MethodEnd, endNote{Content: run.content, Run: run.id}) }()
+		return Permission{}, false
+	}
+	c.mergeAll(reply.Losses, conn.Peer().Process.Name)
+	run.leased, run.owner = reply.Outcome == Granted, conn
+	return reply.Permission, true
+}
+
+// Broken ends a run whose connection broke with an error.
+func (r *Run) Broken(e Endpoint, err error) {
+	if r == nil {
+		return
+	}
+	r.once.Do(func() {
+		r.client.Broken(Break{Content: r.content, Endpoint: e, Request: r.request, RanFor: time.Since(r.began), Trial: r.trial}, err)
+		r.release(r.client.table.Losses(time.Now(), r.content))
+	})
+}
+
+// Answered ends a run with a complete answer.
+func (r *Run) Answered() {
+	if r == nil {
+		return
+	}
+	r.once.Do(func() { r.release(r.client.answered(r.content, r.request, r.trial)) })
+}
+
+// End ends a run that showed nothing.
+func (r *Run) End() {
+	if r == nil {
+		return
+	}
+	r.once.Do(func() { r.release(nil) })
+}
+
+// release ends the grant of the run and tells the member that granted it what it showed.
+func (r *Run) release(losses []Loss) {
+	switch {
+	case !r.leased:
+	case r.owner == nil:
+		r.client.table.End(r.content, r.id)
+	default:
+		conn, note := r.owner, endNote{Content: r.content, Run: r.id, Losses: losses}
+		go func() { _ = conn.Notify(MethodEnd, note) }()
+	}
+}
--- /dev/null
+++ b/quarantine/table.go
@@ -0,0 +1,451 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+)
+
+const (
+	// maxContents bounds the contents that are remembered. A full table forgets those first
+	// that count least: forgiven, then suspect, then quarantined, the oldest first.
+	maxContents = 1 << 12
+	// evictShare is the part of a full table that is forgotten at once, as a divisor.
+	evictShare = 8
+	// forgivenTime is how long a content is remembered of which no loss counts: messages
+	// that are older than the answers that forgave it may still arrive.
+	forgivenTime = 2 * time.Minute
+	// contentTime is how long a content is remembered after its latest loss: longer than
+	// the longest quarantine.
+	contentTime = 2 * maxTrialDelay
+	// listWindow is how long after a broken connection the store's list may show that the
+	// endpoint crashed: three heartbeats of the endpoint and a margin.
+	listWindow = 6 * time.Second
+	// probeTime is how long a verdict by a new connection takes at most.
+	probeTime = time.Second
+	// expireInterval is the interval at which old contents are looked for.
+	expireInterval = time.Second
+)
+
+// Break is a connection that broke under a request.
+type Break struct {
+	Content  Content
+	Endpoint Endpoint
+	Request  string
+	// RanFor is the time since the request was sent.
+	RanFor time.Duration
+	// Trial is true if the run was a trial.
+	Trial bool
+	// TimedOut is true if the endpoint had been silent, so that no new connection tells
+	// more.
+	TimedOut bool
+}
+
+// Change is a change of a content's standing.
+type Change struct {
+	Content  Content
+	From, To Standing
+	// Crashes is the number of crashes that are not forgiven.
+	Crashes int
+	// TrialIn is the time to the next trial of quarantined content.
+	TrialIn time.Duration
+}
+
+// Table is what a member knows of the content that was lost with endpoints, and of the runs
+// of suspect content that it has granted. It does no I/O and is safe for concurrent use.
+type Table struct {
+	// drain is how long a leaving endpoint serves.
+	drain time.Duration
+
+	// size is the number of contents; it is read without mu.
+	size atomic.Int64
+
+	mu       sync.Mutex
+	contents map[Content]*contentState
+	// lossesAt holds the losses of each endpoint by content.
+	lossesAt map[string]map[Content]*loss
+	lost     map[string]*lostEndpoint
+	view     *catalog.View
+	// leavingSince and unlistedAt hold when endpoints began to leave and were no longer
+	// listed.
+	leavingSince, unlistedAt map[string]time.Time
+	served                   servedMemory
+	watchers                 map[Content]*watchers
+	changes                  []Change
+	expiredAt                time.Time
+}
+
+// NewTable returns an empty table. drain is how long a leaving endpoint serves.
+func NewTable(drain time.Duration) *Table {
+	return &Table{
+		drain:        drain,
+		contents:     make(map[Content]*contentState),
+		lossesAt:     make(map[string]map[Content]*loss),
+		lost:         make(map[string]*lostEndpoint),
+		leavingSince: make(map[string]time.Time),
+		unlistedAt:   make(map[string]time.Time),
+		watchers:     make(map[Content]*watchers),
+	}
+}
+
+// Empty reports whether nothing is remembered of any content.
+func (t *Table) Empty() bool { return t.size.Load() == 0 }
+
+// State is a content's standing.
+type State struct {
+	Standing Standing
+	// RefusedFor is the time to the next trial of quarantined content; 0 if it is due.
+	RefusedFor time.Duration
+	// MaxRuns is how many copies of suspect content may run at the same time.
+	MaxRuns int
+}
+
+// State returns the standing of a content.
+func (t *Table) State(now time.Time, content Content) State {
+	if t.Empty() {
+		return State{}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.contents[content]
+	if c == nil {
+		return State{}
+	}
+	return t.stateLocked(now, content, c)
+}
+
+func (t *Table) stateLocked(now time.Time, content Content, c *contentState) State {
+	s := State{Standing: c.currentStanding(now)}
+	switch s.Standing {
+	case Suspect:
+		s.MaxRuns = c.maxRuns(now)
+	case Quarantined:
+		s.RefusedFor = max(0, c.trialAt(t.ambiguousLocked(now, content, c)).Sub(now))
+	}
+	return s
+}
+
+// RecordBreak records a broken connection. isNew is false if the loss was known. The verdict
+// of the loss is Pending if it has to be found out.
+func (t *Table) RecordBreak(now time.Time, b Break) (l Loss, isNew bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.contentLocked(now, b.Content)
+	if known := c.losses[b.Endpoint.Key]; known != nil {
+		return known.Loss, false
+	}
+	added := &loss{at: now, Loss: Loss{
+		Content: b.Content, Endpoint: b.Endpoint.Key, Service: b.Endpoint.Service, Request: b.Request,
+		RanFor: b.RanFor, Trial: b.Trial, Served: t.served.has(now, b.Content),
+	}}
+	if b.TimedOut {
+		added.Verdict, added.Evidence = t.silentLocked(now, added.Endpoint, EvidenceTimeout)
+	}
+	if t.replacedLocked(added.Endpoint) {
+		added.Verdict, added.Evidence = Crashed, EvidenceReplaced
+	}
+	t.addLocked(now, c, added)
+	return added.Loss, true
+}
+
+// silentLocked returns the verdict on an endpoint that does not answer, which the store's
+// list may decide.
+func (t *Table) silentLocked(now time.Time, endpoint string, evidence Evidence) (Verdict, Evidence) {
+	switch {
+	case t.view == nil || t.view.Endpoint(endpoint) != nil:
+		return Silent, evidence
+	case t.endedAsPlannedLocked(now, endpoint):
+		return Alive, EvidencePlanned
+	}
+	return Crashed, EvidenceUnlisted
+}
+
+// replacedLocked reports whether another process is listed under the endpoint's ID.
+func (t *Table) replacedLocked(endpoint string) bool {
+	return t.view != nil && t.view.Endpoint(endpoint) == nil && t.view.EndpointByID(catalog.IDOfKey(endpoint)) != nil
+}
+
+// addLocked adds a loss to a content.
+func (t *Table) addLocked(now time.Time, c *contentState, l *loss) {
+	if len(c.losses) >= maxLossesPerContent {
+		t.forgetLossLocked(l.Content, c.dropOldest())
+	}
+	c.losses[l.Endpoint] = l
+	if t.lossesAt[l.Endpoint] == nil {
+		t.lossesAt[l.Endpoint] = make(map[Content]*loss)
+	}
+	t.lossesAt[l.Endpoint][l.Content] = l
+	t.changedLocked(now, c, l)
+}
+
+// changedLocked handles a change of a loss.
+func (t *Table) changedLocked(now time.Time, c *contentState, l *loss) {
+	if l.Verdict == Crashed {
+		t.recordCrashLocked(now, l)
+	}
+	t.reportLocked(now, l.Content, c)
+}
+
+// reportLocked records a change of the content's standing and wakes those who wait for it.
+func (t *Table) reportLocked(now time.Time, content Content, c *contentState) {
+	t.notifyLocked(content)
+	s := t.stateLocked(now, content, c)
+	if s.Standing == c.standing {
+		return
+	}
+	crashed, _ := c.weights(now)
+	t.changes = append(t.changes, Change{
+		Content: content, From: c.standing, To: s.Standing,
+		Crashes: (crashed + answersToForgive - 1) / answersToForgive, TrialIn: s.RefusedFor,
+	})
+	c.standing = s.Standing
+}
+
+// TakeChanges returns the changes of standings since the last call.
+func (t *Table) TakeChanges() []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changes := t.changes
+	t.changes = nil
+	return changes
+}
+
+// Resolved is a loss that has got a verdict, and the time that it took.
+type Resolved struct {
+	Loss
+	// Known is true if other members know the loss and have to be told.
+	Known bool
+}
+
+// Resolve records what a new connection to an endpoint has shown that was opened at opened,
+// and returns the losses without a verdict that it decides. more is true if connections have
+// broken since.
+func (t *Table) Resolve(now, opened time.Time, endpoint string, verdict Verdict, evidence Evidence) (resolved []Resolved, more bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case verdict == Silent:
+		verdict, evidence = t.silentLocked(now, endpoint, evidence)
+	case verdict == Crashed && t.endedAsPlannedLocked(now, endpoint):
+		verdict, evidence = Alive, EvidencePlanned
+	}
+	resolved = t.decideLocked(now, endpoint, func(l *loss) (Verdict, Evidence) {
+		switch {
+		case l.Verdict != Pending:
+		case l.at.After(opened) && verdict != Crashed:
+			more = true
+		default:
+			return verdict, evidence
+		}
+		return l.Verdict, l.Evidence
+	})
+	return resolved, more
+}
+
+// decideLocked gives verdicts to the losses of an endpoint and returns those that changed.
+func (t *Table) decideLocked(now time.Time, endpoint string, decide func(*loss) (Verdict, Evidence)) []Resolved {
+	var resolved []Resolved
+	for content, l := range t.lossesAt[endpoint] {
+		verdict, evidence := decide(l)
+		if verdict <= l.Verdict {
+			continue
+		}
+		l.Verdict, l.Evidence = verdict, evidence
+		known := l.shared
+		t.changedLocked(now, t.contents[content], l)
+		resolved = append(resolved, Resolved{Loss: l.export(now), Known: known})
+	}
+	return resolved
+}
+
+// SetView records a new list of endpoints and returns the losses that it decides.
+func (t *Table) SetView(now time.Time, view *catalog.View) []Resolved {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recordUnlistedLocked(now, view)
+	t.recordLeavingLocked(now, view)
+	t.view = view
+	var resolved []Resolved
+	for endpoint := range t.lossesAt {
+		if view.Endpoint(endpoint) != nil {
+			continue
+		}
+		resolved = append(resolved, t.decideLocked(now, endpoint, func(l *loss) (Verdict, Evidence) {
+			return t.listedVerdictLocked(now, l)
+		})...)
+	}
+	return resolved
+}
+
+// listedVerdictLocked returns the verdict on a loss whose endpoint is not listed.
+func (t *Table) listedVerdictLocked(now time.Time, l *loss) (Verdict, Evidence) {
+	switch {
+	case now.Sub(l.at) > listWindow:
+		return l.Verdict, l.Evidence
+	case t.replacedLocked(l.Endpoint):
+		return Crashed, EvidenceReplaced
+	case l.Verdict == Silent || l.Verdict == Pending && now.Sub(l.at) > probeTime:
+		return t.silentLocked(now, l.Endpoint, l.Evidence)
+	}
+	return l.Verdict, l.Evidence
+}
+
+// RecordAnswer records a complete answer to content and returns the losses of which other
+// members have to be told. trial is true if the run was a trial.
+func (t *Table) RecordAnswer(now time.Time, content Content, trial bool) []Loss {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.served.add(now, content)
+	c := t.contents[content]
+	if c == nil {
+		return nil
+	}
+	var told []Loss
+	for _, l := range c.answered(now, trial) {
+		told = append(told, l.export(now))
+	}
+	if len(told) > 0 {
+		t.reportLocked(now, content, c)
+	}
+	return told
+}
+
+// Merge merges a loss that another member knows and reports whether it was news.
+func (t *Table) Merge(now time.Time, other Loss) bool {
+	if other.Age < 0 || other.Age > contentTime || other.Endpoint == "" || other.Verdict < Pending || other.Verdict > Crashed {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at := now.Add(-other.Age)
+	c := t.contentLocked(now, other.Content)
+	known := c.losses[other.Endpoint]
+	if known == nil {
+		added := &loss{Loss: other, at: at, shared: true}
+		added.Answers = min(max(0, added.Answers), answersToForgive)
+		t.addLocked(now, c, added)
+		return true
+	}
+	known.shared = true
+	if !known.merge(other, at) {
+		return false
+	}
+	t.changedLocked(now, c, known)
+	return true
+}
+
+// Losses returns the losses of a content that count, for another member.
+func (t *Table) Losses(now time.Time, content Content) []Loss {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.contents[content]
+	if c == nil {
+		return nil
+	}
+	losses := make([]Loss, 0, len(c.losses))
+	for _, l := range c.losses {
+		losses = append(losses, l.export(now))
+	}
+	return losses
+}
+
+// Known returns up to most losses for a member that knows none, those of quarantined content
+// first and then the latest.
+func (t *Table) Known(now time.Time, most int) []Loss {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var known []*loss
+	for _, c := range t.contents {
+		for _, l := range c.losses {
+			if l.Verdict == Crashed {
+				known = append(known, l)
+			}
+		}
+	}
+	slices.SortFunc(known, func(a, b *loss) int {
+		return cmp.Or(cmp.Compare(t.contents[b.Content].standing, t.contents[a.Content].standing), b.at.Compare(a.at))
+	})
+	losses := make([]Loss, 0, min(most, len(known)))
+	for _, l := range known[:min(most, len(known))] {
+		losses = append(losses, l.export(now))
+	}
+	return losses
+}
+
+// contentLocked returns the state of a content, a new one if there is none.
+func (t *Table) contentLocked(now time.Time, content Content) *contentState {
+	t.expireLocked(now)
+	c := t.contents[content]
+	if c != nil {
+		return c
+	}
+	if len(t.contents) >= maxContents {
+		t.evictLocked(now)
+	}
+	c = &contentState{losses: make(map[string]*loss), runs: make(map[string]time.Time)}
+	t.contents[content] = c
+	t.size.Store(int64(len(t.contents)))
+	return c
+}
+
+// expireLocked forgets contents whose losses are old.
+func (t *Table) expireLocked(now time.Time) {
+	if now.Sub(t.expiredAt) < expireInterval {
+		return
+	}
+	t.expiredAt = now
+	for content, c := range t.contents {
+		keep := contentTime
+		if c.currentStanding(now) == Clear {
+			keep = forgivenTime
+		}
+		if now.Sub(c.latest()) > keep && c.running(now) == 0 {
+			t.forgetLocked(content, c)
+		}
+	}
+	t.expireLostLocked(now)
+}
+
+// evictLocked forgets the contents that count least, evictShare of all.
+func (t *Table) evictLocked(now time.Time) {
+	ranks := make([]evictionRank, 0, len(t.contents))
+	for content, c := range t.contents {
+		ranks = append(ranks, evictionRank{content: content, standing: c.currentStanding(now), latest: c.latest()})
+	}
+	slices.SortFunc(ranks, func(a, b evictionRank) int {
+		return cmp.Or(cmp.Compare(a.standing, b.standing), a.latest.Compare(b.latest))
+	})
+	for _, r := range ranks[:len(ranks)/evictShare] {
+		t.forgetLocked(r.content, t.contents[r.content])
+	}
+}
+
+// evictionRank is what decides how soon a content is forgotten.
+type evictionRank struct {
+	content  Content
+	standing Standing
+	latest   time.Time
+}
+
+// forgetLocked forgets a content.
+func (t *Table) forgetLocked(content Content, c *contentState) {
+	t.notifyLocked(content)
+	for endpoint := range c.losses {
+		t.forgetLossLocked(content, endpoint)
+	}
+	delete(t.contents, content)
+	t.size.Store(int64(len(t.contents)))
+}
+
+// forgetLossLocked forgets that an endpoint was lost under a content, but not that it was
+// lost.
+func (t *Table) forgetLossLocked(content Content, endpoint string) {
+	delete(t.lossesAt[endpoint], content)
+	if len(t.lossesAt[endpoint]) == 0 {
+		delete(t.lossesAt, endpoint)
+	}
+}
--- a/scheduler/remote_test.go
+++ b/scheduler/remote_test.go
@@ -39,7 +39,7 @@
 	t.Helper()
 	mux := peer.NewMux()
 	quotas := quota.NewClient(quota.NewTable(func() quota.Allowance { return quota.Allowance{Share: 1} }), newStubOwners(nil), zerolog.Nop())
-	p := &process{scheduler: scheduler.New("test", platform.NewStageClient(http.DefaultClient), quotas.Table(), nil, quotas, zerolog.Nop())}
+	p := &process{scheduler: scheduler.New("test", platform.NewStageClient(http.DefaultClient), quotas.Table(), nil, nil, quotas, zerolog.Nop())}
 	scheduler.Serve(mux, p.scheduler)
 	p.node = peer.NewNode(peer.Config{Hello: func() wire.Hello {
 		return wire.Hello{Process: wire.Process{Name: name, Incarnation: name}}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/fleet"
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/quarantine"
 	"github.com/mangostage/mangostage/quota"
 	"github.com/mangostage/mangostage/retryafter"
 )
@@ -52,7 +53,9 @@
 	signals SignalObserver
 	// backoffs holds the endpoints that want no calls of this process for a while.
 	backoffs *retryafter.Table
-	log      zerolog.Logger
+	// quarantine gets the calls whose connections broke; nil for none.
+	quarantine *quarantine.Client
+	log        zerolog.Logger
 
 	mu   sync.Mutex
 	core *dispatch.Core
@@ -66,18 +69,24 @@
 
 // New returns a Scheduler for the process of the name; Run must be called for deadlines
 // to take effect. quotas holds the request rates that endpoints name, backoffs
-// the endpoints that want no calls of this process for a while.
-func New(name string, stages *platform.StageClient, quotas *quota.Table, backoffs *retryafter.Table, signals SignalObserver, log zerolog.Logger) *Scheduler {
-	return &Scheduler{
-		stages:   stages,
-		signals:  signals,
-		backoffs: backoffs,
-		log:      log,
-		core:     dispatch.New(name, quotas, backoffs),
-		waiting:  make(map[string]chan Decision),
-		wake:     make(chan struct{}, 1),
-		ctx:      context.Background(),
+// the endpoints that want no calls of this process for a while, and contents, which may be
+// nil, what may be done with content that crashes endpoints.
+func New(name string, stages *platform.StageClient, quotas *quota.Table, backoffs *retryafter.Table, contents *quarantine.Client, signals SignalObserver, log zerolog.Logger) *Scheduler {
+	s := &Scheduler{
+		stages:     stages,
+		signals:    signals,
+		backoffs:   backoffs,
+		quarantine: contents,
+		log:        log,
+		core:       dispatch.New(name, quotas, backoffs),
+		waiting:    make(map[string]chan Decision),
+		wake:       make(chan struct{}, 1),
+		ctx:        context.Background(),
 	}
+	if contents != nil {
+		s.core.LimitContents(contents.Table())
+	}
+	return s
 }
 
 // Run ticks while there are jobs, until ctx ends.
@@ -263,11 +272,14 @@
 	defer cancel()
 	pieces := make([]platform.Piece, len(e.Pieces))
 	for i, p := range e.Pieces {
-		pieces[i] = platform.Piece(p)
+		pieces[i] = platform.Piece{Request: p.Request, Stage: p.Stage, Index: p.Index, Remaining: p.Remaining, Key: p.Key, Inputs: p.Inputs}
 	}
 	sent := time.Now()
 	reply, err := s.stages.Run(ctx, e.Endpoint, e.Addr, pieces)
 	s.signals.Observe(e.Key, firstRequest(e.Pieces), sent, reply.Signals)
+	if errorx.IsOfType(err, platform.ErrBroken) {
+		s.recordBroken(e, time.Since(sent), err)
+	}
 	fault := callFault(err)
 	outcomes := make([]dispatch.Outcome, len(reply.Results))
 	failed := 0
@@ -287,6 +299,21 @@
 	s.handle(func(now time.Time, c *dispatch.Core) { c.CallEnded(now, e.Call, fault, outcomes) })
 }
 
+// recordBroken records that the connection broke under a call, for the content of each of
+// its requests.
+func (s *Scheduler) recordBroken(e dispatch.StartCall, ranFor time.Duration, err error) {
+	endpoint := quarantine.Endpoint{Key: e.Key, Addr: e.Addr, Service: e.Service}
+	seen := make(map[quarantine.Content]bool)
+	for _, p := range e.Pieces {
+		if !seen[p.Content] {
+			seen[p.Content] = true
+			s.quarantine.Broken(quarantine.Break{
+				Content: p.Content, Endpoint: endpoint, Request: p.Request, RanFor: ranFor, Trial: e.Trial,
+			}, err)
+		}
+	}
+}
+
 // firstRequest returns the ID of the first request whose pieces a call carries.
 func firstRequest(pieces []dispatch.Piece) string {
 	if len(pieces) == 0 {
