discovery: members that were cut off learn what the others saw before a return

What callers saw: after two returns of the store within seconds, the second from a copy before the first return, a gateway that was cut off or restarted in between evacuated a domain again, or kept one that had ended, until the operator wrote it once more; or it kept an endpoint that was removed.

Cause: a member judges by the writes that it has seen, and a member that listed the store alone had not seen them. A removal that a list implies hid the one that was written; members none of which remembers the whole copy did not count as better informed than each other; and a reader that had listed the store told a follower from before its list no removals, of endpoints too, also without any return.

Change: changes carry the hashes of the writes behind them, and a batch says from which lists its items are known: who is in the same era before such a list reads all items. Among members without the whole copy the one counts as better informed that entered the era from a later position and has seen all writes for longer. A written removal takes the place of an implied one, and a removal in a complete answer that is older than what is known counts as missing.

--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -216,8 +216,7 @@
 func (f *Follower) Since(after position.Position) Batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := f.state.Knowledge()
-	return Batch{Items: f.state.Since(after), At: known.At, Start: f.state.Start(), Before: known.Before}
+	return f.state.Changes(time.Now(), after)
 }
 
 // Item returns the item of a key, see State.Item.
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,7 +92,7 @@
 		return Batch{}, false
 	}
 	changes, whole := r.readAll(ctx, conn, known.Before)
-	return changes, whole && known.LessInformed(position.Knowledge{At: changes.At, Before: changes.Before})
+	return changes, whole && known.LessInformed(position.Knowledge{At: changes.At, Before: changes.Before, Entered: changes.Entered, Memory: changes.Memory})
 }
 
 // readAll reads all pages of a peer's changes after the position; whole is false if the
@@ -107,6 +108,7 @@
 			return all, false
 		}
 		page.Items = append(all.Items, page.Items...)
+		page.Writes = append(all.Writes, page.Writes...)
 		all = page
 		if !reply.More || page.At != reply.position() {
 			return all, page.At == reply.position()
@@ -114,10 +116,15 @@
 	}
 }
 
-// knowsLess reports whether the peer entered the era of the changes without knowing all that
-// was known up to the position. It then cannot say what of that is lost.
+// knowsLess reports whether the peer cannot tell all that has changed since the position: it
+// entered the era without knowing all that was known before, or the position is before a
+// list from which it knows the items.
 func (b Batch) knowsLess(than position.Position) bool {
-	return !than.IsZero() && b.At.Era > than.Era && than.After(b.Before)
+	if than.IsZero() {
+		return false
+	}
+	beforeList := func(list position.Position) bool { return list.Era == than.Era && list.After(than) }
+	return b.At.Era > than.Era && than.After(b.Before) || slices.ContainsFunc(b.Lists, beforeList)
 }
 
 // readComplete reads all items that a peer knows; the zero Batch if that fails.
--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangostage/mangostage/platform"
@@ -23,15 +24,56 @@
 	Start position.Position
 	// Before is the Knowledge.Before of the peer.
 	Before position.Position
+	// Lists are the positions of the latest lists from which the peer knows the items. To one
+	// that is within the same era before a list, it cannot tell all that was removed.
+	Lists []position.Position
+	// Entered and Memory are those of the peer's Knowledge, Seen how long it has now seen all writes
+	// without a gap.
+	Entered      position.Position
+	Memory, Seen time.Duration
 	// Peer is the name of the peer.
 	Peer string
 	// Complete means that the changes are all items that the peer knows.
 	Complete bool
+	// Writes are hashes of the latest writes that the peer has seen. A process that did not
+	// see them could not tell what a later copy repeats.
+	Writes []uint64
+}
+
+// Changes returns what a peer that is complete up to the position has to be told. A peer
+// from another era may lack writes of any time.
+func (s *State) Changes(now time.Time, after position.Position) Batch {
+	b := Batch{Items: s.Since(after), At: s.at, Start: s.start, Before: s.before, Lists: slices.Clone(s.lists), Entered: s.entered, Memory: s.memory, Seen: now.Sub(s.seenSince)}
+	since := after
+	if after.Era < s.at.Era {
+		since = position.Position{}
+	}
+	b.Writes = s.seen.after(since, b.Items, maxToldWrites)
+	return b
+}
+
+// maxLists bounds the lists that are remembered: those of a few eras.
+const maxLists = 8
+
+// noteLists remembers the positions of lists.
+func (s *State) noteLists(lists ...position.Position) {
+	s.lists = append(s.lists, lists...)
+	slices.SortFunc(s.lists, position.Position.Compare)
+	s.lists = slices.Compact(s.lists)
+	s.lists = s.lists[max(0, len(s.lists)-maxLists):]
+}
+
+// noteWrites remembers the writes that a peer has seen. It is called once the peer's items
+// have been applied.
+func (s *State) noteWrites(b Batch) {
+	for _, hash := range b.Writes {
+		s.seen.addHash(hash, b.At)
+	}
 }
 
 // Knowledge returns what is known of the store.
 func (s *State) Knowledge() position.Knowledge {
-	return position.Knowledge{At: s.at, Before: s.before}
+	return position.Knowledge{At: s.at, Before: s.before, Entered: s.entered, Memory: s.memory}
 }
 
 // Start returns the first position of the latest era at which the store is known to have
@@ -56,6 +98,9 @@
 	switch {
 	case item.Lost && known.Gone && !known.Lost:
 		return false
+	case item.Gone && !item.Lost && known.Gone && known.Lost && item.Era == known.Era:
+		// The removal that was written says more than the one that a list implied.
+		return true
 	case item.Era == known.Era:
 		return item.Revision > known.Revision
 	case item.Era < known.Era:
@@ -128,9 +173,15 @@
 	} else {
 		s.applyAll(now, b.Items, b.At)
 	}
+	if from.IsZero() || b.Complete {
+		s.noteLists(b.Lists...)
+	}
+	s.noteWrites(b)
 	includesEarlier := b.Complete || from.IsZero() || from.Era < b.At.Era
 	if includesEarlier && s.at.Era == b.At.Era {
 		s.before = position.Latest(s.before, b.Before)
+		s.memory, s.entered = max(s.memory, b.Memory), position.Latest(s.entered, b.Entered)
+		s.seenSince = now.Add(-b.Seen)
 	}
 }
 
@@ -147,7 +198,10 @@
 	s.adopting = true
 	s.applyAll(now, b.Items, b.At)
 	s.adopting = false
+	s.noteWrites(b)
 	s.before = position.Latest(s.before, b.Before)
+	s.memory, s.entered = max(s.memory, b.Memory), position.Latest(s.entered, b.Entered)
+	s.seenSince = now.Add(-b.Seen)
 }
 
 // applyAll applies the items of an answer that is complete up to the position at.
@@ -165,7 +219,7 @@
 	}
 	switch {
 	case s.at.IsZero():
-		s.knownSince = now
+		s.knownSince, s.seenSince = now, now
 	case at.Era > s.at.Era:
 		s.enterEra(now, at)
 	}
@@ -182,7 +236,7 @@
 // was away.
 func (s *State) enterEra(now time.Time, at position.Position) {
 	s.noteStart(at)
-	s.before = position.Position{}
+	s.before, s.entered, s.memory = position.Position{}, s.at, now.Sub(s.seenSince)
 	if s.RemembersCopy(now) {
 		s.before = s.at
 	}
--- a/discovery/restore_model_test.go
+++ b/discovery/restore_model_test.go
@@ -350,7 +350,7 @@
 	known := member.state.Knowledge()
 	informed := m.reach(member, func(o *modelMember) bool { return known.LessInformed(o.state.Knowledge()) })
 	if informed != nil && known.At.Era > firstEra {
-		member.state.Adopt(m.now, since(informed, known.Before))
+		member.state.Adopt(m.now, informed.state.Changes(m.now, known.Before))
 	}
 	if m.follow(member) {
 		return
@@ -372,18 +372,12 @@
 	m.read(member)
 }
 
-// since returns the changes that a member passes on.
-func since(o *modelMember, after position.Position) Batch {
-	known := o.state.Knowledge()
-	return Batch{Items: o.state.Since(after), At: known.At, Start: o.state.Start(), Before: known.Before}
-}
-
 // pass applies the changes that another member passes on.
 func (m *model) pass(member, from *modelMember) {
 	at := member.state.At()
-	batch := since(from, at)
+	batch := from.state.Changes(m.now, at)
 	if batch.knowsLess(at) {
-		batch = since(from, position.Position{})
+		batch = from.state.Changes(m.now, position.Position{})
 		batch.Complete = true
 	}
 	member.state.ApplyBatch(m.now, batch)
--- a/discovery/serve.go
+++ b/discovery/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -54,9 +55,15 @@
 	Era  uint64 `json:"era,omitempty"`
 	At   uint64 `json:"at"`
 	More bool   `json:"more,omitempty"`
-	// Start and Before are as in Batch.
-	Start  position.Position `json:"start,omitzero"`
-	Before position.Position `json:"before,omitzero"`
+	// Start, Before, Lists, Entered, Memory and Seen are as in Batch.
+	Start   position.Position   `json:"start,omitzero"`
+	Before  position.Position   `json:"before,omitzero"`
+	Lists   []position.Position `json:"lists,omitempty"`
+	Entered position.Position   `json:"entered,omitzero"`
+	Memory  time.Duration       `json:"memory,omitempty"`
+	Seen    time.Duration       `json:"seen,omitempty"`
+	// Writes are those of Batch, each in eight bytes.
+	Writes []byte `json:"writes,omitempty"`
 	// Fresh means that the store has answered the peer recently, see Follower.Fresh.
 	Fresh bool `json:"fresh"`
 }
@@ -68,7 +75,25 @@
 
 // batch returns the changes of the answer.
 func (r changesReply) batch() Batch {
-	return Batch{Items: r.Items, At: r.position(), Start: r.Start, Before: r.Before}
+	return Batch{Items: r.Items, At: r.position(), Start: r.Start, Before: r.Before, Lists: r.Lists, Entered: r.Entered, Memory: r.Memory, Seen: r.Seen, Writes: unpackHashes(r.Writes)}
+}
+
+// packHashes returns hashes as bytes.
+func packHashes(hashes []uint64) []byte {
+	packed := make([]byte, 0, 8*len(hashes))
+	for _, hash := range hashes {
+		packed = binary.LittleEndian.AppendUint64(packed, hash)
+	}
+	return packed
+}
+
+// unpackHashes returns the hashes that packHashes has packed; a rest is ignored.
+func unpackHashes(packed []byte) []uint64 {
+	var hashes []uint64
+	for ; len(packed) >= 8; packed = packed[8:] {
+		hashes = append(hashes, binary.LittleEndian.Uint64(packed))
+	}
+	return hashes
 }
 
 // partQuery asks for a part of a packed value that begins at an offset in bytes.
@@ -89,7 +114,8 @@
 	peer.HandleCall(mux, MethodChanges, func(ctx context.Context, _ *peer.Conn, q changesQuery) (changesReply, error) {
 		changes := f.Await(ctx, q.position(), q.Wait)
 		reply, err := changesPage(changes.Items, changes.At, packs)
-		reply.Start, reply.Before = changes.Start, changes.Before
+		reply.Start, reply.Before, reply.Writes = changes.Start, changes.Before, packHashes(changes.Writes)
+		reply.Lists, reply.Entered, reply.Memory, reply.Seen = changes.Lists, changes.Entered, changes.Memory, changes.Seen
 		reply.Fresh = f.Fresh()
 		return reply, err
 	})
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -55,6 +55,14 @@
 	// seen holds the latest writes, knownSince is when the state was first complete.
 	seen       *writes
 	knownSince time.Time
+	// lists are the positions of the latest lists. What was added and removed between a list
+	// and the position before it is not known.
+	lists []position.Position
+	// seenSince is since when all writes were seen, here or by the peer that told of them;
+	// memory is how long that had been so when the era was entered, entered the position then.
+	seenSince time.Time
+	memory    time.Duration
+	entered   position.Position
 	// observedFrom is the revision after which all writes have been seen.
 	observedFrom uint64
 	// adopting means that the items of a better informed peer are being applied.
@@ -306,9 +314,19 @@
 	if at.After(s.at) {
 		s.noteObserved(items, at)
 	}
+	if at.After(s.at) {
+		s.noteLists(at)
+	}
+	// A list lacks the writes between it and the position before.
+	defer func(listed position.Position) {
+		if at.After(listed) {
+			s.seenSince = now
+		}
+	}(s.at)
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
-		listed[item.Key] = true
+		// A removal that a peer knows may be older than what is known here.
+		listed[item.Key] = !item.Gone || item.Lost
 		s.Apply(now, item)
 	}
 	for id, e := range s.entries {
--- a/position/position.go
+++ b/position/position.go
@@ -3,7 +3,10 @@
 // out again: revisions can be compared only within one era.
 package position
 
-import "cmp"
+import (
+	"cmp"
+	"time"
+)
 
 // Position is the place of a change in the order of all changes of the store. The zero value
 // comes before all of them. Era is 0 if the store, or a member of an earlier build, names
@@ -32,6 +35,10 @@
 	return a
 }
 
+// memoryMargin is the difference of memories from which one counts as longer: members enter
+// an era within that time of each other.
+const memoryMargin = time.Second
+
 // Knowledge says what a process knows of the store.
 type Knowledge struct {
 	// At is the position up to which the process is complete.
@@ -40,9 +47,21 @@
 	// process that was further then can better tell the changes of the era from those that
 	// the copy only repeats.
 	Before Position
+	// Entered is the position up to which it was complete then, whether it remembers all that
+	// the copy may repeat or not, and Memory how long it had seen all writes without a gap.
+	// They decide between processes of which none remembers all.
+	Entered Position
+	Memory  time.Duration
 }
 
 // LessInformed reports whether o has entered the same era with more knowledge than k.
 func (k Knowledge) LessInformed(o Knowledge) bool {
-	return k.At.Era == o.At.Era && o.Before.After(k.Before)
+	if k.At.Era != o.At.Era {
+		return false
+	}
+	if k.Before.IsZero() && o.Before.IsZero() {
+		further, longer := o.Entered.After(k.Entered), o.Memory > k.Memory+memoryMargin
+		return further && o.Memory+memoryMargin >= k.Memory || longer && !k.Entered.After(o.Entered)
+	}
+	return o.Before.After(k.Before)
 }
