soak: requests that crash endpoints, in series and beside all other faults

A client sends a content that crashes each endpoint that runs it, at gateways, engines and stages. Checked are the endpoints that each content costs, and that other content, of which the clients send seven bodies over and over, is refused nowhere in the calm.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -173,6 +173,9 @@
 		req.Header.Set("Mangostage-Segments", "3,2")
 		req.Header.Set("Mangostage-Segment-Key", "key-"+id)
 	}
+	if route == "staged" && strings.HasPrefix(body, crashPrefix) {
+		req.Header.Set("Mangostage-Segment-Key", body)
+	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
 		return 0, "", err
--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -102,6 +102,7 @@
 	endpoints []*endpoint
 	gateways  []*gateway
 	recorder  *recorder
+	crashes   crashBook
 
 	mu      sync.Mutex
 	version int
@@ -281,6 +282,7 @@
 		inner := &standin.Endpoint{ID: id, Answer: func(w http.ResponseWriter, run standin.Run) {
 			r.recorder.recordRun(run, id, drainedAt)
 			r.checkArrival(run.ID, e)
+			r.crashIfAsked(e, string(run.Body))
 			answer(w, run, e.service)
 		}}
 		inner.Reject(reject)
@@ -354,6 +356,9 @@
 			return
 		}
 		r.checkArrival("a call for segments", e)
+		for _, p := range message.Entries {
+			r.crashIfAsked(e, p.Key)
+		}
 		entries := make([]map[string]string, len(message.Entries))
 		for i, p := range message.Entries {
 			r.recorder.checkSegment(p)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,6 +22,7 @@
 	gateways    = flag.Int("soak.gateways", 3, "number of gateway processes")
 	plannedOnly = flag.Bool("soak.clean", false, "inject planned work only: stops, reloads, changes")
 	returnsOnly = flag.Bool("soak.returns", false, "inject planned work and returns of the store only")
+	crashesOnly = flag.Bool("soak.crashes", false, "inject planned work and requests that crash endpoints only")
 )
 
 const (
@@ -55,6 +56,8 @@
 		return plannedWork
 	case *returnsOnly:
 		return storeReturns
+	case *crashesOnly:
+		return crashingContent
 	}
 	return allFaults
 }
@@ -78,6 +81,14 @@
 	}
 }
 
+// TestCrashingContent guards against requests that crash endpoint after endpoint, in series,
+// overlapping and beside planned work, and against other content that is refused for it.
+func TestCrashingContent(t *testing.T) {
+	for _, seed := range []uint64{47, 470} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, crashingContent) })
+	}
+}
+
 // faultSet says which faults are injected.
 type faultSet int
 
@@ -87,6 +98,8 @@
 	plannedWork
 	// storeReturns is planned work and returns of the store from a copy.
 	storeReturns
+	// crashingContent is planned work and requests that crash endpoints.
+	crashingContent
 )
 
 func runSeed(t *testing.T, seed uint64, set faultSet) {
@@ -106,6 +119,8 @@
 	<-timer.C
 	cancel()
 	running.Wait()
+	r.checkOthersServed()
+	r.checkCrashes(set)
 	r.checkSignals()
 	broken := r.recorder.finalViolations()
 	r.logSummary(seed, len(broken))
@@ -133,8 +148,8 @@
 		}
 	}
 	sort.Strings(lines)
-	r.t.Logf("seed %d: %d answered with 200, %d broken promises, %d endpoints back under their IDs, signals: %d rates, %d refusals, %d departures; %v",
-		seed, answered, broken, r.recorder.restarts, len(r.signals.rates), len(r.signals.refusals), len(r.signals.departures), lines)
+	r.t.Logf("seed %d: %d answered with 200, %d broken promises, %d endpoints back under their IDs, signals: %d rates, %d refusals, %d departures, endpoints lost to contents: %v; %v",
+		seed, answered, broken, r.recorder.restarts, len(r.signals.rates), len(r.signals.refusals), len(r.signals.departures), r.crashes.lost, lines)
 	if answered == 0 {
 		r.t.Error("nothing was served")
 	}
@@ -211,6 +226,11 @@
 		work = append(work, func() { r.returnStore(age, away) }, func() { r.returnStore(age, away) }, func() { r.returnStore(age, away) })
 		return work[r.rng.IntN(len(work))]
 	}
+	crashRoute := []string{"idem", "resume", "staged"}[r.rng.IntN(3)]
+	if set == crashingContent {
+		work = append(work, func() { r.sendCrashing(crashRoute, d+time.Second) }, func() { r.sendCrashing(crashRoute, d+time.Second) }, func() { r.sendCrashing(crashRoute, d+time.Second) })
+		return work[r.rng.IntN(len(work))]
+	}
 	faults := append(work,
 		func() { r.freeze(g, d) },
 		func() { r.kill(g) },
@@ -234,6 +254,8 @@
 		func() { r.faultLink(g.toPeer, d, (*harness.Link).Reset) },
 		func() { r.returnStore(age, away) },
 		func() { r.returnStore(age, away) },
+		func() { r.sendCrashing(crashRoute, d+time.Second) },
+		func() { r.sendCrashing(crashRoute, d+time.Second) },
 	)
 	return faults[r.rng.IntN(len(faults))]
 }
@@ -262,13 +284,25 @@
 // see, and starts the next one after d under the same ID: within its lease or, with
 // expire set, after its entry has expired.
 func (r *rig) crash(e *endpoint, d time.Duration, apply func(*harness.Link), expire bool) {
+	if e.beginCrash() {
+		r.endCrash(e, d, apply, expire)
+	}
+}
+
+// beginCrash marks the endpoint as crashed; it returns false if the endpoint is down or
+// leaves.
+func (e *endpoint) beginCrash() bool {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	if !e.drainedAt.IsZero() || e.down || e.announced {
-		e.mu.Unlock()
-		return
+		return false
 	}
 	e.down = true
-	e.mu.Unlock()
+	return true
+}
+
+// endCrash makes callers see a crash that has begun, and starts the next process.
+func (r *rig) endCrash(e *endpoint, d time.Duration, apply func(*harness.Link), expire bool) {
 	r.recorder.recordFault(d)
 	apply(e.link)
 	wait(d / 2)
