--- a/integration/crash_rig_test.go
+++ b/integration/crash_rig_test.go
@@ -76,6 +76,10 @@
 	sameID, keepEntries bool
 	// runTime is how long other requests run.
 	runTime time.Duration
+	// stageTime is how long calls for stages take beside that, in nanoseconds.
+	stageTime atomic.Int64
+	// onRun, if set, is called when an endpoint that serves begins a run; it may abort it.
+	onRun func(e *crashEndpoint, body string)
 
 	mu        sync.Mutex
 	endpoints map[string][]*crashEndpoint
@@ -94,6 +98,8 @@
 	index   int
 	start   int
 	id      string
+	// born is the start of the current process in Unix milliseconds.
+	born int64
 }
 
 func newCrashRig(t *testing.T, change func(*crashRig)) *crashRig {
@@ -153,6 +159,7 @@
 		return
 	}
 	e.start++
+	e.born = time.Now().UnixMilli()
 	if e.id == "" || !r.sameID {
 		e.id = fmt.Sprintf("%s-%d-%d", e.service, e.index, e.start)
 	}
@@ -160,7 +167,12 @@
 		r.t.Errorf("endpoint %s: %v", e.id, err)
 		return
 	}
-	r.store.PutEndpoint(e.id, standin.Entry{Service: e.service, Addr: e.Addr, Domain: "z0", Slots: 16, Born: time.Now().UnixMilli()})
+	r.listLocked(e, "ready")
+}
+
+// listLocked writes the entry of an endpoint.
+func (r *crashRig) listLocked(e *crashEndpoint, state string) {
+	r.store.PutEndpoint(e.id, standin.Entry{Service: e.service, Addr: e.Addr, Domain: "z0", Slots: 16, State: state, Born: e.born})
 }
 
 // end ends all endpoints.
@@ -206,7 +218,7 @@
 			if err == nil && r.crashesStage && strings.Contains(string(body), `"key":"`+crashContent) {
 				r.crashByContent(e)
 			}
-			waitUntil(time.Now(), r.runTime)
+			waitUntil(time.Now(), r.runTime+time.Duration(r.stageTime.Load()))
 			req.Body = io.NopCloser(strings.NewReader(string(body)))
 			stage.ServeHTTP(w, req)
 		})
@@ -217,6 +229,9 @@
 			r.beginAnswer(w, e.service)
 			r.crashByContent(e)
 		}
+		if r.onRun != nil {
+			r.onRun(e, string(run.Body))
+		}
 		if e.service == "llm" {
 			standin.WriteEvents(w, 1, 1)
 			waitUntil(time.Now(), r.runTime)
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -356,6 +356,20 @@
 	assert.Equal(t, found[0].Verdict, Crashed)
 }
 
+// Guards against crashes of endpoints that have just said that they leave: they still serve.
+func TestLeavingEndpointCanCrash(t *testing.T) {
+	c := newTestTable()
+	leaving := manyEndpoints()
+	for _, e := range leaving {
+		e.Leaving = true
+	}
+	c.SetView(epoch, viewOf(leaving...))
+	for i := range crashLimit {
+		crash(c, epoch.Add(drain/2), 1, string(rune('0'+i)))
+	}
+	assert.Equal(t, c.State(epoch.Add(drain/2), 1).Standing, Quarantined)
+}
+
 // Guards against a break after the connection that showed a living endpoint was opened: it
 // must not be cleared by that.
 func TestLaterBreakIsNotCleared(t *testing.T) {
