quarantine, gateway: logs lead from a refused request to its content

The answered line of a request that is refused for its content names the content, and an answer that another member heard of is logged as one that forgives, not as a crash.

--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -88,8 +88,11 @@
 func (g *Gateway) refuse(w http.ResponseWriter, req *request, p *problem) {
 	clientLeft := req.clientLeft() && !p.readInterrupted
 	g.cfg.Metrics.countAnswer(req, p.reason)
-	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", routeName(req)).
-		Int("status", p.status).Str("reason", p.reason).Bool("offered", req.sent).
+	line := g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", routeName(req))
+	if p.reason == reasonCrashes || p.reason == reasonAwaitsVerdict {
+		line.Stringer("content", req.content)
+	}
+	line.Int("status", p.status).Str("reason", p.reason).Bool("offered", req.sent).
 		Bool("may_have_run", req.mayHaveRun).Bool("client_left", clientLeft).Uint64("config", req.configVersion).
 		Str("queue", p.queue).Str("short", string(p.shortOf)).Dur("behind_ms", p.lateness).Dur("retry_after_ms", p.retryAfter).Dur("took_ms", time.Since(req.arrived)).Msg("request answered by the gateway itself")
 	if clientLeft {
--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -163,8 +163,12 @@
 	if !c.table.Merge(time.Now(), l) {
 		return false
 	}
-	if l.Verdict == Crashed {
-		c.logLoss(logCrashed, l, from).Msg("endpoint crashed under a request with this content")
+	switch {
+	case l.Verdict != Crashed:
+	case l.Answers == 0:
+		c.logLoss(logCrashed, l, from).Msg(textCrashed)
+	default:
+		c.logLoss(logForgiven, l, from).Int("answers", l.Answers).Msg(textForgiven)
 	}
 	c.logChanges(from)
 	return true
@@ -209,7 +213,7 @@
 	for _, l := range losses {
 		name, text := logSendCleared, "the endpoint has not crashed, as far as is known"
 		if l.Verdict == Crashed {
-			name, text = logCrashed, "endpoint crashed under a request with this content"
+			name, text = logCrashed, textCrashed
 		}
 		c.logLoss(name, l.Loss, "").Msg(text)
 		if l.Verdict == Crashed || l.Known {
@@ -223,7 +227,7 @@
 func (c *Client) answered(content Content, request string, trial bool) []Loss {
 	forgiven := c.table.RecordAnswer(time.Now(), content, trial)
 	for _, l := range forgiven {
-		c.logLoss(logForgiven, l, "").Str("answered", request).Int("answers", l.Answers).Msg("a complete answer forgives a crash")
+		c.logLoss(logForgiven, l, "").Str("answered", request).Int("answers", l.Answers).Msg(textForgiven)
 		c.outbox.add(l, time.Now())
 	}
 	c.logChanges("")
--- a/quarantine/lognames.go
+++ b/quarantine/lognames.go
@@ -24,3 +24,9 @@
 	countWaited  = "waited"
 	countNoOwner = "no_owner"
 )
+
+// Texts of log lines that are written in two places.
+const (
+	textCrashed  = "endpoint crashed under a request with this content"
+	textForgiven = "a complete answer forgives a crash"
+)
