--- a/integration/crash_test.go
+++ b/integration/crash_test.go
@@ -1,7 +1,9 @@
 package integration
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -213,3 +215,31 @@
 		}
 	}
 }
+
+// Guards against support that cannot tell why a request was refused: its line names the
+// content, and every gateway's log leads from there to the crashes.
+func TestLogsLeadFromARefusalToItsCrashes(t *testing.T) {
+	t.Parallel()
+	r := newCrashRig(t, nil)
+	r.sendEvery(crashInterval, 2*time.Second, "model", crashContent)
+	r.checkRefused(1, "model")
+	var content string
+	for line := range strings.Lines(string(r.members[1].Log())) {
+		var said struct{ Reason, Content string }
+		if json.Unmarshal([]byte(line), &said) == nil && said.Reason == "crashes_endpoints" {
+			content = said.Content
+		}
+	}
+	assert.Assert(t, content != "")
+	for _, m := range r.members {
+		quote := `"content":"` + content + `"`
+		crashes := 0
+		for line := range strings.Lines(string(m.Log())) {
+			if strings.Contains(line, `"event":"endpoint_crashed"`) && strings.Contains(line, quote) {
+				crashes++
+			}
+		}
+		assert.Equal(t, crashes, 3, "%s", m.Name)
+		assert.Assert(t, m.LogHas(`"event":"content_standing"`, quote, `"now":"quarantined"`))
+	}
+}
