--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -98,8 +98,7 @@
 	switch {
 	case item.Lost && known.Gone && !known.Lost:
 		return false
-	case item.Gone && !item.Lost && known.Gone && known.Lost && item.Era == known.Era:
-		// The removal that was written says more than the one that a list implied.
+	case statesImplied(known, item):
 		return true
 	case item.Era == known.Era:
 		return item.Revision > known.Revision
@@ -116,6 +115,12 @@
 	return true
 }
 
+// statesImplied reports whether an item is the written removal of what a list only implied to
+// be gone: it says more.
+func statesImplied(known, item platform.Item) bool {
+	return item.Gone && !item.Lost && known.Gone && known.Lost && item.Era == known.Era
+}
+
 // mayBeOutdated reports whether an item that was not seen before may be one of a copy all
 // the same, because this process has not seen all writes of that time. What it was told to
 // be gone is then not taken for back.
--- a/gateway/content.go
+++ b/gateway/content.go
@@ -2,9 +2,11 @@
 
 import (
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/mangostage/mangostage/balance"
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/quarantine"
 )
@@ -56,6 +58,26 @@
 	return waited, giveUp(req, req.endReason(reason), refusal.RetryAfter)
 }
 
+// beginSend asks whether the request may be sent now to the endpoint that was chosen; picked
+// says that the balancer counts it there. If it may not, there is a problem, or the endpoint
+// has to be chosen again.
+func (g *Gateway) beginSend(req *request, e *catalog.Endpoint, picked bool) (ready bool, p *problem) {
+	waited, p := g.beginRun(req)
+	if p == nil && (!waited || g.stillTakesWork(req, e)) {
+		return true, nil
+	}
+	if picked {
+		g.balance.Done(time.Now(), e.Key(), balance.Abandoned, 0, -1)
+	}
+	return false, p
+}
+
+// stillTakesWork reports whether an endpoint that was chosen a while ago takes work.
+func (g *Gateway) stillTakesWork(req *request, e *catalog.Endpoint) bool {
+	now := g.viewFor(req).Endpoint(e.Key())
+	return now != nil && now.TakesWork() && !g.cfg.Backoffs.Active(time.Now(), e.Key())
+}
+
 // endRun ends the request's run, if it has not ended.
 func (req *request) endRun() {
 	req.run.End()
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -174,14 +174,13 @@
 		case e == nil:
 			return false, g.unservedProblem(m.request)
 		}
-		waited, p := g.beginRun(m.request)
-		if p != nil || waited && !g.stillTakesWork(m.request, e) {
-			g.abandonPick(e, picked)
-			if p != nil {
-				// The engine was not called and is not at fault.
-				served = true
-				return false, p
-			}
+		ready, p := g.beginSend(m.request, e, picked)
+		switch {
+		case p != nil:
+			// The engine was not called and is not at fault.
+			served = true
+			return false, p
+		case !ready:
 			continue
 		}
 		g.countFirstSend(m.request, &m.tries)
@@ -242,13 +241,6 @@
 	return e, e != nil, p
 }
 
-// abandonPick ends the balancer's count of a request that is not sent to the engine.
-func (g *Gateway) abandonPick(e *catalog.Endpoint, picked bool) {
-	if picked {
-		g.balance.Done(time.Now(), e.Key(), balance.Abandoned, 0, -1)
-	}
-}
-
 // hasToken reports whether the request may be sent to the engine that the queue owner
 // chose: the owner spent a token, or the engine has no quota, or a token is there now.
 func (g *Gateway) hasToken(m *modelRequest, e *catalog.Endpoint) bool {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -45,12 +45,11 @@
 		if e == nil {
 			return g.finishUnserved(w, req, failed, p)
 		}
-		waited, p := g.beginRun(req)
-		if p != nil || waited && !g.stillTakesWork(req, e) {
-			g.balance.Done(time.Now(), e.Key(), balance.Abandoned, 0, -1)
-			if p != nil {
-				return g.finishUnserved(w, req, failed, p)
-			}
+		ready, p := g.beginSend(req, e, true)
+		switch {
+		case p != nil:
+			return g.finishUnserved(w, req, failed, p)
+		case !ready:
 			continue
 		}
 		g.countFirstSend(req, &tries)
@@ -67,12 +66,6 @@
 	}
 }
 
-// stillTakesWork reports whether an endpoint that was chosen a while ago takes work.
-func (g *Gateway) stillTakesWork(req *request, e *catalog.Endpoint) bool {
-	now := g.viewFor(req).Endpoint(e.Key())
-	return now != nil && now.TakesWork() && !g.cfg.Backoffs.Active(time.Now(), e.Key())
-}
-
 // sendResult is the result of one send.
 type sendResult int
 
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -173,7 +173,7 @@
 
 // answered counts a complete answer: it forgives part of the oldest loss or, after a trial,
 // all of them. It returns the losses that have changed.
-func (c *contentState) answered(now time.Time, trial bool) []*loss {
+func (c *contentState) answered(trial bool) []*loss {
 	var changed []*loss
 	var oldest *loss
 	for _, l := range c.losses {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -303,7 +303,7 @@
 		return nil
 	}
 	var told []Loss
-	for _, l := range c.answered(now, trial) {
+	for _, l := range c.answered(trial) {
 		told = append(told, l.export(now))
 	}
 	if len(told) > 0 {
