--- a/integration/crash_rig_test.go
+++ b/integration/crash_rig_test.go
@@ -143,6 +143,16 @@
 	}
 	r.frontends = append(r.frontends, harness.FreePort(r.t))
 	r.members = append(r.members, startMember(r.t, fmt.Sprintf("g%d", n+1), r.peers[n], r.frontends[n], r.storeAddr, r.peers[:crashMembers]...))
+	r.t.Cleanup(r.terminate)
+}
+
+// terminate lets all gateways stop at the same time.
+func (r *crashRig) terminate() {
+	for _, m := range r.members {
+		if m.Running() {
+			m.Term()
+		}
+	}
 }
 
 func (r *crashRig) addEndpoint(service string, i int) {
