fake: the load of an engine falls before its caller has the answer

TestEngineBatches, known red: a health answer right after the last of twelve answers named a generation in flight. Traced: the stand-in wakes the caller with the last token and reports its load after the whole step.

--- a/fake/batch.go
+++ b/fake/batch.go
@@ -196,8 +196,14 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	finished := 0
 	for _, s := range b.batch {
-		s.step(decodeShare, func() { b.counts.finish(s.marker) })
+		s.step(decodeShare, func() {
+			b.counts.finish(s.marker)
+			// A caller that has its answer must not find itself among those in flight.
+			finished++
+			b.load.replace(len(b.batch)-finished, len(b.queue))
+		})
 	}
 	b.dropEnded()
 }
