--- a/integration/crash/crash_test.go
+++ b/integration/crash/crash_test.go
@@ -1,4 +1,4 @@
-package integration
+package crash
 
 import (
 	"encoding/json"
--- a/integration/crash/innocent_test.go
+++ b/integration/crash/innocent_test.go
@@ -1,4 +1,4 @@
-package integration
+package crash
 
 import (
 	"net/http"
--- a/integration/crash/rig_test.go
+++ b/integration/crash/rig_test.go
@@ -1,4 +1,4 @@
-package integration
+package crash
 
 import (
 	"fmt"
@@ -89,6 +89,7 @@
 	// restarts are the timers of crashed endpoints; they end with the test.
 	restarts []*time.Timer
 	ended    bool
+	stopping sync.Once
 }
 
 // crashEndpoint is an endpoint that can crash.
@@ -148,11 +149,11 @@
 
 // terminate lets all gateways stop at the same time.
 func (r *crashRig) terminate() {
-	for _, m := range r.members {
-		if m.Running() {
+	r.stopping.Do(func() {
+		for _, m := range r.members {
 			m.Term()
 		}
-	}
+	})
 }
 
 func (r *crashRig) addEndpoint(service string, i int) {
