discovery: a change of the view names by whose word it came

Both now name the peer or the store, how the item came, its position, the beginning of the era and how long the process has known of it.

--- a/discovery/decode.go
+++ b/discovery/decode.go
@@ -30,7 +30,7 @@
 			return
 		}
 		config := prepareConfig(item)
-		f.update(func(_ time.Time, s *State) { s.adoptConfig(item, config) })
+		f.update(func(now time.Time, s *State) { s.adoptConfig(now, item, config) })
 	}
 }
 
--- a/discovery/decode_test.go
+++ b/discovery/decode_test.go
@@ -71,7 +71,7 @@
 	adopt := func() {
 		item, ok := s.UndecodedConfig()
 		assert.Assert(t, ok)
-		s.adoptConfig(item, prepareConfig(item))
+		s.adoptConfig(now, item, prepareConfig(item))
 	}
 	endpoint := func(id, service string, revision uint64) platform.Item {
 		value := fmt.Appendf(nil, `{"service":%q,"address":"10.0.0.1:80","zone":"z","slots":8,"state":"ready"}`, service)
--- a/discovery/entries.go
+++ b/discovery/entries.go
@@ -36,6 +36,12 @@
 	return e.endpoint
 }
 
+// takesWork reports whether the view has the endpoint of an entry and it does not leave; e
+// may be nil.
+func (e *entry) takesWork() bool {
+	return e != nil && e.endpoint != nil && !e.endpoint.Leaving
+}
+
 // current returns the item as it is passed on to peers.
 func (e *entry) current() platform.Item {
 	item := e.item
@@ -58,7 +64,7 @@
 // and puts their pending endpoints into use. A service that a later configuration no
 // longer names keeps its endpoints, because requests of the previous version may still be
 // in flight there.
-func (s *State) registerServices() {
+func (s *State) registerServices(now time.Time) {
 	for _, service := range s.index.Config.ServiceNames() {
 		s.knownServices[service] = true
 	}
@@ -66,7 +72,7 @@
 		switch {
 		case e.pendingEndpoint == nil:
 		case s.knownServices[e.pendingEndpoint.Service]:
-			s.putUsable(id, &entry{item: e.item, endpoint: e.pendingEndpoint})
+			s.putUsable(now, id, &entry{item: e.item, endpoint: e.pendingEndpoint})
 		case !e.faultReported:
 			e.faultReported = true
 			s.fault(e.item, unknownServiceError(e.pendingEndpoint))
@@ -109,7 +115,7 @@
 		endpoint.ColdUntil = now.Add(endpoint.ColdLeft)
 	}
 	if s.knownServices[endpoint.Service] {
-		s.putUsable(id, &entry{item: item, endpoint: endpoint})
+		s.putUsable(now, id, &entry{item: item, endpoint: endpoint})
 		return
 	}
 	// A configuration that is not decoded yet may name the service.
@@ -161,7 +167,10 @@
 }
 
 // putUsable stores an entry whose endpoint can be used.
-func (s *State) putUsable(id string, e *entry) {
+func (s *State) putUsable(now time.Time, id string, e *entry) {
+	if before, after := s.entries[id].takesWork(), e.takesWork(); before != after {
+		s.noteEndpoint(now, id, after, e.item)
+	}
 	s.entries[id] = e
 	delete(s.expiring, id)
 	s.dirty = true
@@ -237,6 +246,9 @@
 		known.graceUntil = now.Add(restoreGrace)
 		return
 	}
+	if known.takesWork() {
+		s.noteEndpoint(now, id, false, item)
+	}
 	if now.Sub(s.lastTrouble) < troublePeriod && !known.endpoint.Leaving {
 		known.graceUntil = now.Add(lapseGrace)
 	}
@@ -277,12 +289,16 @@
 // forgets old removals, and ends the evacuations whose items stay lost. An unusable entry is kept while it is listed, so that its revision
 // hides older ones and its fault is reported once.
 func (s *State) Expire(now time.Time) {
+	defer s.from(Source{Way: WayExpiry})()
 	for _, item := range s.evacuations.expire(now) {
 		s.noteDropped(item.Key)
 		s.noteEvacuation(now, item)
 	}
 	for id, e := range s.expiring {
 		if e.endpoint != nil && !now.Before(e.graceUntil) {
+			if e.item.Lost && e.takesWork() {
+				s.noteEndpoint(now, id, false, e.item)
+			}
 			e.endpoint = nil
 			s.dirty = true
 			if e.item.Lost {
--- a/discovery/eralog.go
+++ b/discovery/eralog.go
@@ -35,7 +35,8 @@
 
 // noteEra notes that the state enters the era of the position.
 func (s *State) noteEra(now time.Time, at position.Position) {
-	s.eraChange.From, s.eraChange.To, s.eraChange.Peer = s.at, at, s.source
+	s.eraChange.From, s.eraChange.To, s.eraChange.Peer = s.at, at, s.source.Peer
+	s.eraSince = now
 	s.eraChanged = true
 	s.eraEntered = now
 	s.eraEnd.Era = at.Era
--- a/discovery/lognames.go
+++ b/discovery/lognames.go
@@ -5,6 +5,8 @@
 	logDomainEvacuated    = "domain_evacuated"
 	logDomainTakenBack    = "domain_taken_back"
 	logEndpointLeaving    = "endpoint_leaving"
+	logEndpointListed     = "endpoint_listed"
+	logEndpointUnlisted   = "endpoint_unlisted"
 	logKnowledgeAdopted   = "knowledge_adopted"
 	logReaderLost         = "reader_lost"
 	logReaderRegained     = "reader_regained"
--- a/discovery/publish.go
+++ b/discovery/publish.go
@@ -33,6 +33,7 @@
 	change(now, f.state)
 	faults := f.state.TakeFaults()
 	changes := f.state.TakeEvacuationChanges()
+	endpoints := f.state.TakeEndpointChanges()
 	eraChange, eraChanged := f.state.TakeEraChange()
 	eraEnd, eraEnded := f.state.TakeEraEnd(now)
 	if f.state.At() != before {
@@ -52,6 +53,7 @@
 	}
 	f.logFaults(faults)
 	f.logEvacuationChanges(changes)
+	f.logEndpointChanges(endpoints)
 	if eraChanged {
 		f.logEraChange(eraChange)
 	}
@@ -98,7 +100,18 @@
 		if !c.Evacuated {
 			event, message = logDomainTakenBack, "the failure domain gets work again"
 		}
-		f.log.Info().Str("event", event).Str("domain", c.Domain).Uint64("revision", c.Revision).Msg(message)
+		c.log(f.log.Info().Str("event", event).Str("domain", c.Domain)).Msg(message)
+	}
+}
+
+// logEndpointChanges logs the endpoints that got into the view or left it.
+func (f *Follower) logEndpointChanges(changes []EndpointChange) {
+	for _, c := range changes {
+		event, message := logEndpointListed, "the endpoint gets work"
+		if !c.Listed {
+			event, message = logEndpointUnlisted, "the endpoint gets no more work"
+		}
+		c.log(f.log.Info().Str("event", event).Str("endpoint", c.ID)).Msg(message)
 	}
 }
 
--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -167,8 +167,11 @@
 // ApplyBatch applies changes from a peer.
 func (s *State) ApplyBatch(now time.Time, b Batch) {
 	s.noteStart(b.Start)
-	s.source = b.Peer
-	defer func() { s.source = "" }()
+	way := WayChanges
+	if b.Complete {
+		way = WayItems
+	}
+	defer s.from(Source{Peer: b.Peer, Way: way})()
 	from := s.at
 	if b.At.After(s.at) {
 		s.noteObserved(b.Items, b.At)
@@ -197,6 +200,7 @@
 	if b.At.Era != s.at.Era || s.start.After(b.At) {
 		return
 	}
+	defer s.from(Source{Peer: b.Peer, Way: WayInformed})()
 	if b.At.After(s.at) {
 		s.noteObserved(b.Items, b.At)
 	}
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -43,7 +43,7 @@
 type EvacuationChange struct {
 	Domain    string
 	Evacuated bool
-	Revision  uint64
+	Word
 }
 
 // State merges the items read from the store and from peers. It does no I/O and is not
@@ -74,8 +74,11 @@
 	// era is settled.
 	eraEnd     EraEnd
 	eraEntered time.Time
-	// source is the peer whose changes are being applied, empty for the store.
-	source string
+	// eraSince is when this process entered the era of the store; zero in the first one
+	// that it has seen.
+	eraSince time.Time
+	// source is that of the items which are being applied; its zero value is a watch.
+	source Source
 	// config is the item of the configuration in force.
 	config platform.Item
 	// deferDecoding means that configurations are not decoded by Apply but by the caller,
@@ -101,6 +104,8 @@
 	lastRefusedEvacuation position.Position
 	// evacuationChanges are those that TakeEvacuationChanges returns next.
 	evacuationChanges []EvacuationChange
+	// endpointChanges are those that TakeEndpointChanges returns next.
+	endpointChanges []EndpointChange
 	// announcedLeaving holds, by Key, the endpoint processes that said in an answer that
 	// they leave, and when they said so or were last listed.
 	announcedLeaving map[string]time.Time
@@ -188,7 +193,7 @@
 func (s *State) Apply(now time.Time, item platform.Item) {
 	switch {
 	case item.Key == platform.KeyConfig:
-		s.applyConfig(item)
+		s.applyConfig(now, item)
 	case strings.HasPrefix(item.Key, platform.PrefixEndpoints):
 		s.applyEndpoint(now, item)
 	case strings.HasPrefix(item.Key, platform.PrefixEvacuations):
@@ -223,19 +228,19 @@
 	if item.Gone {
 		s.evacuationEnded[domainOf(item)] = now
 	}
-	s.evacuationChanges = append(s.evacuationChanges, EvacuationChange{Domain: domainOf(item), Evacuated: !item.Gone, Revision: item.Revision})
+	s.evacuationChanges = append(s.evacuationChanges, EvacuationChange{Domain: domainOf(item), Evacuated: !item.Gone, Word: s.word(now, item)})
 }
 
 // applyConfig decodes an item of the configuration and adopts it, or keeps it to be
 // decoded later.
-func (s *State) applyConfig(item platform.Item) {
+func (s *State) applyConfig(now time.Time, item platform.Item) {
 	switch {
 	case item.Gone || !s.isNews(s.config, item) || item.Position() == s.refusedConfig.Position():
 	case s.repeatsConfig(item):
 		// Peers that lack it learn of it by the new position.
 		s.config = item
 	case !s.deferDecoding:
-		s.adoptConfig(item, prepareConfig(item))
+		s.adoptConfig(now, item, prepareConfig(item))
 	case s.isNews(s.undecodedConfig, item):
 		s.undecodedConfig = item
 	}
@@ -256,7 +261,7 @@
 // version, even after a stale read. A value that is not a valid configuration leaves the
 // last good one in force: without one all requests would be refused until the operator
 // writes again.
-func (s *State) adoptConfig(item platform.Item, config preparedConfig) {
+func (s *State) adoptConfig(now time.Time, item platform.Item, config preparedConfig) {
 	if item.Position() == s.undecodedConfig.Position() {
 		s.undecodedConfig = platform.Item{}
 	}
@@ -270,7 +275,7 @@
 	s.config = item
 	s.index = config.index
 	s.dirty = true
-	s.registerServices()
+	s.registerServices(now)
 }
 
 // preparedConfig is the decoded configuration of an item, or the error of decoding it.
@@ -311,6 +316,9 @@
 // from a copy since the state was complete, they are lost, and kept for restoreGrace.
 func (s *State) ApplyList(now time.Time, items []platform.Item, at position.Position) {
 	s.noteStart(at)
+	if s.source.Way == "" {
+		defer s.from(Source{Way: WayList})()
+	}
 	if at.After(s.at) {
 		s.noteObserved(items, at)
 	}
