discovery: a peer's lost item is not a listed one

What callers saw: a failure domain that the operator had given back stayed evacuated at one gateway for good, so that its endpoints got no work there.

Cause: in an answer with all items of a peer, an item that the peer took for lost counted as listed. If the peer had missed that the item was written again and ended, nothing told the member that what it knew of it was gone.

TestLostItemOfAPeerIsNotListed failed before: the domain is evacuated.

Change: only what is not gone is listed. An item that the peer has lost is held here too, as before, where the member knows it from an earlier era.

--- a/discovery/state.go
+++ b/discovery/state.go
@@ -334,7 +334,7 @@
 	listed := make(map[string]bool, len(items))
 	for _, item := range items {
 		// A removal that a peer knows may be older than what is known here.
-		listed[item.Key] = !item.Gone || item.Lost
+		listed[item.Key] = !item.Gone
 		s.Apply(now, item)
 	}
 	for id, e := range s.entries {
