discovery: adopted items do not complete a position

What callers saw: a failure domain stayed evacuated at one gateway for good.

Cause: a member that takes over the items of a better informed peer took over its position as well, and with it the claim to know all up to there. The peer had been cut off, had listed the store since and knew of no removal in between: the member never asked for it.

TestAdoptedItemsAreNotComplete failed before.

Change: Adopt applies the items and leaves the position; the changes up to the peer's position come the usual way.

--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -195,17 +195,17 @@
 
 // Adopt applies all changes since Before of a peer that entered the era of the store with
 // more knowledge. Where this process took an item of the copy for a new one, the peer's
-// earlier item takes its place.
+// earlier item takes its place. It does not make the state complete up to the peer's
+// position: the peer may itself have missed what was removed meanwhile.
 func (s *State) Adopt(now time.Time, b Batch) {
 	if b.At.Era != s.at.Era || s.start.After(b.At) {
 		return
 	}
 	defer s.from(Source{Peer: b.Peer, Way: WayInformed})()
-	if b.At.After(s.at) {
-		s.noteObserved(b.Items, b.At)
-	}
 	s.adopting = true
-	s.applyAll(now, b.Items, b.At)
+	for _, item := range b.Items {
+		s.Apply(now, item)
+	}
 	s.adopting = false
 	s.noteWrites(b)
 	s.before = position.Latest(s.before, b.Before)
--- a/discovery/restore_ends_test.go
+++ b/discovery/restore_ends_test.go
@@ -38,3 +38,14 @@
 	member.ApplyBatch(epoch, batch)
 	assert.Assert(t, !member.evacuated())
 }
+
+// Guards against a removal that passes a member by for good, since it takes over the
+// position of a better informed peer that has missed the same removal.
+func TestAdoptedItemsAreNotComplete(t *testing.T) {
+	member := NewState()
+	member.ApplyList(epoch, nil, at(2, 30))
+	member.applyAll(epoch, []platform.Item{evacuation(at(2, 34), false)}, at(2, 34))
+	// The evacuation ended at 35. The peer was cut off and has listed the store since.
+	member.Adopt(epoch, Batch{At: at(2, 36), Start: at(2, 30), Before: at(1, 20), Lists: []position.Position{at(2, 36)}})
+	assert.Equal(t, member.At(), at(2, 34))
+}
