discovery: what was told has ended yields to no copy

What callers saw: after a return of the store a failure domain was evacuated again that the operator had given back, or requests went to an endpoint again that had left, at a gateway that had been told of the end.

Cause: who is better informed is one order for all keys, and a member followed the better informed peer for each of them, also against an end that it had been told itself and that the peer knew of only from the copy. And an evacuation that was not seen before counted as a new one unless its revision was lower than that of the end, though a member that started in a later era, or has not seen all writes, cannot tell by that.

TestToldEndOutlivesAPeersCopy and TestToldEndOutlivesAnUnseenCopy failed before.

Change: an item carries whether it may be one of the copy (Copied), so that who gets it from a peer need not guess. Such an item does not take back an end that was told, unless it was not seen before by a member that has seen all writes of the first era, or for longer than a copy is old.

--- a/discovery/entries.go
+++ b/discovery/entries.go
@@ -97,7 +97,7 @@
 		s.fault(item, err)
 		return
 	}
-	if !endpoint.Leaving && s.mayBeOutdated(knownItem(known), item) {
+	if !endpoint.Leaving && s.contradictsEnd(now, knownItem(known), item) {
 		return
 	}
 	if listed := known.listed(); listed != nil {
@@ -139,7 +139,7 @@
 // ready that is known to leave: an endpoint process that leaves does not return.
 func (s *State) takesBackLeaving(known *entry, item platform.Item, endpoint *catalog.Endpoint) bool {
 	unusable := !known.graceUntil.IsZero()
-	if unusable || item.Era == known.item.Era || !s.maybeRepeated(item) {
+	if unusable || item.Era == known.item.Era || !item.Copied {
 		return false
 	}
 	return known.endpoint.Leaving && !endpoint.Leaving && known.endpoint.Key() == endpoint.Key()
--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -103,12 +103,12 @@
 	case item.Era == known.Era:
 		return item.Revision > known.Revision
 	case item.Era < known.Era:
-		return s.adopting && known.Era == s.at.Era && s.maybeRepeated(known)
+		return s.adopting && known.Era == s.at.Era && s.mayBeCopied(known)
 	case known.Position().IsZero() || known.Lost || item.Lost:
 		return true
 	case s.includes(item):
 		return s.adopting
-	case s.maybeRepeated(item) && s.seen.has(item):
+	case item.Copied && s.seen.has(item):
 		s.noteRepeated(known, item)
 		return false
 	}
@@ -121,26 +121,42 @@
 	return item.Gone && !item.Lost && known.Gone && known.Lost && item.Era == known.Era
 }
 
-// mayBeOutdated reports whether an item that was not seen before may be one of a copy all
-// the same, because this process has not seen all writes of that time. What it was told to
-// be gone is then not taken for back.
-func (s *State) mayBeOutdated(known, item platform.Item) bool {
-	if s.adopting || !known.Gone || known.Lost || item.Era == known.Era {
+// contradictsEnd reports whether an item of the copy says that something is there of which
+// this process was told that it is gone. Only what was certainly written since takes that
+// back: a write that this process would have seen if it were an earlier one.
+func (s *State) contradictsEnd(now time.Time, known, item platform.Item) bool {
+	if !known.Gone || known.Lost || item.Era == known.Era || !item.Copied {
 		return false
 	}
-	return s.maybeRepeated(item) && item.Revision <= s.observedFrom
+	return s.adopting || s.mayHaveMissed(now, item)
 }
 
-// noteObserved notes the revisions of the items that lead to the position. If some are
-// missing, writes before that position may not have been seen.
-func (s *State) noteObserved(items []platform.Item, at position.Position) {
+// mayHaveMissed reports whether this process may not have seen a write, although a copy can
+// be old enough to have it.
+func (s *State) mayHaveMissed(now time.Time, item platform.Item) bool {
+	switch {
+	case now.Sub(s.seenSince) > maxCopyAge:
+		return false
+	case s.at.Era > firstEra:
+		return true
+	}
+	return item.Revision <= s.observedFrom
+}
+
+// observed reports whether the items are all writes that lead to the position.
+func (s *State) observed(items []platform.Item, at position.Position) bool {
 	revisions := make(map[uint64]bool)
 	for _, item := range items {
 		if item.Position().After(s.at) && !item.Position().After(at) {
 			revisions[item.Revision] = true
 		}
 	}
-	if at.Era != s.at.Era || uint64(len(revisions)) != at.Revision-s.at.Revision {
+	return at.Era == s.at.Era && uint64(len(revisions)) == at.Revision-s.at.Revision
+}
+
+// noteObserved notes whether all writes up to the position have been seen.
+func (s *State) noteObserved(all bool, at position.Position) {
+	if !all {
 		s.observedFrom = at.Revision
 	}
 }
@@ -151,10 +167,16 @@
 	return item.Era == s.at.Era && item.Revision <= s.at.Revision
 }
 
-// maybeRepeated reports whether an item may be one that the store had before it returned
-// from a copy.
-func (s *State) maybeRepeated(item platform.Item) bool {
-	return item.Era != s.start.Era || item.Revision <= s.start.Revision
+// mayBeCopied reports whether an item may be one that the store had before it returned from
+// a copy.
+func (s *State) mayBeCopied(item platform.Item) bool {
+	switch {
+	case item.Era <= firstEra:
+		return false
+	case item.Era == s.start.Era:
+		return item.Revision <= s.start.Revision
+	}
+	return item.Copied
 }
 
 // noteRepeated counts an item of a copy that is older than the known one.
@@ -174,7 +196,7 @@
 	defer s.from(Source{Peer: b.Peer, Way: way})()
 	from := s.at
 	if b.At.After(s.at) {
-		s.noteObserved(b.Items, b.At)
+		defer s.noteObserved(s.observed(b.Items, b.At), b.At)
 	}
 	if b.Complete {
 		s.ApplyList(now, b.Items, b.At)
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -191,6 +191,7 @@
 // they may come repeatedly and out of order. An item that is not valid is recorded as a
 // fault and never prevents others from being applied.
 func (s *State) Apply(now time.Time, item platform.Item) {
+	item.Copied = s.mayBeCopied(item)
 	switch {
 	case item.Key == platform.KeyConfig:
 		s.applyConfig(now, item)
@@ -207,9 +208,7 @@
 // applyEvacuation applies the item of an evacuation.
 func (s *State) applyEvacuation(now time.Time, item platform.Item) {
 	known := s.evacuations.items[item.Key]
-	// An evacuation that may be new counts: sending no work is the safe side.
-	isOlder := item.Revision < known.Revision
-	if !s.isNews(known, item) || !item.Gone && isOlder && s.mayBeOutdated(known, item) {
+	if !s.isNews(known, item) || !item.Gone && s.contradictsEnd(now, known, item) {
 		return
 	}
 	changed, err := s.evacuations.apply(now, item)
@@ -319,11 +318,9 @@
 	if s.source.Way == "" {
 		defer s.from(Source{Way: WayList})()
 	}
-	if at.After(s.at) {
-		s.noteObserved(items, at)
-	}
 	if at.After(s.at) {
 		s.noteLists(at)
+		defer s.noteObserved(s.observed(items, at), at)
 	}
 	// A list lacks the writes between it and the position before.
 	defer func(listed position.Position) {
