discovery: what the store lists ends all judgements about its copy

What callers saw: after a return of the store gateways disagreed about evacuated failure domains until the operator wrote once more: some sent no requests to a domain that was back, others sent them to one that was to be empty.

Cause: which items of a copy are news was judged once, stored as if it were a write, and never looked at again, although the store says what is true as soon as all writers have written again. Every way of judging is wrong in some order of cuts, restarts and returns.

Change: four seconds after the fleet has entered an era, a reader lists the store once more and takes what it lists, in place of all judgements: it is settled, and its heartbeats say so. The others compare a digest of what they list with a settled member at the same position and read all items only if they differ. A settled member takes no list of one that is not. What the store lacks then is gone, not lost.

Why it works: after the settlement the state is a function of the store's list and its changes, at all members alike; the judgement decides the first four seconds alone.

--- a/discovery/entries.go
+++ b/discovery/entries.go
@@ -6,7 +6,6 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/platform"
-	"github.com/mangostage/mangostage/position"
 )
 
 // entry is what is known about one endpoint.
@@ -45,15 +44,12 @@
 // current returns the item as it is passed on to peers.
 func (e *entry) current() platform.Item {
 	item := e.item
-	item.Held = item.Lost && e.endpoint != nil
+	item.Held = e.isHeld()
 	return item
 }
 
-// heldAcross reports whether the entry was lost in an earlier era than that of the position,
-// and its endpoint is still in the view.
-func (e *entry) heldAcross(at position.Position) bool {
-	return e.item.Lost && e.endpoint != nil && at.Era > e.item.Era
-}
+// isHeld reports whether the entry is lost and its endpoint is still in the view.
+func (e *entry) isHeld() bool { return e.item.Lost && e.endpoint != nil }
 
 // unknownServiceError returns the fault of an endpoint whose service no configuration names.
 func unknownServiceError(e *catalog.Endpoint) error {
@@ -84,7 +80,7 @@
 func (s *State) applyEndpoint(now time.Time, item platform.Item) {
 	id := platform.EndpointID(item.Key)
 	known := s.entries[id]
-	if !s.isNews(knownItem(known), item) {
+	if !s.supersedes(knownItem(known), item) {
 		return
 	}
 	if item.Gone {
@@ -226,7 +222,7 @@
 		s.expiring[id] = known
 		return
 	}
-	wasRemoved := known.isRemoved() && !known.heldAcross(item.Position())
+	wasRemoved := known.isRemoved() && !s.endsHold(known.isHeld(), known.item, item.Position())
 	known.item = item
 	known.item.Held = false
 	known.pendingEndpoint = nil
@@ -249,7 +245,7 @@
 	if known.takesWork() {
 		s.noteEndpoint(now, id, false, item)
 	}
-	if now.Sub(s.lastTrouble) < troublePeriod && !known.endpoint.Leaving {
+	if !s.settling && now.Sub(s.lastTrouble) < troublePeriod && !known.endpoint.Leaving {
 		known.graceUntil = now.Add(lapseGrace)
 	}
 	s.dirty = true
--- a/discovery/eralog.go
+++ b/discovery/eralog.go
@@ -6,9 +6,8 @@
 	"github.com/mangostage/mangostage/position"
 )
 
-// settlePeriod is how long after a return of the store the items that its copy lacks have
-// either been written again or been dropped everywhere.
-const settlePeriod = restoreGrace + 500*time.Millisecond
+// dropMargin is how long after restoreGrace the items that the copy lacks have been dropped.
+const dropMargin = 500 * time.Millisecond
 
 // maxDroppedKeys bounds the keys that an EraEnd names.
 const maxDroppedKeys = 20
@@ -36,7 +35,6 @@
 // noteEra notes that the state enters the era of the position.
 func (s *State) noteEra(now time.Time, at position.Position) {
 	s.eraChange.From, s.eraChange.To, s.eraChange.Peer = s.at, at, s.source.Peer
-	s.eraSince = now
 	s.eraChanged = true
 	s.eraEntered = now
 	s.eraEnd.Era = at.Era
@@ -63,7 +61,7 @@
 // TakeEraEnd returns what has become of the items that the copy lacks, once that is known,
 // and whether it is.
 func (s *State) TakeEraEnd(now time.Time) (EraEnd, bool) {
-	if s.eraEntered.IsZero() || now.Sub(s.eraEntered) < settlePeriod {
+	if s.eraEntered.IsZero() || now.Sub(s.eraEntered) < restoreGrace+dropMargin {
 		return EraEnd{}, false
 	}
 	end := s.eraEnd
--- a/discovery/evacuations.go
+++ b/discovery/evacuations.go
@@ -76,28 +76,22 @@
 	return ended
 }
 
-// missing returns the keys of the evacuations that are not in a list that is complete as of
-// the position at.
-func (l evacuationList) missing(listed map[string]bool, at position.Position) []string {
+// missingEvacuations returns the keys of the evacuations that are not in a list that is
+// complete as of the position at.
+func (s *State) missingEvacuations(listed map[string]bool, at position.Position) []string {
 	var missing []string
-	for key, item := range l.items {
+	for key, item := range s.evacuations.items {
 		if listed[key] || item.Position().After(at) {
 			continue
 		}
-		if !item.Gone || l.heldAcross(key, at) {
+		_, held := s.evacuations.heldUntil[key]
+		if !item.Gone || s.endsHold(held, item, at) {
 			missing = append(missing, key)
 		}
 	}
 	return missing
 }
 
-// heldAcross reports whether the item of a key was lost in an earlier era than that of the
-// position, and its evacuation still counts.
-func (l evacuationList) heldAcross(key string, at position.Position) bool {
-	_, held := l.heldUntil[key]
-	return held && at.Era > l.items[key].Era
-}
-
 // domains returns the evacuated failure domains, each with the revision of its item.
 func (l evacuationList) domains() map[string]uint64 {
 	domains := make(map[string]uint64)
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -56,21 +56,34 @@
 
 // Relay reads the store's items from peers.
 type Relay interface {
-	// Newer returns the changes after the position; the zero Batch if no peer has a later
-	// one.
-	Newer(ctx context.Context, after position.Position) Batch
-	// Follow asks a peer that reads the store for the fleet for changes after the
-	// position, and waits for one for at most wait; ok is false if this process has to
-	// read the store itself.
-	Follow(ctx context.Context, after position.Position, wait time.Duration) (batch Batch, ok bool)
+	// Newer returns what a process with the knowledge has to be told; the zero Batch if no
+	// peer has a later position.
+	Newer(ctx context.Context, known position.Knowledge) Batch
+	// Follow asks a peer that reads the store for the fleet for what a process with the
+	// knowledge has to be told, and waits for a change for at most wait; ok is false if this
+	// process has to read the store itself.
+	Follow(ctx context.Context, known position.Knowledge, wait time.Duration) (batch Batch, ok bool)
 	// Informed returns the changes since Before of a process that is less informed than a
-	// peer; ok is false if there is no such peer, or it does not answer.
+	// peer, none of them settled; ok is false if there is no such peer, or it does not answer.
 	Informed(ctx context.Context, known position.Knowledge) (batch Batch, ok bool)
+	// Settled compares a process that is not settled, whose digest is zero if it needs all
+	// items, with a settled peer.
+	Settled(ctx context.Context, known position.Knowledge, digest uint64) Settled
 	// OthersStoreSteady reports whether the store has answered a peer without interruption
 	// for some seconds.
 	OthersStoreSteady() bool
 }
 
+// Settled is the answer of a settled peer.
+type Settled struct {
+	// Peer is the name of the peer.
+	Peer    string
+	Verdict Verdict
+	// Batch has all items of the peer if these are different; the zero Batch if it has not
+	// sent them.
+	Batch Batch
+}
+
 // Follower keeps a State up to date from the store or from a peer that reads it.
 type Follower struct {
 	store *platform.Store
@@ -263,6 +276,7 @@
 	if f.lacksConfig() {
 		f.fetchLastGoodConfig(ctx)
 	}
+	f.settleByPeer(ctx)
 	f.adoptFromPeer(ctx)
 	if f.followPeer(ctx, f.wait/followDivisor) {
 		*listed = true
@@ -274,7 +288,7 @@
 			return errFollowed
 		}
 	}
-	if !*listed {
+	if !*listed || f.settleDue() {
 		err := f.list(ctx)
 		*listed = err == nil
 		if errors.Is(err, errNewEra) {
@@ -308,6 +322,14 @@
 	return !at.IsZero() && f.store.Era() > at.Era
 }
 
+// settleDue reports whether all items are to be read from the store again, see
+// State.SettleDue.
+func (f *Follower) settleDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.SettleDue(time.Now())
+}
+
 // Await waits until the state has advanced past the position, for at most wait, and returns
 // the changes after it.
 func (f *Follower) Await(ctx context.Context, after position.Position, wait time.Duration) Batch {
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -150,11 +150,11 @@
 
 func (r stubRelay) OthersStoreSteady() bool { return r.othersSteady }
 
-func (r stubRelay) Newer(context.Context, position.Position) discovery.Batch {
+func (r stubRelay) Newer(context.Context, position.Knowledge) discovery.Batch {
 	return discovery.Batch{Items: r.items, At: position.Position{Revision: r.at}}
 }
 
-func (r stubRelay) Follow(context.Context, position.Position, time.Duration) (discovery.Batch, bool) {
+func (r stubRelay) Follow(context.Context, position.Knowledge, time.Duration) (discovery.Batch, bool) {
 	return discovery.Batch{}, false
 }
 
@@ -162,6 +162,10 @@
 	return discovery.Batch{}, false
 }
 
+func (r stubRelay) Settled(context.Context, position.Knowledge, uint64) discovery.Settled {
+	return discovery.Settled{}
+}
+
 // Guards against a revoked key that one gateway still accepts because the store answers
 // other processes but not this one. The process must read the changes from a peer.
 func TestStoreRefusesThisProcess(t *testing.T) {
@@ -229,7 +233,7 @@
 
 func (r readerRelay) OthersStoreSteady() bool { return false }
 
-func (r readerRelay) Newer(context.Context, position.Position) discovery.Batch {
+func (r readerRelay) Newer(context.Context, position.Knowledge) discovery.Batch {
 	return discovery.Batch{}
 }
 
@@ -237,11 +241,15 @@
 	return discovery.Batch{}, false
 }
 
-func (r readerRelay) Follow(ctx context.Context, after position.Position, wait time.Duration) (discovery.Batch, bool) {
+func (r readerRelay) Settled(context.Context, position.Knowledge, uint64) discovery.Settled {
+	return discovery.Settled{}
+}
+
+func (r readerRelay) Follow(ctx context.Context, known position.Knowledge, wait time.Duration) (discovery.Batch, bool) {
 	if r.lost.Load() {
 		return discovery.Batch{}, false
 	}
-	return r.follower.Await(ctx, after, wait), true
+	return r.follower.Await(ctx, known.At, wait), true
 }
 
 // A fleet's store calls must not grow with its members, and a member whose
--- a/discovery/foreign_test.go
+++ b/discovery/foreign_test.go
@@ -30,9 +30,12 @@
 // singleReader is the fleet as seen by a member that follows one reader.
 type singleReader struct{ conn *peer.Conn }
 
-func (p singleReader) Ahead(position.Position) *peer.Conn   { return p.conn }
-func (singleReader) Informed(position.Knowledge) *peer.Conn { return nil }
-func (singleReader) OthersStoreSteady() bool                { return false }
+func (p singleReader) Ahead(position.Position) *peer.Conn { return p.conn }
+func (singleReader) Informed(position.Knowledge) (*peer.Conn, position.Knowledge) {
+	return nil, position.Knowledge{}
+}
+
+func (singleReader) OthersStoreSteady() bool { return false }
 
 func (p singleReader) Readers() ([]*peer.Conn, bool) { return []*peer.Conn{p.conn}, false }
 
@@ -45,8 +48,11 @@
 	}
 	return p.conn
 }
-func (selfReader) Informed(position.Knowledge) *peer.Conn { return nil }
-func (selfReader) OthersStoreSteady() bool                { return false }
+func (selfReader) Informed(position.Knowledge) (*peer.Conn, position.Knowledge) {
+	return nil, position.Knowledge{}
+}
+
+func (selfReader) OthersStoreSteady() bool { return false }
 
 func (p selfReader) Readers() ([]*peer.Conn, bool) { return nil, true }
 
--- a/discovery/large_test.go
+++ b/discovery/large_test.go
@@ -151,10 +151,13 @@
 // multipleReaders is the fleet as seen by a member that can follow several readers.
 type multipleReaders struct{ conns []*peer.Conn }
 
-func (r multipleReaders) Ahead(position.Position) *peer.Conn     { return nil }
-func (r multipleReaders) Informed(position.Knowledge) *peer.Conn { return nil }
-func (r multipleReaders) OthersStoreSteady() bool                { return false }
-func (r multipleReaders) Readers() ([]*peer.Conn, bool)          { return r.conns, false }
+func (r multipleReaders) Ahead(position.Position) *peer.Conn { return nil }
+func (r multipleReaders) Informed(position.Knowledge) (*peer.Conn, position.Knowledge) {
+	return nil, position.Knowledge{}
+}
+
+func (r multipleReaders) OthersStoreSteady() bool       { return false }
+func (r multipleReaders) Readers() ([]*peer.Conn, bool) { return r.conns, false }
 
 // twoReaders returns a member that follows two readers over a link, and the store that it
 // would ask if both failed.
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -27,9 +26,9 @@
 	// Ahead returns the connection to a peer with a later position than after, or nil if
 	// there is none.
 	Ahead(after position.Position) *peer.Conn
-	// Informed returns the connection to a peer that entered the era of the store with more
-	// knowledge than this process, or nil if there is none.
-	Informed(known position.Knowledge) *peer.Conn
+	// Informed returns the connection to a peer that is in the era of the store with more
+	// knowledge than this process, and what it knows; nil if there is none.
+	Informed(known position.Knowledge) (conn *peer.Conn, theirs position.Knowledge)
 	// Readers returns the connections to the peers that read the store for the fleet; self
 	// is true if this process must read the store itself.
 	Readers() (conns []*peer.Conn, self bool)
@@ -73,33 +72,64 @@
 func (r *PeerRelay) OthersStoreSteady() bool { return r.peers.OthersStoreSteady() }
 
 // Newer implements Relay.
-func (r *PeerRelay) Newer(ctx context.Context, after position.Position) Batch {
-	conn := r.peers.Ahead(after)
+func (r *PeerRelay) Newer(ctx context.Context, known position.Knowledge) Batch {
+	conn := r.peers.Ahead(known.At)
 	if conn == nil {
 		return Batch{}
 	}
-	changes, _ := r.readAll(ctx, conn, after)
-	if changes.knowsLess(after) {
-		return r.readComplete(ctx, conn)
+	changes, _ := r.readAll(ctx, conn, known.At, position.Position{})
+	if changes.lacks(known) {
+		changes = r.readComplete(ctx, conn, known.At)
+	}
+	if changes.Complete && changes.isJudgement(known) {
+		return Batch{}
 	}
 	return changes
 }
 
 // Informed implements Relay.
 func (r *PeerRelay) Informed(ctx context.Context, known position.Knowledge) (Batch, bool) {
-	conn := r.peers.Informed(known)
-	if conn == nil {
+	conn, theirs := r.peers.Informed(known)
+	if conn == nil || theirs.Settled {
 		return Batch{}, false
 	}
-	changes, whole := r.readAll(ctx, conn, known.Before)
-	return changes, whole && known.LessInformed(position.Knowledge{At: changes.At, Before: changes.Before, Entered: changes.Entered, Memory: changes.Memory})
+	changes, whole := r.readAll(ctx, conn, known.Before, position.Position{})
+	return changes, whole && known.LessInformed(changes.knowledge())
 }
 
-// readAll reads all pages of a peer's changes after the position; whole is false if the
-// peer has further ones.
-func (r *PeerRelay) readAll(ctx context.Context, conn *peer.Conn, after position.Position) (all Batch, whole bool) {
+// Settled implements Relay.
+func (r *PeerRelay) Settled(ctx context.Context, known position.Knowledge, digest uint64) Settled {
+	conn, theirs := r.peers.Informed(known)
+	if conn == nil || !theirs.Settled {
+		return Settled{Verdict: VerdictElsewhere}
+	}
+	verdict, err := compare(ctx, conn, compareQuery{At: known.At, Digest: digest})
+	if err != nil {
+		return Settled{Verdict: VerdictElsewhere}
+	}
+	settled := Settled{Peer: conn.Peer().Process.Name, Verdict: verdict}
+	if verdict == VerdictDifferent {
+		settled.Batch = r.readComplete(ctx, conn, known.At)
+	}
+	return settled
+}
+
+// compare asks a peer whether it lists the same.
+func compare(ctx context.Context, conn *peer.Conn, q compareQuery) (Verdict, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	var reply compareReply
+	err := conn.Call(ctx, MethodCompare, q, &reply)
+	return reply.Verdict, err
+}
+
+// readAll reads all pages of a peer's changes after a position, without a configuration up
+// to known; whole is false if the peer has further ones.
+func (r *PeerRelay) readAll(ctx context.Context, conn *peer.Conn, after, known position.Position) (all Batch, whole bool) {
 	for {
-		reply, err := requestChanges(ctx, conn, queryAfter(position.Latest(after, all.At), 0))
+		query := queryAfter(position.Latest(after, all.At), 0)
+		query.Known = known
+		reply, err := requestChanges(ctx, conn, query)
 		if err != nil {
 			return all, false
 		}
@@ -116,20 +146,10 @@
 	}
 }
 
-// knowsLess reports whether the peer cannot tell all that has changed since the position: it
-// entered the era without knowing all that was known before, or the position is before a
-// list from which it knows the items.
-func (b Batch) knowsLess(than position.Position) bool {
-	if than.IsZero() {
-		return false
-	}
-	beforeList := func(list position.Position) bool { return list.Era == than.Era && list.After(than) }
-	return b.At.Era > than.Era && than.After(b.Before) || slices.ContainsFunc(b.Lists, beforeList)
-}
-
-// readComplete reads all items that a peer knows; the zero Batch if that fails.
-func (r *PeerRelay) readComplete(ctx context.Context, conn *peer.Conn) Batch {
-	all, whole := r.readAll(ctx, conn, position.Position{})
+// readComplete reads all items that a peer knows, for a process that is complete up to
+// known; the zero Batch if that fails.
+func (r *PeerRelay) readComplete(ctx context.Context, conn *peer.Conn, known position.Position) Batch {
+	all, whole := r.readAll(ctx, conn, position.Position{}, known)
 	if !whole {
 		return Batch{}
 	}
@@ -140,15 +160,15 @@
 // Follow implements Relay. If the first reader does not answer, it asks the others without
 // letting them wait for changes. Otherwise all followers of a reader that fails would turn
 // to the store at once.
-func (r *PeerRelay) Follow(ctx context.Context, after position.Position, wait time.Duration) (Batch, bool) {
+func (r *PeerRelay) Follow(ctx context.Context, known position.Knowledge, wait time.Duration) (Batch, bool) {
 	conns, self := r.peers.Readers()
 	if self {
 		return Batch{}, false
 	}
 	for _, conn := range r.responsiveFirst(conns) {
 		began := time.Now()
-		changes, err := r.follow(ctx, conn, after, wait)
-		r.recordResult(conn.Peer().Process.Name, after, time.Since(began), err)
+		changes, err := r.follow(ctx, conn, known, wait)
+		r.recordResult(conn.Peer().Process.Name, known.At, time.Since(began), err)
 		if err == nil {
 			return changes, true
 		}
@@ -176,21 +196,21 @@
 // follow asks a reader for changes. Its answer counts only if the store has answered it
 // recently. A large value of which only a part arrived is not an error: that part is kept
 // and the next call requests the rest.
-func (r *PeerRelay) follow(ctx context.Context, conn *peer.Conn, after position.Position, wait time.Duration) (Batch, error) {
-	reply, err := requestChanges(ctx, conn, queryAfter(after, wait))
+func (r *PeerRelay) follow(ctx context.Context, conn *peer.Conn, known position.Knowledge, wait time.Duration) (Batch, error) {
+	reply, err := requestChanges(ctx, conn, queryAfter(known.At, wait))
 	switch {
 	case err != nil:
 		return Batch{}, err
 	case !reply.Fresh:
 		return Batch{}, ErrNotFresh.New("the store has not answered the reader recently")
-	case after.After(reply.position()):
+	case known.At.After(reply.position()):
 		return Batch{}, ErrBehind.New("the reader is behind, at revision %d of era %d", reply.At, reply.Era)
 	}
-	if !reply.batch().knowsLess(after) {
+	if !reply.batch().lacks(known) {
 		return r.fetchLargeValues(ctx, conn, reply)
 	}
-	changes := r.readComplete(ctx, conn)
-	if !changes.Complete {
+	changes := r.readComplete(ctx, conn, known.At)
+	if !changes.Complete || changes.isJudgement(known) {
 		return Batch{}, ErrBehind.New("the reader does not know all that was before era %d", reply.Era)
 	}
 	return changes, nil
--- a/discovery/read.go
+++ b/discovery/read.go
@@ -35,11 +35,12 @@
 // page of endpoints, so that page is read first. A configuration that was read earlier and
 // changed before that page would stay outdated, because the watch begins after the change.
 func (f *Follower) list(ctx context.Context) error {
+	began := time.Now()
 	items, at, err := f.readAll(ctx)
 	if err != nil {
 		return err
 	}
-	if f.At().IsZero() && at.Era > firstEra && f.askPeersFirst(ctx, at.Era, startupPeerWait) {
+	if f.At().IsZero() && at.Era > position.FirstEra && f.askPeersFirst(ctx, at.Era, startupPeerWait) {
 		return nil
 	}
 	f.logList(len(items), at)
@@ -49,7 +50,7 @@
 			err = errOldEra
 			return
 		}
-		s.ApplyList(now, items, at)
+		s.ApplyStoreList(now, began, items, at)
 	})
 	return err
 }
@@ -79,9 +80,6 @@
 	return items, at, checkEra(f.store.Era(), at.Era)
 }
 
-// firstEra is the era of a store that has never returned from a copy.
-const firstEra = 1
-
 const (
 	// startupPeerWait is how long a starting process waits for a peer that knows more than
 	// the copy from which the store has returned. It is enough to connect to a peer.
@@ -193,7 +191,7 @@
 	if f.relay == nil {
 		return false
 	}
-	batch, ok := f.relay.Follow(ctx, f.At(), wait)
+	batch, ok := f.relay.Follow(ctx, f.Knowledge(), wait)
 	if !ok || batch.At.IsZero() {
 		return false
 	}
@@ -204,7 +202,7 @@
 // adoptFromPeer asks a peer that entered the era of the store with more knowledge, if there
 // is one, for what this process has missed.
 func (f *Follower) adoptFromPeer(ctx context.Context) {
-	if f.relay == nil || f.Knowledge().At.Era <= firstEra {
+	if f.relay == nil || f.Knowledge().At.Era <= position.FirstEra {
 		return
 	}
 	known := f.Knowledge()
@@ -218,13 +216,38 @@
 	f.update(func(now time.Time, s *State) { s.Adopt(now, batch) })
 }
 
+// settleByPeer compares what this process lists with a peer that is settled, if there is one
+// and this process is not.
+func (f *Follower) settleByPeer(ctx context.Context) {
+	if f.relay == nil {
+		return
+	}
+	f.mu.Lock()
+	known := f.state.Knowledge()
+	if known.At.IsZero() || known.Settled {
+		f.mu.Unlock()
+		return
+	}
+	digest := f.state.Comparison(time.Now())
+	f.mu.Unlock()
+	settled := f.relay.Settled(ctx, known, digest)
+	f.update(func(now time.Time, s *State) { s.ApplySettled(now, settled, known.At, digest) })
+}
+
+// compare returns what State.Compare does, for a peer.
+func (f *Follower) compare(at position.Position, digest uint64) Verdict {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Compare(at, digest)
+}
+
 // fetchFromPeers asks a peer with a later position for the changes that the store does
 // not return.
 func (f *Follower) fetchFromPeers(ctx context.Context) {
 	if f.relay == nil {
 		return
 	}
-	batch := f.relay.Newer(ctx, f.At())
+	batch := f.relay.Newer(ctx, f.Knowledge())
 	if batch.At.IsZero() {
 		return
 	}
@@ -248,7 +271,7 @@
 	if f.relay == nil {
 		return
 	}
-	batch := f.relay.Newer(ctx, position.Position{})
+	batch := f.relay.Newer(ctx, position.Knowledge{})
 	f.update(func(now time.Time, s *State) {
 		for _, item := range batch.Items {
 			s.Apply(now, item)
--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -35,6 +35,10 @@
 	Peer string
 	// Complete means that the changes are all items that the peer knows.
 	Complete bool
+	// Settled is that of the peer's Knowledge, EraAge how long ago the fleet entered the era
+	// of At, as far as the peer knows.
+	Settled bool
+	EraAge  time.Duration
 	// Writes are hashes of the latest writes that the peer has seen. A process that did not
 	// see them could not tell what a later copy repeats.
 	Writes []uint64
@@ -43,7 +47,10 @@
 // Changes returns what a peer that is complete up to the position has to be told. A peer
 // from another era may lack writes of any time.
 func (s *State) Changes(now time.Time, after position.Position) Batch {
-	b := Batch{Items: s.Since(after), At: s.at, Start: s.start, Before: s.before, Lists: slices.Clone(s.lists), Entered: s.entered, Memory: s.memory, Seen: now.Sub(s.seenSince)}
+	b := Batch{Items: s.Since(after), At: s.at, Start: s.start, Before: s.before, Lists: slices.Clone(s.lists), Entered: s.entered, Memory: s.memory, Seen: now.Sub(s.seenSince), Settled: s.Settled()}
+	if !s.eraSince.IsZero() {
+		b.EraAge = now.Sub(s.eraSince)
+	}
 	since := after
 	if after.Era < s.at.Era {
 		since = position.Position{}
@@ -52,6 +59,11 @@
 	return b
 }
 
+// knowledge returns what the peer knew of the store when it answered.
+func (b Batch) knowledge() position.Knowledge {
+	return position.Knowledge{At: b.At, Before: b.Before, Entered: b.Entered, Memory: b.Memory, Settled: b.Settled}
+}
+
 // maxLists bounds the lists that are remembered: those of a few eras.
 const maxLists = 8
 
@@ -73,7 +85,7 @@
 
 // Knowledge returns what is known of the store.
 func (s *State) Knowledge() position.Knowledge {
-	return position.Knowledge{At: s.at, Before: s.before, Entered: s.entered, Memory: s.memory}
+	return position.Knowledge{At: s.at, Before: s.before, Entered: s.entered, Memory: s.memory, Settled: s.Settled()}
 }
 
 // Start returns the first position of the latest era at which the store is known to have
@@ -125,7 +137,7 @@
 // this process was told that it is gone. Only what was certainly written since takes that
 // back: a write that this process would have seen if it were an earlier one.
 func (s *State) contradictsEnd(now time.Time, known, item platform.Item) bool {
-	if !known.Gone || known.Lost || item.Era == known.Era || !item.Copied {
+	if s.settling || !known.Gone || known.Lost || item.Era == known.Era || !item.Copied {
 		return false
 	}
 	return s.adopting || s.mayHaveMissed(now, item)
@@ -137,7 +149,7 @@
 	switch {
 	case now.Sub(s.seenSince) > maxCopyAge:
 		return false
-	case s.at.Era > firstEra:
+	case s.at.Era > position.FirstEra:
 		return true
 	}
 	return item.Revision <= s.observedFrom
@@ -171,9 +183,9 @@
 // a copy.
 func (s *State) mayBeCopied(item platform.Item) bool {
 	switch {
-	case item.Era <= firstEra:
+	case s.settling || item.Era <= position.FirstEra:
 		return false
-	case item.Era == s.start.Era:
+	case item.Era == s.start.Era && item.Era != s.settledEra:
 		return item.Revision <= s.start.Revision
 	}
 	return item.Copied
@@ -188,37 +200,39 @@
 
 // ApplyBatch applies changes from a peer.
 func (s *State) ApplyBatch(now time.Time, b Batch) {
-	s.noteStart(b.Start)
 	way := WayChanges
 	if b.Complete {
 		way = WayItems
 	}
 	defer s.from(Source{Peer: b.Peer, Way: way})()
 	from := s.at
+	s.noteStart(b.Start)
 	if b.At.After(s.at) {
 		defer s.noteObserved(s.observed(b.Items, b.At), b.At)
 	}
-	if b.Complete {
+	switch {
+	case s.settledBy(b):
+		s.settle(now, b.Items, b.At)
+	case b.Complete:
 		s.ApplyList(now, b.Items, b.At)
-	} else {
+	default:
 		s.applyAll(now, b.Items, b.At)
 	}
 	if from.IsZero() || b.Complete {
 		s.noteLists(b.Lists...)
 	}
 	s.noteWrites(b)
+	s.noteEraAge(now, b)
 	includesEarlier := b.Complete || from.IsZero() || from.Era < b.At.Era
 	if includesEarlier && s.at.Era == b.At.Era {
-		s.before = position.Latest(s.before, b.Before)
-		s.memory, s.entered = max(s.memory, b.Memory), position.Latest(s.entered, b.Entered)
-		s.seenSince = now.Add(-b.Seen)
+		s.inherit(now, b)
 	}
 }
 
-// Adopt applies all changes since Before of a peer that entered the era of the store with
-// more knowledge. Where this process took an item of the copy for a new one, the peer's
-// earlier item takes its place. It does not make the state complete up to the peer's
-// position: the peer may itself have missed what was removed meanwhile.
+// Adopt applies all changes since Before of a peer that knows more of what was before the
+// era. Where this process took an item of the copy for a new one, the peer's earlier item
+// takes its place. It does not make the state complete up to the peer's position: that peer
+// may itself have missed what was removed meanwhile.
 func (s *State) Adopt(now time.Time, b Batch) {
 	if b.At.Era != s.at.Era || s.start.After(b.At) {
 		return
@@ -230,6 +244,13 @@
 	}
 	s.adopting = false
 	s.noteWrites(b)
+	s.noteEraAge(now, b)
+	s.inherit(now, b)
+}
+
+// inherit notes that this process knows what the peer of a batch knows of the time before
+// the era.
+func (s *State) inherit(now time.Time, b Batch) {
 	s.before = position.Latest(s.before, b.Before)
 	s.memory, s.entered = max(s.memory, b.Memory), position.Latest(s.entered, b.Entered)
 	s.seenSince = now.Add(-b.Seen)
@@ -251,6 +272,7 @@
 	switch {
 	case s.at.IsZero():
 		s.knownSince, s.seenSince = now, now
+		s.beginEra(now, at)
 	case at.Era > s.at.Era:
 		s.enterEra(now, at)
 	}
@@ -272,13 +294,14 @@
 		s.before = s.at
 	}
 	s.lastTrouble = now
+	s.beginEra(now, at)
 	s.noteEra(now, at)
 }
 
 // removal returns the item that says that a key is missing from a list of all items.
 func (s *State) removal(key string, at position.Position) platform.Item {
 	item := platform.Item{Key: key, Era: at.Era, Revision: at.Revision, Gone: true}
-	if at.Era > s.at.Era && !s.at.IsZero() {
+	if at.Era > s.at.Era && !s.at.IsZero() && !s.settling {
 		item.Lost, item.Held = true, true
 		s.eraChange.Kept++
 	}
--- a/discovery/restore_model_test.go
+++ b/discovery/restore_model_test.go
@@ -349,7 +349,11 @@
 func (m *model) act(member *modelMember) {
 	known := member.state.Knowledge()
 	informed := m.reach(member, func(o *modelMember) bool { return known.LessInformed(o.state.Knowledge()) })
-	if informed != nil && known.At.Era > firstEra {
+	switch {
+	case informed == nil || known.At.Era <= position.FirstEra:
+	case informed.state.Settled():
+		m.compare(member, informed)
+	default:
 		member.state.Adopt(m.now, informed.state.Changes(m.now, known.Before))
 	}
 	if m.follow(member) {
@@ -372,15 +376,36 @@
 	m.read(member)
 }
 
-// pass applies the changes that another member passes on.
-func (m *model) pass(member, from *modelMember) {
-	at := member.state.At()
-	batch := from.state.Changes(m.now, at)
-	if batch.knowsLess(at) {
-		batch = from.state.Changes(m.now, position.Position{})
-		batch.Complete = true
+// pass applies the changes that another member passes on; it is false if these are of no
+// use.
+func (m *model) pass(member, from *modelMember) bool {
+	known := member.state.Knowledge()
+	batch := from.state.Changes(m.now, known.At)
+	if batch.lacks(known) {
+		batch = m.allItems(from)
+	}
+	if batch.Complete && batch.isJudgement(known) {
+		return false
 	}
 	member.state.ApplyBatch(m.now, batch)
+	return true
+}
+
+// compare compares what a member lists with a settled one.
+func (m *model) compare(member, with *modelMember) {
+	at, digest := member.state.At(), member.state.Comparison(m.now)
+	settled := Settled{Peer: with.name, Verdict: with.state.Compare(at, digest)}
+	if settled.Verdict == VerdictDifferent {
+		settled.Batch = m.allItems(with)
+	}
+	member.state.ApplySettled(m.now, settled, at, digest)
+}
+
+// allItems returns all items that a member knows.
+func (m *model) allItems(from *modelMember) Batch {
+	batch := from.state.Changes(m.now, position.Position{})
+	batch.Complete = true
+	return batch
 }
 
 // follow reads from a reader of the store; it is false if there is none.
@@ -392,10 +417,9 @@
 	reader := m.reach(member, func(o *modelMember) bool {
 		return o.reader && m.storeUp(o) && !o.state.At().IsZero() && !at.After(o.state.At())
 	})
-	if reader == nil {
+	if reader == nil || !m.pass(member, reader) {
 		return false
 	}
-	m.pass(member, reader)
 	member.listed = true
 	return true
 }
@@ -413,17 +437,17 @@
 
 // read reads from the store.
 func (m *model) read(member *modelMember) {
-	if member.listed {
+	if member.listed && !member.state.SettleDue(m.now) {
 		if items, ok := m.store.changes(member.state.At()); ok {
 			member.state.applyAll(m.now, items, m.store.at)
 			return
 		}
 	}
-	if member.state.At().IsZero() && m.store.at.Era > firstEra && m.newer(member) {
+	if member.state.At().IsZero() && m.store.at.Era > position.FirstEra && m.newer(member) {
 		member.listed = true
 		return
 	}
-	member.state.ApplyList(m.now, m.store.list(), m.store.at)
+	member.state.ApplyStoreList(m.now, m.now, m.store.list(), m.store.at)
 	member.listed = true
 }
 
--- a/discovery/serve.go
+++ b/discovery/serve.go
@@ -14,6 +14,8 @@
 const (
 	// MethodChanges is the call that reads the changed items from a peer.
 	MethodChanges = "discovery.changes"
+	// MethodCompare is the call that compares what a settled peer lists.
+	MethodCompare = "discovery.compare"
 	// MethodPart is the call that reads a part of a large value from a peer.
 	MethodPart = "discovery.part"
 )
@@ -28,11 +30,24 @@
 const itemOverhead = 80
 
 // changesQuery asks for the items that changed after a position, and lets the peer wait for
-// a change for at most Wait.
+// a change for at most Wait. A configuration up to Known is left out: the process that asks
+// is complete up to there.
 type changesQuery struct {
-	After uint64        `json:"after"`
-	Era   uint64        `json:"era,omitempty"`
-	Wait  time.Duration `json:"wait,omitempty"`
+	After uint64            `json:"after"`
+	Era   uint64            `json:"era,omitempty"`
+	Known position.Position `json:"known,omitzero"`
+	Wait  time.Duration     `json:"wait,omitempty"`
+}
+
+// compareQuery asks whether the peer lists the same as the process, which is at a position.
+type compareQuery struct {
+	At     position.Position `json:"at"`
+	Digest uint64            `json:"digest"`
+}
+
+// compareReply is the answer to a compareQuery.
+type compareReply struct {
+	Verdict Verdict `json:"verdict"`
 }
 
 // queryAfter returns the query for changes after a position.
@@ -62,6 +77,10 @@
 	Entered position.Position   `json:"entered,omitzero"`
 	Memory  time.Duration       `json:"memory,omitempty"`
 	Seen    time.Duration       `json:"seen,omitempty"`
+	// Settled and EraAge are as in Batch; in the first era, which is always settled, they are
+	// left out.
+	Settled bool          `json:"settled,omitempty"`
+	EraAge  time.Duration `json:"era_age,omitempty"`
 	// Writes are those of Batch, each in eight bytes.
 	Writes []byte `json:"writes,omitempty"`
 	// Fresh means that the store has answered the peer recently, see Follower.Fresh.
@@ -75,7 +94,7 @@
 
 // batch returns the changes of the answer.
 func (r changesReply) batch() Batch {
-	return Batch{Items: r.Items, At: r.position(), Start: r.Start, Before: r.Before, Lists: r.Lists, Entered: r.Entered, Memory: r.Memory, Seen: r.Seen, Writes: unpackHashes(r.Writes)}
+	return Batch{Items: r.Items, At: r.position(), Start: r.Start, Before: r.Before, Lists: r.Lists, Entered: r.Entered, Memory: r.Memory, Seen: r.Seen, Writes: unpackHashes(r.Writes), Settled: r.Settled || r.Era <= position.FirstEra, EraAge: r.EraAge}
 }
 
 // packHashes returns hashes as bytes.
@@ -113,12 +132,19 @@
 	packs := newPacker()
 	peer.HandleCall(mux, MethodChanges, func(ctx context.Context, _ *peer.Conn, q changesQuery) (changesReply, error) {
 		changes := f.Await(ctx, q.position(), q.Wait)
+		changes.Items = slices.DeleteFunc(changes.Items, func(item platform.Item) bool {
+			return item.Key == platform.KeyConfig && !item.Position().After(q.Known)
+		})
 		reply, err := changesPage(changes.Items, changes.At, packs)
 		reply.Start, reply.Before, reply.Writes = changes.Start, changes.Before, packHashes(changes.Writes)
 		reply.Lists, reply.Entered, reply.Memory, reply.Seen = changes.Lists, changes.Entered, changes.Memory, changes.Seen
+		reply.Settled, reply.EraAge = changes.Settled && !reply.More && reply.Era > position.FirstEra, changes.EraAge
 		reply.Fresh = f.Fresh()
 		return reply, err
 	})
+	peer.HandleCall(mux, MethodCompare, func(_ context.Context, _ *peer.Conn, q compareQuery) (compareReply, error) {
+		return compareReply{Verdict: f.compare(q.At, q.Digest)}, nil
+	})
 	peer.HandleCall(mux, MethodPart, func(_ context.Context, _ *peer.Conn, q partQuery) (partReply, error) {
 		item, ok := f.Item(q.Key)
 		if !ok || item.Position() != q.position() {
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -23,6 +23,8 @@
 	// WayInformed is an answer of a peer that knows more of what was before a return of the
 	// store.
 	WayInformed Way = "informed"
+	// WayCompared means that a peer lists the same.
+	WayCompared Way = "compared"
 	// WayExpiry means that no item came: one that the store's copy lacks was not written
 	// again in time.
 	WayExpiry Way = "expiry"
@@ -41,7 +43,7 @@
 	// At is the position of the item, Start the first position of its era that was known.
 	// An item up to there may be one of the copy from which the store returned.
 	At, Start position.Position
-	// EraAge is how long ago this process entered the era.
+	// EraAge is how long ago the fleet entered the era, as far as is known.
 	EraAge time.Duration
 	// Lost is as in platform.Item.
 	Lost bool
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -74,9 +74,16 @@
 	// era is settled.
 	eraEnd     EraEnd
 	eraEntered time.Time
-	// eraSince is when this process entered the era of the store; zero in the first one
-	// that it has seen.
+	// eraSince is when the first member entered the era, as far as is known; zero in the
+	// first era.
 	eraSince time.Time
+	// settledEra is the era whose items were read after settlePeriod, settling means that
+	// these are being applied, up to the position settlingAt.
+	settledEra uint64
+	settling   bool
+	settlingAt position.Position
+	// settlement is what TakeSettlement returns next.
+	settlement *Settlement
 	// source is that of the items which are being applied; its zero value is a watch.
 	source Source
 	// config is the item of the configuration in force.
@@ -208,7 +215,7 @@
 // applyEvacuation applies the item of an evacuation.
 func (s *State) applyEvacuation(now time.Time, item platform.Item) {
 	known := s.evacuations.items[item.Key]
-	if !s.isNews(known, item) || !item.Gone && s.contradictsEnd(now, known, item) {
+	if !s.supersedes(known, item) || !item.Gone && s.contradictsEnd(now, known, item) {
 		return
 	}
 	changed, err := s.evacuations.apply(now, item)
@@ -336,12 +343,12 @@
 	}
 	for id, e := range s.entries {
 		key := platform.PrefixEndpoints + id
-		if listed[key] || e.item.Position().After(at) || e.isRemoved() && !e.heldAcross(at) {
+		if listed[key] || e.item.Position().After(at) || e.isRemoved() && !s.endsHold(e.isHeld(), e.item, at) {
 			continue
 		}
 		s.remove(now, id, s.removal(key, at))
 	}
-	for _, key := range s.evacuations.missing(listed, at) {
+	for _, key := range s.missingEvacuations(listed, at) {
 		s.applyEvacuation(now, s.removal(key, at))
 	}
 	s.Advance(now, at)
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -393,16 +393,16 @@
 	return addr
 }
 
-// Informed returns the address of the live member that entered the era of the store with
-// the most knowledge, if that is more than the given one, or an empty string.
-func (c *Core) Informed(now time.Time, known position.Knowledge) string {
-	addr, most := "", known
+// Informed returns the address of the live member that is in the era of the store with the
+// most knowledge, and what it knows, if that is more than the given one, or an empty string.
+func (c *Core) Informed(now time.Time, known position.Knowledge) (addr string, most position.Knowledge) {
+	most = known
 	for _, p := range c.peers {
 		if most.LessInformed(p.store) && p.recentlyHeard(now) {
-			addr, most.Before = p.Addr, p.store.Before
+			addr, most = p.Addr, p.store
 		}
 	}
-	return addr
+	return addr, most
 }
 
 // recentlyHeard reports whether the member is not known to be dead and its latest heartbeat
--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -16,12 +16,14 @@
 	// Peers are addresses of some of the other members that are live for From.
 	Peers []string `json:"peers,omitempty"`
 	// StoreEra and StoreRevision are the position in the store's changes up to which From
-	// is complete, StoreBefore, StoreEntered and StoreMemory are those of its position.Knowledge.
+	// is complete, StoreBefore, StoreEntered, StoreMemory and StoreSettled are those
+	// of its position.Knowledge.
 	StoreEra      uint64            `json:"store_era,omitempty"`
 	StoreRevision uint64            `json:"store_at,omitempty"`
 	StoreBefore   position.Position `json:"store_before,omitzero"`
 	StoreEntered  position.Position `json:"store_entered,omitzero"`
 	StoreMemory   time.Duration     `json:"store_memory,omitempty"`
+	StoreSettled  bool              `json:"store_settled,omitempty"`
 	// StoreSteady means that the store has answered From without interruption for
 	// some seconds.
 	StoreSteady bool `json:"steady,omitempty"`
@@ -40,7 +42,7 @@
 
 // store returns what From knows of the store.
 func (h Heartbeat) store() position.Knowledge {
-	return position.Knowledge{At: position.Position{Era: h.StoreEra, Revision: h.StoreRevision}, Before: h.StoreBefore, Entered: h.StoreEntered, Memory: h.StoreMemory}
+	return position.Knowledge{At: position.Position{Era: h.StoreEra, Revision: h.StoreRevision}, Before: h.StoreBefore, Entered: h.StoreEntered, Memory: h.StoreMemory, Settled: h.StoreSettled}
 }
 
 // Introduction returns the first heartbeat on a connection to the member named to.
@@ -82,6 +84,7 @@
 	h := Heartbeat{From: c.self, Leaving: c.leaving, Claim: c.claim, StoreSteady: c.storeSteady, LiveCount: c.liveCount(now)}
 	h.StoreEra, h.StoreRevision, h.StoreBefore = store.At.Era, store.At.Revision, store.Before
 	h.StoreEntered, h.StoreMemory = store.Entered, store.Memory
+	h.StoreSettled = store.Settled && store.At.Era > position.FirstEra
 	h.Sent = c.elapsedMs(now)
 	h.OwnerSuspected = c.suspectsOwner(now)
 	if maxPeers > 0 {
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -39,12 +39,13 @@
 	return s.dialedLocked(s.core.Ahead(time.Now(), after))
 }
 
-// Informed returns the connection to a live member that entered the era of the store with
-// more knowledge, or nil if there is none.
-func (s *Service) Informed(known position.Knowledge) *peer.Conn {
+// Informed returns the connection to a live member that is in the era of the store with more
+// knowledge, and what it knows; nil if there is none.
+func (s *Service) Informed(known position.Knowledge) (*peer.Conn, position.Knowledge) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.dialedLocked(s.core.Informed(time.Now(), known))
+	addr, theirs := s.core.Informed(time.Now(), known)
+	return s.dialedLocked(addr), theirs
 }
 
 // dialedLocked returns the connection to an address, or nil if there is none.
--- a/position/position.go
+++ b/position/position.go
@@ -16,6 +16,9 @@
 	Revision uint64 `json:"revision"`
 }
 
+// FirstEra is the era of a store that has never returned from a copy.
+const FirstEra = 1
+
 // Compare returns -1, 0 or 1 if p is before, equal to or after o.
 func (p Position) Compare(o Position) int {
 	return cmp.Or(cmp.Compare(p.Era, o.Era), cmp.Compare(p.Revision, o.Revision))
@@ -52,12 +55,19 @@
 	// They decide between processes of which none remembers all.
 	Entered Position
 	Memory  time.Duration
+	// Settled means that the process has read the store's items since its writers had time
+	// to write again what a return had lost: it knows what is there, not only what a copy
+	// says.
+	Settled bool
 }
 
-// LessInformed reports whether o has entered the same era with more knowledge than k.
+// LessInformed reports whether o is in the same era with more knowledge than k.
 func (k Knowledge) LessInformed(o Knowledge) bool {
-	if k.At.Era != o.At.Era {
+	switch {
+	case k.At.Era != o.At.Era:
 		return false
+	case k.Settled || o.Settled:
+		return !k.Settled
 	}
 	if k.Before.IsZero() && o.Before.IsZero() {
 		further, longer := o.Entered.After(k.Entered), o.Memory > k.Memory+memoryMargin
