discovery: an entry of the copy that nobody writes again does not lapse

What callers saw: after a return of the store requests went to an endpoint that had ended, for 1.5 s after its entry had lapsed.

Cause: each removal within five seconds of trouble with the store counts as a lapse, and a return is such trouble. But leases begin anew with the return: what lapses then was not written again for three heartbeats.

TestUnwrittenEntryDoesNotLapse failed before.

Change: an entry that is the copy's, and not written again two seconds after the return, gets no grace when it is removed.

--- a/discovery/entries.go
+++ b/discovery/entries.go
@@ -212,7 +212,8 @@
 }
 
 // remove applies the removal of an endpoint's entry. After a recent store failure it
-// counts as a lapse: unless the endpoint was leaving, it stays in the view for lapseGrace.
+// counts as a lapse: unless the endpoint was leaving or has ended, it stays in the view for
+// lapseGrace.
 func (s *State) remove(now time.Time, id string, item platform.Item) {
 	known := s.entries[id]
 	if known == nil {
@@ -222,6 +223,7 @@
 		s.expiring[id] = known
 		return
 	}
+	ended := s.isUnwritten(now, known.item)
 	wasRemoved := known.isRemoved() && !s.endsHold(known.isHeld(), known.item, item.Position())
 	known.item = item
 	known.item.Held = false
@@ -245,12 +247,20 @@
 	if known.takesWork() {
 		s.noteEndpoint(now, id, false, item)
 	}
-	if !s.settling && now.Sub(s.lastTrouble) < troublePeriod && !known.endpoint.Leaving {
+	if now.Sub(s.lastTrouble) < troublePeriod && !known.endpoint.Leaving && !ended && !s.settling {
 		known.graceUntil = now.Add(lapseGrace)
 	}
 	s.dirty = true
 }
 
+// isUnwritten reports whether the writer of an item has had its time to write it again since
+// the store's return from a copy, and has not. Its lease began anew with the return, so that
+// a removal is no lapse.
+func (s *State) isUnwritten(now time.Time, item platform.Item) bool {
+	isEarlier := item.Copied || item.Era < s.at.Era
+	return isEarlier && !s.eraSince.IsZero() && now.Sub(s.eraSince) > restoreGrace
+}
+
 // withDomainState returns the endpoint with the state of its failure domain and the cold
 // rate of its service. Endpoints of a domain whose evacuation has ended count as cold for
 // the service's cold start time: they have had no work, and the heartbeat in which they
@@ -292,14 +302,7 @@
 	}
 	for id, e := range s.expiring {
 		if e.endpoint != nil && !now.Before(e.graceUntil) {
-			if e.item.Lost && e.takesWork() {
-				s.noteEndpoint(now, id, false, e.item)
-			}
-			e.endpoint = nil
-			s.dirty = true
-			if e.item.Lost {
-				s.noteDropped(e.item.Key)
-			}
+			s.endGrace(now, id, e)
 		}
 		switch {
 		case e.removedAt.IsZero() && e.endpoint == nil:
@@ -310,3 +313,15 @@
 		}
 	}
 }
+
+// endGrace removes an endpoint from the view whose grace period has ended.
+func (s *State) endGrace(now time.Time, id string, e *entry) {
+	if e.item.Lost {
+		s.noteDropped(e.item.Key)
+	}
+	if e.item.Lost && e.takesWork() {
+		s.noteEndpoint(now, id, false, e.item)
+	}
+	e.endpoint = nil
+	s.dirty = true
+}
--- a/discovery/eralog.go
+++ b/discovery/eralog.go
@@ -3,13 +3,11 @@
 import (
 	"time"
 
+	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/position"
 )
 
-// dropMargin is how long after restoreGrace the items that the copy lacks have been dropped.
-const dropMargin = 500 * time.Millisecond
-
-// maxDroppedKeys bounds the keys that an EraEnd names.
+// maxDroppedKeys bounds the keys that a Settlement names.
 const maxDroppedKeys = 20
 
 // EraChange says that the store has returned from a copy and begun a new era.
@@ -23,28 +21,30 @@
 	Repeated, Kept int
 }
 
-// EraEnd says that the time is over in which items that the copy lacks are kept.
-type EraEnd struct {
-	Era uint64
-	// Dropped is the number of items that have not been written again, Keys are some of
-	// them.
+// Settlement says that this process lists what the store lists, since the writers have had
+// their time to write again what a return had lost.
+type Settlement struct {
+	// Word says by whose word, and up to which position.
+	Word
+	// Corrected means that a judgement about the copy was wrong.
+	Corrected bool
+	// Dropped is the number of items that the copy lacked and that have not been written
+	// again, Keys are some of them.
 	Dropped int
 	Keys    []string
 }
 
 // noteEra notes that the state enters the era of the position.
-func (s *State) noteEra(now time.Time, at position.Position) {
+func (s *State) noteEra(at position.Position) {
 	s.eraChange.From, s.eraChange.To, s.eraChange.Peer = s.at, at, s.source.Peer
 	s.eraChanged = true
-	s.eraEntered = now
-	s.eraEnd.Era = at.Era
 }
 
 // noteDropped notes that an item that the copy lacks has not been written again.
 func (s *State) noteDropped(key string) {
-	s.eraEnd.Dropped++
-	if len(s.eraEnd.Keys) < maxDroppedKeys {
-		s.eraEnd.Keys = append(s.eraEnd.Keys, key)
+	s.dropped++
+	if len(s.droppedKeys) < maxDroppedKeys {
+		s.droppedKeys = append(s.droppedKeys, key)
 	}
 }
 
@@ -58,15 +58,18 @@
 	return change, changed
 }
 
-// TakeEraEnd returns what has become of the items that the copy lacks, once that is known,
-// and whether it is.
-func (s *State) TakeEraEnd(now time.Time) (EraEnd, bool) {
-	if s.eraEntered.IsZero() || now.Sub(s.eraEntered) < restoreGrace+dropMargin {
-		return EraEnd{}, false
-	}
-	end := s.eraEnd
-	s.eraEnd, s.eraEntered = EraEnd{}, time.Time{}
-	return end, true
+// noteSettlement notes that the state lists what the store lists.
+func (s *State) noteSettlement(now time.Time, corrected bool) {
+	s.settlement = &Settlement{Corrected: corrected, Dropped: s.dropped, Keys: s.droppedKeys}
+	s.settlement.Word = s.word(now, platform.Item{Era: s.at.Era, Revision: s.at.Revision})
+	s.dropped, s.droppedKeys = 0, nil
+}
+
+// TakeSettlement returns the settlement since the last call, nil if there was none.
+func (s *State) TakeSettlement() *Settlement {
+	settlement := s.settlement
+	s.settlement = nil
+	return settlement
 }
 
 // logEraChange logs that the store has returned from a copy, and what of the copy this
@@ -78,11 +81,16 @@
 		Int("repeated", c.Repeated).Int("kept", c.Kept).Msg("the store has returned from a copy")
 }
 
-// logEraEnd logs which items have not been written again after the store's return.
-func (f *Follower) logEraEnd(e EraEnd) {
-	f.itemsDropped.Add(uint64(e.Dropped))
-	f.log.Info().Str("event", logStoreSettled).Uint64("era", e.Era).Int("dropped", e.Dropped).Strs("keys", e.Keys).
-		Msg("what the store's copy lacks has been written again or dropped")
+// logSettlement logs that what the store lists counts from now on, in place of what was
+// judged about its copy.
+func (f *Follower) logSettlement(c Settlement) {
+	f.itemsDropped.Add(uint64(c.Dropped))
+	event := f.log.Info()
+	if c.Corrected {
+		event = f.log.Warn()
+	}
+	c.log(event.Str("event", logStoreSettled)).Bool("corrected", c.Corrected).Int("dropped", c.Dropped).Strs("keys", c.Keys).
+		Msg("what the store lists counts, in place of what was judged about its copy")
 }
 
 // StoreReturns returns how often the store has returned from a copy, and how many items were
--- a/discovery/publish.go
+++ b/discovery/publish.go
@@ -31,11 +31,7 @@
 		f.state.ClearTrouble()
 	}
 	change(now, f.state)
-	faults := f.state.TakeFaults()
-	changes := f.state.TakeEvacuationChanges()
-	endpoints := f.state.TakeEndpointChanges()
-	eraChange, eraChanged := f.state.TakeEraChange()
-	eraEnd, eraEnded := f.state.TakeEraEnd(now)
+	news := f.state.takeNews()
 	if f.state.At() != before {
 		close(f.changed)
 		f.changed = make(chan struct{})
@@ -51,15 +47,7 @@
 	if undecoded {
 		f.signalDecoder()
 	}
-	f.logFaults(faults)
-	f.logEvacuationChanges(changes)
-	f.logEndpointChanges(endpoints)
-	if eraChanged {
-		f.logEraChange(eraChange)
-	}
-	if eraEnded {
-		f.logEraEnd(eraEnd)
-	}
+	f.logNews(news)
 	if view == nil {
 		return
 	}
@@ -68,6 +56,37 @@
 	f.onChange(view)
 }
 
+// news is what has changed in a State and is logged.
+type news struct {
+	faults      []Fault
+	evacuations []EvacuationChange
+	endpoints   []EndpointChange
+	// eraChange counts if eraChanged is set, settlement is nil if there was none.
+	eraChange  EraChange
+	eraChanged bool
+	settlement *Settlement
+}
+
+// takeNews returns what has changed since the last call.
+func (s *State) takeNews() news {
+	n := news{faults: s.TakeFaults(), evacuations: s.TakeEvacuationChanges(), endpoints: s.TakeEndpointChanges(), settlement: s.TakeSettlement()}
+	n.eraChange, n.eraChanged = s.TakeEraChange()
+	return n
+}
+
+// logNews logs what has changed.
+func (f *Follower) logNews(n news) {
+	f.logFaults(n.faults)
+	f.logEvacuationChanges(n.evacuations)
+	f.logEndpointChanges(n.endpoints)
+	if n.eraChanged {
+		f.logEraChange(n.eraChange)
+	}
+	if n.settlement != nil {
+		f.logSettlement(*n.settlement)
+	}
+}
+
 // countCold returns the number of endpoints in a view that are cold: started recently, and
 // able to serve few requests yet.
 func countCold(view *catalog.View, now time.Time) int {
--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -295,7 +295,7 @@
 	}
 	s.lastTrouble = now
 	s.beginEra(now, at)
-	s.noteEra(now, at)
+	s.noteEra(at)
 }
 
 // removal returns the item that says that a key is missing from a list of all items.
--- a/discovery/restore_ends_test.go
+++ b/discovery/restore_ends_test.go
@@ -111,3 +111,17 @@
 	s.ApplyList(epoch, []platform.Item{evacuation(at(2, 22), false)}, at(2, 23))
 	assert.Assert(t, s.evacuated())
 }
+
+// Guards against requests to an endpoint that has ended, after its entry in the copy has
+// lapsed: one that lives would have written it again by then.
+func TestUnwrittenEntryDoesNotLapse(t *testing.T) {
+	for since, given := range map[time.Duration]bool{time.Second: true, restoreGrace + time.Second: false} {
+		s := NewState()
+		list := []platform.Item{configAt(at(1, 2)), entryOf(at(1, 3), false)}
+		s.ApplyList(epoch, list, at(1, 4))
+		s.ApplyList(epoch, []platform.Item{configAt(at(2, 2)), entryOf(at(2, 3), false)}, at(2, 4))
+		now := epoch.Add(since)
+		s.applyAll(now, []platform.Item{entryOf(at(2, 5), true)}, at(2, 5))
+		assert.Equal(t, s.given(now), given, "%v after the return", since)
+	}
+}
--- a/discovery/restore_model_test.go
+++ b/discovery/restore_model_test.go
@@ -628,3 +628,14 @@
 func TestCutMembersOverReturnsInSeries(t *testing.T) {
 	runModels(t, 3, modelFaults{olderCopies: true}, 980, 1007, 1092, 1225, 1752, 1865)
 }
+
+// Guards against members that judge a copy differently and stay so, or that give up what
+// they were told for the judgement of another one.
+func TestMembersThatJudgeACopyDifferently(t *testing.T) {
+	older := modelFaults{olderCopies: true}
+	runModels(t, 3, older, 4441, 5785, 6512, 6699, 7504, 7916, 9818, 12624, 13019, 15699, 15909, 16076, 17754, 19947)
+	runModels(t, 5, older, 82, 479)
+	runModels(t, 3, modelFaults{olderCopies: true, storeOnly: true}, 7384)
+	runModels(t, 3, modelFaults{}, 3477, 4441, 5785, 6699)
+	runModels(t, 5, modelFaults{}, 82, 2685, 3929)
+}
--- a/discovery/serve.go
+++ b/discovery/serve.go
@@ -135,10 +135,7 @@
 		changes.Items = slices.DeleteFunc(changes.Items, func(item platform.Item) bool {
 			return item.Key == platform.KeyConfig && !item.Position().After(q.Known)
 		})
-		reply, err := changesPage(changes.Items, changes.At, packs)
-		reply.Start, reply.Before, reply.Writes = changes.Start, changes.Before, packHashes(changes.Writes)
-		reply.Lists, reply.Entered, reply.Memory, reply.Seen = changes.Lists, changes.Entered, changes.Memory, changes.Seen
-		reply.Settled, reply.EraAge = changes.Settled && !reply.More && reply.Era > position.FirstEra, changes.EraAge
+		reply, err := changesAnswer(changes, packs)
 		reply.Fresh = f.Fresh()
 		return reply, err
 	})
@@ -158,6 +155,18 @@
 	})
 }
 
+// changesAnswer returns the answer with changes, or with the first of them.
+func changesAnswer(changes Batch, packs *packer) (changesReply, error) {
+	reply, err := changesPage(changes.Items, changes.At, packs)
+	reply.Start, reply.Before, reply.Writes = changes.Start, changes.Before, packHashes(changes.Writes)
+	reply.Lists, reply.Entered, reply.Memory, reply.Seen = changes.Lists, changes.Entered, changes.Memory, changes.Seen
+	reply.Settled = changes.Settled && !reply.More && reply.Era > position.FirstEra
+	if !changes.Settled {
+		reply.EraAge = changes.EraAge
+	}
+	return reply, err
+}
+
 // changesPage returns an answer with the first changes, by position, up to pageBytes. Items
 // of the same position are not divided, because an answer is complete up to its position.
 func changesPage(items []platform.Item, at position.Position, packs *packer) (changesReply, error) {
--- a/discovery/settle.go
+++ b/discovery/settle.go
@@ -58,7 +58,7 @@
 		_, held := s.evacuations.heldUntil[key]
 		s.evacuations.items[key] = confirmed(item, held)
 	}
-	s.settlement = &Settlement{Word: s.word(now, platform.Item{Era: s.at.Era, Revision: s.at.Revision}), Corrected: corrected}
+	s.noteSettlement(now, corrected)
 }
 
 // confirmed returns an item that is no longer a judgement; one that is held may still be
@@ -69,21 +69,6 @@
 	return item
 }
 
-// Settlement says that this process holds what the store has listed since its writers had
-// time to write again what a return had lost.
-type Settlement struct {
-	Word
-	// Corrected means that a judgement about the copy was wrong.
-	Corrected bool
-}
-
-// TakeSettlement returns the settlement since the last call, nil if there was none.
-func (s *State) TakeSettlement() *Settlement {
-	settlement := s.settlement
-	s.settlement = nil
-	return settlement
-}
-
 // Digest returns a hash of the endpoints and evacuations that the state lists, whatever
 // their positions. It is equal at processes that list the same, and not zero.
 func (s *State) Digest() uint64 {
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -70,10 +70,10 @@
 	// eraChange is what TakeEraChange returns next if eraChanged is set.
 	eraChange  EraChange
 	eraChanged bool
-	// eraEnd is what TakeEraEnd returns settlePeriod after eraEntered, which is zero if the
-	// era is settled.
-	eraEnd     EraEnd
-	eraEntered time.Time
+	// dropped counts the items that the copy lacked and that were not written again since the
+	// latest settlement, droppedKeys are some of them.
+	dropped     int
+	droppedKeys []string
 	// eraSince is when the first member entered the era, as far as is known; zero in the
 	// first era.
 	eraSince time.Time
