quarantine: a trial awaits its verdict before the next one

Cause: the run of a trial ends when its connection breaks, and the verdict on the loss comes milliseconds later. In between the content was neither running nor did the loss count, so that the retry of the same request was granted a trial of its own. Suspect content counts its pending losses; quarantined content did not.

TestTrialAwaitsItsVerdict failed before: the second Begin was granted.

--- a/quarantine/arbiter.go
+++ b/quarantine/arbiter.go
@@ -39,6 +39,8 @@
 		return Permission{}
 	case s.Standing == Quarantined && s.RefusedFor > 0:
 		return Permission{Outcome: Refused, RetryAfter: s.RefusedFor}
+	case s.Standing == Quarantined && c.awaitsVerdict(now):
+		return Permission{Outcome: Waiting}
 	case s.Standing == Quarantined:
 		most = 1
 	}
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -74,6 +74,13 @@
 	return crashed, pending
 }
 
+// awaitsVerdict reports whether there is a loss of which it is not known yet what became of
+// the endpoint.
+func (c *contentState) awaitsVerdict(now time.Time) bool {
+	_, pending := c.weights(now)
+	return pending > 0
+}
+
 // currentStanding returns the content's standing.
 func (c *contentState) currentStanding(now time.Time) Standing {
 	crashed, pending := c.weights(now)
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -256,6 +256,23 @@
 	assert.DeepEqual(t, delays, []time.Duration{time.Minute, 2 * time.Minute, 4 * time.Minute, 8 * time.Minute, maxTrialDelay})
 }
 
+// Guards against a second trial in the milliseconds in which it is not known yet whether the
+// first one has crashed its endpoint: the retry of its request would crash another one.
+func TestTrialAwaitsItsVerdict(t *testing.T) {
+	c := newTestTable()
+	for i := range crashLimit {
+		crash(c, epoch, 1, fmt.Sprint(i))
+	}
+	now := epoch.Add(trialDelay)
+	latest := now.Add(time.Minute)
+	assert.DeepEqual(t, c.Begin(now, 1, "trial", latest), Permission{Trial: true})
+	c.RecordBreak(now, Break{Content: 1, Endpoint: Endpoint{Key: "10", Service: "s"}, Trial: true})
+	c.End(1, "trial")
+	assert.Equal(t, c.Begin(now, 1, "retry", latest).Outcome, Waiting)
+	c.Resolve(now, now, "10", Crashed, EvidenceRefused)
+	assert.Equal(t, c.Begin(now, 1, "retry", latest).Outcome, Refused)
+}
+
 // Guards against crashes that count twice, here and as told by another member, or that are
 // told on without end.
 func TestRemoteCrashesCountOnce(t *testing.T) {
