quarantine: after a failed trial, what other content crashes is no outage

Cause: a quarantine has early trials while its latest crash may have another cause, and an endpoint that was lost at the same time without the content was such a sign, also if another quarantined content had crashed it. Two contents gave each other early trials for as long as both came.

TestTwoCrashingContentsHaveOneEarlyTrialEach failed before.

Weighed: not counting such endpoints from the first trial on. So the first trial stays early, and only a failed trial makes the other content the explanation.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -84,12 +84,24 @@
 	if latest == nil {
 		return false
 	}
+	failed := c.failedTrials() > 0
 	for endpoint, e := range t.lost {
-		if c.losses[endpoint] == nil && e.mayShareCause(latest.at) {
+		if c.losses[endpoint] != nil || !e.mayShareCause(latest.at) {
+			continue
+		}
+		// Once a trial has failed, an endpoint that other content crashed is no sign of an
+		// outage: each of the two would give the other early trials without end.
+		if !failed || !t.lostToOtherLocked(now, endpoint, content) {
 			return true
 		}
 	}
-	for other, l := range t.lossesAt[latest.Endpoint] {
+	return t.lostToOtherLocked(now, latest.Endpoint, content)
+}
+
+// lostToOtherLocked reports whether an endpoint was lost under another content that is
+// quarantined.
+func (t *Table) lostToOtherLocked(now time.Time, endpoint string, content Content) bool {
+	for other, l := range t.lossesAt[endpoint] {
 		if other != content && l.Verdict == Crashed && t.contents[other].currentStanding(now) == Quarantined {
 			return true
 		}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -449,3 +449,26 @@
 	}
 	assert.Equal(t, other.State(epoch.Add(time.Second), 1).Standing, Quarantined)
 }
+
+// Guards against two contents that crash endpoints at the same time and are each tried again
+// and again, since the losses of the other look like an outage.
+func TestTwoCrashingContentsHaveOneEarlyTrialEach(t *testing.T) {
+	c := newTestTable()
+	now := epoch
+	for i := range crashLimit {
+		crash(c, now, 1, fmt.Sprint(2*i))
+		crash(c, now.Add(200*time.Millisecond), 2, fmt.Sprint(2*i+1))
+		now = now.Add(400 * time.Millisecond)
+	}
+	for i, content := range []Content{1, 2} {
+		now = now.Add(earlyTrialDelay)
+		assert.Assert(t, c.Begin(now, content, "trial", now.Add(time.Minute)).Trial)
+		endpoint := fmt.Sprint(10 + i)
+		c.RecordBreak(now, Break{Content: content, Endpoint: Endpoint{Key: endpoint, Service: "s"}, Trial: true})
+		c.Resolve(now, now, endpoint, Crashed, EvidenceRefused)
+		c.End(content, "trial")
+	}
+	for _, content := range []Content{1, 2} {
+		assert.Assert(t, c.State(now, content).RefusedFor > trialDelay)
+	}
+}
