discovery: a settlement keeps the grace of lapsed entries and the watch

Found by reading the change before landing. A store that fails right after its return lets the leases of all endpoints run out: the settling list dropped them at once; now they have their grace as with any list. A list that is to settle and fails left the reader without a watch until one succeeds; it is tried once a second beside the watch. A process that lacks a valid configuration took all items of a peer in place of the configuration alone. The digest takes unusable entries as unusable, whatever the text of their fault.

--- a/discovery/entries.go
+++ b/discovery/entries.go
@@ -223,7 +223,7 @@
 		s.expiring[id] = known
 		return
 	}
-	ended := s.isUnwritten(now, known.item)
+	ended := s.hasEnded(now, known.item)
 	wasRemoved := known.isRemoved() && !s.endsHold(known.isHeld(), known.item, item.Position())
 	known.item = item
 	known.item.Held = false
@@ -247,18 +247,21 @@
 	if known.takesWork() {
 		s.noteEndpoint(now, id, false, item)
 	}
-	if now.Sub(s.lastTrouble) < troublePeriod && !known.endpoint.Leaving && !ended && !s.settling {
+	if now.Sub(s.lastTrouble) < troublePeriod && !known.endpoint.Leaving && !ended {
 		known.graceUntil = now.Add(lapseGrace)
 	}
 	s.dirty = true
 }
 
-// isUnwritten reports whether the writer of an item has had its time to write it again since
-// the store's return from a copy, and has not. Its lease began anew with the return, so that
-// a removal is no lapse.
-func (s *State) isUnwritten(now time.Time, item platform.Item) bool {
+// hasEnded reports whether the removal of an endpoint's item is no lapse although the store
+// has returned from a copy lately: the store has not failed since, and the endpoint had its
+// time to write the item again.
+func (s *State) hasEnded(now time.Time, item platform.Item) bool {
+	if s.Settled() || s.lastTrouble.After(s.enteredAt) {
+		return false
+	}
 	isEarlier := item.Copied || item.Era < s.at.Era
-	return isEarlier && !s.eraSince.IsZero() && now.Sub(s.eraSince) > restoreGrace
+	return s.settling || isEarlier && now.Sub(s.eraSince) > restoreGrace
 }
 
 // withDomainState returns the endpoint with the state of its failure domain and the cold
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -33,6 +33,8 @@
 	// retryFirst and retryMax bound the backoff after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryMax   = time.Second
+	// settleRetryInterval is the interval of lists that are to settle and fail.
+	settleRetryInterval = time.Second
 	// expireInterval is the interval of State.Expire.
 	expireInterval = pause.TickEvery
 	// catchUpTimeout bounds the read after a pause: a call to a peer that does not
@@ -109,6 +111,8 @@
 	lastAnswer atomic.Int64
 	startedAt  time.Time
 	onChange   func(*catalog.View)
+	// settleRetry is when a list that is to settle may be tried again; only Run uses it.
+	settleRetry time.Time
 	// pauses detects pauses of the process.
 	pauses *pause.Watch
 	// decodeSignal makes decode look for a configuration.
@@ -289,8 +293,9 @@
 		}
 	}
 	if !*listed || f.settleDue() {
+		f.settleRetry = time.Now().Add(settleRetryInterval)
 		err := f.list(ctx)
-		*listed = err == nil
+		*listed = *listed || err == nil
 		if errors.Is(err, errNewEra) {
 			return nil
 		}
@@ -323,11 +328,12 @@
 }
 
 // settleDue reports whether all items are to be read from the store again, see
-// State.SettleDue.
+// State.SettleDue. Between attempts that fail this process must go on watching.
 func (f *Follower) settleDue() bool {
+	now := time.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.SettleDue(time.Now())
+	return f.state.SettleDue(now) && now.After(f.settleRetry)
 }
 
 // Await waits until the state has advanced past the position, for at most wait, and returns
--- a/discovery/read.go
+++ b/discovery/read.go
@@ -231,6 +231,9 @@
 	digest := f.state.Comparison(time.Now())
 	f.mu.Unlock()
 	settled := f.relay.Settled(ctx, known, digest)
+	if settled.Verdict == VerdictElsewhere {
+		return
+	}
 	f.update(func(now time.Time, s *State) { s.ApplySettled(now, settled, known.At, digest) })
 }
 
@@ -274,7 +277,9 @@
 	batch := f.relay.Newer(ctx, position.Knowledge{})
 	f.update(func(now time.Time, s *State) {
 		for _, item := range batch.Items {
-			s.Apply(now, item)
+			if item.Key == platform.KeyConfig {
+				s.Apply(now, item)
+			}
 		}
 	})
 }
--- a/discovery/settle.go
+++ b/discovery/settle.go
@@ -89,11 +89,14 @@
 	}
 	var h xxhash.Digest
 	h.Reset()
-	for _, part := range []string{item.Key, string(item.Value), item.Fault} {
-		// Write of a Digest never fails.
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
+	usable := byte(0)
+	if item.Fault == "" {
+		usable = 1
 	}
+	// Write of a Digest never fails.
+	_, _ = h.WriteString(item.Key)
+	_, _ = h.Write([]byte{0, usable})
+	_, _ = h.Write(item.Value)
 	return h.Sum64()
 }
 
@@ -120,7 +123,7 @@
 	// VerdictDifferent means that they do not, and all items are to be read.
 	VerdictDifferent Verdict = "different"
 	// VerdictElsewhere means that they are at different positions, so that nothing can be
-	// said, or that neither is settled.
+	// said, or that the process that was asked is not settled.
 	VerdictElsewhere Verdict = "elsewhere"
 )
 
@@ -178,7 +181,7 @@
 
 // beginEra notes that this process enters the era of the position.
 func (s *State) beginEra(now time.Time, at position.Position) {
-	s.eraSince = time.Time{}
+	s.eraSince, s.enteredAt = time.Time{}, now
 	if at.Era > position.FirstEra {
 		s.eraSince = now
 	}
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -77,6 +77,8 @@
 	// eraSince is when the first member entered the era, as far as is known; zero in the
 	// first era.
 	eraSince time.Time
+	// enteredAt is when this process entered the era.
+	enteredAt time.Time
 	// settledEra is the era whose items were read after settlePeriod, settling means that
 	// these are being applied, up to the position settlingAt.
 	settledEra uint64
