--- a/discovery/eralog.go
+++ b/discovery/eralog.go
@@ -24,8 +24,8 @@
 // Settlement says that this process lists what the store lists, since the writers have had
 // their time to write again what a return had lost.
 type Settlement struct {
-	// Word says by whose word, and up to which position.
-	Word
+	// Provenance says from whom the list is, and up to which position.
+	Provenance
 	// Corrected means that a judgement about the copy was wrong.
 	Corrected bool
 	// Dropped is the number of items that the copy lacked and that have not been written
@@ -61,7 +61,7 @@
 // noteSettlement notes that the state lists what the store lists.
 func (s *State) noteSettlement(now time.Time, corrected bool) {
 	s.settlement = &Settlement{Corrected: corrected, Dropped: s.dropped, Keys: s.droppedKeys}
-	s.settlement.Word = s.word(now, platform.Item{Era: s.at.Era, Revision: s.at.Revision})
+	s.settlement.Provenance = s.provenance(now, platform.Item{Era: s.at.Era, Revision: s.at.Revision})
 	s.dropped, s.droppedKeys = 0, nil
 }
 
--- a/discovery/source.go
+++ b/discovery/source.go
@@ -30,15 +30,15 @@
 	WayExpiry Way = "expiry"
 )
 
-// Source says by whose word a belief has changed.
+// Source says where an item came from.
 type Source struct {
 	// Peer is the name of the peer, empty for the store.
 	Peer string
 	Way  Way
 }
 
-// Word is the item by which a belief has changed, and where it came from.
-type Word struct {
+// Provenance is the item by which a belief has changed, and where it came from.
+type Provenance struct {
 	Source
 	// At is the position of the item, Start the first position of its era that was known.
 	// An item up to there may be one of the copy from which the store returned.
@@ -49,22 +49,22 @@
 	Lost bool
 }
 
-// word returns the word of an item that has just been applied.
-func (s *State) word(now time.Time, item platform.Item) Word {
-	w := Word{Source: s.source, At: item.Position(), Start: s.start, Lost: item.Lost}
-	if w.Way == "" {
-		w.Way = WayWatch
+// provenance returns the provenance of an item that has just been applied.
+func (s *State) provenance(now time.Time, item platform.Item) Provenance {
+	p := Provenance{Source: s.source, At: item.Position(), Start: s.start, Lost: item.Lost}
+	if p.Way == "" {
+		p.Way = WayWatch
 	}
 	if !s.eraSince.IsZero() {
-		w.EraAge = now.Sub(s.eraSince)
+		p.EraAge = now.Sub(s.eraSince)
 	}
-	return w
+	return p
 }
 
-// log adds the word to a log line.
-func (w Word) log(e *zerolog.Event) *zerolog.Event {
-	return e.Str("peer", w.Peer).Str("way", string(w.Way)).Uint64("era", w.At.Era).Uint64("revision", w.At.Revision).
-		Uint64("start_era", w.Start.Era).Uint64("start", w.Start.Revision).Dur("era_age", w.EraAge).Bool("lost", w.Lost)
+// log adds the provenance to a log line.
+func (p Provenance) log(e *zerolog.Event) *zerolog.Event {
+	return e.Str("peer", p.Peer).Str("way", string(p.Way)).Uint64("era", p.At.Era).Uint64("revision", p.At.Revision).
+		Uint64("start_era", p.Start.Era).Uint64("start", p.Start.Revision).Dur("era_age", p.EraAge).Bool("lost", p.Lost)
 }
 
 // from notes the source of the items that are applied next, and returns a function that
@@ -83,13 +83,13 @@
 	ID string
 	// Listed means that it gets work.
 	Listed bool
-	Word
+	Provenance
 }
 
 // noteEndpoint notes that an item put an endpoint into the view, or took it out of it.
 func (s *State) noteEndpoint(now time.Time, id string, listed bool, item platform.Item) {
 	if len(s.endpointChanges) < maxEndpointChanges {
-		s.endpointChanges = append(s.endpointChanges, EndpointChange{ID: id, Listed: listed, Word: s.word(now, item)})
+		s.endpointChanges = append(s.endpointChanges, EndpointChange{ID: id, Listed: listed, Provenance: s.provenance(now, item)})
 	}
 }
 
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -43,7 +43,7 @@
 type EvacuationChange struct {
 	Domain    string
 	Evacuated bool
-	Word
+	Provenance
 }
 
 // State merges the items read from the store and from peers. It does no I/O and is not
@@ -236,7 +236,7 @@
 	if item.Gone {
 		s.evacuationEnded[domainOf(item)] = now
 	}
-	s.evacuationChanges = append(s.evacuationChanges, EvacuationChange{Domain: domainOf(item), Evacuated: !item.Gone, Word: s.word(now, item)})
+	s.evacuationChanges = append(s.evacuationChanges, EvacuationChange{Domain: domainOf(item), Evacuated: !item.Gone, Provenance: s.provenance(now, item)})
 }
 
 // applyConfig decodes an item of the configuration and adopts it, or keeps it to be
--- a/integration/store_restore_test.go
+++ b/integration/store_restore_test.go
@@ -161,6 +161,18 @@
 	return arrivalsAfter(&r.endpoints[id].Signals, began)
 }
 
+// countLists counts the lists of the store from now on: each of them reads the configuration.
+func (r *restoreRig) countLists() *atomic.Int64 {
+	lists := new(atomic.Int64)
+	r.store.SetBeforeCall(func(path string) bool {
+		if path == "/kv-key" {
+			lists.Add(1)
+		}
+		return true
+	})
+	return lists
+}
+
 // advance writes n configurations that change nothing but their version, and waits until
 // the last one is in force.
 func (r *restoreRig) advance(n int) {
@@ -379,13 +391,7 @@
 	r := newRestoreRig(t)
 	r.store.Save()
 	waitUntil(time.Now(), time.Second)
-	var lists atomic.Int64
-	r.store.SetBeforeCall(func(path string) bool {
-		if path == "/kv-key" {
-			lists.Add(1)
-		}
-		return true
-	})
+	lists := r.countLists()
 	go func() {
 		waitUntil(time.Now(), 500*time.Millisecond)
 		r.store.Restore()
--- a/integration/store_settle_test.go
+++ b/integration/store_settle_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,13 +54,7 @@
 	r := newRestoreRig(t)
 	r.store.Save()
 	waitUntil(time.Now(), time.Second)
-	var lists atomic.Int64
-	r.store.SetBeforeCall(func(path string) bool {
-		if path == "/kv-key" {
-			lists.Add(1)
-		}
-		return true
-	})
+	lists := r.countLists()
 	r.store.Restore()
 	r.within(time.Now(), settleLimit, "what the store lists counts", r.settled("false"))
 	assert.Assert(t, lists.Load() <= 4, "%d lists by two readers", lists.Load())
