--- a/discovery/settle_test.go
+++ b/discovery/settle_test.go
@@ -106,3 +106,28 @@
 	s.ApplyList(now, []platform.Item{configAt(at(3, 2)), entryOf(at(3, 3), false)}, at(3, 4))
 	assert.Assert(t, !s.given(now))
 }
+
+// Guards against a fleet that drops all endpoints at once: the store fails right after its
+// return, their leases run out, and the list that settles has none of them.
+func TestSettlementKeepsTheGraceOfLapsedEntries(t *testing.T) {
+	for failed, given := range map[bool]bool{true: true, false: false} {
+		s := NewState()
+		s.ApplyList(epoch, []platform.Item{configAt(at(1, 2)), entryOf(at(1, 3), false)}, at(1, 4))
+		s.ApplyList(epoch, []platform.Item{configAt(at(2, 2)), entryOf(at(2, 3), false)}, at(2, 4))
+		now := epoch.Add(settlePeriod)
+		if failed {
+			s.NoteTrouble(now.Add(-time.Second))
+		}
+		s.ApplyStoreList(now, now, []platform.Item{configAt(at(2, 2))}, at(2, 5))
+		assert.Equal(t, s.given(now), given, "the store failed: %v", failed)
+	}
+}
+
+// Guards against a process that reads all items since an entry is unusable, although its
+// peer lists the same: the texts of the fault may differ.
+func TestUnusableEntriesCompare(t *testing.T) {
+	one := entryOf(at(2, 3), false).WithFault(platform.ErrMalformed.New("one"))
+	other := entryOf(at(2, 3), false).WithFault(platform.ErrMalformed.New("other"))
+	assert.Equal(t, hashContent(one), hashContent(other))
+	assert.Assert(t, hashContent(one) != hashContent(entryOf(at(2, 3), false)))
+}
