--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -68,16 +68,16 @@
 	// Informed returns the changes since Before of a process that is less informed than a
 	// peer, none of them settled; ok is false if there is no such peer, or it does not answer.
 	Informed(ctx context.Context, known position.Knowledge) (batch Batch, ok bool)
-	// Settled compares a process that is not settled, whose digest is zero if it needs all
+	// Compare compares a process that is not settled, whose digest is zero if it needs all
 	// items, with a settled peer.
-	Settled(ctx context.Context, known position.Knowledge, digest uint64) Settled
+	Compare(ctx context.Context, known position.Knowledge, digest uint64) Comparison
 	// OthersStoreSteady reports whether the store has answered a peer without interruption
 	// for some seconds.
 	OthersStoreSteady() bool
 }
 
-// Settled is the answer of a settled peer.
-type Settled struct {
+// Comparison is the answer of a settled peer to a process that is not settled.
+type Comparison struct {
 	// Peer is the name of the peer.
 	Peer    string
 	Verdict Verdict
--- a/discovery/follower_test.go
+++ b/discovery/follower_test.go
@@ -162,8 +162,8 @@
 	return discovery.Batch{}, false
 }
 
-func (r stubRelay) Settled(context.Context, position.Knowledge, uint64) discovery.Settled {
-	return discovery.Settled{}
+func (r stubRelay) Compare(context.Context, position.Knowledge, uint64) discovery.Comparison {
+	return discovery.Comparison{}
 }
 
 // Guards against a revoked key that one gateway still accepts because the store answers
@@ -241,8 +241,8 @@
 	return discovery.Batch{}, false
 }
 
-func (r readerRelay) Settled(context.Context, position.Knowledge, uint64) discovery.Settled {
-	return discovery.Settled{}
+func (r readerRelay) Compare(context.Context, position.Knowledge, uint64) discovery.Comparison {
+	return discovery.Comparison{}
 }
 
 func (r readerRelay) Follow(ctx context.Context, known position.Knowledge, wait time.Duration) (discovery.Batch, bool) {
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -97,21 +97,21 @@
 	return changes, whole && known.LessInformed(changes.knowledge())
 }
 
-// Settled implements Relay.
-func (r *PeerRelay) Settled(ctx context.Context, known position.Knowledge, digest uint64) Settled {
+// Compare implements Relay.
+func (r *PeerRelay) Compare(ctx context.Context, known position.Knowledge, digest uint64) Comparison {
 	conn, theirs := r.peers.Informed(known)
 	if conn == nil || !theirs.Settled {
-		return Settled{Verdict: VerdictElsewhere}
+		return Comparison{Verdict: VerdictElsewhere}
 	}
 	verdict, err := compare(ctx, conn, compareQuery{At: known.At, Digest: digest})
 	if err != nil {
-		return Settled{Verdict: VerdictElsewhere}
+		return Comparison{Verdict: VerdictElsewhere}
 	}
-	settled := Settled{Peer: conn.Peer().Process.Name, Verdict: verdict}
+	c := Comparison{Peer: conn.Peer().Process.Name, Verdict: verdict}
 	if verdict == VerdictDifferent {
-		settled.Batch = r.readComplete(ctx, conn, known.At)
+		c.Batch = r.readComplete(ctx, conn, known.At)
 	}
-	return settled
+	return c
 }
 
 // compare asks a peer whether it lists the same.
--- a/discovery/read.go
+++ b/discovery/read.go
@@ -228,13 +228,13 @@
 		f.mu.Unlock()
 		return
 	}
-	digest := f.state.Comparison(time.Now())
+	digest := f.state.ComparisonDigest(time.Now())
 	f.mu.Unlock()
-	settled := f.relay.Settled(ctx, known, digest)
-	if settled.Verdict == VerdictElsewhere {
+	c := f.relay.Compare(ctx, known, digest)
+	if c.Verdict == VerdictElsewhere {
 		return
 	}
-	f.update(func(now time.Time, s *State) { s.ApplySettled(now, settled, known.At, digest) })
+	f.update(func(now time.Time, s *State) { s.ApplyComparison(now, c, known.At, digest) })
 }
 
 // compare returns what State.Compare does, for a peer.
--- a/discovery/restore_model_test.go
+++ b/discovery/restore_model_test.go
@@ -306,12 +306,12 @@
 
 // compare compares what a member lists with a settled one.
 func (m *model) compare(member, with *modelMember) {
-	at, digest := member.state.At(), member.state.Comparison(m.now)
-	settled := Settled{Peer: with.name, Verdict: with.state.Compare(at, digest)}
+	at, digest := member.state.At(), member.state.ComparisonDigest(m.now)
+	settled := Comparison{Peer: with.name, Verdict: with.state.Compare(at, digest)}
 	if settled.Verdict == VerdictDifferent {
 		settled.Batch = m.allItems(with)
 	}
-	member.state.ApplySettled(m.now, settled, at, digest)
+	member.state.ApplyComparison(m.now, settled, at, digest)
 }
 
 // allItems returns all items that a member knows.
--- a/discovery/settle.go
+++ b/discovery/settle.go
@@ -104,9 +104,9 @@
 // positions, before it reads all items.
 const comparePeriod = 5 * time.Second
 
-// Comparison returns the digest by which a process that is not settled asks one that is;
+// ComparisonDigest returns the digest by which a process that is not settled asks one that is;
 // zero if it has to read all items.
-func (s *State) Comparison(now time.Time) uint64 {
+func (s *State) ComparisonDigest(now time.Time) uint64 {
 	if now.Sub(s.eraSince) > settlePeriod+comparePeriod {
 		return 0
 	}
@@ -138,15 +138,15 @@
 	return VerdictSame
 }
 
-// ApplySettled applies what a settled peer says to this process, which asked with its digest
+// ApplyComparison applies what a settled peer says to this process, which asked with its digest
 // at a position.
-func (s *State) ApplySettled(now time.Time, settled Settled, at position.Position, digest uint64) {
-	switch settled.Verdict {
+func (s *State) ApplyComparison(now time.Time, c Comparison, at position.Position, digest uint64) {
+	switch c.Verdict {
 	case VerdictSame:
-		s.agree(now, settled.Peer, at, digest)
+		s.agree(now, c.Peer, at, digest)
 	case VerdictDifferent:
-		if s.settledBy(settled.Batch) {
-			s.ApplyBatch(now, settled.Batch)
+		if s.settledBy(c.Batch) {
+			s.ApplyBatch(now, c.Batch)
 		}
 	}
 }
--- a/discovery/settle_test.go
+++ b/discovery/settle_test.go
@@ -59,18 +59,18 @@
 	right, wrong := NewState(), NewState()
 	right.ApplyList(entered, []platform.Item{evacuation(at(2, 25), false)}, at(2, 27))
 	wrong.ApplyList(entered, nil, at(2, 27))
-	assert.Equal(t, settled.Compare(right.At(), right.Comparison(now)), VerdictSame)
-	assert.Equal(t, settled.Compare(wrong.At(), wrong.Comparison(now)), VerdictDifferent)
-	assert.Equal(t, settled.Compare(at(2, 26), wrong.Comparison(now)), VerdictElsewhere)
-	assert.Equal(t, right.Compare(wrong.At(), wrong.Comparison(now)), VerdictElsewhere)
+	assert.Equal(t, settled.Compare(right.At(), right.ComparisonDigest(now)), VerdictSame)
+	assert.Equal(t, settled.Compare(wrong.At(), wrong.ComparisonDigest(now)), VerdictDifferent)
+	assert.Equal(t, settled.Compare(at(2, 26), wrong.ComparisonDigest(now)), VerdictElsewhere)
+	assert.Equal(t, right.Compare(wrong.At(), wrong.ComparisonDigest(now)), VerdictElsewhere)
 
-	right.ApplySettled(now, Settled{Verdict: VerdictSame}, right.At(), right.Digest())
+	right.ApplyComparison(now, Comparison{Verdict: VerdictSame}, right.At(), right.Digest())
 	assert.Assert(t, right.Settled())
 	assert.Assert(t, !right.TakeSettlement().Corrected)
 
 	all := settled.Changes(now, at(0, 0))
 	all.Complete = true
-	wrong.ApplySettled(now, Settled{Verdict: VerdictDifferent, Batch: all}, wrong.At(), wrong.Digest())
+	wrong.ApplyComparison(now, Comparison{Verdict: VerdictDifferent, Batch: all}, wrong.At(), wrong.Digest())
 	assert.Assert(t, wrong.Settled())
 	assert.Assert(t, wrong.evacuated())
 	assert.Assert(t, wrong.TakeSettlement().Corrected)
@@ -80,8 +80,8 @@
 // of its peers: it reads all items instead.
 func TestComparisonEnds(t *testing.T) {
 	s, entered := misjudged(t)
-	assert.Assert(t, s.Comparison(entered.Add(settlePeriod+comparePeriod)) != 0)
-	assert.Equal(t, s.Comparison(entered.Add(settlePeriod+comparePeriod+time.Second)), uint64(0))
+	assert.Assert(t, s.ComparisonDigest(entered.Add(settlePeriod+comparePeriod)) != 0)
+	assert.Equal(t, s.ComparisonDigest(entered.Add(settlePeriod+comparePeriod+time.Second)), uint64(0))
 }
 
 // Guards against a settled member that takes over the judgement of one that is not.
