gateway, sse: what ended a stream, and whether inside an event, is seen

The log did not say which endpoint an answer came from, what ended it (a length, chunks or the connection), nor whether its last event was whole: a stream that was broken off inside an event and one that ended could not be told apart.

Package sse follows a stream by its bytes (LF, CR LF and CR; comments and blank lines are no events) in place of a search for blank lines in what is pending, which knew only two line ends of the same kind.

The line stream_ended names route, endpoint, framing, end, events and last event of a stream that ended inside an event or broke; answered names endpoint and framing; stream_ends in the metrics counts by route, framing and end. What callers get is as before: an end is still taken for the end of the answer.

logs_test: a stream that is cut short has the new line in its history.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -378,6 +378,7 @@
 	m := new(expvar.Map).Init()
 	m.Set("answers", g.metrics.Answers)
 	m.Set("sends", g.metrics.Sends)
+	m.Set("stream_ends", g.metrics.StreamEnds)
 	m.Set("latency_ms", expvar.Func(func() any { return g.metrics.Latency() }))
 	m.Set("queues", expvar.Func(func() any { return g.scheduler.Stats() }))
 	m.Set("endpoints", expvar.Func(func() any { return g.gateway.EndpointStats() }))
--- a/gateway/lognames.go
+++ b/gateway/lognames.go
@@ -5,6 +5,9 @@
 	logAnswered = "answered"
 	logGranted  = "granted"
 	logSent     = "sent"
+	// logStreamEnded is logged when an endpoint's stream ends inside an event, or its
+	// connection breaks.
+	logStreamEnded = "stream_ended"
 	// logArrivedDuringShutdown is logged for a request that arrived after the shutdown
 	// had begun.
 	logArrivedDuringShutdown = "taken_while_stopping"
--- a/gateway/logs_test.go
+++ b/gateway/logs_test.go
@@ -82,7 +82,7 @@
 	}{
 		"answered":    {"/staged/", "prompt", reqlog.Answered, []string{"stage_call", "granted", "sent", "answered"}},
 		"refused":     {"/once/", "order", reqlog.Refused, []string{"answered"}},
-		"cut short":   {"/stream/", "break", reqlog.CutShort, []string{"granted", "sent", "send_held", "answered"}},
+		"cut short":   {"/stream/", "break", reqlog.CutShort, []string{"granted", "sent", "stream_ended", "send_held", "answered"}},
 		"no route":    {"/nowhere/", "", reqlog.Refused, []string{"answered"}},
 		"not in logs": {"", "", reqlog.NotFound, nil},
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -19,9 +19,10 @@
 // Metrics holds the counters and histograms of a gateway.
 type Metrics struct {
 	// Answers counts answers by route and reason, Sends counts sends by service and
-	// outcome.
-	Answers *expvar.Map
-	Sends   *expvar.Map
+	// outcome, StreamEnds counts endpoints' streams by route, framing and end.
+	Answers    *expvar.Map
+	Sends      *expvar.Map
+	StreamEnds *expvar.Map
 
 	mu sync.Mutex
 	// latency holds the histograms by kind and name of the route or service.
@@ -31,9 +32,10 @@
 // NewMetrics returns empty metrics; the caller publishes them.
 func NewMetrics() *Metrics {
 	return &Metrics{
-		Answers: new(expvar.Map).Init(),
-		Sends:   new(expvar.Map).Init(),
-		latency: make(map[string]*hdrhistogram.Histogram),
+		Answers:    new(expvar.Map).Init(),
+		Sends:      new(expvar.Map).Init(),
+		StreamEnds: new(expvar.Map).Init(),
+		latency:    make(map[string]*hdrhistogram.Histogram),
 	}
 }
 
@@ -43,6 +45,11 @@
 	m.recordLatency("answer "+routeName(req), time.Since(req.arrived))
 }
 
+// countStreamEnd counts the end of an endpoint's stream.
+func (m *Metrics) countStreamEnd(req *request, f framing, end streamEnd) {
+	m.StreamEnds.Add(routeName(req)+" "+string(f)+" "+string(end), 1)
+}
+
 // firstEvent records the time from a request's arrival to the first event of its
 // stream.
 func (m *Metrics) firstEvent(req *request) {
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -15,6 +15,7 @@
 	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/scheduler"
+	"github.com/mangostage/mangostage/sse"
 	"github.com/mangostage/mangostage/warm"
 )
 
@@ -350,23 +351,26 @@
 	}
 	b.write(w)
 	m.headSent = true
-	g.finish(m.request, a.StatusCode, "endpoint_error")
+	g.finish(m.request, a, "endpoint_error")
 	return streamServed
 }
 
 // relayStream relays events as they arrive.
 func (g *Gateway) relayStream(w http.ResponseWriter, m *modelRequest, e *catalog.Endpoint, a *answer) streamResult {
 	flusher := http.NewResponseController(w)
-	stream := newEventReader(a.Body)
+	stream := sse.NewReader(a.Body, maxEvent)
 	first := true
 	for {
-		data, err := stream.next()
+		data, err := stream.Next()
 		if first && (len(data) > 0 || err == nil) {
 			first = false
 			m.markFirstByte()
 			m.lease.FirstEvent()
 			g.cfg.Metrics.firstEvent(m.request)
 		}
+		if err != nil {
+			g.recordStreamEnd(m.request, a, stream, err)
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			return g.handleBrokenStream(m, e, err)
 		}
@@ -378,12 +382,12 @@
 			if _, writeErr := w.Write(data); writeErr != nil {
 				return streamServed
 			}
-			if stream.lastID != "" {
-				m.lastEventID = stream.lastID
+			if stream.LastID() != "" {
+				m.lastEventID = stream.LastID()
 			}
 		}
 		if err != nil {
-			g.finish(m.request, a.StatusCode, "relayed")
+			g.finish(m.request, a, "relayed")
 			return streamServed
 		}
 		if flushErr := flusher.Flush(); flushErr != nil {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -208,7 +208,7 @@
 func (g *Gateway) finishUnserved(w http.ResponseWriter, req *request, failed *bufferedAnswer, p *problem) *problem {
 	if failed != nil {
 		failed.write(w)
-		g.finish(req, failed.StatusCode, "endpoint_error")
+		g.finish(req, failed.answer, "endpoint_error")
 		return nil
 	}
 	if p != nil {
@@ -231,7 +231,7 @@
 	if a.complete {
 		req.markFirstByte()
 		a.write(w)
-		g.finish(req, a.StatusCode, "relayed")
+		g.finish(req, a.answer, "relayed")
 		return nil
 	}
 	req.markFirstByte()
@@ -242,11 +242,11 @@
 		}
 		g.abortAnswer(req, e, err)
 	}
-	if a.endsWithConnection() && req.http.Method != http.MethodHead {
+	if a.framing() == framedByConnection && req.http.Method != http.MethodHead {
 		// The end of the endpoint looks like the end of such an answer.
 		g.recordBroken(req, e, errBroken.New("the answer ended with the connection"))
 	}
-	g.finish(req, a.StatusCode, "relayed")
+	g.finish(req, a.answer, "relayed")
 	return nil
 }
 
@@ -268,15 +268,16 @@
 }
 
 // finish logs and counts an answer that was relayed completely.
-func (g *Gateway) finish(req *request, status int, reason string) {
+func (g *Gateway) finish(req *request, a *answer, reason string) {
 	// Failures are often immediate and say nothing about the duration of a success, nor
 	// whether the content crashes endpoints that run it.
-	if status < http.StatusMultipleChoices {
+	if a.StatusCode < http.StatusMultipleChoices {
 		req.run.Answered()
 		g.durationEstimator.recordServed(req.route.Name, req.timing(time.Now()))
 	}
 	g.cfg.Metrics.countAnswer(req, reason)
 	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", req.route.Name).
-		Int("status", status).Str("reason", reason).Uint64("config", req.configVersion).
+		Str("endpoint", a.endpoint).Str("framing", string(a.framing())).
+		Int("status", a.StatusCode).Str("reason", reason).Uint64("config", req.configVersion).
 		Dur("took_ms", time.Since(req.arrived)).Msg("answered")
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 
@@ -14,8 +13,6 @@
 	maxBuffered = 64 << 10
 	// maxEvent is the longest event in bytes that is held until it is complete.
 	maxEvent = 256 << 10
-	// readSize is the size in bytes of one read from a stream.
-	readSize = 8 << 10
 )
 
 // usable reports whether an answer may be relayed as it is. A success must carry the
@@ -38,9 +35,24 @@
 	return body, true, err
 }
 
-// endsWithConnection reports whether nothing but the end of the connection ends the body.
-func (a *answer) endsWithConnection() bool {
-	return a.ContentLength < 0 && len(a.TransferEncoding) == 0
+// framing says what ends the body of an answer.
+type framing string
+
+const (
+	framedByLength     framing = "length"
+	framedByChunks     framing = "chunks"
+	framedByConnection framing = "connection"
+)
+
+// framing returns what ends the body.
+func (a *answer) framing() framing {
+	switch {
+	case a.ContentLength >= 0:
+		return framedByLength
+	case len(a.TransferEncoding) > 0:
+		return framedByChunks
+	}
+	return framedByConnection
 }
 
 // writeHead writes the endpoint's status and headers to the client.
@@ -78,66 +90,3 @@
 	r.failed = r.failed || err != nil && err != io.EOF
 	return n, err
 }
-
-// eventReader reads a stream of server-sent events.
-type eventReader struct {
-	body io.Reader
-	// pending holds the bytes that were read and not yet returned.
-	pending []byte
-	// chunk is the read buffer.
-	chunk []byte
-	// lastID is the ID of the last complete event.
-	lastID string
-}
-
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{body: body, chunk: make([]byte, readSize)}
-}
-
-// next returns the bytes of one or more complete events. At the end of the stream it
-// returns the remaining bytes and io.EOF. Any other error means that the stream broke;
-// the bytes returned with it belong to an incomplete event and must not be relayed.
-func (e *eventReader) next() ([]byte, error) {
-	for {
-		if n := completeLen(e.pending); n > 0 {
-			out := e.pending[:n:n]
-			e.pending = e.pending[n:]
-			e.recordLastID(out)
-			return out, nil
-		}
-		if len(e.pending) > maxEvent {
-			return nil, errBroken.New("event exceeds %d bytes", maxEvent)
-		}
-		n, err := e.body.Read(e.chunk)
-		e.pending = append(e.pending, e.chunk[:n]...)
-		if err == io.EOF && n > 0 {
-			continue
-		}
-		if err != nil {
-			rest := e.pending
-			e.pending = nil
-			return rest, err
-		}
-	}
-}
-
-// completeLen returns the length of the complete events at the start of data.
-func completeLen(data []byte) int {
-	n := 0
-	if i := bytes.LastIndex(data, []byte("\n\n")); i >= 0 {
-		n = i + 2
-	}
-	if i := bytes.LastIndex(data, []byte("\r\n\r\n")); i >= 0 {
-		n = max(n, i+4)
-	}
-	return n
-}
-
-// recordLastID sets lastID from complete events.
-func (e *eventReader) recordLastID(data []byte) {
-	for _, line := range bytes.Split(data, []byte("\n")) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			e.lastID = string(bytes.TrimSpace(id))
-		}
-	}
-}
