--- a/integration/crash/rig_test.go
+++ b/integration/crash/rig_test.go
@@ -109,7 +109,7 @@
 	if change != nil {
 		change(r)
 	}
-	r.storeAddr = listenHTTP(t, r.store)
+	r.storeAddr = harness.ServeHTTP(t, r.store)
 	r.store.Put(platform.KeyConfig, []byte(crashConfig))
 	for _, service := range []string{"shop", "llm", "encode"} {
 		for i := range crashEndpoints {
--- a/integration/gateway_owner_test.go
+++ b/integration/gateway_owner_test.go
@@ -46,7 +46,7 @@
 	store.Put(platform.KeyConfig, []byte(ownerConfig))
 	list := func(id, service string, h http.Handler) {
 		store.Put(platform.PrefixEndpoints+id, fmt.Appendf(nil,
-			`{"service":%q,"address":%q,"zone":"z0","slots":16,"state":"ready"}`, service, listenHTTP(t, h)))
+			`{"service":%q,"address":%q,"zone":"z0","slots":16,"state":"ready"}`, service, harness.ServeHTTP(t, h)))
 	}
 	list("m-1", "llm", &standin.Endpoint{ID: "m-1", Answer: func(w http.ResponseWriter, _ standin.Run) {
 		standin.Seal(w)
@@ -59,7 +59,7 @@
 		}
 		stage.ServeHTTP(w, r)
 	}))
-	storeAddr := listenHTTP(t, store)
+	storeAddr := harness.ServeHTTP(t, store)
 	ownerPeer, frontend := harness.FreePort(t), harness.FreePort(t)
 	owner := startMember(t, "g1", ownerPeer, harness.FreePort(t), storeAddr, ownerPeer)
 	testwait.For(t, recoveryTimeout, func() bool { return owner.LogHas(`"owner":"g1"`, `"self":true`) })
--- a/integration/gateway_stop_test.go
+++ b/integration/gateway_stop_test.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -53,10 +51,10 @@
 	store := standin.NewStore()
 	store.Put(platform.KeyConfig, []byte(stopConfig))
 	store.Put(platform.PrefixEndpoints+"m-1", fmt.Appendf(nil,
-		`{"service":"llm","address":%q,"zone":"z0","slots":16,"state":"ready"}`, listenHTTP(t, engine)))
+		`{"service":"llm","address":%q,"zone":"z0","slots":16,"state":"ready"}`, harness.ServeHTTP(t, engine)))
 	r := &stopRig{engine: engine, frontend: harness.FreePort(t), ready: harness.FreePort(t)}
 	r.gateway = startGateway(t, platform.Settings{
-		Name: "g1", Frontend: r.frontend, Ready: r.ready, Peer: harness.FreePort(t), Store: listenHTTP(t, store),
+		Name: "g1", Frontend: r.frontend, Ready: r.ready, Peer: harness.FreePort(t), Store: harness.ServeHTTP(t, store),
 	})
 	testwait.For(t, recoveryTimeout, r.isReady)
 	return r
@@ -65,15 +63,8 @@
 // startGateway starts a gateway process with the addresses of s.
 func startGateway(t *testing.T, s platform.Settings) *harness.Process {
 	t.Helper()
-	s.Domain, s.IP, s.Cores = "z0", "127.0.0.1", 1
-	s.Bounds = platform.Bounds{
-		Drain: 2 * time.Second, Grace: stopGrace, ConfigApply: 2 * time.Second,
-		RetryRatio: 0.5, RetryWindow: 10 * time.Second, RetrySlack: 50,
-	}
-	file := filepath.Join(t.TempDir(), "boot.toml")
-	assert.NilError(t, os.WriteFile(file, []byte(standin.NodeFile(s)), 0o600))
-	return harness.NewProcess(t, s.Name, harness.Binary(t, "mangostage-gateway", plainBinary),
-		[]string{"--metrics-port", "0"}, []string{platform.SettingsVariable + "=" + file})
+	s.Bounds = harness.GatewayBounds(stopGrace)
+	return harness.StartGateway(t, s)
 }
 
 // slowEvents writes a stream of ten events over d.
@@ -183,14 +174,3 @@
 	assert.Equal(t, r.gateway.WaitExit(recoveryTimeout), 0)
 	assert.Assert(t, time.Since(began) < stopGrace, "the process must exit within the grace period")
 }
-
-// listenHTTP serves h on loopback.
-func listenHTTP(t *testing.T, h http.Handler) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	server := &http.Server{Handler: h, ReadHeaderTimeout: recoveryTimeout}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return listener.Addr().String()
-}
--- a/integration/gateway_wake_test.go
+++ b/integration/gateway_wake_test.go
@@ -60,7 +60,7 @@
 		r.list(e, "ready")
 	}
 	r.gateway = startGateway(t, platform.Settings{
-		Name: "g1", Frontend: r.frontend, Ready: r.ready, Peer: harness.FreePort(t), Store: listenHTTP(t, r.store),
+		Name: "g1", Frontend: r.frontend, Ready: r.ready, Peer: harness.FreePort(t), Store: harness.ServeHTTP(t, r.store),
 	})
 	testwait.For(t, recoveryTimeout, (&stopRig{ready: r.ready}).isReady)
 	return r
--- a/integration/quota_test.go
+++ b/integration/quota_test.go
@@ -57,7 +57,7 @@
 	for i := range 2 {
 		r.startEndpoints(store, strconv.Itoa(i))
 	}
-	storeAddr := listenHTTP(t, store)
+	storeAddr := harness.ServeHTTP(t, store)
 	var peers []string
 	for range signalMembers {
 		peers = append(peers, harness.FreePort(t))
@@ -77,7 +77,7 @@
 func (r *signalRig) startEndpoints(store *standin.Store, suffix string) {
 	list := func(id, service string, h http.Handler, s *standin.Signals) {
 		store.Put(platform.PrefixEndpoints+id, fmt.Appendf(nil,
-			`{"service":%q,"address":%q,"zone":"z0","slots":16,"state":"ready"}`, service, listenHTTP(r.t, h)))
+			`{"service":%q,"address":%q,"zone":"z0","slots":16,"state":"ready"}`, service, harness.ServeHTTP(r.t, h)))
 		r.signals[service] = append(r.signals[service], s)
 	}
 	plain := &standin.Endpoint{ID: "p-" + suffix}
--- a/integration/store_restore_test.go
+++ b/integration/store_restore_test.go
@@ -46,7 +46,7 @@
 func newRestoreRig(t *testing.T) *restoreRig {
 	t.Helper()
 	r := &restoreRig{t: t, store: standin.NewStore(), endpoints: make(map[string]*standin.Endpoint), addrs: make(map[string]string)}
-	r.storeAddr = listenHTTP(t, r.store)
+	r.storeAddr = harness.ServeHTTP(t, r.store)
 	r.publish("k1", "k2")
 	r.list("p-1", "ready")
 	r.list("p-2", "ready")
@@ -89,7 +89,7 @@
 func (r *restoreRig) list(id, state string) {
 	if r.endpoints[id] == nil {
 		r.endpoints[id] = &standin.Endpoint{ID: id}
-		r.addrs[id] = listenHTTP(r.t, r.endpoints[id])
+		r.addrs[id] = harness.ServeHTTP(r.t, r.endpoints[id])
 	}
 	r.store.PutEndpoint(id, standin.Entry{Service: "shop", Addr: r.addrs[id], Domain: "z" + id[len(id)-1:], Slots: 16, State: state})
 }
--- /dev/null
+++ b/internal/harness/gateway.go
@@ -0,0 +1,56 @@
+package harness
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/platform/standin"
+)
+
+// readHeaderTimeout bounds the wait of a served stand-in for the head of a request.
+const readHeaderTimeout = 30 * time.Second
+
+// GatewayBounds are the bounds of the platform for gateways under test.
+func GatewayBounds(grace time.Duration) platform.Bounds {
+	return platform.Bounds{
+		Drain: 2 * time.Second, Grace: grace, ConfigApply: 2 * time.Second,
+		RetryRatio: 0.5, RetryWindow: 10 * time.Second, RetrySlack: 50,
+	}
+}
+
+// StartGateway starts a gateway process with the settings. The failure domain, the address
+// and the cores have defaults.
+func StartGateway(t testing.TB, s platform.Settings) *Process {
+	t.Helper()
+	s.IP, s.Cores = "127.0.0.1", 1
+	if s.Domain == "" {
+		s.Domain = "z0"
+	}
+	if s.Ready == "" {
+		s.Ready = FreePort(t)
+	}
+	file := filepath.Join(t.TempDir(), "boot.toml")
+	if err := os.WriteFile(file, []byte(standin.NodeFile(s)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return NewProcess(t, s.Name, Binary(t, "mangostage-gateway", true),
+		[]string{"--metrics-port", "0"}, []string{platform.SettingsVariable + "=" + file})
+}
+
+// ServeHTTP serves h on a loopback address until the end of the test.
+func ServeHTTP(t testing.TB, h http.Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
