--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -59,6 +59,7 @@
 	config    catalog.Config
 	logs      logBuffer
 	backoffs  *retryafter.Table
+	metrics   *gateway.Metrics
 
 	mu        sync.Mutex
 	view      *catalog.View
@@ -78,7 +79,7 @@
 
 func newRig(t testing.TB) *rig {
 	t.Helper()
-	r := &rig{t: t, view: catalog.NewView(nil, nil, 0), backoffs: retryafter.NewTable()}
+	r := &rig{t: t, view: catalog.NewView(nil, nil, 0), backoffs: retryafter.NewTable(), metrics: gateway.NewMetrics()}
 	r.config = catalog.Config{
 		Version: 1,
 		Routes: []catalog.Route{
@@ -99,6 +100,10 @@
 		Accounts: []catalog.Account{{Name: "acme", Keys: []string{"k1"}}},
 		Limits:   catalog.Limits{BodyBytes: 1 << 10},
 	}
+	for _, name := range []string{"events", "events-resume"} {
+		r.config.Routes = append(r.config.Routes, route(name, catalog.RouteStream, "plain"))
+	}
+	r.config.Routes[6].Resumable = true
 	r.config.Routes[3].Resumable = true
 	r.config.Routes[4].Stages = []catalog.Stage{{Service: "stage", ResultBytes: 100}}
 	transport := gateway.NewTransport()
@@ -127,7 +132,7 @@
 		Quotas:          quotas,
 		Transport:       transport,
 		Log:             log,
-		Metrics:         gateway.NewMetrics(),
+		Metrics:         r.metrics,
 	})
 	server := httptest.NewServer(r.gateway)
 	r.url = server.URL
--- a/gateway/logs_test.go
+++ b/gateway/logs_test.go
@@ -30,19 +30,22 @@
 	return b.text.Write(p)
 }
 
+// has reports whether there is a line that contains all of the texts.
+func (b *logBuffer) has(texts ...string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range bytes.Lines(b.text.Bytes()) {
+		if !slices.ContainsFunc(texts, func(text string) bool { return !bytes.Contains(line, []byte(text)) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // waitForLine waits for a line that contains all of the texts.
 func (b *logBuffer) waitForLine(t *testing.T, texts ...string) {
 	t.Helper()
-	testwait.For(t, waitTimeout, func() bool {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		for line := range bytes.Lines(b.text.Bytes()) {
-			if !slices.ContainsFunc(texts, func(text string) bool { return !bytes.Contains(line, []byte(text)) }) {
-				return true
-			}
-		}
-		return false
-	})
+	testwait.For(t, waitTimeout, func() bool { return b.has(texts...) })
 }
 
 // requestHistory returns what the logs say about a request.
--- a/integration/gateway_stop_test.go
+++ b/integration/gateway_stop_test.go
@@ -26,10 +26,6 @@
 "services":[{"name":"llm","engine":{"slots":16,"kv_capacity":100000}}],
 "tenants":[{"name":"acme","api_keys":["k1"]}]}`
 
-// plainBinary selects the binary without the race detector. With the detector a process
-// and its streams would go on for a second after its end.
-const plainBinary = true
-
 // stopGrace is the time between SIGTERM and SIGKILL, as users have set it.
 const stopGrace = 8 * time.Second
 
--- /dev/null
+++ b/integration/streams/broken_test.go
@@ -0,0 +1,52 @@
+package streams
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/internal/testwait"
+)
+
+// breakOffs are breaks inside the first event, a later one and a large one.
+var breakOffs = map[string]breakOff{
+	"first event":      {rest: "id: 1\ndata: pie"},
+	"no event":         {},
+	"later event":      {after: 3, rest: "id: 4\nda"},
+	"blank line":       {after: 3, rest: "id: 4\ndata: piece 4\n"},
+	"reset":            {after: 3, rest: "id: 4\nda", reset: true},
+	"large last event": {after: streamLength - 1, rest: "id: 8\ndata: " + strings.Repeat("x", 20<<10)},
+}
+
+// Guards against a stream that an endpoint breaks off inside an event and that reaches its
+// caller as whole, through any gateway, from a model engine or a plain service.
+func TestBrokenStreamsLookBroken(t *testing.T) {
+	r := newRig(t, time.Millisecond)
+	for i := range 3 {
+		r.addEndpoint("llm", fmt.Sprintf("llm-%d", i))
+		r.addEndpoint("feed", fmt.Sprintf("feed-%d", i))
+	}
+	r.startMembers()
+	for name, b := range breakOffs {
+		for i, m := range r.members {
+			for _, route := range []string{"model", "plain"} {
+				got := r.send(m, call{route: route, body: b.body()})
+				assert.Check(t, !got.complete, "%s at g%d, route %s: %q looks complete", name, i+1, route, got.body)
+				testwait.For(t, recoveryTimeout, func() bool {
+					return m.LogHas(`"event":"stream_ended"`, `"request":"`+got.id+`"`)
+				})
+				got = r.send(m, call{route: route + "-resume", body: b.body()})
+				assert.Check(t, got.complete && got.body == wholeStream(1), "%s at g%d, route %s-resume: status %d, %q", name, i+1, route, got.status, got.body)
+			}
+		}
+	}
+	for i, m := range r.members {
+		for _, route := range []string{"model", "plain", "model-resume", "plain-resume"} {
+			got := r.send(m, call{route: route})
+			assert.Check(t, got.complete && got.body == wholeStream(1), "whole stream at g%d, route %s: status %d, %q", i+1, route, got.status, got.body)
+		}
+	}
+}
