sse, gateway: an event of any size passes

What callers saw: a stream with an event over 256 kB, from a model engine, was broken off. Cause: such an event was an error of its stream, as it is held until it is complete. Change: an event that is too long to be held is passed on in parts; memory stays bounded by what is held and one read. Once the client has a part of an event no other engine can go on, and the answer is aborted if the stream then breaks.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -41,6 +41,8 @@
 	// lastEventID is the ID of the last event that was relayed, or the one from which
 	// the client asked to resume.
 	lastEventID string
+	// split is true if the client has a part of an event: no other engine can go on.
+	split bool
 }
 
 // serveModel has the stages of a request run, sends it to a model engine and relays
@@ -382,6 +384,7 @@
 			if _, writeErr := w.Write(data); writeErr != nil {
 				return streamServed
 			}
+			m.split = stream.Split()
 			if stream.LastID() != "" {
 				m.lastEventID = stream.LastID()
 			}
@@ -400,7 +403,7 @@
 // the stream; otherwise it returns streamFailed.
 func (g *Gateway) handleBrokenStream(m *modelRequest, e *catalog.Endpoint, err error) streamResult {
 	g.recordBroken(m.request, e, err)
-	if m.ctx.Err() != nil || m.headSent && !m.route.Repeatable() {
+	if m.ctx.Err() != nil || m.split || m.headSent && !m.route.Repeatable() {
 		g.abortAnswer(m.request, e, err)
 	}
 	return streamFailed
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -11,7 +11,8 @@
 	// maxBuffered is the longest body in bytes that is read completely before it is
 	// relayed, so that another endpoint can still be tried if it ends early.
 	maxBuffered = 64 << 10
-	// maxEvent is the longest event in bytes that is held until it is complete.
+	// maxEvent is the longest event in bytes that is held until it is complete: then
+	// another endpoint can go on after the event before it.
 	maxEvent = 256 << 10
 )
 
--- a/sse/reader.go
+++ b/sse/reader.go
@@ -1,19 +1,10 @@
 package sse
 
-import (
-	"io"
-
-	"github.com/joomcode/errorx"
-)
+import "io"
 
 // readSize is the size in bytes of one read from a stream.
 const readSize = 8 << 10
 
-var errs = errorx.NewNamespace("sse")
-
-// ErrTooLong means that an event is longer than the reader holds.
-var ErrTooLong = errs.NewType("event_too_long")
-
 // Reader reads a stream of events and returns them as soon as they are complete.
 type Reader struct {
 	body    io.Reader
@@ -25,6 +16,8 @@
 	complete int
 	// chunk is the read buffer.
 	chunk []byte
+	// split is true if the bytes returned so far end inside an event.
+	split bool
 	// err is the error that ended the body.
 	err error
 }
@@ -35,19 +28,22 @@
 	return &Reader{body: body, maxHeld: maxHeld, chunk: make([]byte, readSize)}
 }
 
-// Next returns the bytes of one or more complete events. At the end of the stream it
-// returns the remaining bytes and io.EOF. Any other error means that the stream broke;
-// the bytes returned with it belong to an incomplete event.
+// Next returns the bytes of one or more complete events. An event that is too long to be
+// held is returned in parts. At the end of the stream Next returns the remaining bytes and
+// io.EOF. Any other error means that the stream broke; the bytes returned with it belong to
+// an incomplete event.
 func (r *Reader) Next() ([]byte, error) {
 	for {
 		if r.complete > 0 {
+			r.split = false
 			return r.take(r.complete), nil
 		}
 		if r.err != nil {
 			return r.take(len(r.pending)), r.err
 		}
 		if len(r.pending) > r.maxHeld {
-			return nil, ErrTooLong.New("event exceeds %d bytes", r.maxHeld)
+			r.split = true
+			return r.take(len(r.pending)), nil
 		}
 		r.read()
 	}
@@ -80,3 +76,7 @@
 
 // InsideEvent reports whether what was read ends inside an event.
 func (r *Reader) InsideEvent() bool { return r.tracker.InsideEvent() }
+
+// Split reports whether the bytes that Next returned so far, those with an error apart, end
+// inside an event: no other stream can go on after them.
+func (r *Reader) Split() bool { return r.split }
--- a/sse/reader_test.go
+++ b/sse/reader_test.go
@@ -138,3 +138,31 @@
 		}
 	})
 }
+
+// Guards against an event that is longer than a reader holds and ends its stream.
+func TestLongEventIsReturnedInParts(t *testing.T) {
+	long := "id: 2\ndata: " + strings.Repeat("x", 3*heldBytes) + "\n\n"
+	text := "id: 1\ndata: a\n\n" + long + "id: 3\ndata: b\n\n"
+	stream := NewReader(strings.NewReader(text), heldBytes)
+	var got strings.Builder
+	parts := 0
+	for {
+		data, err := stream.Next()
+		got.Write(data)
+		if err != nil {
+			assert.Assert(t, errors.Is(err, io.EOF))
+			break
+		}
+		assert.Assert(t, len(data) <= heldBytes+readSize)
+		var returned Tracker
+		returned.Scan([]byte(got.String()))
+		assert.Equal(t, stream.Split(), returned.InsideEvent())
+		if stream.Split() {
+			parts++
+			assert.Equal(t, stream.LastID(), "1", "no other stream can go on inside the event")
+		}
+	}
+	assert.Assert(t, parts > 1)
+	assert.Assert(t, got.String() == text)
+	assert.Equal(t, stream.LastID(), "3")
+}
