gateway: plain services' streams are relayed by events, as they arrive

What callers saw: on a streaming route of a plain service no event reached the caller before the stream ended or net/http's buffer was full; three events that arrived before a reset never did. Cause: servePlain relayed a stream as bytes (io.Copy, no flush), and one with a short length was even read whole first. Only the path of model engines knew events.

Change: one relay of events for both paths (stream.go). So a plain service's stream that breaks goes on at another endpoint where the route may be resumed, as model engines' streams do, and the outcome of its send is told to the balancer when the stream has ended, not when its head has come. broken_off names the endpoint that broke the stream off, after which event, and why it was not continued; a stream that its client did not take has an answered line now. A stream that may be resumed is relayed without its length: another endpoint's rest may have another one.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,7 +13,6 @@
 	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/scheduler"
-	"github.com/mangostage/mangostage/sse"
 	"github.com/mangostage/mangostage/warm"
 )
 
@@ -35,20 +32,12 @@
 	lease *scheduler.Lease
 	// submits counts the jobs submitted to the queue for this request.
 	submits int
-	// headSent is true once status and headers have been written to the client. From
-	// then on only events may follow.
-	headSent bool
-	// lastEventID is the ID of the last event that was relayed, or the one from which
-	// the client asked to resume.
-	lastEventID string
-	// split is true if the client has a part of an event: no other engine can go on.
-	split bool
 }
 
 // serveModel has the stages of a request run, sends it to a model engine and relays
 // the stream.
 func (g *Gateway) serveModel(w http.ResponseWriter, req *request) *problem {
-	m := &modelRequest{request: req, tries: attempts{avoid: make(map[string]bool)}, lastEventID: req.LastEvent}
+	m := &modelRequest{request: req, tries: attempts{avoid: make(map[string]bool)}}
 	for {
 		lease, p := g.lease(m)
 		if p != nil {
@@ -65,8 +54,8 @@
 // finishModel returns the problem to answer with, or aborts the connection if the
 // stream has already begun.
 func (g *Gateway) finishModel(m *modelRequest, p *problem) *problem {
-	if p != nil && m.headSent {
-		g.abortAnswer(m.request, &catalog.Endpoint{}, errBroken.New("stream ended: %s", p.reason))
+	if p != nil {
+		g.abortStream(m.request, p.reason)
 	}
 	return p
 }
@@ -207,7 +196,7 @@
 			}
 			// Once events have been relayed, the stage results are freed: the stages have to
 			// run again before another engine can continue the stream.
-			if m.headSent {
+			if m.stream.headSent {
 				return true, nil
 			}
 			continue
@@ -309,7 +298,7 @@
 	a, err := g.send(ctx, m.request, e, platform.ForwardOptions{
 		Inputs:    m.lease.Grant.Inputs,
 		Priority:  &priority,
-		LastEvent: m.lastEventID,
+		LastEvent: m.stream.lastEventID,
 	})
 	if err != nil {
 		g.logSend(m.request, e, 0, time.Since(sent), err)
@@ -340,7 +329,7 @@
 
 // relayFailure relays an engine's own error, unless another attempt is possible.
 func (g *Gateway) relayFailure(w http.ResponseWriter, m *modelRequest, e *catalog.Endpoint, a *answer) streamResult {
-	if m.headSent || m.route.Repeatable() && m.tries.runs+1 < m.route.MaxAttempts {
+	if m.stream.headSent || m.route.Repeatable() && m.tries.runs+1 < m.route.MaxAttempts {
 		return streamFailed
 	}
 	b := &bufferedAnswer{answer: a}
@@ -352,59 +341,28 @@
 		return streamFailed
 	}
 	b.write(w)
-	m.headSent = true
+	m.stream.headSent = true
 	g.finish(m.request, a, "endpoint_error")
 	return streamServed
 }
 
-// relayStream relays events as they arrive.
+// relayStream relays events as they arrive. If the engine breaks them off, it aborts the
+// client's connection unless another engine can continue the stream.
 func (g *Gateway) relayStream(w http.ResponseWriter, m *modelRequest, e *catalog.Endpoint, a *answer) streamResult {
-	flusher := http.NewResponseController(w)
-	stream := sse.NewReader(a.Body, maxEvent)
-	first := true
-	for {
-		data, err := stream.Next()
-		if first && (len(data) > 0 || err == nil) {
-			first = false
-			m.markFirstByte()
-			m.lease.FirstEvent()
-			g.cfg.Metrics.firstEvent(m.request)
-		}
-		if err != nil {
-			g.recordStreamEnd(m.request, a, stream, err)
-		}
-		if err != nil && !errors.Is(err, io.EOF) {
-			return g.handleBrokenStream(m, e, err)
-		}
-		if !m.headSent {
-			m.headSent = true
-			a.writeHead(w)
-		}
-		if len(data) > 0 {
-			if _, writeErr := w.Write(data); writeErr != nil {
-				return streamServed
-			}
-			m.split = stream.Split()
-			if stream.LastID() != "" {
-				m.lastEventID = stream.LastID()
-			}
-		}
-		if err != nil {
-			g.finish(m.request, a, "relayed")
-			return streamServed
-		}
-		if flushErr := flusher.Flush(); flushErr != nil {
-			return streamServed
-		}
+	end, err := g.relayEvents(w, m.request, a, func() {
+		m.lease.FirstEvent()
+		g.cfg.Metrics.firstEvent(m.request)
+	})
+	switch end {
+	case relayWhole:
+		g.finish(m.request, a, "relayed")
+		return streamServed
+	case relayLeft:
+		return streamServed
 	}
-}
-
-// handleBrokenStream aborts the client's connection if no other engine can continue
-// the stream; otherwise it returns streamFailed.
-func (g *Gateway) handleBrokenStream(m *modelRequest, e *catalog.Endpoint, err error) streamResult {
-	g.recordBroken(m.request, e, err)
-	if m.ctx.Err() != nil || m.split || m.headSent && !m.route.Repeatable() {
-		g.abortAnswer(m.request, e, err)
+	g.recordBrokenStream(m.request, e, err)
+	if m.ctx.Err() != nil || m.stream.split || m.stream.headSent && !m.route.Repeatable() {
+		g.abortAnswer(m.request, e.ID, err)
 	}
 	return streamFailed
 }
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -54,13 +54,17 @@
 		}
 		g.countFirstSend(req, &tries)
 		a, result := g.tryPlain(req, e, &tries)
-		if result == resultRelay {
+		switch {
+		case result == resultRelay && !a.stream:
 			return g.relayPlain(w, req, e, a)
-		}
-		if a != nil && a.endpointError {
+		case result == resultRelay && g.relayPlainStream(w, req, e, a):
+			return nil
+		case result == resultRelay:
+			result = resultFailed
+		case a != nil && a.endpointError:
 			failed = a
 		}
-		if !g.mayRetry(req, &tries, result) {
+		if req.stream.split || !g.mayRetry(req, &tries, result) {
 			return g.finishUnserved(w, req, failed, nil)
 		}
 	}
@@ -89,6 +93,10 @@
 	// endpointError is true for a complete error answer of the endpoint, which is
 	// relayed if no other endpoint serves the request.
 	endpointError bool
+	// stream is true for a stream of events, which is relayed as it arrives.
+	stream bool
+	// took is the time from the send to the head of the answer.
+	took time.Duration
 }
 
 // tryPlain makes one send and reports it to the balancer and the log.
@@ -96,7 +104,7 @@
 	tries.avoid[e.Key()] = true
 	sent := time.Now()
 	req.sent = true
-	a, err := g.send(req.ctx, req, e, platform.ForwardOptions{})
+	a, err := g.send(req.ctx, req, e, platform.ForwardOptions{LastEvent: req.stream.lastEventID})
 	duration := time.Since(sent)
 	if err != nil {
 		notSent := errorx.IsOfType(err, errNotSent)
@@ -116,7 +124,12 @@
 		return nil, resultNotRun
 	}
 	req.mayHaveRun = true
-	b := &bufferedAnswer{answer: a}
+	b := &bufferedAnswer{answer: a, took: duration}
+	if req.streams(a) && a.usable() {
+		b.stream = true
+		g.logSend(req, e, a.StatusCode, duration, nil)
+		return b, resultRelay
+	}
 	b.body, b.complete, err = a.buffer()
 	switch {
 	case err != nil || !a.usable():
@@ -149,16 +162,22 @@
 
 // recordSend reports a finished send to the balancer, the metrics and the log.
 func (g *Gateway) recordSend(req *request, e *catalog.Endpoint, a *answer, o balance.Outcome, duration time.Duration, err error) {
-	load, status := -1, 0
+	status := 0
 	if a != nil {
 		status = a.StatusCode
-		if a.Load != nil {
-			load = a.Load.Running + a.Load.Waiting
-		}
+	}
+	g.recordOutcome(req, e, a, o, duration)
+	g.logSend(req, e, status, duration, err)
+}
+
+// recordOutcome reports a finished send to the balancer and the metrics.
+func (g *Gateway) recordOutcome(req *request, e *catalog.Endpoint, a *answer, o balance.Outcome, duration time.Duration) {
+	load := -1
+	if a != nil && a.Load != nil {
+		load = a.Load.Running + a.Load.Waiting
 	}
 	g.balance.Done(time.Now(), e.Key(), o, duration, load)
 	g.cfg.Metrics.countSend(req.serviceName, o, duration)
-	g.logSend(req, e, status, duration, err)
 }
 
 // logSend logs one send.
@@ -204,17 +223,19 @@
 }
 
 // finishUnserved answers a request that no endpoint served: with the last error
-// answer of an endpoint, or else with a problem, p if that is not nil.
+// answer of an endpoint, or else with a problem, p if that is not nil. A stream that has
+// begun is aborted.
 func (g *Gateway) finishUnserved(w http.ResponseWriter, req *request, failed *bufferedAnswer, p *problem) *problem {
-	if failed != nil {
-		failed.write(w)
-		g.finish(req, failed.answer, "endpoint_error")
-		return nil
+	if p == nil {
+		p = g.unservedProblem(req)
 	}
-	if p != nil {
+	g.abortStream(req, p.reason)
+	if failed == nil {
 		return p
 	}
-	return g.unservedProblem(req)
+	failed.write(w)
+	g.finish(req, failed.answer, "endpoint_error")
+	return nil
 }
 
 // unservedProblem returns the problem for a request that no endpoint served, or
@@ -240,7 +261,7 @@
 		if broke {
 			g.recordBroken(req, e, err)
 		}
-		g.abortAnswer(req, e, err)
+		g.abortAnswer(req, e.ID, err)
 	}
 	if a.framing() == framedByConnection && req.http.Method != http.MethodHead {
 		// The end of the endpoint looks like the end of such an answer.
@@ -259,10 +280,10 @@
 
 // abortAnswer logs an answer that ended early and aborts the client's connection by
 // a panic with http.ErrAbortHandler.
-func (g *Gateway) abortAnswer(req *request, e *catalog.Endpoint, err error) {
+func (g *Gateway) abortAnswer(req *request, endpoint string, err error) {
 	g.cfg.Metrics.countAnswer(req, "broken_off")
 	g.cfg.Log.Warn().Str("event", logAnswered).Str("request", req.ID).Str("route", req.route.Name).
-		Str("endpoint", e.ID).Str("reason", "broken_off").Bool("client_left", req.clientLeft()).
+		Str("endpoint", endpoint).Str("reason", "broken_off").Str("last_event", req.stream.lastEventID).Bool("client_left", req.clientLeft()).
 		Bool("expired", req.expired()).Bool("stopping", cancelledByShutdown(req.ctx)).Err(err).Dur("took_ms", time.Since(req.arrived)).Msg("answer aborted before its end")
 	panic(http.ErrAbortHandler)
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -56,12 +56,15 @@
 	// endpoint may have run it.
 	sent       bool
 	mayHaveRun bool
+	// stream is what the client has of a streamed answer.
+	stream streamState
 }
 
 // admit decodes a request and finds its route, service and client account.
 func (g *Gateway) admit(r *http.Request) (*request, *problem) {
 	now := time.Now()
 	req := &request{Request: platform.DecodeRequest(r.Header), http: r, arrived: now}
+	req.stream.lastEventID = req.LastEvent
 	view := g.cfg.View()
 	if !view.Ready() {
 		return req, unavailable("not_ready", notReadyRetryAfter)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,10 +3,43 @@
 import (
 	"errors"
 	"io"
+	"mime"
+	"net/http"
+	"time"
 
+	"github.com/mangostage/mangostage/balance"
+	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/sse"
 )
 
+// eventStreamType is the media type of streams of events.
+const eventStreamType = "text/event-stream"
+
+// streamState is what the client has of the stream that answers its request, over all
+// sends.
+type streamState struct {
+	// headSent is true once status and headers have been written to the client. From
+	// then on only events may follow.
+	headSent bool
+	// lastEventID is the ID of the last event that was relayed, or the one from which
+	// the client asked to resume.
+	lastEventID string
+	// split is true if the client has a part of an event: no other endpoint can go on.
+	split bool
+	// brokenBy is the ID of the endpoint that broke the stream off last, brokenErr how.
+	brokenBy  string
+	brokenErr error
+}
+
+// streams reports whether an answer to the request is a stream of events.
+func (req *request) streams(a *answer) bool {
+	if a.StatusCode < 200 || a.StatusCode > 299 {
+		return false
+	}
+	mediaType, _, _ := mime.ParseMediaType(a.Header.Get("Content-Type"))
+	return req.route.Kind == catalog.RouteStream || mediaType == eventStreamType
+}
+
 // streamEnd says how a stream of events ended.
 type streamEnd string
 
@@ -40,3 +73,112 @@
 		Str("endpoint", a.endpoint).Str("framing", string(a.framing())).Str("end", string(end)).
 		Int("events", stream.Events()).Str("last_event", stream.LastID()).Msg("an endpoint's stream ended inside an event")
 }
+
+// relayEnd says how the relay of a stream ended.
+type relayEnd int
+
+const (
+	// relayWhole means that the stream was relayed to its end.
+	relayWhole relayEnd = iota
+	// relayBroken means that the stream was broken off.
+	relayBroken
+	// relayLeft means that the client did not take the answer.
+	relayLeft
+)
+
+// relayEvents relays a stream's events as they arrive. begun is called when the first bytes
+// have come. The error says why a stream is relayBroken.
+func (g *Gateway) relayEvents(w http.ResponseWriter, req *request, a *answer, begun func()) (relayEnd, error) {
+	flusher := http.NewResponseController(w)
+	stream := sse.NewReader(a.Body, maxEvent)
+	first := true
+	for {
+		data, err := stream.Next()
+		if first && (len(data) > 0 || err == nil) {
+			first = false
+			req.markFirstByte()
+			begun()
+		}
+		if err != nil {
+			g.recordStreamEnd(req, a, stream, err)
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return relayBroken, err
+		}
+		if !req.writeEvents(w, a, data) {
+			g.recordLeft(req, a)
+			return relayLeft, nil
+		}
+		req.stream.recordRelayed(stream)
+		if err != nil {
+			return relayWhole, nil
+		}
+		if flusher.Flush() != nil {
+			g.recordLeft(req, a)
+			return relayLeft, nil
+		}
+	}
+}
+
+// writeEvents writes events, and the head before the first of them. It returns false if the
+// client has left.
+func (req *request) writeEvents(w http.ResponseWriter, a *answer, data []byte) bool {
+	if !req.stream.headSent {
+		req.stream.headSent = true
+		if req.route.Repeatable() {
+			// Another endpoint may go on, with another length.
+			a.Header.Del("Content-Length")
+		}
+		a.writeHead(w)
+	}
+	_, err := w.Write(data)
+	return err == nil
+}
+
+// recordRelayed records that what the reader has returned was relayed.
+func (s *streamState) recordRelayed(stream *sse.Reader) {
+	s.split = stream.Split()
+	if stream.LastID() != "" {
+		s.lastEventID = stream.LastID()
+	}
+}
+
+// recordBrokenStream records that an endpoint broke the request's stream off.
+func (g *Gateway) recordBrokenStream(req *request, e *catalog.Endpoint, err error) {
+	g.recordBroken(req, e, err)
+	req.stream.brokenBy, req.stream.brokenErr = e.ID, err
+}
+
+// abortStream aborts the client's connection if its stream has begun: it cannot be
+// completed, for the reason given.
+func (g *Gateway) abortStream(req *request, reason string) {
+	if req.stream.headSent {
+		g.abortAnswer(req, req.stream.brokenBy, errBroken.Wrap(req.stream.brokenErr, "not continued: %s", reason))
+	}
+}
+
+// recordLeft logs and counts a stream that its client did not take.
+func (g *Gateway) recordLeft(req *request, a *answer) {
+	g.cfg.Metrics.countAnswer(req, reasonClientLeft)
+	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", req.route.Name).
+		Str("endpoint", a.endpoint).Str("reason", reasonClientLeft).Bool("client_left", true).
+		Str("last_event", req.stream.lastEventID).Dur("took_ms", time.Since(req.arrived)).Msg("the client did not take the stream")
+}
+
+// relayPlainStream relays the stream of an endpoint of a plain service, and reports to the
+// balancer how it ended. It returns false if the stream was broken off.
+func (g *Gateway) relayPlainStream(w http.ResponseWriter, req *request, e *catalog.Endpoint, a *bufferedAnswer) bool {
+	outcome := balance.Served
+	defer func() { g.recordOutcome(req, e, a.answer, outcome, a.took) }()
+	end, err := g.relayEvents(w, req, a.answer, func() {})
+	_ = a.Body.Close()
+	if end == relayBroken {
+		outcome = g.failureOutcome(req)
+		g.recordBrokenStream(req, e, err)
+		return false
+	}
+	if end == relayWhole {
+		g.finish(req, a.answer, "relayed")
+	}
+	return true
+}
