gateway: a stream that ends with its connection inside an event is broken off

Cause: the end of a body was taken for its completeness. An answer with neither a length nor chunks ends, to an HTTP client, without an error wherever its connection was closed; the reader returned what was left of an event with io.EOF, and the gateway wrote it and ended its own answer properly, in chunks.

Change: such a stream is whole only if it ended between two events and after one at least; a resumed one may have nothing left to send. Anything else is a break like a reset: another endpoint goes on, or the caller's connection is aborted. What follows from an answer follows from this one decision, recordStreamEnd: durations, the content's runs, the lease, the balancer's outcome, retries and the metrics. A stream that a length or chunks end is as before.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -40,38 +40,49 @@
 	return req.route.Kind == catalog.RouteStream || mediaType == eventStreamType
 }
 
-// streamEnd says how a stream of events ended.
+// streamEnd says how an endpoint's stream of events ended.
 type streamEnd string
 
 const (
 	endBetweenEvents streamEnd = "between_events"
-	endInsideEvent   streamEnd = "inside_event"
-	// endBroken means that the connection broke.
-	endBroken streamEnd = "broken"
+	// endInsideEvent and endNoEvent mean that an end of the connection broke the stream
+	// off, endBroken that the connection broke.
+	endInsideEvent streamEnd = "inside_event"
+	endNoEvent     streamEnd = "no_event"
+	endBroken      streamEnd = "broken"
 )
 
-// endOf returns how the stream ended whose reader returned err.
-func endOf(stream *sse.Reader, err error) streamEnd {
+// endOf returns how the stream ended whose reader returned err. A stream that its framing
+// ends is whole as it is.
+func (req *request) endOf(a *answer, stream *sse.Reader, err error) streamEnd {
 	switch {
 	case !errors.Is(err, io.EOF):
 		return endBroken
+	case a.framing() != framedByConnection || !req.streams(a):
+		return endBetweenEvents
 	case stream.InsideEvent():
 		return endInsideEvent
+	case stream.Events() == 0 && req.stream.lastEventID == "":
+		return endNoEvent
 	}
 	return endBetweenEvents
 }
 
-// recordStreamEnd counts the end of an endpoint's stream, and logs one that is not between
-// two events.
-func (g *Gateway) recordStreamEnd(req *request, a *answer, stream *sse.Reader, err error) {
-	end := endOf(stream, err)
+// recordStreamEnd counts the end of an endpoint's stream. If the stream was broken off, it
+// logs it and returns the error.
+func (g *Gateway) recordStreamEnd(req *request, a *answer, stream *sse.Reader, err error) error {
+	end := req.endOf(a, stream, err)
 	g.cfg.Metrics.countStreamEnd(req, a.framing(), end)
-	if end == endBetweenEvents {
-		return
+	switch end {
+	case endBetweenEvents:
+		return nil
+	case endInsideEvent, endNoEvent:
+		err = errBroken.New("the connection ended: %s", end)
 	}
 	g.cfg.Log.Warn().Err(err).Str("event", logStreamEnded).Str("request", req.ID).Str("route", req.route.Name).
 		Str("endpoint", a.endpoint).Str("framing", string(a.framing())).Str("end", string(end)).
-		Int("events", stream.Events()).Str("last_event", stream.LastID()).Msg("an endpoint's stream ended inside an event")
+		Int("events", stream.Events()).Str("last_event", stream.LastID()).Msg("an endpoint broke its stream off")
+	return err
 }
 
 // relayEnd says how the relay of a stream ended.
@@ -99,10 +110,11 @@
 			req.markFirstByte()
 			begun()
 		}
-		if err != nil {
-			g.recordStreamEnd(req, a, stream, err)
+		ended := err != nil
+		if ended {
+			err = g.recordStreamEnd(req, a, stream, err)
 		}
-		if err != nil && !errors.Is(err, io.EOF) {
+		if err != nil {
 			return relayBroken, err
 		}
 		if !req.writeEvents(w, a, data) {
@@ -110,7 +122,7 @@
 			return relayLeft, nil
 		}
 		req.stream.recordRelayed(stream)
-		if err != nil {
+		if ended {
 			return relayWhole, nil
 		}
 		if flusher.Flush() != nil {
