gateway: content that crashes an endpoint between two events is seen

Cause: the end of an endpoint looks like the end of an answer without a length or chunks; plain answers of that form were held until it was known whether the endpoint lives, streams counted as answered by it.

Change: streams that end with their connection are held too; one function for both. Cost: a new connection or two to the endpoint after each such stream, one probe at a time for an endpoint.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -355,6 +355,7 @@
 	})
 	switch end {
 	case relayWhole:
+		g.recordConnectionEnd(m.request, e, a)
 		g.finish(m.request, a, "relayed")
 		return streamServed
 	case relayLeft:
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -263,12 +263,17 @@
 		}
 		g.abortAnswer(req, e.ID, err)
 	}
+	g.recordConnectionEnd(req, e, a.answer)
+	g.finish(req, a.answer, "relayed")
+	return nil
+}
+
+// recordConnectionEnd records that the end of a connection ended a whole answer: the end of
+// the endpoint looks like that.
+func (g *Gateway) recordConnectionEnd(req *request, e *catalog.Endpoint, a *answer) {
 	if a.framing() == framedByConnection && req.http.Method != http.MethodHead {
-		// The end of the endpoint looks like the end of such an answer.
 		g.recordBroken(req, e, errBroken.New("the answer ended with the connection"))
 	}
-	g.finish(req, a.answer, "relayed")
-	return nil
 }
 
 // write writes a complete answer to the client.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -190,6 +190,7 @@
 		return false
 	}
 	if end == relayWhole {
+		g.recordConnectionEnd(req, e, a.answer)
 		g.finish(req, a.answer, "relayed")
 	}
 	return true
--- a/integration/crash/crash_test.go
+++ b/integration/crash/crash_test.go
@@ -46,6 +46,12 @@
 	}
 }
 
+// Guards against content that crashes one model engine after the other where their streams
+// look whole: the end of the engine is the end of a stream without a length or chunks.
+func TestCrashingContentBetweenEvents(t *testing.T) {
+	checkStopped(t, "model", crashInterval, maxEndpointsLost, func(r *crashRig) { r.at = betweenEvents })
+}
+
 // Guards against content that crashes one endpoint of a stage after the other: calls of the
 // queue's owner that break are nobody's crashes.
 func TestCrashingContentAtStages(t *testing.T) {
--- a/integration/crash/rig_test.go
+++ b/integration/crash/rig_test.go
@@ -57,6 +57,8 @@
 	beforeHead breakPoint = iota
 	afterHead
 	inBody
+	// betweenEvents ends a stream that its connection ends where it looks whole.
+	betweenEvents
 )
 
 // crashRig is a fleet of gateways before endpoints that some content crashes.
@@ -236,6 +238,10 @@
 	}
 	return &standin.Endpoint{ID: e.id, Answer: func(w http.ResponseWriter, run standin.Run) {
 		standin.Seal(w)
+		if string(run.Body) == crashContent && r.at == betweenEvents {
+			r.crashBetweenEvents(e, w)
+			return
+		}
 		if string(run.Body) == crashContent && !r.crashesStage {
 			r.beginAnswer(w, e.service)
 			r.crashByContent(e)
@@ -269,6 +275,22 @@
 	_ = flusher.Flush()
 }
 
+// crashBetweenEvents crashes the endpoint after whole events of a stream that only the end
+// of its connection ends.
+func (r *crashRig) crashBetweenEvents(e *crashEndpoint, w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	u, err := standin.BeginUnframed(w, "HTTP/1.1", http.StatusOK)
+	if err != nil {
+		return
+	}
+	_, _ = io.WriteString(u, "id: 1\ndata: piece 1\n\n")
+	waitUntil(time.Now(), crashDelay)
+	if r.crash(e) {
+		r.lost.Add(1)
+	}
+	u.End()
+}
+
 // crashByContent crashes the endpoint under the content.
 func (r *crashRig) crashByContent(e *crashEndpoint) {
 	waitUntil(time.Now(), crashDelay)
