--- a/endpoint/sse.go
+++ b/endpoint/sse.go
@@ -1,13 +1,11 @@
 package endpoint
 
 import (
-	"bufio"
 	"bytes"
-	"errors"
 	"io"
-)
 
-const readBufferSize = 4 << 10
+	"github.com/mangostage/mangostage/sse"
+)
 
 // event is one server-sent event.
 type event struct {
@@ -17,35 +15,59 @@
 
 // eventReader reads server-sent events of bounded size.
 type eventReader struct {
-	r *bufio.Reader
+	stream *sse.Reader
 	// remaining is the number of bytes left of MaxStream.
 	remaining int
+	// complete holds the events that were read and not yet returned.
+	complete []event
 }
 
 func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, readBufferSize), remaining: MaxStream}
+	return &eventReader{stream: sse.NewReader(r, MaxReply), remaining: MaxStream}
 }
 
 // next returns the next event. An event without its terminating blank line was
 // cut off and is an error.
 func (r *eventReader) next() (event, error) {
-	var ev event
-	for {
-		line, err := r.line()
+	for len(r.complete) == 0 {
+		block, err := r.stream.Next()
 		if err != nil {
 			return event{}, err
 		}
-		if len(line) == 0 {
-			if ev.name == "" && ev.data == nil {
-				continue
-			}
-			return ev, nil
+		if r.remaining -= len(block); r.remaining < 0 {
+			return event{}, ErrMalformed.New("stream is too long")
 		}
-		ev.add(line)
-		if len(ev.data) > MaxReply {
+		if r.stream.Split() {
 			return event{}, ErrMalformed.New("event is longer than %d bytes", MaxReply)
 		}
+		if r.complete, err = parseEvents(block); err != nil {
+			return event{}, err
+		}
 	}
+	ev := r.complete[0]
+	r.complete = r.complete[1:]
+	return ev, nil
+}
+
+// parseEvents returns the events in the bytes of complete ones.
+func parseEvents(block []byte) ([]event, error) {
+	var events []event
+	var ev event
+	size := 0
+	for line := range sse.Lines(block) {
+		if size += len(line); size > MaxReply {
+			return nil, ErrMalformed.New("event is longer than %d bytes", MaxReply)
+		}
+		if len(line) > 0 {
+			ev.add(line)
+			continue
+		}
+		if ev.name != "" || ev.data != nil {
+			events = append(events, ev)
+		}
+		ev, size = event{}, 0
+	}
+	return events, nil
 }
 
 func (e *event) add(line []byte) {
@@ -61,23 +83,3 @@
 		e.data = append(e.data, value...)
 	}
 }
-
-// line returns the next line without its ending.
-func (r *eventReader) line() ([]byte, error) {
-	var line []byte
-	for {
-		part, err := r.r.ReadSlice('\n')
-		r.remaining -= len(part)
-		line = append(line, part...)
-		if r.remaining < 0 || len(line) > MaxReply {
-			return nil, ErrMalformed.New("stream is too long")
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		return bytes.TrimRight(line, "\r\n"), nil
-	}
-}
