gateway: an endpoint's own error without a length reaches its caller

What callers saw: 502 from the gateway in place of a model engine's own error that came without a length, with its connection's end or in chunks. Cause: only a body with a length counted as complete. Evidence: TestErrorWithoutLengthIsRelayed failed for model engines (502, not 500). Change: a short error is read to its end whatever ends it; a reset is no end. A request that may be repeated is tried elsewhere first, as with a length.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -340,6 +340,7 @@
 	if err != nil || !b.complete {
 		return streamFailed
 	}
+	g.recordConnectionEnd(m.request, e, a)
 	b.write(w)
 	m.stream.headSent = true
 	g.finish(m.request, a, "endpoint_error")
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -141,7 +141,9 @@
 		return nil, resultFailed
 	case a.StatusCode >= http.StatusInternalServerError:
 		g.recordSend(req, e, a, balance.Failed, duration, nil)
-		b.endpointError = b.complete
+		if b.endpointError = b.complete; b.complete {
+			g.recordConnectionEnd(req, e, a)
+		}
 		if req.route.Repeatable() && b.complete {
 			return b, resultFailed
 		}
--- a/gateway/plain_test.go
+++ b/gateway/plain_test.go
@@ -302,3 +302,32 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK, "it serves until the load balancer sends clients elsewhere")
 	assert.Assert(t, resp.Close, "the client must open its next connection elsewhere")
 }
+
+// Guards against an endpoint's own error without a length that its caller does not get: the
+// end of the connection ends it, as long as there was no reset.
+func TestErrorWithoutLengthIsRelayed(t *testing.T) {
+	for _, path := range []string{"/stream/", "/once/"} {
+		for _, framed := range []bool{false, true} {
+			r := newRig(t)
+			answer := func(w http.ResponseWriter, _ standin.Run) {
+				if framed {
+					w.WriteHeader(http.StatusInternalServerError)
+					_, _ = io.WriteString(w, "no ")
+					_ = http.NewResponseController(w).Flush()
+					_, _ = io.WriteString(w, "memory")
+					return
+				}
+				u, err := standin.BeginUnframed(w, "HTTP/1.1", http.StatusInternalServerError)
+				assert.Check(t, err == nil)
+				_, _ = io.WriteString(u, "no memory")
+				u.End()
+			}
+			r.startEndpoint("plain", "p-1", answer)
+			r.startEndpoint("model", "m-1", answer)
+			got := r.do(r.request(http.MethodPost, path, "body"))
+			assert.NilError(t, got.err)
+			assert.Equal(t, got.status, http.StatusInternalServerError, "%s framed %v", path, framed)
+			assert.Equal(t, got.body, "no memory")
+		}
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 
@@ -25,17 +26,29 @@
 	return a.Sealed && !a.Encoded
 }
 
-// buffer reads a short body completely. It leaves a longer one, and one without a
+// buffer reads a short body completely. It leaves a longer one, and a success without a
 // length, to be relayed as it arrives. The error says that a short body ended early.
 func (a *answer) buffer() (body []byte, complete bool, err error) {
-	if a.ContentLength < 0 || a.ContentLength > maxBuffered {
+	success := a.StatusCode < http.StatusMultipleChoices
+	if a.ContentLength < 0 && success || a.ContentLength > maxBuffered {
 		return nil, false, nil
 	}
-	body, err = io.ReadAll(a.Body)
-	_ = a.Body.Close()
+	rest := a.Body
+	body, err = io.ReadAll(io.LimitReader(rest, maxBuffered+1))
+	if len(body) > maxBuffered && err == nil {
+		a.Body = readCloser{io.MultiReader(bytes.NewReader(body), rest), rest}
+		return nil, false, nil
+	}
+	_ = rest.Close()
 	return body, true, err
 }
 
+// readCloser reads from one value and closes another.
+type readCloser struct {
+	io.Reader
+	io.Closer
+}
+
 // framing says what ends the body of an answer.
 type framing string
 
