--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -254,6 +254,7 @@
 	if a.complete {
 		req.markFirstByte()
 		a.write(w)
+		g.recordConnectionEnd(req, e, a.answer)
 		g.finish(req, a.answer, "relayed")
 		return nil
 	}
