gateway: software versions and taken-up streams are seen

The version in an endpoint's entry was decoded and dropped, and no line said whether a request takes a stream up, nor which one. An endpoint has its version now, sent names it, and of a stream that its client takes up the attempt that began it (Resumes) and the last event. Nothing is decided by it yet.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -169,6 +169,9 @@
 	Incarnation Incarnation `json:"incarnation,omitempty"`
 
 	Service string `json:"service"`
+	// Version is that of the endpoint's software; empty if the endpoint does not report
+	// it. What two versions write does not fit together.
+	Version string `json:"version,omitempty"`
 	// Addr is "ip:port".
 	Addr string `json:"addr"`
 	// Domain is the failure domain.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,6 +120,9 @@
 	if p == nil {
 		p = g.refuseQuarantined(req)
 	}
+	if p == nil && req.takesUpStream() {
+		g.logTakeUp(req)
+	}
 	if p == nil {
 		defer req.endRun()
 		p = g.serve(w, req)
--- a/gateway/lognames.go
+++ b/gateway/lognames.go
@@ -8,6 +8,8 @@
 	// logStreamEnded is logged when an endpoint's stream ends inside an event, or its
 	// connection breaks.
 	logStreamEnded = "stream_ended"
+	// logTakenUp is logged when a client takes a stream up.
+	logTakenUp = "stream_taken_up"
 	// logArrivedDuringShutdown is logged for a request that arrived after the shutdown
 	// had begun.
 	logArrivedDuringShutdown = "taken_while_stopping"
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -188,8 +188,11 @@
 	if err != nil {
 		line = g.cfg.Log.Warn().Err(err)
 	}
+	if req.takesUpStream() {
+		line.Str("resumes", req.Resumes).Str("last_event", req.stream.lastEventID)
+	}
 	line.Str("event", logSent).Str("request", req.ID).Str("route", req.route.Name).Str("endpoint", e.ID).
-		Int("status", status).Uint64("config", req.configVersion).Dur("took_ms", duration).Msg("sent to an endpoint")
+		Str("version", e.Version).Int("status", status).Uint64("config", req.configVersion).Dur("took_ms", duration).Msg("sent to an endpoint")
 }
 
 // countFirstSend counts a request's first send: the retry budget grows with first
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"mime"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/mangostage/mangostage/balance"
@@ -85,6 +87,22 @@
 	return err
 }
 
+// takesUpStream reports whether the client goes on with a stream that another attempt of
+// its began.
+func (req *request) takesUpStream() bool {
+	return req.LastEvent != "" && req.route != nil && req.route.Kind == catalog.RouteStream && req.route.Resumable
+}
+
+// logTakeUp logs at debug level with which headers a client takes a stream up.
+func (g *Gateway) logTakeUp(req *request) {
+	line := g.cfg.Log.Debug()
+	if !line.Enabled() {
+		return
+	}
+	line.Str("event", logTakenUp).Str("request", req.ID).Str("route", req.route.Name).Str("resumes", req.Resumes).
+		Str("last_event", req.LastEvent).Strs("headers", slices.Sorted(maps.Keys(req.http.Header))).Msg("a client takes a stream up")
+}
+
 // relayEnd says how the relay of a stream ended.
 type relayEnd int
 
