--- a/integration/streams/broken_test.go
+++ b/integration/streams/broken_test.go
@@ -16,7 +16,7 @@
 	"first event":      {rest: "id: 1\ndata: pie"},
 	"no event":         {},
 	"later event":      {after: 3, rest: "id: 4\nda"},
-	"blank line":       {after: 3, rest: "id: 4\ndata: piece 4\n"},
+	"blank line":       {after: 3, rest: "id: 4\ndata: v1 piece 4\n"},
 	"reset":            {after: 3, rest: "id: 4\nda", reset: true},
 	"large last event": {after: streamLength - 1, rest: "id: 8\ndata: " + strings.Repeat("x", 20<<10)},
 }
@@ -24,10 +24,11 @@
 // Guards against a stream that an endpoint breaks off inside an event and that reaches its
 // caller as whole, through any gateway, from a model engine or a plain service.
 func TestBrokenStreamsLookBroken(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, time.Millisecond)
 	for i := range 3 {
-		r.addEndpoint("llm", fmt.Sprintf("llm-%d", i))
-		r.addEndpoint("feed", fmt.Sprintf("feed-%d", i))
+		r.addEndpoint("llm", fmt.Sprintf("llm-%d", i), "v1")
+		r.addEndpoint("feed", fmt.Sprintf("feed-%d", i), "v1")
 	}
 	r.startMembers()
 	for name, b := range breakOffs {
@@ -39,14 +40,14 @@
 					return m.LogHas(`"event":"stream_ended"`, `"request":"`+got.id+`"`)
 				})
 				got = r.send(m, call{route: route + "-resume", body: b.body()})
-				assert.Check(t, got.complete && got.body == wholeStream(1), "%s at g%d, route %s-resume: status %d, %q", name, i+1, route, got.status, got.body)
+				assert.Check(t, got.complete && got.body == wholeStream("v1"), "%s at g%d, route %s-resume: status %d, %q", name, i+1, route, got.status, got.body)
 			}
 		}
 	}
 	for i, m := range r.members {
 		for _, route := range []string{"model", "plain", "model-resume", "plain-resume"} {
 			got := r.send(m, call{route: route})
-			assert.Check(t, got.complete && got.body == wholeStream(1), "whole stream at g%d, route %s: status %d, %q", i+1, route, got.status, got.body)
+			assert.Check(t, got.complete && got.body == wholeStream("v1"), "whole stream at g%d, route %s: status %d, %q", i+1, route, got.status, got.body)
 		}
 	}
 }
--- a/integration/streams/rig_test.go
+++ b/integration/streams/rig_test.go
@@ -53,10 +53,42 @@
 	frontend, peer string
 }
 
-// endpoint is a process that streams.
+// endpoint is a server at one address, whose processes may crash and start again.
 type endpoint struct {
-	*standin.Endpoint
-	service, addr string
+	*standin.CrashServer
+	service, id, version string
+	// born is the start of the current process in Unix milliseconds; 0 if it does not say.
+	born int64
+
+	mu sync.Mutex
+	// open holds the answers under way of the current process.
+	open map[*standin.Unframed]struct{}
+}
+
+// track notes that an answer is under way until done is called.
+func (e *endpoint) track(u *standin.Unframed) (done func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.open == nil {
+		e.open = make(map[*standin.Unframed]struct{})
+	}
+	e.open[u] = struct{}{}
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.open, u)
+	}
+}
+
+// crash ends the process with all its connections.
+func (e *endpoint) crash() {
+	e.Crash()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for u := range e.open {
+		u.Reset()
+	}
+	e.open = nil
 }
 
 func newRig(t *testing.T, pace time.Duration) *rig {
@@ -81,6 +113,7 @@
 		})
 		r.members = append(r.members, m)
 	}
+	r.t.Cleanup(r.terminate)
 	for _, m := range r.members {
 		for _, route := range []string{"model", "plain"} {
 			testwait.For(r.t, recoveryTimeout, func() bool { return r.send(m, call{route: route}).complete })
@@ -88,18 +121,49 @@
 	}
 }
 
-// addEndpoint starts an endpoint and lists it.
-func (r *rig) addEndpoint(service, id string) *endpoint {
-	e := &endpoint{service: service}
-	e.Endpoint = &standin.Endpoint{ID: id, Answer: r.answer}
-	e.addr = harness.ServeHTTP(r.t, e.Endpoint)
-	r.store.PutEndpoint(id, standin.Entry{Service: service, Addr: e.addr, Domain: "z0", Slots: 16})
+// terminate lets all gateways stop at the same time.
+func (r *rig) terminate() {
+	for _, m := range r.members {
+		if m.Running() {
+			m.Term()
+		}
+	}
+}
+
+// addEndpoint starts an endpoint of a software version and lists it.
+func (r *rig) addEndpoint(service, id, version string) *endpoint {
+	e := &endpoint{CrashServer: &standin.CrashServer{Addr: harness.FreePort(r.t)}, service: service, id: id, version: version}
+	r.startProcess(e)
+	r.list(e, "ready")
+	r.t.Cleanup(e.crash)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.endpoints[id] = e
 	return e
 }
 
+// startProcess starts a process of the endpoint.
+func (r *rig) startProcess(e *endpoint) {
+	version := e.version
+	handler := &standin.Endpoint{ID: e.id, Answer: func(w http.ResponseWriter, run standin.Run) { r.answer(w, run, e, version) }}
+	if err := e.Start(handler); err != nil {
+		r.t.Errorf("endpoint %s: %v", e.id, err)
+	}
+}
+
+// list writes the entry of the endpoint's process.
+func (r *rig) list(e *endpoint, state string) {
+	r.store.PutEndpoint(e.id, standin.Entry{
+		Service: e.service, Addr: e.Addr, Domain: "z0", Slots: 16, Version: e.version, State: state, Born: e.born,
+	})
+}
+
+// removeEndpoint ends an endpoint and removes its entry.
+func (r *rig) removeEndpoint(e *endpoint) {
+	e.crash()
+	r.store.RemoveEndpoint(e.id)
+}
+
 // breakOff is how a request asks for its first run to be broken off.
 type breakOff struct {
 	// after is the number of whole events before the break.
@@ -124,25 +188,28 @@
 }
 
 // eventText returns one event of a stream.
-func eventText(i int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i) }
+func eventText(i int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", i, version, i)
+}
 
-// wholeStream returns the events with the numbers first to streamLength.
-func wholeStream(first int) string {
+// wholeStream returns a stream of one version.
+func wholeStream(version string) string {
 	var b strings.Builder
-	for i := first; i <= streamLength; i++ {
-		b.WriteString(eventText(i))
+	for i := 1; i <= streamLength; i++ {
+		b.WriteString(eventText(i, version))
 	}
 	return b.String()
 }
 
 // answer streams with neither a length nor chunks, from the event after Last-Event-Id.
-func (r *rig) answer(w http.ResponseWriter, run standin.Run) {
+func (r *rig) answer(w http.ResponseWriter, run standin.Run, e *endpoint, version string) {
 	standin.Seal(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	u, err := standin.BeginUnframed(w, "HTTP/1.1", http.StatusOK)
 	if err != nil {
 		return
 	}
+	defer e.track(u)()
 	from, _ := strconv.Atoi(run.Header.Get("Last-Event-Id"))
 	b, breaks := parseBreak(string(run.Body))
 	breaks = breaks && r.firstRun(run.ID)
@@ -151,7 +218,7 @@
 			_, _ = u.Write([]byte(b.rest))
 			break
 		}
-		if _, err := u.Write([]byte(eventText(i))); err != nil {
+		if _, err := u.Write([]byte(eventText(i, version))); err != nil {
 			break
 		}
 		waitFor(r.pace)
