origin: where streams began, known by a few members

A member that begins a stream tells three others, chosen by the hash of the attempt that brought the first event (of all members in a full mesh, else of the hubs, to which all connect), in batches of 10 ms; a member that does not know a stream asks those that are to know it, then all that it reaches, 150 ms each at most; one that connects is told what it is to hold. With no word of a stream, the only origin that it can have had is taken, if there was one: a history of the versions and services behind each route says so, from the time since which all changes were seen. Bounded: 131,072 streams, the oldest are forgotten first; a stream lives as long as its route's clients wait.

Tests: an origin never changes, a full table, the spread of holders, the history (a version or service that was there before, unseen, or moved).

--- /dev/null
+++ b/origin/client.go
@@ -0,0 +1,144 @@
+package origin
+
+import (
+	"context"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/fleet"
+	"github.com/mangostage/mangostage/peer"
+)
+
+const (
+	// askTimeout bounds a question to another member: many round trips within a region.
+	askTimeout = 150 * time.Millisecond
+	// maxGreeted bounds the streams that a member is told of when it connects.
+	maxGreeted = 4096
+	// keepersTTL is how long the list of members is used.
+	keepersTTL = 50 * time.Millisecond
+)
+
+// Fleet tells which other members hold knowledge.
+type Fleet interface {
+	// Keepers returns the live members, without this process, among which knowledge is
+	// divided.
+	Keepers() []fleet.Keeper
+}
+
+// Config holds the dependencies of a Client.
+type Config struct {
+	// Fleet is nil without other members.
+	Fleet Fleet
+	// SeenSince returns since when this process has seen all changes of the endpoints; ok is
+	// false if it may be missing some now.
+	SeenSince func() (since time.Time, ok bool)
+	Log       zerolog.Logger
+}
+
+// Client records where streams begin at this process, tells other members, and finds the
+// origins of streams that clients take up.
+type Client struct {
+	cfg     Config
+	table   *Table
+	history *History
+	outbox  outbox
+	// Counters counts messages and findings by name.
+	Counters *expvar.Map
+
+	mu sync.Mutex
+	// keepers are the members as of keepersAt.
+	keepers   []fleet.Keeper
+	keepersAt time.Time
+}
+
+// NewClient returns a client that knows nothing.
+func NewClient(cfg Config) *Client {
+	c := &Client{cfg: cfg, table: NewTable(), history: NewHistory(), Counters: new(expvar.Map).Init()}
+	c.outbox.wake = make(chan struct{}, 1)
+	return c
+}
+
+// Serve registers the methods by which other processes use the client.
+func Serve(mux *peer.Mux, c *Client) {
+	peer.HandleNotification(mux, MethodTell, func(from *peer.Conn, groups []told) {
+		c.learn(time.Now(), groups, from.Peer().Process.Name)
+	})
+	peer.HandleCall(mux, MethodAsk, func(_ context.Context, _ *peer.Conn, call askCall) (askReply, error) {
+		return c.answer(time.Now(), call), nil
+	})
+}
+
+// SetView records a new view of the deployment.
+func (c *Client) SetView(view *catalog.View) { c.history.SetView(time.Now(), view) }
+
+// Stats returns the figures of what is held.
+func (c *Client) Stats() Stats { return c.table.Stats() }
+
+// Began records that the attempts began, or went on with, a stream of the origin, and tells
+// other members.
+func (c *Client) Began(o Origin, lifetime time.Duration, attempts ...string) {
+	now := time.Now()
+	until := now.Add(min(lifetime, MaxLifetime))
+	for _, attempt := range attempts {
+		s := StreamOf(attempt)
+		c.table.Add(now, s, Record{Origin: o, Learned: now, Until: until})
+		c.outbox.add(s, o, until)
+	}
+}
+
+// learn records what another member told.
+func (c *Client) learn(now time.Time, groups []told, from string) {
+	for i := range groups {
+		g := &groups[i]
+		r := Record{Origin: g.Origin, Learned: now, From: from, Until: now.Add(min(g.Left, MaxLifetime))}
+		g.each(func(s Stream) { c.table.Add(now, s, r) })
+	}
+}
+
+// Greet tells a member that has just connected of the streams that it is to hold: one that
+// has restarted has lost them.
+func (c *Client) Greet(conn *peer.Conn) {
+	now := time.Now()
+	name := conn.Peer().Process.Name
+	members := c.holderNames(name)
+	var batch batch
+	left := maxGreeted
+	c.table.Latest(now, func(s Stream, r Record) bool {
+		for _, holder := range firstHolders(s, members, copies) {
+			if holder == name {
+				batch.add(s, r.Origin, r.Until)
+				left--
+			}
+		}
+		return left > 0
+	})
+	c.send(now, conn, &batch)
+}
+
+// holderNames returns the names of the members that hold streams, and the one given.
+func (c *Client) holderNames(also string) []string {
+	names := []string{also}
+	for _, k := range c.currentKeepers() {
+		if k.Name != also && !k.Leaving {
+			names = append(names, k.Name)
+		}
+	}
+	return names
+}
+
+// currentKeepers returns the other members that hold knowledge.
+func (c *Client) currentKeepers() []fleet.Keeper {
+	if c.cfg.Fleet == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := time.Now(); now.Sub(c.keepersAt) > keepersTTL {
+		c.keepers, c.keepersAt = c.cfg.Fleet.Keepers(), now
+	}
+	return c.keepers
+}
--- /dev/null
+++ b/origin/history.go
@@ -0,0 +1,134 @@
+package origin
+
+import (
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+)
+
+// MaxLifetime is the longest time for which a stream, or what it can have had as its origin,
+// is remembered.
+const MaxLifetime = 5 * time.Minute
+
+// History tells which origins the streams of each route can have had. It does no I/O and is
+// safe for concurrent use.
+type History struct {
+	mu sync.Mutex
+	// since is when the first view came; zero before.
+	since time.Time
+	// config and versions are those of the latest view: the version of its configuration,
+	// and the versions of the endpoints of each service.
+	config   uint64
+	versions map[string]map[string]bool
+	// last holds, for each route whose streams may be resumed, when each origin was last
+	// possible.
+	last map[string]map[Origin]time.Time
+	// current are the origins that are possible now.
+	current map[string]map[Origin]bool
+}
+
+// NewHistory returns a history without a view.
+func NewHistory() *History {
+	return &History{last: make(map[string]map[Origin]time.Time), current: make(map[string]map[Origin]bool)}
+}
+
+// SetView records a new view.
+func (h *History) SetView(now time.Time, view *catalog.View) {
+	if !view.Ready() {
+		return
+	}
+	versions := make(map[string]map[string]bool)
+	for e := range view.All() {
+		if versions[e.Service] == nil {
+			versions[e.Service] = make(map[string]bool)
+		}
+		versions[e.Service][e.Version] = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	config := view.Index.Config.Version
+	if h.config == config && reflect.DeepEqual(h.versions, versions) {
+		return
+	}
+	h.config, h.versions = config, versions
+	if h.since.IsZero() {
+		h.since = now
+	}
+	h.endCurrentLocked(now)
+	for i := range view.Index.Config.Routes {
+		route := &view.Index.Config.Routes[i]
+		if !route.ResumableStream() {
+			continue
+		}
+		h.current[route.Name] = possibleOrigins(route, versions)
+	}
+	h.forgetLocked(now)
+}
+
+// possibleOrigins returns the origins that a new stream of a route can have.
+func possibleOrigins(route *catalog.Route, versions map[string]map[string]bool) map[Origin]bool {
+	possible := make(map[Origin]bool)
+	for _, share := range route.Split {
+		for version := range versions[share.Service] {
+			possible[Origin{Service: share.Service, Version: version}] = true
+		}
+	}
+	return possible
+}
+
+// endCurrentLocked moves the origins that were possible until now to those of the past.
+func (h *History) endCurrentLocked(now time.Time) {
+	for route, origins := range h.current {
+		if h.last[route] == nil {
+			h.last[route] = make(map[Origin]time.Time, len(origins))
+		}
+		for o := range origins {
+			h.last[route][o] = now
+		}
+	}
+	clear(h.current)
+}
+
+// forgetLocked forgets what was last possible long ago.
+func (h *History) forgetLocked(now time.Time) {
+	for route, origins := range h.last {
+		for o, at := range origins {
+			if now.Sub(at) > MaxLifetime {
+				delete(origins, o)
+			}
+		}
+		if len(origins) == 0 {
+			delete(h.last, route)
+		}
+	}
+}
+
+// Sole returns the only origin that a stream of a route can have had which began at most
+// lifetime ago; ok is false if there were several or none, or if this is not known. seen is
+// since when this process has seen all changes.
+func (h *History) Sole(now, seen time.Time, route string, lifetime time.Duration) (sole Origin, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	from := now.Add(-lifetime)
+	if h.since.IsZero() || h.since.After(from) || seen.After(from) {
+		return Origin{}, false
+	}
+	found := make(map[Origin]bool)
+	for o := range h.current[route] {
+		found[o] = true
+	}
+	for o, at := range h.last[route] {
+		if at.After(from) {
+			found[o] = true
+		}
+	}
+	if len(found) != 1 {
+		return Origin{}, false
+	}
+	for o := range found {
+		sole = o
+	}
+	return sole, true
+}
--- /dev/null
+++ b/origin/messages.go
@@ -0,0 +1,54 @@
+package origin
+
+import (
+	"encoding/binary"
+	"time"
+)
+
+// Methods between processes.
+const (
+	MethodTell = "origin.tell"
+	MethodAsk  = "origin.ask"
+)
+
+// maxTold bounds the streams of one message.
+const maxTold = 1024
+
+// told are streams of one origin.
+type told struct {
+	Origin
+	// Left is how long they are to be held.
+	Left time.Duration `json:"left_ns"`
+	// Streams holds the streams, eight bytes each.
+	Streams []byte `json:"streams"`
+}
+
+// add adds a stream.
+func (t *told) add(s Stream) { t.Streams = binary.BigEndian.AppendUint64(t.Streams, uint64(s)) }
+
+// each calls yield with the streams.
+func (t *told) each(yield func(Stream)) {
+	for rest := t.Streams; len(rest) >= streamBytes; rest = rest[streamBytes:] {
+		yield(Stream(binary.BigEndian.Uint64(rest)))
+	}
+}
+
+// streamBytes is the length of a stream in a message.
+const streamBytes = 8
+
+// askCall asks for the origin of a stream.
+type askCall struct {
+	Stream Stream `json:"stream,string"`
+	Question
+}
+
+// askReply is the answer: that the origin is known, or the only one that the stream can
+// have had.
+type askReply struct {
+	Origin
+	Known bool `json:"known,omitempty"`
+	Sole  bool `json:"sole,omitempty"`
+	// Age is how long ago the member learned it, Left how long it holds it.
+	Age  time.Duration `json:"age_ns,omitempty"`
+	Left time.Duration `json:"left_ns,omitempty"`
+}
