gateway: a stream goes on only at the service and version that began it

Cause: a choice made anew, where it should be kept. Where a stream goes on was chosen like the place of a new request, among all engines of a service, which was itself chosen by the ID of the new attempt; nothing knew a version or what a client takes up.

Change: a request is bound to the origin of its stream at the first event that is relayed, or, if its client takes one up, before anything is chosen (bindToOrigin). Each place that chooses or waits asks: the job to the owner, its grant, the balancer's pick, probes, tokens, backoffs, retries, the send itself and, since the entry may have changed meanwhile, the first event. What cannot go on is refused at once, as not run: unknown, unreached (come again), gone (a time to come again only if the version is listed and not leaving), unclear. A stream may go on at the endpoint that broke it off if there is no other of its version.

With one version the origin is known all the same and fits all; a stream that nobody knows goes on if there was no other origin while it can have lived: as long as the route's clients are seen to wait.

TestResumedStreamWithoutMoreEventsIsWhole takes up a stream that began in the test: one that nobody knows is refused by a gateway that has just started.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/mangostage/mangostage/internal/logsink"
 	"github.com/mangostage/mangostage/internal/sleep"
 	"github.com/mangostage/mangostage/kernel"
+	"github.com/mangostage/mangostage/origin"
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/position"
@@ -79,6 +80,7 @@
 	backoffs   *retryafter.Table
 	signals    *signals
 	quarantine *quarantine.Client
+	origins    *origin.Client
 	gateway    *gateway.Gateway
 	metrics    *gateway.Metrics
 	frontend   *http.Server
@@ -152,6 +154,8 @@
 		Drain: p.Bounds.Drain, Fleet: g.fleet, CheckPause: g.follower.CheckPause, Log: g.log,
 	})
 	g.follower.OnWake(g.quarantine.BeCautious)
+	g.origins = origin.NewClient(origin.Config{Fleet: g.fleet, SeenSince: g.follower.SeenSince, Log: g.log})
+	origin.Serve(mux, g.origins)
 	g.scheduler = scheduler.New(p.Name, stages, g.quotas.Table(), g.backoffs, g.quarantine, g.signals, g.log)
 	discovery.ServePeers(mux, g.follower)
 	scheduler.Serve(mux, g.scheduler)
@@ -171,6 +175,7 @@
 		Log:             g.log,
 		Metrics:         g.metrics,
 		Quarantine:      g.quarantine,
+		Origins:         g.origins,
 	})
 	quarantine.Serve(mux, g.quarantine)
 	kernel.Handle(g.bus, "scheduler", kernel.TopicView, func(kernel.ViewEvent) { g.scheduler.SetView(g.follower.View()) })
@@ -183,6 +188,7 @@
 	g.quotas.Greet(conn)
 	g.signals.departures.Greet(conn)
 	g.quarantine.Greet(conn)
+	g.origins.Greet(conn)
 }
 
 // quotaAllowance returns what this process may spend of the quotas of endpoints.
@@ -233,6 +239,7 @@
 	g.running.Go(func() { g.follower.Run(ctx) })
 	g.running.Go(func() { g.scheduler.Run(ctx) })
 	g.running.Go(func() { g.quarantine.Run(ctx) })
+	g.running.Go(func() { g.origins.Run(ctx) })
 	g.running.Go(func() { g.watchSettings(ctx) })
 	ready := chi.NewRouter()
 	ready.Get("/readyz", g.gateway.Ready)
@@ -379,6 +386,8 @@
 	m.Set("answers", g.metrics.Answers)
 	m.Set("sends", g.metrics.Sends)
 	m.Set("stream_ends", g.metrics.StreamEnds)
+	m.Set("stream_origins", g.origins.Counters)
+	m.Set("streams_held", expvar.Func(func() any { return g.origins.Stats() }))
 	m.Set("latency_ms", expvar.Func(func() any { return g.metrics.Latency() }))
 	m.Set("queues", expvar.Func(func() any { return g.scheduler.Stats() }))
 	m.Set("endpoints", expvar.Func(func() any { return g.gateway.EndpointStats() }))
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -219,6 +219,15 @@
 	return now.Sub(f.startedAt) >= troublePeriod && f.state.Steady(now)
 }
 
+// SeenSince returns since when this process has seen all changes, itself or by the members
+// that told it; ok is false if it may be missing some now.
+func (f *Follower) SeenSince() (since time.Time, ok bool) {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.seenSince, f.state.Steady(now)
+}
+
 // At returns the position up to which this process is complete.
 func (f *Follower) At() position.Position { return f.Knowledge().At }
 
--- a/gateway/broken_stream_test.go
+++ b/gateway/broken_stream_test.go
@@ -190,12 +190,19 @@
 func TestResumedStreamWithoutMoreEventsIsWhole(t *testing.T) {
 	for _, on := range resumableStreams {
 		r := newRig(t)
-		r.startEndpoint(on.service, "e-1", unframed(t, "HTTP/1.1", false))
+		r.startEndpoint(on.service, "e-1", func(w http.ResponseWriter, run standin.Run) {
+			from, _ := strconv.Atoi(run.Header.Get("Last-Event-Id"))
+			unframed(t, "HTTP/1.1", false, events(from+1, 5, "\n"))(w, run)
+		})
+		first := r.request(http.MethodPost, on.path, "prompt")
+		assert.Equal(t, r.do(first).body, events(1, 5, "\n"))
 		req := r.request(http.MethodPost, on.path, "prompt")
 		req.Header.Set("Last-Event-Id", "5")
+		req.Header.Set("Resumes", first.Header.Get("Mangostage-Attempt-Id"))
 		got := r.do(req)
 		assert.NilError(t, got.err)
 		assert.Equal(t, got.status, http.StatusOK)
+		assert.Equal(t, got.body, "")
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/mangostage/mangostage/balance"
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/internal/keepalive"
+	"github.com/mangostage/mangostage/origin"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/quarantine"
 	"github.com/mangostage/mangostage/quota"
@@ -56,6 +57,8 @@
 	OthersAvailable func() bool
 	// Quarantine stops content that crashes endpoints.
 	Quarantine *quarantine.Client
+	// Origins knows where streams began.
+	Origins *origin.Client
 }
 
 // Gateway is the HTTP handler of client requests.
@@ -65,6 +68,7 @@
 	retryBudget       *retry.Window
 	ageEstimator      *ageEstimator
 	durationEstimator *durationEstimator
+	lifetimes         *lifetimes
 	shutdown          *shutdown
 	// fleet tracks the number of gateways, from which this process's share of the load
 	// on cold endpoints follows; fleetMu guards it.
@@ -84,6 +88,7 @@
 		balance:           balance.New(cfg.Domain),
 		ageEstimator:      newAgeEstimator(),
 		durationEstimator: newDurationEstimator(),
+		lifetimes:         newLifetimes(),
 		shutdown:          newShutdown(),
 		retryBudget:       retry.NewWindow(cfg.Bounds.RetryWindow, cfg.Bounds.RetryRatio*retryRatioShare),
 	}
@@ -96,6 +101,7 @@
 	g.cfg.Backoffs.Expire(time.Now())
 	g.cfg.Transport.SetView(view)
 	g.cfg.Quarantine.SetView(view)
+	g.cfg.Origins.SetView(view)
 }
 
 // EndpointStats returns the balancer's statistics of the endpoints that it sends to.
@@ -120,8 +126,8 @@
 	if p == nil {
 		p = g.refuseQuarantined(req)
 	}
-	if p == nil && req.takesUpStream() {
-		g.logTakeUp(req)
+	if p == nil {
+		p = g.bindToOrigin(req)
 	}
 	if p == nil {
 		defer req.endRun()
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/gateway"
+	"github.com/mangostage/mangostage/origin"
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/platform/standin"
@@ -123,8 +124,11 @@
 			defer r.mu.Unlock()
 			return r.view
 		},
-		FleetSize:       func() int { return 1 },
-		Quarantine:      contents,
+		FleetSize:  func() int { return 1 },
+		Quarantine: contents,
+		Origins: origin.NewClient(origin.Config{
+			SeenSince: func() (time.Time, bool) { return time.Time{}, true }, Log: log,
+		}),
 		OthersAvailable: func() bool { return false },
 		Scheduler:       scheduler.NewClient(r.scheduler, newSingleProcess(), log),
 		Signals:         &signalObserver{quotas: quotas, backoffs: r.backoffs},
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -68,6 +68,10 @@
 	if _, p := g.awaitBackoffs(m.request, nil); p != nil {
 		return nil, p
 	}
+	if p := g.refuseGoneVersion(m.request); p != nil {
+		return nil, p
+	}
+	g.allowBrokenOff(m.request, &m.tries)
 	m.submits++
 	_, estimate := g.estimateDuration(m.request)
 	ctx, cancel := g.shutdown.boundContext(m.ctx, estimate)
@@ -85,6 +89,8 @@
 			return nil, giveUp(m.request, m.endReason(reasonCrashes), left)
 		}
 		return nil, giveUp(m.request, m.endReason("queue_unreachable"), overloadRetryAfter)
+	case lease.Refuse != nil && lease.Refuse.Reason == dispatch.ReasonNoVersion:
+		return nil, g.versionGone(m.request)
 	case lease.Refuse != nil:
 		p := giveUp(m.request, string(lease.Refuse.Reason), lease.Refuse.RetryAfter)
 		p.queue, p.shortOf, p.lateness = lease.Refuse.ShortService, lease.Refuse.ShortResource, lease.Refuse.LateBy
@@ -124,6 +130,9 @@
 		}
 		j.Stages = append(j.Stages, work)
 	}
+	if m.origin != nil {
+		j.Version = &m.origin.Version
+	}
 	for key := range m.tries.avoid {
 		j.Avoid = append(j.Avoid, key)
 	}
@@ -225,7 +234,7 @@
 // request as in flight until Done is called. e is nil if no engine is left.
 func (g *Gateway) chooseEngine(m *modelRequest) (e *catalog.Endpoint, picked bool, p *problem) {
 	e = g.viewFor(m.request).Endpoint(m.lease.Grant.Endpoint)
-	if e != nil && e.TakesWork() && !m.tries.avoid[e.Key()] &&
+	if e != nil && e.TakesWork() && m.fits(e) && !m.tries.avoid[e.Key()] &&
 		!g.cfg.Backoffs.Active(time.Now(), e.Key()) && g.hasToken(m, e) {
 		return e, false, nil
 	}
@@ -363,7 +372,7 @@
 		return streamServed
 	}
 	g.recordBrokenStream(m.request, e, err)
-	if m.ctx.Err() != nil || m.stream.split || m.stream.headSent && !m.route.Repeatable() {
+	if m.ctx.Err() != nil || !m.mayContinue() {
 		g.abortAnswer(m.request, e.ID, err)
 	}
 	return streamFailed
--- /dev/null
+++ b/gateway/origins.go
@@ -0,0 +1,176 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/dispatch"
+	"github.com/mangostage/mangostage/origin"
+)
+
+// Reasons of requests that take up a stream which cannot go on.
+const (
+	// reasonStreamUnknown means that nobody knows where the stream began.
+	reasonStreamUnknown = "stream_unknown"
+	// reasonOriginUnreached means that nobody who answered knows it, and some did not answer.
+	reasonOriginUnreached = "stream_origin_unreached"
+	// reasonVersionUnclear means that the version that began the stream is not known.
+	reasonVersionUnclear = "stream_version_unclear"
+	// reasonVersionGone means that no endpoint of the version that began the stream is there.
+	reasonVersionGone = string(dispatch.ReasonNoVersion)
+)
+
+const (
+	// originRetryAfter is the Retry-After of a request for which not all members could be
+	// asked: one that was killed no longer counts as live by then.
+	originRetryAfter = 700 * time.Millisecond
+	// versionRetryAfter is the Retry-After of a request whose version is listed, but not
+	// usable now.
+	versionRetryAfter = time.Second
+	// lifetimeSlack is the time for which a client may come back after its deadline, by the
+	// clocks of two gateways.
+	lifetimeSlack = 5 * time.Second
+)
+
+// lifetimes holds, for each route, how long clients wait at most.
+type lifetimes struct {
+	mu     sync.Mutex
+	routes map[string]time.Duration
+}
+
+func newLifetimes() *lifetimes { return &lifetimes{routes: make(map[string]time.Duration)} }
+
+// observe records a client's deadline and returns how long a stream of the route lives at
+// most, over all tries of its client.
+func (l *lifetimes) observe(route *catalog.Route, deadline time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.routes) >= maxRoutes {
+		clear(l.routes)
+	}
+	longest := max(l.routes[route.Name], deadline, route.Timeout)
+	if longest == 0 {
+		longest = defaultDeadline
+	}
+	l.routes[route.Name] = min(longest, origin.MaxLifetime)
+	return min(longest+lifetimeSlack, origin.MaxLifetime)
+}
+
+// bindToOrigin finds out where the stream began that the request takes up, and binds the
+// request to it. It returns a problem if the stream cannot go on.
+func (g *Gateway) bindToOrigin(req *request) *problem {
+	if !req.route.ResumableStream() {
+		return nil
+	}
+	req.lifetime = g.lifetimes.observe(req.route, req.Deadline)
+	if !req.takesUpStream() {
+		return nil
+	}
+	g.logTakeUp(req)
+	f := g.cfg.Origins.Find(req.ctx, req.ID, req.Resumes, origin.Question{Route: req.route.Name, Lifetime: req.lifetime})
+	switch {
+	case f.Verdict == origin.Unreached:
+		return giveUp(req, req.endReason(reasonOriginUnreached), originRetryAfter)
+	case f.Verdict == origin.Unknown:
+		return giveUp(req, req.endReason(reasonStreamUnknown), 0)
+	case f.Origin.Unclear:
+		return giveUp(req, req.endReason(reasonVersionUnclear), 0)
+	case !req.route.Serves(f.Origin.Service):
+		return g.versionGone(req)
+	}
+	req.bind(f.Origin)
+	req.service = g.cfg.View().Index.Service(req.serviceName)
+	return g.refuseGoneVersion(req)
+}
+
+// bind makes the request go on only at endpoints of the origin.
+func (req *request) bind(o origin.Origin) {
+	req.origin = &o
+	req.serviceName = o.Service
+}
+
+// fits reports whether the request may be sent to an endpoint of its service.
+func (req *request) fits(e *catalog.Endpoint) bool {
+	return req.origin == nil || !req.origin.Unclear && e.Runs(req.origin.Version)
+}
+
+// endpointsFor returns the endpoints of the request's service that it may be sent to.
+func (g *Gateway) endpointsFor(req *request) []*catalog.Endpoint {
+	endpoints := g.viewFor(req).Endpoints(req.serviceName)
+	if req.origin == nil {
+		return endpoints
+	}
+	return slices.DeleteFunc(slices.Clone(endpoints), func(e *catalog.Endpoint) bool { return !req.fits(e) })
+}
+
+// refuseGoneVersion returns the problem for a request that is bound to a version of which no
+// endpoint takes work.
+func (g *Gateway) refuseGoneVersion(req *request) *problem {
+	if req.origin == nil || slices.ContainsFunc(g.endpointsFor(req), (*catalog.Endpoint).TakesWork) {
+		return nil
+	}
+	return g.versionGone(req)
+}
+
+// versionGone returns the problem for a request whose version cannot serve it. It names a
+// time to come again only if an endpoint that may run the version is listed and does not
+// leave.
+func (g *Gateway) versionGone(req *request) *problem {
+	var retryAfter time.Duration
+	for _, e := range g.viewFor(req).Endpoints(req.serviceName) {
+		if req.origin != nil && e.Version == req.origin.Version && !e.Leaving {
+			retryAfter = versionRetryAfter
+		}
+	}
+	p := giveUp(req, req.endReason(reasonVersionGone), retryAfter)
+	p.queue, p.shortOf = req.serviceName, dispatch.ResourceVersion
+	return p
+}
+
+// beginStream records that an endpoint sends the first event of the request's stream, or
+// goes on with it. It returns an error if the endpoint may have another version than the
+// stream.
+func (g *Gateway) beginStream(req *request, e *catalog.Endpoint) error {
+	if !req.route.ResumableStream() {
+		return nil
+	}
+	now := g.currentOrigin(e)
+	if req.origin != nil && now != *req.origin {
+		return errBroken.New("endpoint %s may not run version %q any more", e.ID, req.origin.Version)
+	}
+	attempts := []string{req.ID}
+	if req.takesUpStream() && req.Resumes != "" {
+		attempts = append(attempts, req.Resumes)
+	}
+	req.bind(now)
+	g.cfg.Origins.Began(now, req.lifetime, attempts...)
+	return nil
+}
+
+// currentOrigin returns the origin of a stream that an endpoint begins now. The entry by
+// which the endpoint was chosen may be that of an earlier process.
+func (g *Gateway) currentOrigin(e *catalog.Endpoint) origin.Origin {
+	o := origin.Origin{Service: e.Service, Version: e.Version, Unclear: e.VersionUnclear}
+	listed := g.cfg.View().EndpointByID(e.ID)
+	if listed != nil && (listed.Key() != e.Key() || !listed.Runs(e.Version)) {
+		o.Unclear = true
+	}
+	return o
+}
+
+// allowBrokenOff lets a stream go on at the endpoints that broke it off, if there is no
+// other of its version.
+func (g *Gateway) allowBrokenOff(req *request, tries *attempts) {
+	if req.origin == nil {
+		return
+	}
+	endpoints := g.endpointsFor(req)
+	if slices.ContainsFunc(endpoints, func(e *catalog.Endpoint) bool { return e.TakesWork() && !tries.avoid[e.Key()] }) {
+		return
+	}
+	for _, e := range endpoints {
+		delete(tries.avoid, e.Key())
+	}
+}
--- /dev/null
+++ b/gateway/origins_test.go
@@ -0,0 +1,115 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/platform/standin"
+)
+
+// change replaces a listed endpoint by a changed copy.
+func (r *rig) change(id string, change func(*catalog.Endpoint)) {
+	r.mu.Lock()
+	for i, e := range r.endpoints {
+		if e.ID == id {
+			next := *e
+			change(&next)
+			r.endpoints[i] = &next
+		}
+	}
+	r.view = catalog.NewView(catalog.NewIndex(&r.config), r.endpoints, r.view.Revision+1)
+	r.mu.Unlock()
+	r.publishView()
+}
+
+// startVersion starts an endpoint of a version that breaks off each stream which does not go
+// on with another one, after three events.
+func (r *rig) startVersion(service, id, version string) *standin.Endpoint {
+	e := r.startEndpoint(service, id, func(w http.ResponseWriter, run standin.Run) {
+		standin.Seal(w)
+		w.Header().Set("X-Service", service)
+		from, _ := strconv.Atoi(run.Header.Get("Last-Event-Id"))
+		last := 3
+		if from > 0 {
+			last = 6
+		}
+		for i := from + 1; i <= last; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s piece %d\n\n", i, version, i)
+			_ = http.NewResponseController(w).Flush()
+		}
+		if from == 0 {
+			standin.AbortAnswer()
+		}
+	})
+	r.change(id, func(e *catalog.Endpoint) { e.Version = version })
+	return e
+}
+
+// Guards against a stream that goes on at another version within one answer, also where the
+// only endpoint of its version is the one that broke it off.
+func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
+	for _, on := range resumableStreams {
+		r := newRig(t)
+		for i, version := range []string{"v1", "v2", "v3"} {
+			r.startVersion(on.service, fmt.Sprintf("e-%d", i), version)
+		}
+		for range 10 {
+			got := r.do(r.request(http.MethodPost, on.path, fmt.Sprint(requests.n)))
+			assert.NilError(t, got.err)
+			version := strings.Fields(strings.SplitN(got.body, "data: ", 2)[1])[0]
+			assert.Equal(t, strings.Count(got.body, version+" piece"), 6, "%s", got.body)
+		}
+	}
+}
+
+// Guards against a stream that goes on although nobody knows any more which version began
+// it: the endpoint's entry is in doubt at the first event.
+func TestStreamOfAnUnclearVersionIsAborted(t *testing.T) {
+	for _, on := range resumableStreams {
+		r := newRig(t)
+		one := r.startVersion(on.service, "e-1", "v1")
+		r.change("e-1", func(e *catalog.Endpoint) { e.VersionUnclear = true })
+		req := r.request(http.MethodPost, on.path, "prompt")
+		got := r.do(req)
+		assert.Assert(t, got.err != nil, "body %q looks complete", got.body)
+		assert.Equal(t, len(one.Runs()), 1)
+		again := r.request(http.MethodPost, on.path, "prompt")
+		again.Header.Set("Last-Event-Id", "3")
+		again.Header.Set("Resumes", req.Header.Get("Mangostage-Attempt-Id"))
+		r.change("e-1", func(e *catalog.Endpoint) { e.VersionUnclear = false })
+		refused := r.do(again)
+		assert.Equal(t, refused.status, http.StatusServiceUnavailable)
+		assert.Assert(t, strings.Contains(refused.body, `"stream_version_unclear"`), refused.body)
+	}
+}
+
+// Guards against a stream that is taken up at another service of its route: a new attempt
+// has another ID, by which the service of a new stream is chosen.
+func TestTakenUpStreamStaysAtItsService(t *testing.T) {
+	r := newRig(t)
+	for i := range r.config.Routes {
+		if r.config.Routes[i].Name == "events-resume" {
+			r.config.Routes[i].Split = []catalog.Share{{Service: "plain", Weight: 1}, {Service: "other", Weight: 1}}
+		}
+	}
+	r.config.Services = append(r.config.Services, catalog.Service{Name: "other"})
+	r.startVersion("plain", "p-1", "v1")
+	r.startVersion("other", "o-1", "v1")
+	for range 20 {
+		first := r.request(http.MethodPost, "/events-resume/", fmt.Sprint(requests.n))
+		got := r.do(first)
+		served := got.header.Get("X-Service")
+		again := r.request(http.MethodPost, "/events-resume/", "prompt")
+		again.Header.Set("Last-Event-Id", "3")
+		again.Header.Set("Resumes", first.Header.Get("Mangostage-Attempt-Id"))
+		rest := r.do(again)
+		assert.Equal(t, rest.status, http.StatusOK)
+		assert.Equal(t, rest.header.Get("X-Service"), served)
+	}
+}
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -54,7 +54,7 @@
 			_, blocked := g.cfg.Quotas.Blocked(now, key)
 			return tries.avoid[key] || blocked || g.cfg.Backoffs.Active(now, key) || asks >= maxQuotaAsks && g.cfg.Quotas.Limited(now, key)
 		}
-		e := g.balance.Pick(now, g.viewFor(req).Endpoints(req.serviceName), avoid, g.coldShare(queued))
+		e := g.balance.Pick(now, g.endpointsFor(req), avoid, g.coldShare(queued))
 		if e == nil {
 			return g.pickLimited(req, tries, queued)
 		}
@@ -74,7 +74,7 @@
 		return nil
 	}
 	now := time.Now()
-	for _, e := range g.viewFor(req).Endpoints(req.serviceName) {
+	for _, e := range g.endpointsFor(req) {
 		switch {
 		case !e.TakesWork() || g.cfg.Backoffs.Active(now, e.Key()):
 		case g.cfg.Quotas.ProbeDue(now, e.Key(), g.cfg.FleetSize()):
@@ -136,7 +136,7 @@
 	}
 	now := time.Now()
 	var first time.Duration
-	for _, e := range g.viewFor(req).Endpoints(req.serviceName) {
+	for _, e := range g.endpointsFor(req) {
 		if !e.TakesWork() || avoid[e.Key()] {
 			continue
 		}
@@ -156,7 +156,7 @@
 // them lack one, retryIn says when a request should come back.
 func (g *Gateway) limitedEndpoints(req *request, tries *attempts, maxWait time.Duration) (keys []string, retryIn time.Duration) {
 	now := time.Now()
-	endpoints := g.viewFor(req).Endpoints(req.serviceName)
+	endpoints := g.endpointsFor(req)
 	first := rand.IntN(max(1, len(endpoints)))
 	for i := range endpoints {
 		e := endpoints[(first+i)%len(endpoints)]
@@ -181,7 +181,7 @@
 func (g *Gateway) pickLater(req *request, key string, wait time.Duration, queued bool) *catalog.Endpoint {
 	sleep.For(req.ctx, wait)
 	e := g.viewFor(req).Endpoint(key)
-	if e == nil || req.ctx.Err() != nil {
+	if e == nil || !req.fits(e) || req.ctx.Err() != nil {
 		return nil
 	}
 	now := time.Now()
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -64,9 +64,13 @@
 		case a != nil && a.endpointError:
 			failed = a
 		}
-		if req.stream.split || !g.mayRetry(req, &tries, result) {
+		if !req.mayContinue() || !g.mayRetry(req, &tries, result) {
 			return g.finishUnserved(w, req, failed, nil)
 		}
+		if p := g.refuseGoneVersion(req); p != nil {
+			return g.finishUnserved(w, req, failed, p)
+		}
+		g.allowBrokenOff(req, &tries)
 	}
 }
 
@@ -309,7 +313,7 @@
 	}
 	g.cfg.Metrics.countAnswer(req, reason)
 	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", req.route.Name).
-		Str("endpoint", a.endpoint).Str("framing", string(a.framing())).
+		Str("endpoint", a.endpoint.ID).Str("framing", string(a.framing())).
 		Int("status", a.StatusCode).Str("reason", reason).Uint64("config", req.configVersion).
 		Dur("took_ms", time.Since(req.arrived)).Msg("answered")
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/origin"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/quarantine"
 )
@@ -58,6 +59,10 @@
 	mayHaveRun bool
 	// stream is what the client has of a streamed answer.
 	stream streamState
+	// origin is where the stream began, once that is known; lifetime is how long a stream of
+	// the route lives at most.
+	origin   *origin.Origin
+	lifetime time.Duration
 }
 
 // admit decodes a request and finds its route, service and client account.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -18,8 +18,10 @@
 type answer struct {
 	*http.Response
 	platform.Answer
-	// endpoint is the ID of the endpoint.
-	endpoint string
+	// endpoint is the endpoint that sent the answer.
+	endpoint *catalog.Endpoint
+	// begun is true once the first event of a stream has come.
+	begun bool
 }
 
 // send sends the request to one endpoint and returns its response. An error is of
@@ -55,7 +57,7 @@
 		}
 		return nil, errUnknown.Wrap(err, "endpoint %s", e.ID)
 	}
-	a := &answer{Response: resp, Answer: platform.DecodeAnswer(resp.StatusCode, resp.Header), endpoint: e.ID}
+	a := &answer{Response: resp, Answer: platform.DecodeAnswer(resp.StatusCode, resp.Header), endpoint: e}
 	if a.ID != req.ID {
 		// This is a late answer to an earlier request on the connection, or not an answer
 		// to this request at all. Its recipient is unknown, so nobody gets it.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -82,7 +82,7 @@
 		err = errBroken.New("the connection ended: %s", end)
 	}
 	g.cfg.Log.Warn().Err(err).Str("event", logStreamEnded).Str("request", req.ID).Str("route", req.route.Name).
-		Str("endpoint", a.endpoint).Str("framing", string(a.framing())).Str("end", string(end)).
+		Str("endpoint", a.endpoint.ID).Str("framing", string(a.framing())).Str("end", string(end)).
 		Int("events", stream.Events()).Str("last_event", stream.LastID()).Msg("an endpoint broke its stream off")
 	return err
 }
@@ -90,7 +90,7 @@
 // takesUpStream reports whether the client goes on with a stream that another attempt of
 // its began.
 func (req *request) takesUpStream() bool {
-	return req.LastEvent != "" && req.route != nil && req.route.Kind == catalog.RouteStream && req.route.Resumable
+	return req.LastEvent != "" && req.route != nil && req.route.ResumableStream()
 }
 
 // logTakeUp logs at debug level with which headers a client takes a stream up.
@@ -132,6 +132,9 @@
 		if ended {
 			err = g.recordStreamEnd(req, a, stream, err)
 		}
+		if err == nil {
+			err = g.beginStreamOnce(req, a, stream)
+		}
 		if err != nil {
 			return relayBroken, err
 		}
@@ -150,6 +153,16 @@
 	}
 }
 
+// beginStreamOnce records that the answer begins or goes on with the request's stream, when
+// its first event, or a part of it, has come.
+func (g *Gateway) beginStreamOnce(req *request, a *answer, stream *sse.Reader) error {
+	if a.begun || stream.Events() == 0 && !stream.Split() {
+		return nil
+	}
+	a.begun = true
+	return g.beginStream(req, a.endpoint)
+}
+
 // writeEvents writes events, and the head before the first of them. It returns false if the
 // client has left.
 func (req *request) writeEvents(w http.ResponseWriter, a *answer, data []byte) bool {
@@ -173,6 +186,12 @@
 	}
 }
 
+// mayContinue reports whether another endpoint may go on with what the client has.
+func (req *request) mayContinue() bool {
+	known := req.origin == nil || !req.origin.Unclear
+	return !req.stream.headSent || req.route.Repeatable() && !req.stream.split && known
+}
+
 // recordBrokenStream records that an endpoint broke the request's stream off.
 func (g *Gateway) recordBrokenStream(req *request, e *catalog.Endpoint, err error) {
 	g.recordBroken(req, e, err)
@@ -191,7 +210,7 @@
 func (g *Gateway) recordLeft(req *request, a *answer) {
 	g.cfg.Metrics.countAnswer(req, reasonClientLeft)
 	g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", req.route.Name).
-		Str("endpoint", a.endpoint).Str("reason", reasonClientLeft).Bool("client_left", true).
+		Str("endpoint", a.endpoint.ID).Str("reason", reasonClientLeft).Bool("client_left", true).
 		Str("last_event", req.stream.lastEventID).Dur("took_ms", time.Since(req.arrived)).Msg("the client did not take the stream")
 }
 
