discovery: the entry of a process that has ended says nothing of the next one

Change: a refused connection, or a crash that the probe after a broken one finds, marks the entry; the mark goes to all members and shows in the view, which the owner of the queue and the gateways obey. It ends when the entry is written again (not with a late write of the ended process), or has stood for 6 s while the store answers: whoever has the ID has written its own by then. In the test the next process starts 300 ms after the crash: one that is back within a few milliseconds would pass the probe, which no process does.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -150,8 +150,10 @@
 	g.backoffs = retryafter.NewTable()
 	g.signals = newSignals(g.quotas, g.backoffs, g.follower, g.fleet, g.log)
 	g.signals.departures.Serve(mux)
+	g.signals.ends.Serve(mux)
 	g.quarantine = quarantine.NewClient(quarantine.Config{
 		Drain: p.Bounds.Drain, Fleet: g.fleet, CheckPause: g.follower.CheckPause, Log: g.log,
+		OnCrashed: g.signals.ended,
 	})
 	g.follower.OnWake(g.quarantine.BeCautious)
 	g.origins = origin.NewClient(origin.Config{Fleet: g.fleet, SeenSince: g.follower.SeenSince, Log: g.log})
@@ -176,6 +178,7 @@
 		Metrics:         g.metrics,
 		Quarantine:      g.quarantine,
 		Origins:         g.origins,
+		OnRefused:       g.signals.ended,
 	})
 	quarantine.Serve(mux, g.quarantine)
 	kernel.Handle(g.bus, "scheduler", kernel.TopicView, func(kernel.ViewEvent) { g.scheduler.SetView(g.follower.View()) })
@@ -187,6 +190,7 @@
 func (g *Gateway) greet(conn *peer.Conn) {
 	g.quotas.Greet(conn)
 	g.signals.departures.Greet(conn)
+	g.signals.ends.Greet(conn)
 	g.quarantine.Greet(conn)
 	g.origins.Greet(conn)
 }
--- a/daemon/signals.go
+++ b/daemon/signals.go
@@ -12,10 +12,13 @@
 	"github.com/mangostage/mangostage/retryafter"
 )
 
-// Methods by which members tell each other which endpoints leave.
+// Methods by which members tell each other which endpoints leave, and which processes of
+// endpoints have ended.
 const (
 	methodReportDeparture = "endpoint.report_departure"
 	methodDeparture       = "endpoint.departure"
+	methodReportEnd       = "endpoint.report_end"
+	methodEnd             = "endpoint.end"
 )
 
 // signals passes what endpoints say about themselves to the components that act on it,
@@ -25,6 +28,7 @@
 	backoffs   *retryafter.Recorder
 	follower   *discovery.Follower
 	departures broadcast.Topic[discovery.Departure]
+	ends       broadcast.Topic[discovery.EndedProcess]
 }
 
 func newSignals(quotas *quota.Client, backoffs *retryafter.Table, follower *discovery.Follower, fleet broadcast.Fleet, log zerolog.Logger) *signals {
@@ -36,6 +40,10 @@
 			Report: methodReportDeparture, Update: methodDeparture, Fleet: fleet,
 			Apply: follower.ObserveDeparture, Known: follower.Departures,
 		},
+		ends: broadcast.Topic[discovery.EndedProcess]{
+			Report: methodReportEnd, Update: methodEnd, Fleet: fleet,
+			Apply: follower.ObserveEnd, Known: follower.Ends,
+		},
 	}
 }
 
@@ -48,3 +56,10 @@
 	}
 	s.backoffs.Observe(endpoint, request, said.RetryAfter)
 }
+
+// ended records that the process of an endpoint has ended, and tells the other members.
+func (s *signals) ended(endpoint string) {
+	if p, isNew := s.follower.EndpointEnded(endpoint); isNew {
+		s.ends.Spread(p)
+	}
+}
--- a/discovery/entries.go
+++ b/discovery/entries.go
@@ -107,6 +107,7 @@
 		return
 	}
 	s.forgetReplaced(known, endpoint)
+	s.endDoubt(now, endpoint, item)
 	if endpoint.ColdLeft > 0 {
 		endpoint.ColdUntil = now.Add(endpoint.ColdLeft)
 	}
@@ -299,6 +300,7 @@
 // hides older ones and its fault is reported once.
 func (s *State) Expire(now time.Time) {
 	defer s.from(Source{Way: WayExpiry})()
+	s.expireEnded(now)
 	for _, item := range s.evacuations.expire(now) {
 		s.noteDropped(item.Key)
 		s.noteEvacuation(now, item)
--- a/discovery/lognames.go
+++ b/discovery/lognames.go
@@ -5,6 +5,7 @@
 	logDomainEvacuated    = "domain_evacuated"
 	logDomainTakenBack    = "domain_taken_back"
 	logEndpointLeaving    = "endpoint_leaving"
+	logProcessEnded       = "endpoint_process_ended"
 	logEndpointListed     = "endpoint_listed"
 	logEndpointUnlisted   = "endpoint_unlisted"
 	logKnowledgeAdopted   = "knowledge_adopted"
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -118,6 +118,9 @@
 	// announcedLeaving holds, by Key, the endpoint processes that said in an answer that
 	// they leave, and when they said so or were last listed.
 	announcedLeaving map[string]time.Time
+	// ended holds, by Key, the endpoint processes that have ended by the evidence of
+	// connections, while their entries may not be of the next ones.
+	ended map[string]endedProcess
 	// evacuationEnded is when the evacuation of each domain ended.
 	evacuationEnded map[string]time.Time
 	// faults are those that TakeFaults returns next.
@@ -141,6 +144,7 @@
 		evacuationEnded: make(map[string]time.Time),
 
 		announcedLeaving: make(map[string]time.Time),
+		ended:            make(map[string]endedProcess),
 	}
 }
 
@@ -371,7 +375,7 @@
 			continue
 		}
 		_, isEvacuated := evacuated[e.endpoint.Domain]
-		endpoints = append(endpoints, s.withDomainState(s.withAnnouncement(e.endpoint), isEvacuated))
+		endpoints = append(endpoints, s.withDomainState(s.withEnd(s.withAnnouncement(e.endpoint)), isEvacuated))
 	}
 	view := catalog.NewView(s.index, endpoints, s.viewRevision)
 	s.forgetLeaving(now, func(key string) bool { return view.Endpoint(key) != nil })
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,8 @@
 	Quarantine *quarantine.Client
 	// Origins knows where streams began.
 	Origins *origin.Client
+	// OnRefused, if set, is called with the Key of an endpoint that refuses a connection.
+	OnRefused func(endpoint string)
 }
 
 // Gateway is the HTTP handler of client requests.
@@ -83,6 +85,9 @@
 	if cfg.FreshView == nil {
 		cfg.FreshView = cfg.View
 	}
+	if cfg.OnRefused == nil {
+		cfg.OnRefused = func(string) {}
+	}
 	return &Gateway{
 		cfg:               cfg,
 		balance:           balance.New(cfg.Domain),
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
@@ -52,6 +54,9 @@
 	sent := time.Now()
 	resp, err := g.cfg.Transport.RoundTrip(out)
 	if err != nil {
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			g.cfg.OnRefused(e.Key())
+		}
 		if !connected.Load() {
 			return nil, errNotSent.Wrap(err, "endpoint %s", e.ID)
 		}
--- a/integration/streams/versions_test.go
+++ b/integration/streams/versions_test.go
@@ -30,6 +30,9 @@
 	goesOnShare = 0.9
 )
 
+// startTime is the time in which the next process of an endpoint starts.
+const startTime = 300 * time.Millisecond
+
 // leaveAfter is the number of events after which a client of these tests breaks off.
 const leaveAfter = 3
 
@@ -331,13 +334,18 @@
 	<-timer.C
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var old []*endpoint
 	for _, e := range r.endpoints {
 		if e.version == "v1" {
 			e.crash()
-			e.version = "v2"
-			r.startProcess(e)
+			old = append(old, e)
 		}
 	}
+	waitFor(startTime)
+	for _, e := range old {
+		e.version = "v2"
+		r.startProcess(e)
+	}
 	clients.Wait()
 	assert.Check(t, mixed.Load() == 0, "%d answers hold events of two versions", mixed.Load())
 	assert.Check(t, seen.other == 0, "%d of %d streams went on at another version", seen.other, seen.same+seen.other+len(seen.refused))
--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -47,7 +47,10 @@
 	// CheckPause returns once a pause of this process, if there was one, has been handled;
 	// nil for none.
 	CheckPause func()
-	Log        zerolog.Logger
+	// OnCrashed, if set, is called with the Key of an endpoint whose process is found to have
+	// crashed.
+	OnCrashed func(endpoint string)
+	Log       zerolog.Logger
 }
 
 // Client records what happens to content at this process, exchanges it with other members,
@@ -71,6 +74,9 @@
 	if cfg.CheckPause == nil {
 		cfg.CheckPause = func() {}
 	}
+	if cfg.OnCrashed == nil {
+		cfg.OnCrashed = func(string) {}
+	}
 	c := &Client{table: NewTable(cfg.Drain), cfg: cfg, log: cfg.Log, prober: newProber(), Counters: new(expvar.Map).Init()}
 	c.topic = broadcast.Topic[Loss]{
 		Report: MethodReport, Update: MethodUpdate, Fleet: cfg.Fleet, Apply: c.apply,
@@ -214,6 +220,7 @@
 		name, text := logSendCleared, "the endpoint has not crashed, as far as is known"
 		if l.Verdict == Crashed {
 			name, text = logCrashed, textCrashed
+			c.cfg.OnCrashed(l.Endpoint)
 		}
 		c.logLoss(name, l.Loss, "").Msg(text)
 		if l.Verdict == Crashed || l.Known {
