--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -155,6 +155,14 @@
 	return b.String()
 }
 
+// setClientHeaders sets the headers that all requests of clients have.
+func setClientHeaders(req *http.Request, id string) {
+	req.Host = "a.example"
+	req.Header.Set("Mangostage-Attempt-Id", id)
+	req.Header.Set("Mangostage-Deadline-Ms", strconv.FormatInt(routeTimeout.Milliseconds(), 10))
+	req.Header.Set("Authorization", "Token "+apiKey)
+}
+
 // send makes one request and returns its status and body, or an error if no
 // complete answer arrived.
 func send(transport http.RoundTripper, addr, route, id, body string) (int, string, error) {
@@ -165,10 +173,7 @@
 		return 0, "", err
 	}
 	req.ContentLength = int64(len(body))
-	req.Host = "a.example"
-	req.Header.Set("Mangostage-Attempt-Id", id)
-	req.Header.Set("Mangostage-Deadline-Ms", strconv.FormatInt(routeTimeout.Milliseconds(), 10))
-	req.Header.Set("Authorization", "Token "+apiKey)
+	setClientHeaders(req, id)
 	if route == "staged" {
 		req.Header.Set("Mangostage-Segments", "3,2")
 		req.Header.Set("Mangostage-Segment-Key", "key-"+id)
--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -56,6 +56,9 @@
 	link    *harness.Link
 	addr    string
 
+	// slot is the endpoint's place in the rig.
+	slot int
+
 	mu          sync.Mutex
 	id          string
 	reject      bool // the endpoint refuses all requests
@@ -103,6 +106,7 @@
 	gateways  []*gateway
 	recorder  *recorder
 	crashes   crashBook
+	streams   streamTally
 
 	mu      sync.Mutex
 	version int
@@ -126,6 +130,10 @@
 	for _, service := range []string{"plain", "plain", "plain", "model", "model", "model", "stage", "stage"} {
 		r.addEndpoint(service)
 	}
+	for range versionedEndpoints {
+		r.addEndpoint("versioned")
+		r.addEndpoint("feed")
+	}
 	r.listUnusableEntry()
 	storeAddr := r.serve(r.store)
 	var seeds []string
@@ -170,6 +178,8 @@
 		route("stream", "streaming", "model", `,"sticky":true`),
 		route("long", "streaming", "model", `,"sticky":true`),
 		route("resume", "streaming", "model", `,"sticky":true,"resumable":true`),
+		route("versions", "streaming", "versioned", `,"sticky":true,"resumable":true`),
+		route("feeds", "streaming", "feed", `,"resumable":true`),
 		route("staged", "streaming", "model", `,"sticky":true,"stages":[{"service":"stage","byte_count":1000},{"service":"stage","after":[0],"byte_count":100}]`),
 	}
 	for v := 1; v <= r.version; v++ {
@@ -179,7 +189,7 @@
 		routes = append(routes, route(fmt.Sprintf("added-%08x", n*0x9e3779b1), "idempotent", "plain", ""))
 	}
 	r.config = fmt.Appendf(nil, `{"version":%d,"routes":[%s],"services":[
-		{"name":"plain"},{"name":"model","engine":{"slots":16,"kv_capacity":100000}},
+		{"name":"plain"},{"name":"feed"},{"name":"versioned","engine":{"slots":16,"kv_capacity":100000}},{"name":"model","engine":{"slots":16,"kv_capacity":100000}},
 		{"name":"stage","segments":{"slots":1,"queue":2,"batch":8,"call_ms":20,"item_ms":2,"headroom_mb":1,"handle_ttl_s":3}}],
 		"limits":{"max_body_bytes":65536},"tenants":[{"name":"acme","api_keys":[%q]}]}`,
 		r.version, strings.Join(routes, ","), apiKey)
@@ -194,7 +204,7 @@
 }
 
 func (r *rig) addEndpoint(service string) {
-	e := &endpoint{service: service, domain: fmt.Sprintf("z%d", len(r.endpoints)%failureDomains)}
+	e := &endpoint{service: service, slot: len(r.endpoints), domain: fmt.Sprintf("z%d", len(r.endpoints)%failureDomains)}
 	e.link, e.addr = harness.NewLink(r.t, fmt.Sprintf("%s-%d", service, len(r.endpoints)), r.serve(r.handler(e)))
 	r.endpoints = append(r.endpoints, e)
 	r.register(e)
@@ -229,7 +239,7 @@
 func (r *rig) listLocked(e *endpoint, state string) {
 	e.listed = state
 	r.store.PutEndpoint(e.id, standin.Entry{
-		Service: e.service, Addr: e.addr, Domain: e.domain, Slots: 8, State: state, Born: e.startedAtMS,
+		Service: e.service, Addr: e.addr, Domain: e.domain, Slots: 8, State: state, Born: e.startedAtMS, Version: e.softwareVersion(),
 	})
 }
 
@@ -266,6 +276,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		e.mu.Lock()
 		id, reject, drainedAt, down, signals := e.id, e.reject, e.drainedAt, e.down, e.signals
+		version := e.softwareVersion()
 		e.mu.Unlock()
 		if down {
 			standin.AbortAnswer()
@@ -283,6 +294,10 @@
 			r.recorder.recordRun(run, id, drainedAt)
 			r.checkArrival(run.ID, e)
 			r.crashIfAsked(e, string(run.Body))
+			if e.service == "versioned" || e.service == "feed" {
+				answerVersioned(w, run, version)
+				return
+			}
 			answer(w, run, e.service)
 		}}
 		inner.Reject(reject)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -112,6 +112,9 @@
 	for n := range briskClients {
 		running.Go(func() { r.runClient(ctx, clients+n, seed, shortRoutes, briskInterval) })
 	}
+	for n := range versionClients {
+		running.Go(func() { r.runStreamClient(ctx, n, seed) })
+	}
 	running.Go(func() { r.probeGateways(ctx) })
 	r.inject(set)
 	timer := time.NewTimer(quietPeriod)
@@ -148,8 +151,8 @@
 		}
 	}
 	sort.Strings(lines)
-	r.t.Logf("seed %d: %d answered with 200, %d broken promises, %d endpoints back under their IDs, signals: %d rates, %d refusals, %d departures, endpoints lost to contents: %v; %v",
-		seed, answered, broken, r.recorder.restarts, len(r.signals.rates), len(r.signals.refusals), len(r.signals.departures), r.crashes.lost, lines)
+	r.t.Logf("seed %d: %d answered with 200, %d broken promises, %d endpoints back under their IDs, signals: %d rates, %d refusals, %d departures, endpoints lost to contents: %v; streams: %v; %v",
+		seed, answered, broken, r.recorder.restarts, len(r.signals.rates), len(r.signals.refusals), len(r.signals.departures), r.crashes.lost, &r.streams, lines)
 	if answered == 0 {
 		r.t.Error("nothing was served")
 	}
