gateway, dispatch: the rest of a stream may go to endpoints that leave, for a while

What callers saw: a stream was refused although the endpoints of its version, all of which leave, still served. Change: for half of the time for which leaving endpoints serve, from when this process has heard of it, they may be sent the rest of streams of their version if no other endpoint of it is there; the other half is left for the way of the word. New work, evacuated domains and endpoints that say so in an answer are as before; once the time is over the version is gone (the test checks both).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -191,6 +191,9 @@
 	Slots int `json:"slots"`
 	// Leaving means that the endpoint is about to stop; it takes no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// ContinuesUntil is until when a leaving endpoint may still be sent the rest of streams,
+	// by this process's clock.
+	ContinuesUntil time.Time `json:"continues_until,omitzero"`
 	// Evacuated means that an operator has evacuated the endpoint's failure domain:
 	// the endpoint takes no new work. Running work is completed, and results there
 	// can still be fetched.
@@ -213,6 +216,12 @@
 // TakesWork reports whether new work may be sent to the endpoint.
 func (e *Endpoint) TakesWork() bool { return !e.Leaving && !e.Evacuated }
 
+// TakesRest reports whether the rest of a stream of its version may be sent to the endpoint:
+// for a while also to one that leaves.
+func (e *Endpoint) TakesRest(now time.Time) bool {
+	return e.TakesWork() || !e.Evacuated && now.Before(e.ContinuesUntil)
+}
+
 // Runs reports whether the endpoint is known to run the software version.
 func (e *Endpoint) Runs(version string) bool { return e.Version == version && !e.VersionUnclear }
 
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -62,6 +62,9 @@
 	// clientIdleTimeout is longer than any idle limit of the clients, so that the
 	// gateway never closes a connection while a request is on its way.
 	clientIdleTimeout = 90 * time.Second
+	// restShare is the part of the time for which leaving endpoints serve in which they may
+	// be sent the rest of streams; the word that they leave takes some of it.
+	restShare = 0.5
 	// storeIdleTimeout is how long an idle connection to the store is kept between calls.
 	storeIdleTimeout = 30 * time.Second
 )
@@ -145,6 +148,7 @@
 	})
 	g.quotas = quota.NewClient(quota.NewTable(g.quotaAllowance), g.fleet, g.log)
 	g.follower = discovery.NewFollower(store, discovery.NewPeerRelay(g.fleet, g.log), p.Bounds.ConfigApply, g.log, g.publishView)
+	g.follower.SetRestTime(time.Duration(restShare * float64(p.Bounds.Drain)))
 	g.follower.OnWake(toStore.CloseIdleConnections)
 	g.follower.OnWake(toEndpoints.CloseIdleConnections)
 	g.backoffs = retryafter.NewTable()
--- a/discovery/entries.go
+++ b/discovery/entries.go
@@ -111,6 +111,7 @@
 	if endpoint.ColdLeft > 0 {
 		endpoint.ColdUntil = now.Add(endpoint.ColdLeft)
 	}
+	s.limitRest(now, known, endpoint)
 	if s.knownServices[endpoint.Service] {
 		s.putUsable(now, id, &entry{item: item, endpoint: endpoint})
 		return
@@ -124,6 +125,18 @@
 	}
 }
 
+// limitRest sets until when an endpoint that leaves may be sent the rest of streams: from the
+// first entry on that says so.
+func (s *State) limitRest(now time.Time, known *entry, e *catalog.Endpoint) {
+	if !e.Leaving {
+		return
+	}
+	e.ContinuesUntil = now.Add(s.restTime)
+	if listed := known.listed(); listed != nil && listed.Leaving && listed.Key() == e.Key() {
+		e.ContinuesUntil = listed.ContinuesUntil
+	}
+}
+
 // knownItem returns the item of an entry, which may be nil.
 func knownItem(e *entry) platform.Item {
 	if e == nil {
@@ -152,6 +165,7 @@
 	after.Incarnation = cmp.Or(after.Incarnation, before.Incarnation)
 	before.ColdLeft, after.ColdLeft = 0, 0
 	before.ColdUntil, after.ColdUntil = time.Time{}, time.Time{}
+	before.ContinuesUntil, after.ContinuesUntil = time.Time{}, time.Time{}
 	return before == after
 }
 
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -157,6 +157,10 @@
 // before each step that relies on earlier state, such as an idle connection.
 func (f *Follower) CheckPause() { f.pauses.Check() }
 
+// SetRestTime sets how long an endpoint that leaves may be sent the rest of streams. Call it
+// before Run.
+func (f *Follower) SetRestTime(d time.Duration) { f.state.restTime = d }
+
 // OnWake registers fn to be called after each pause, before anything is read. Call it before
 // Run.
 func (f *Follower) OnWake(fn func()) { f.onWake = append(f.onWake, fn) }
--- a/discovery/state.go
+++ b/discovery/state.go
@@ -121,6 +121,8 @@
 	// ended holds, by Key, the endpoint processes that have ended by the evidence of
 	// connections, while their entries may not be of the next ones.
 	ended map[string]endedProcess
+	// restTime is how long an endpoint that leaves is sent the rest of streams.
+	restTime time.Duration
 	// evacuationEnded is when the evacuation of each domain ended.
 	evacuationEnded map[string]time.Time
 	// faults are those that TakeFaults returns next.
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -134,12 +134,12 @@
 // plan checks that endpoints for the job exist, sets the latest start of its
 // stages and decides on its admission. It reports false if the job was refused.
 func (c *Core) plan(j *job, now time.Time) bool {
-	if !c.modelEngines[j.Service].usable() {
-		c.refuseNoEndpoint(j, j.Service, now)
+	if c.lacksVersion(j, now) {
+		c.refuseNoVersion(j, now)
 		return false
 	}
-	if c.lacksVersion(j) {
-		c.refuseNoVersion(j, now)
+	if j.Version == nil && !c.modelEngines[j.Service].usable() {
+		c.refuseNoEndpoint(j, j.Service, now)
 		return false
 	}
 	j.firstEventTime = c.modelEngines[j.Service].times.estimate(promptTokens(j))
@@ -240,12 +240,12 @@
 		// The submitter has to reserve a token at the owner of the queue.
 		e = c.modelEngines[j.Service].chooseWithoutToken(j, inputs, now)
 	}
-	if e == nil && c.lacksVersion(j) {
+	if e == nil && c.lacksVersion(j, now) {
 		c.refuseNoVersion(j, now)
 		return
 	}
 	if e == nil {
-		if !c.modelEngines[j.Service].usable() && !c.awaitsEngine(j) {
+		if j.Version == nil && !c.modelEngines[j.Service].usable() && !c.awaitsEngine(j) {
 			c.refuseNoEndpoint(j, j.Service, now)
 		}
 		return
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -102,8 +102,11 @@
 func (e *engine) usable() bool { return !e.removed && e.endpoint.TakesWork() }
 
 // serves reports whether the engine may serve a job, even if it accepts none now.
-func (e *engine) serves(j *job) bool {
-	return e.usable() && (j.Version == nil || e.endpoint.Runs(*j.Version))
+func (e *engine) serves(j *job, now time.Time) bool {
+	if j.Version == nil {
+		return e.usable()
+	}
+	return !e.removed && e.endpoint.TakesRest(now) && e.endpoint.Runs(*j.Version)
 }
 
 // acceptsNow reports whether the engine may get the job now: a cold one, and one with a
@@ -114,7 +117,7 @@
 
 // acceptsWithoutToken is acceptsNow for a process that does not spend the quotas.
 func (e *engine) acceptsWithoutToken(j *job, now time.Time) bool {
-	return e.serves(j) && e.pace.Allow(now, e.endpoint, warm.OwnerShare, 0)
+	return e.serves(j, now) && e.pace.Allow(now, e.endpoint, warm.OwnerShare, 0)
 }
 
 // uncachedTokens returns the number of the prompt's tokens that the engine has not
@@ -207,7 +210,7 @@
 	if len(e.requests) >= e.spec.Slots {
 		ms += failPenalty
 	}
-	if e.pause.Active(now) || e.unreached {
+	if e.pause.Active(now) || e.unreached || e.endpoint.Leaving {
 		ms += failPenalty
 	}
 	return ms
--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -123,8 +123,8 @@
 }
 
 // serves reports whether any engine may serve the job, even if it accepts none now.
-func (es *modelEngines) serves(j *job) bool {
-	return es != nil && slices.ContainsFunc(es.all, func(e *engine) bool { return e.serves(j) })
+func (es *modelEngines) serves(j *job, now time.Time) bool {
+	return es != nil && slices.ContainsFunc(es.all, func(e *engine) bool { return e.serves(j, now) })
 }
 
 // choose returns the engine with the least cost for j, or nil if none accepts a
@@ -163,7 +163,7 @@
 func cheapest(candidates []*engine, j *job, inputs map[string]int64, now time.Time, accepts func(*engine, *job, time.Time) bool) *engine {
 	var best *engine
 	var least float64
-	favourite := rendezvous(candidates, j)
+	favourite := rendezvous(candidates, j, now)
 	for _, e := range candidates {
 		if !accepts(e, j, now) || slices.Contains(j.Excluded, e.key) {
 			continue
@@ -189,7 +189,7 @@
 
 // rendezvous returns the engine that the prompt's last shared part maps to by
 // highest random weight, or nil.
-func rendezvous(candidates []*engine, j *job) *engine {
+func rendezvous(candidates []*engine, j *job, now time.Time) *engine {
 	if len(j.Prefix) < 2 {
 		return nil
 	}
@@ -197,7 +197,7 @@
 	var best *engine
 	var most uint64
 	for _, e := range candidates {
-		if !e.serves(j) {
+		if !e.serves(j, now) {
 			continue
 		}
 		if h := hashmix.Mix(e.hash ^ key); best == nil || h > most {
--- a/dispatch/withdrawn.go
+++ b/dispatch/withdrawn.go
@@ -15,7 +15,7 @@
 		if j.engine != nil {
 			continue
 		}
-		if c.lacksVersion(j) {
+		if c.lacksVersion(j, now) {
 			c.refuseNoVersion(j, now)
 			continue
 		}
@@ -28,8 +28,8 @@
 // lacksVersion reports whether the job goes on with a stream and no engine of the version
 // that began it is there: none of the others may serve it, and nobody knows whether the
 // version comes back.
-func (c *Core) lacksVersion(j *job) bool {
-	return j.Version != nil && !c.modelEngines[j.Service].serves(j)
+func (c *Core) lacksVersion(j *job, now time.Time) bool {
+	return j.Version != nil && !c.modelEngines[j.Service].serves(j, now)
 }
 
 // refuseNoVersion refuses a job for want of an engine of its version.
@@ -41,7 +41,7 @@
 // withdrawnService returns a service that the job still needs and all of whose
 // endpoints leave or are evacuated, or the empty string.
 func (c *Core) withdrawnService(j *job) string {
-	if es := c.modelEngines[j.Service]; es != nil && allWithdrawn(es.all) {
+	if es := c.modelEngines[j.Service]; es != nil && j.Version == nil && allWithdrawn(es.all) {
 		return j.Service
 	}
 	for _, s := range j.stages {
--- a/gateway/content.go
+++ b/gateway/content.go
@@ -75,7 +75,7 @@
 // stillTakesWork reports whether an endpoint that was chosen a while ago takes work.
 func (g *Gateway) stillTakesWork(req *request, e *catalog.Endpoint) bool {
 	now := g.viewFor(req).Endpoint(e.Key())
-	return now != nil && now.TakesWork() && req.fits(now) && !g.cfg.Backoffs.Active(time.Now(), e.Key())
+	return now != nil && req.takes(now) && !g.cfg.Backoffs.Active(time.Now(), e.Key())
 }
 
 // endRun ends the request's run, if it has not ended.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -234,7 +234,7 @@
 // request as in flight until Done is called. e is nil if no engine is left.
 func (g *Gateway) chooseEngine(m *modelRequest) (e *catalog.Endpoint, picked bool, p *problem) {
 	e = g.viewFor(m.request).Endpoint(m.lease.Grant.Endpoint)
-	if e != nil && e.TakesWork() && m.fits(e) && !m.tries.avoid[e.Key()] &&
+	if e != nil && m.takes(e) && !m.tries.avoid[e.Key()] &&
 		!g.cfg.Backoffs.Active(time.Now(), e.Key()) && g.hasToken(m, e) {
 		return e, false, nil
 	}
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -96,19 +96,43 @@
 	return req.origin == nil || !req.origin.Unclear && e.Runs(req.origin.Version)
 }
 
-// endpointsFor returns the endpoints of the request's service that it may be sent to.
+// endpointsFor returns the endpoints of the request's service that it may be sent to. The
+// rest of a stream may go to endpoints that leave, if there is no other of its version.
 func (g *Gateway) endpointsFor(req *request) []*catalog.Endpoint {
 	endpoints := g.viewFor(req).Endpoints(req.serviceName)
 	if req.origin == nil {
 		return endpoints
 	}
-	return slices.DeleteFunc(slices.Clone(endpoints), func(e *catalog.Endpoint) bool { return !req.fits(e) })
+	var staying, leaving []*catalog.Endpoint
+	for _, e := range endpoints {
+		switch {
+		case !req.fits(e):
+		case e.TakesWork():
+			staying = append(staying, e)
+		case req.takes(e):
+			next := *e
+			next.Leaving = false
+			leaving = append(leaving, &next)
+		}
+	}
+	if len(staying) > 0 {
+		return staying
+	}
+	return leaving
+}
+
+// takes reports whether the request may be sent to the endpoint now.
+func (req *request) takes(e *catalog.Endpoint) bool {
+	if req.origin == nil {
+		return e.TakesWork()
+	}
+	return req.fits(e) && e.TakesRest(time.Now())
 }
 
 // refuseGoneVersion returns the problem for a request that is bound to a version of which no
 // endpoint takes work.
 func (g *Gateway) refuseGoneVersion(req *request) *problem {
-	if req.origin == nil || slices.ContainsFunc(g.endpointsFor(req), (*catalog.Endpoint).TakesWork) {
+	if req.origin == nil || len(g.endpointsFor(req)) > 0 {
 		return nil
 	}
 	return g.versionGone(req)
@@ -167,7 +191,7 @@
 		return
 	}
 	endpoints := g.endpointsFor(req)
-	if slices.ContainsFunc(endpoints, func(e *catalog.Endpoint) bool { return e.TakesWork() && !tries.avoid[e.Key()] }) {
+	if slices.ContainsFunc(endpoints, func(e *catalog.Endpoint) bool { return !tries.avoid[e.Key()] }) {
 		return
 	}
 	for _, e := range endpoints {
--- a/gateway/pick.go
+++ b/gateway/pick.go
@@ -181,7 +181,7 @@
 func (g *Gateway) pickLater(req *request, key string, wait time.Duration, queued bool) *catalog.Endpoint {
 	sleep.For(req.ctx, wait)
 	e := g.viewFor(req).Endpoint(key)
-	if e == nil || !req.fits(e) || req.ctx.Err() != nil {
+	if e == nil || !req.takes(e) || req.ctx.Err() != nil {
 		return nil
 	}
 	now := time.Now()
--- a/integration/streams/versions_test.go
+++ b/integration/streams/versions_test.go
@@ -253,6 +253,42 @@
 	}
 }
 
+// Guards against a stream that is refused although the endpoints of its version, which all
+// leave, still serve; and against one that reaches them when they no longer do.
+func TestStreamOfALeavingVersionGoesOnForAWhile(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, time.Millisecond)
+	old := r.addVersion("v1")
+	r.startMembers()
+	streams := make(map[string][]result)
+	for route := range resumableRoutes {
+		for i := range 2 * streamsPerCase / 3 {
+			streams[route] = append(streams[route], r.begin(r.members[i%rigMembers], route))
+		}
+	}
+	r.addVersion("v2")
+	for _, e := range old {
+		r.list(e, "draining")
+	}
+	leftAt := time.Now()
+	r.awaitVersion("v2")
+	for route, begun := range streams {
+		var seen tally
+		for i, stream := range begun[:len(begun)/2] {
+			seen.add(stream, r.takeUp(r.members[(i+1)%rigMembers], route, stream))
+		}
+		seen.check(t)
+	}
+	waitFor(time.Until(leftAt.Add(harness.GatewayBounds(memberGrace).Drain)))
+	for route, begun := range streams {
+		var answers []result
+		for i, stream := range begun[len(begun)/2:] {
+			answers = append(answers, r.takeUp(r.members[(i+1)%rigMembers], route, stream))
+		}
+		checkRefused(t, answers, "stream_version_gone")
+	}
+}
+
 // awaitVersion waits until new streams at all gateways are of a version.
 func (r *rig) awaitVersion(version string) {
 	for _, m := range r.members {
