--- a/integration/streams/versions_test.go
+++ b/integration/streams/versions_test.go
@@ -66,6 +66,17 @@
 	return r.send(m, call{route: route, until: func(n int) bool { return n >= leaveAfter }})
 }
 
+// beginAll begins n streams on each route, at all gateways in turn.
+func (r *rig) beginAll(n int) map[string][]result {
+	streams := make(map[string][]result)
+	for route := range resumableRoutes {
+		for i := range n {
+			streams[route] = append(streams[route], r.begin(r.members[i%rigMembers], route))
+		}
+	}
+	return streams
+}
+
 // tally counts how taken-up streams went on.
 type tally struct {
 	mu sync.Mutex
@@ -230,12 +241,7 @@
 	r := newRig(t, time.Millisecond)
 	old := r.addVersion("v1")
 	r.startMembers()
-	streams := make(map[string][]result)
-	for route := range resumableRoutes {
-		for i := range streamsPerCase / 3 {
-			streams[route] = append(streams[route], r.begin(r.members[i%rigMembers], route))
-		}
-	}
+	streams := r.beginAll(streamsPerCase / 3)
 	r.addVersion("v2")
 	for _, e := range old {
 		r.removeEndpoint(e)
@@ -260,12 +266,7 @@
 	r := newRig(t, time.Millisecond)
 	old := r.addVersion("v1")
 	r.startMembers()
-	streams := make(map[string][]result)
-	for route := range resumableRoutes {
-		for i := range 2 * streamsPerCase / 3 {
-			streams[route] = append(streams[route], r.begin(r.members[i%rigMembers], route))
-		}
-	}
+	streams := r.beginAll(2 * streamsPerCase / 3)
 	r.addVersion("v2")
 	for _, e := range old {
 		r.list(e, "draining")
--- a/internal/harness/gateway.go
+++ b/internal/harness/gateway.go
@@ -38,7 +38,9 @@
 	if err := os.WriteFile(file, []byte(standin.NodeFile(s)), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return NewProcess(t, s.Name, Binary(t, "mangostage-gateway", true),
+	// With the race detector a process and its streams go on for a second after its end.
+	const withoutRaceDetector = true
+	return NewProcess(t, s.Name, Binary(t, "mangostage-gateway", withoutRaceDetector),
 		[]string{"--metrics-port", "0"}, []string{platform.SettingsVariable + "=" + file})
 }
 
