--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,10 +1,10 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"flag"
 	"fmt"
+	"net"
 	"sort"
 	"sync"
 	"syscall"
@@ -374,11 +374,13 @@
 	g.release(false)
 }
 
-// hasStarted reports whether the gateway's latest process has logged its start.
+// hasStarted reports whether the gateway accepts connections of clients.
 func (g *gateway) hasStarted() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return bytes.Count(g.Log(), []byte(`"event":"started"`)) >= g.incarnation
+	conn, err := net.DialTimeout("tcp", g.frontend, time.Second)
+	if err != nil {
+		return false
+	}
+	return conn.Close() == nil
 }
 
 // restartGracefully stops a gateway with SIGTERM and starts it again. The gateway
