origin, gateway: a process that has just started is not what the entry before it said

Change: where endpoints say when they started, and so may have the ID of the one before, the origin of a stream on a connection that was opened less than 200 ms ago, with no older one to that process still open, is looked at again before the stream goes on anywhere: once the entry of whoever answered must be known, another process in the list that started before the connection was opened makes it unclear. The members that were told of it are told what came of it; who finds it before that waits and looks by itself. The first events of an endpoint that goes on with a stream are held as long. Endpoints whose processes have IDs of their own answer 421, and nothing waits for them.

--- a/gateway/broken_stream_test.go
+++ b/gateway/broken_stream_test.go
@@ -119,6 +119,7 @@
 // Guards against a stream that goes on at no other endpoint although its route may be
 // resumed: an end inside an event is a break like a reset.
 func TestStreamThatEndsInsideAnEventGoesOn(t *testing.T) {
+	t.Parallel()
 	for _, on := range resumableStreams {
 		for i, end := range lineEnds {
 			for name, parts := range breakOffs(end) {
@@ -126,6 +127,7 @@
 					continue
 				}
 				t.Run(fmt.Sprintf("%s line end %d %s", on.service, i, name), func(t *testing.T) {
+					t.Parallel()
 					checkGoesOn(t, on, end, parts)
 				})
 			}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -127,6 +127,11 @@
 		FleetSize:  func() int { return 1 },
 		Quarantine: contents,
 		Origins: origin.NewClient(origin.Config{
+			View: func() *catalog.View {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				return r.view
+			},
 			SeenSince: func() (time.Time, bool) { return time.Time{}, true }, Log: log,
 		}),
 		OthersAvailable: func() bool { return false },
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -156,21 +156,69 @@
 // beginStream records that an endpoint sends the first event of the request's stream, or
 // goes on with it. It returns an error if the endpoint may have another version than the
 // stream.
-func (g *Gateway) beginStream(req *request, e *catalog.Endpoint) error {
+func (g *Gateway) beginStream(req *request, a *answer) error {
 	if !req.route.ResumableStream() {
 		return nil
 	}
-	now := g.currentOrigin(e)
-	if req.origin != nil && now != *req.origin {
+	o, proof := g.currentOrigin(a.endpoint), g.proofOf(a)
+	if req.origin != nil {
+		return g.checkOrigin(req, a.endpoint, o, proof)
+	}
+	req.bind(o)
+	req.proof = proof
+	g.tellBegun(req, o, proof)
+	return nil
+}
+
+// checkOrigin returns an error if an endpoint that goes on with the request's stream, by its
+// entry at the origin o, may have another version.
+func (g *Gateway) checkOrigin(req *request, e *catalog.Endpoint, o origin.Origin, proof origin.Proof) error {
+	if !proof.IsZero() {
+		proof.Await(req.ctx)
+	}
+	if o != *req.origin || !proof.IsZero() && !proof.Holds(g.cfg.View(), o) {
 		return errBroken.New("endpoint %s may not run version %q any more", e.ID, req.origin.Version)
 	}
+	g.tellBegun(req, o, origin.Proof{})
+	return nil
+}
+
+// tellBegun records where the request's stream began.
+func (g *Gateway) tellBegun(req *request, o origin.Origin, proof origin.Proof) {
 	attempts := []string{req.ID}
 	if req.takesUpStream() && req.Resumes != "" {
 		attempts = append(attempts, req.Resumes)
 	}
-	req.bind(now)
-	g.cfg.Origins.Began(now, req.lifetime, attempts...)
-	return nil
+	g.cfg.Origins.Began(o, proof, req.lifetime, attempts...)
+}
+
+// proofOf returns what has to be looked at before the version in the entry of the endpoint
+// that sent an answer is believed: nothing, if its process has been there for long enough to
+// have written that entry, or if the endpoint does not say when it started: then each
+// process has an ID of its own, and answers requests for another one with 421.
+func (g *Gateway) proofOf(a *answer) origin.Proof {
+	if a.endpoint.Incarnation == 0 {
+		return origin.Proof{}
+	}
+	known := time.Now().Add(-origin.SettleTime)
+	key := a.endpoint.Key()
+	if a.opened.Before(known) || g.cfg.Transport.ServesSince(key, known) {
+		return origin.Proof{}
+	}
+	return origin.Proof{Endpoint: key, Opened: a.opened}
+}
+
+// settleOrigin finds out whether to believe where the request's stream began, before it goes
+// on elsewhere.
+func (g *Gateway) settleOrigin(req *request) {
+	if req.origin == nil || req.proof.IsZero() || !req.route.Repeatable() {
+		return
+	}
+	req.proof.Await(req.ctx)
+	if !req.proof.Holds(g.cfg.View(), *req.origin) {
+		req.origin.Unclear = true
+	}
+	req.proof = origin.Proof{}
 }
 
 // currentOrigin returns the origin of a stream that an endpoint begins now. The entry by
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -54,6 +57,7 @@
 // Guards against a stream that goes on at another version within one answer, also where the
 // only endpoint of its version is the one that broke it off.
 func TestBrokenStreamGoesOnAtItsVersion(t *testing.T) {
+	t.Parallel()
 	for _, on := range resumableStreams {
 		r := newRig(t)
 		for i, version := range []string{"v1", "v2", "v3"} {
@@ -71,6 +75,7 @@
 // Guards against a stream that goes on although nobody knows any more which version began
 // it: the endpoint's entry is in doubt at the first event.
 func TestStreamOfAnUnclearVersionIsAborted(t *testing.T) {
+	t.Parallel()
 	for _, on := range resumableStreams {
 		r := newRig(t)
 		one := r.startVersion(on.service, "e-1", "v1")
@@ -92,6 +97,7 @@
 // Guards against a stream that is taken up at another service of its route: a new attempt
 // has another ID, by which the service of a new stream is chosen.
 func TestTakenUpStreamStaysAtItsService(t *testing.T) {
+	t.Parallel()
 	r := newRig(t)
 	for i := range r.config.Routes {
 		if r.config.Routes[i].Name == "events-resume" {
@@ -113,3 +119,69 @@
 		assert.Equal(t, rest.header.Get("X-Service"), served)
 	}
 }
+
+// earlierStart is the start of a process that has been replaced.
+const earlierStart catalog.Incarnation = 1
+
+// Guards against the version in an entry that is believed of the next process under its ID:
+// the entry is written a moment after that process has begun to serve, and the stream that
+// it began goes on, within the answer or taken up, at the version of the one before.
+func TestStreamOfAProcessThatHasJustStarted(t *testing.T) {
+	t.Parallel()
+	const written = 100 * time.Millisecond
+	for _, on := range resumableStreams {
+		r := newRig(t)
+		addOther := func() {
+			r.startVersion(on.service, "e-2", "v1")
+			time.AfterFunc(written, func() {
+				r.change("e-1", func(e *catalog.Endpoint) {
+					e.Version, e.Incarnation = "v2", catalog.Incarnation(time.Now().Add(-2*written).UnixMilli())
+				})
+			})
+		}
+		var once sync.Once
+		r.startEndpoint(on.service, "e-1", func(w http.ResponseWriter, _ standin.Run) {
+			once.Do(addOther)
+			standin.Seal(w)
+			_, _ = io.WriteString(w, "id: 1\ndata: v2 piece 1\n\n")
+			_ = http.NewResponseController(w).Flush()
+			standin.AbortAnswer()
+		})
+		r.change("e-1", func(e *catalog.Endpoint) { e.Version, e.Incarnation = "v1", earlierStart })
+		first := r.request(http.MethodPost, on.path, "prompt")
+		got := r.do(first)
+		assert.Assert(t, !strings.Contains(got.body, "v1 piece"), "the stream of v2 went on at v1: %q", got.body)
+		assert.Assert(t, got.err != nil, "%q looks complete", got.body)
+		again := r.request(http.MethodPost, on.path, "prompt")
+		again.Header.Set("Last-Event-Id", "1")
+		again.Header.Set("Resumes", first.Header.Get("Mangostage-Attempt-Id"))
+		rest := r.do(again)
+		assert.Assert(t, !strings.Contains(rest.body, "v1 piece"), "the stream of v2 was taken up at v1: %q", rest.body)
+	}
+}
+
+// Guards against a taken-up stream whose first events come from a process that has just taken
+// the place of one of its version.
+func TestStreamIsNotTakenUpByTheNextProcess(t *testing.T) {
+	t.Parallel()
+	const written = 100 * time.Millisecond
+	for _, on := range resumableStreams {
+		r := newRig(t)
+		r.startVersion(on.service, "e-1", "v1")
+		first := r.request(http.MethodPost, on.path, "prompt")
+		r.do(first)
+		r.startVersion(on.service, "e-2", "v2")
+		r.change("e-2", func(e *catalog.Endpoint) { e.Version, e.Incarnation = "v1", earlierStart })
+		r.remove("e-1")
+		again := r.request(http.MethodPost, on.path, "prompt")
+		again.Header.Set("Last-Event-Id", "3")
+		again.Header.Set("Resumes", first.Header.Get("Mangostage-Attempt-Id"))
+		time.AfterFunc(written, func() {
+			r.change("e-2", func(e *catalog.Endpoint) {
+				e.Version, e.Incarnation = "v2", catalog.Incarnation(time.Now().Add(-2*written).UnixMilli())
+			})
+		})
+		rest := r.do(again)
+		assert.Assert(t, !strings.Contains(rest.body, "v2 piece"), "the stream of v1 was taken up at v2: %q", rest.body)
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -63,6 +63,8 @@
 	// the route lives at most.
 	origin   *origin.Origin
 	lifetime time.Duration
+	// proof is what has to be looked at before the origin is believed.
+	proof origin.Proof
 }
 
 // admit decodes a request and finds its route, service and client account.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -22,6 +22,8 @@
 	platform.Answer
 	// endpoint is the endpoint that sent the answer.
 	endpoint *catalog.Endpoint
+	// opened is when the connection was opened.
+	opened time.Time
 	// begun is true once the first event of a stream has come.
 	begun bool
 }
@@ -31,8 +33,12 @@
 // run the request.
 func (g *Gateway) send(ctx context.Context, req *request, e *catalog.Endpoint, s platform.ForwardOptions) (*answer, error) {
 	var connected atomic.Bool
+	var opened atomic.Pointer[time.Time]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			opened.Store(openedAt(info.Conn))
+		},
 	})
 	s.Endpoint = e.ID
 	s.Remaining = req.remaining()
@@ -62,7 +68,7 @@
 		}
 		return nil, errUnknown.Wrap(err, "endpoint %s", e.ID)
 	}
-	a := &answer{Response: resp, Answer: platform.DecodeAnswer(resp.StatusCode, resp.Header), endpoint: e}
+	a := &answer{Response: resp, Answer: platform.DecodeAnswer(resp.StatusCode, resp.Header), endpoint: e, opened: *opened.Load()}
 	if a.ID != req.ID {
 		// This is a late answer to an earlier request on the connection, or not an answer
 		// to this request at all. Its recipient is unknown, so nobody gets it.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -160,7 +160,7 @@
 		return nil
 	}
 	a.begun = true
-	return g.beginStream(req, a.endpoint)
+	return g.beginStream(req, a)
 }
 
 // writeEvents writes events, and the head before the first of them. It returns false if the
@@ -195,6 +195,7 @@
 // recordBrokenStream records that an endpoint broke the request's stream off.
 func (g *Gateway) recordBrokenStream(req *request, e *catalog.Endpoint, err error) {
 	g.recordBroken(req, e, err)
+	g.settleOrigin(req)
 	req.stream.brokenBy, req.stream.brokenErr = e.ID, err
 }
 
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -62,6 +62,28 @@
 	opened   time.Time
 }
 
+// openedAt returns when a connection to an endpoint was opened.
+func openedAt(conn net.Conn) *time.Time {
+	at := time.Now()
+	if c, ok := conn.(*endpointConn); ok {
+		at = c.opened
+	}
+	return &at
+}
+
+// ServesSince reports whether a connection to the endpoint process with the Key that was
+// opened before the time is still open: the process has not ended since.
+func (t *Transport) ServesSince(key string, before time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		if c.opened.Before(before) && c.endpoint != nil && c.endpoint.Key() == key {
+			return true
+		}
+	}
+	return false
+}
+
 // Close implements net.Conn.
 func (c *endpointConn) Close() error {
 	c.transport.mu.Lock()
--- a/origin/client.go
+++ b/origin/client.go
@@ -38,6 +38,8 @@
 type Config struct {
 	// Fleet is nil without other members.
 	Fleet Fleet
+	// View returns the current view of the deployment.
+	View func() *catalog.View
 	// SeenSince returns since when this process has seen all changes of the endpoints; ok is
 	// false if it may be missing some now.
 	SeenSince func() (since time.Time, ok bool)
@@ -117,14 +119,26 @@
 func (c *Client) Stats() Stats { return c.table.Stats() }
 
 // Began records that the attempts began, or went on with, a stream of the origin, and tells
-// other members.
-func (c *Client) Began(o Origin, lifetime time.Duration, attempts ...string) {
+// other members. If there is something to look at again, it does so later and tells them what
+// came of it.
+func (c *Client) Began(o Origin, p Proof, lifetime time.Duration, attempts ...string) {
+	c.record(o, p, time.Now().Add(min(lifetime, MaxLifetime)), attempts)
+	if p.IsZero() {
+		return
+	}
+	time.AfterFunc(time.Until(p.Opened.Add(SettleTime)), func() {
+		o.Unclear = o.Unclear || !p.Holds(c.cfg.View(), o)
+		c.record(o, Proof{}, time.Now().Add(min(lifetime, MaxLifetime)), attempts)
+	})
+}
+
+// record records where attempts began, and has other members told.
+func (c *Client) record(o Origin, p Proof, until time.Time, attempts []string) {
 	now := time.Now()
-	until := now.Add(min(lifetime, MaxLifetime))
 	for _, attempt := range attempts {
 		s := StreamOf(attempt)
-		c.table.Add(now, s, Record{Origin: o, Learned: now, Until: until})
-		c.outbox.add(s, o, until)
+		c.table.Add(now, s, Record{Origin: o, Proof: p, Learned: now, Until: until})
+		c.outbox.add(began{s, o, p, until})
 	}
 }
 
@@ -132,7 +146,7 @@
 func (c *Client) learn(now time.Time, groups []told, from string) {
 	for i := range groups {
 		g := &groups[i]
-		r := Record{Origin: g.Origin, Learned: now, From: from, Until: now.Add(min(g.Left, MaxLifetime))}
+		r := Record{Origin: g.Origin, Proof: g.Proof.proof(now), Learned: now, From: from, Until: now.Add(min(g.Left, MaxLifetime))}
 		g.each(func(s Stream) { c.table.Add(now, s, r) })
 	}
 }
@@ -148,7 +162,7 @@
 	c.table.Latest(now, func(s Stream, r Record) bool {
 		for _, holder := range firstHolders(s, members, copies) {
 			if holder == name {
-				batch.add(s, r.Origin, r.Until)
+				batch.add(began{s, r.Origin, r.Proof, r.Until})
 				left--
 			}
 		}
--- a/origin/find.go
+++ b/origin/find.go
@@ -40,8 +40,10 @@
 	Age  time.Duration
 	// Asked is the number of members that were asked.
 	Asked int
-	// until is until when the stream is held.
+	// until is until when the stream is held, proof what has to be looked at before Origin is
+	// believed.
 	until time.Time
+	proof Proof
 }
 
 // Find finds the origin of the stream that an attempt began; the attempt is empty if the
@@ -54,7 +56,10 @@
 	}
 	f := c.find(ctx, began, call)
 	if f.Verdict == Known && f.From != "" {
-		c.table.Add(began, call.Stream, Record{Origin: f.Origin, Learned: began, From: f.From, Until: f.until})
+		c.table.Add(began, call.Stream, Record{Origin: f.Origin, Proof: f.proof, Learned: began, From: f.From, Until: f.until})
+	}
+	if !f.proof.IsZero() {
+		f.Origin = c.settled(ctx, call.Stream, f)
 	}
 	c.Counters.Add(logFound+" "+string(f.Verdict), 1)
 	c.cfg.Log.Info().Str("event", logFound).Str("request", request).Str("stream", attempt).Str("route", q.Route).
@@ -64,6 +69,18 @@
 	return f
 }
 
+// settled returns the origin once it is known whether to believe it: the member that began the
+// stream tells, or else this process looks.
+func (c *Client) settled(ctx context.Context, s Stream, f Finding) Origin {
+	f.proof.Await(ctx)
+	if r, ok := c.table.Find(time.Now(), s); ok && r.Proof.IsZero() {
+		return r.Origin
+	}
+	o := f.Origin
+	o.Unclear = o.Unclear || !f.proof.Holds(c.cfg.View(), o)
+	return o
+}
+
 // find asks this process first, then the members that are to hold the stream, then all
 // others.
 func (c *Client) find(ctx context.Context, now time.Time, call askCall) Finding {
@@ -103,7 +120,7 @@
 func (c *Client) answer(now time.Time, call askCall) askReply {
 	if call.Stream != 0 {
 		if r, ok := c.table.Find(now, call.Stream); ok {
-			return askReply{Origin: r.Origin, Known: true, Age: now.Sub(r.Learned), Left: r.Until.Sub(now)}
+			return askReply{Origin: r.Origin, Proof: tellProof(now, r.Proof), Known: true, Age: now.Sub(r.Learned), Left: r.Until.Sub(now)}
 		}
 	}
 	seen, ok := c.cfg.SeenSince()
@@ -119,7 +136,7 @@
 	f := Finding{Verdict: Unknown, Origin: r.Origin, From: from, Age: r.Age}
 	switch {
 	case r.Known:
-		f.Verdict, f.until = Known, now.Add(r.Left)
+		f.Verdict, f.until, f.proof = Known, now.Add(r.Left), r.Proof.proof(now)
 	case r.Sole:
 		f.Verdict = Sole
 	}
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -15,9 +15,33 @@
 // maxTold bounds the streams of one message.
 const maxTold = 1024
 
+// toldProof is a Proof in a message; empty for the zero Proof.
+type toldProof struct {
+	Endpoint string `json:"endpoint,omitempty"`
+	// Age is how long ago the connection was opened.
+	Age time.Duration `json:"opened_ns,omitempty"`
+}
+
+// tellProof returns the message of a Proof.
+func tellProof(now time.Time, p Proof) toldProof {
+	if p.IsZero() {
+		return toldProof{}
+	}
+	return toldProof{Endpoint: p.Endpoint, Age: now.Sub(p.Opened)}
+}
+
+// proof returns the Proof of a message.
+func (t toldProof) proof(now time.Time) Proof {
+	if t.Endpoint == "" {
+		return Proof{}
+	}
+	return Proof{Endpoint: t.Endpoint, Opened: now.Add(-t.Age)}
+}
+
 // told are streams of one origin.
 type told struct {
 	Origin
+	Proof toldProof `json:"proof,omitzero"`
 	// Left is how long they are to be held.
 	Left time.Duration `json:"left_ns"`
 	// Streams holds the streams, eight bytes each.
@@ -47,8 +71,9 @@
 // have had.
 type askReply struct {
 	Origin
-	Known bool `json:"known,omitempty"`
-	Sole  bool `json:"sole,omitempty"`
+	Proof toldProof `json:"proof,omitzero"`
+	Known bool      `json:"known,omitempty"`
+	Sole  bool      `json:"sole,omitempty"`
 	// Age is how long ago the member learned it, Left how long it holds it.
 	Age  time.Duration `json:"age_ns,omitempty"`
 	Left time.Duration `json:"left_ns,omitempty"`
--- a/origin/model_test.go
+++ b/origin/model_test.go
@@ -185,7 +185,7 @@
 	if len(at.outbox) == 0 {
 		m.after(flushDelay, func() { m.flush(at) })
 	}
-	at.outbox = append(at.outbox, began{s.id, s.origin, m.now.Add(modelLifetime)})
+	at.outbox = append(at.outbox, began{stream: s.id, origin: s.origin, until: m.now.Add(modelLifetime)})
 }
 
 // flush tells the holders of the streams that wait.
@@ -202,7 +202,7 @@
 			if batches[k] == nil {
 				batches[k] = &batch{}
 			}
-			batches[k].add(w.stream, w.origin, w.until)
+			batches[k].add(w)
 		}
 	}
 	for k, b := range batches {
@@ -311,7 +311,7 @@
 		candidates := append(m.keepers(from), from)
 		from.table.Latest(m.now, func(s Stream, r Record) bool {
 			if slices.Contains(holders(s, candidates, copies), k) {
-				b.add(s, r.Origin, r.Until)
+				b.add(began{stream: s, origin: r.Origin, until: r.Until})
 				left--
 			}
 			return left > 0
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -26,6 +26,8 @@
 // Record is what is known of a stream.
 type Record struct {
 	Origin
+	// Proof is what has to be looked at before Origin is believed.
+	Proof Proof
 	// Learned is when this process learned it, From the name of the member that told it,
 	// empty for this process.
 	Learned time.Time
--- a/origin/outbox.go
+++ b/origin/outbox.go
@@ -21,6 +21,7 @@
 type began struct {
 	stream Stream
 	origin Origin
+	proof  Proof
 	until  time.Time
 }
 
@@ -34,10 +35,10 @@
 }
 
 // add adds a stream.
-func (o *outbox) add(s Stream, at Origin, until time.Time) {
+func (o *outbox) add(b began) {
 	o.mu.Lock()
 	if len(o.waiting) < maxOutgoing {
-		o.waiting = append(o.waiting, began{s, at, until})
+		o.waiting = append(o.waiting, b)
 	}
 	o.mu.Unlock()
 	select {
@@ -56,27 +57,39 @@
 }
 
 // batch collects streams for one member, by origin.
-type batch struct{ groups map[Origin]*pending }
+type batch struct{ groups map[groupKey]*pending }
+
+// groupKey is what the streams of a group have in common.
+type groupKey struct {
+	origin   Origin
+	endpoint string
+	opened   int64
+}
 
 // pending are streams of one origin and the time until which they are to be held.
 type pending struct {
 	told
+	proof Proof
 	until time.Time
 }
 
 // add adds a stream.
-func (b *batch) add(s Stream, o Origin, until time.Time) {
+func (b *batch) add(s began) {
 	if b.groups == nil {
-		b.groups = make(map[Origin]*pending)
+		b.groups = make(map[groupKey]*pending)
+	}
+	key := groupKey{origin: s.origin, endpoint: s.proof.Endpoint}
+	if !s.proof.IsZero() {
+		key.opened = s.proof.Opened.UnixNano()
 	}
-	p := b.groups[o]
+	p := b.groups[key]
 	if p == nil {
-		p = &pending{told: told{Origin: o}}
-		b.groups[o] = p
+		p = &pending{told: told{Origin: s.origin}, proof: s.proof}
+		b.groups[key] = p
 	}
-	p.add(s)
-	if until.After(p.until) {
-		p.until = until
+	p.add(s.stream)
+	if s.until.After(p.until) {
+		p.until = s.until
 	}
 }
 
@@ -110,7 +123,7 @@
 			if batches[name] == nil {
 				batches[name] = &batch{}
 			}
-			batches[name].add(w.stream, w.origin, w.until)
+			batches[name].add(w)
 		}
 	}
 	for name, b := range batches {
@@ -125,7 +138,7 @@
 		left := p.until.Sub(now)
 		for streams := p.Streams; len(streams) > 0; {
 			n := min(len(streams), maxTold*streamBytes)
-			part := []told{{Origin: p.Origin, Left: left, Streams: streams[:n]}}
+			part := []told{{Origin: p.Origin, Proof: tellProof(now, p.proof), Left: left, Streams: streams[:n]}}
 			streams = streams[n:]
 			c.Counters.Add(countTold, int64(n/streamBytes))
 			c.Counters.Add(countToldMessages, 1)
--- a/origin/table.go
+++ b/origin/table.go
@@ -27,7 +27,7 @@
 }
 
 // Add records a stream. Of a stream that is known only the time until which it is held may
-// change: where it began never does.
+// change, and whether its origin is believed: where it began never does.
 func (t *Table) Add(now time.Time, s Stream, r Record) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -37,16 +37,25 @@
 		t.makeRoomLocked(now)
 		t.queue = append(t.queue, s)
 	case now.After(known.Until):
-	case !r.Until.After(known.Until):
-		return
 	default:
-		known.Until = r.Until
-		r = known
+		r = known.merge(r)
 	}
 	r.Origin = t.sharedLocked(r.Origin)
 	t.records[s] = r
 }
 
+// merge returns the record with what another one of the same stream adds.
+func (r Record) merge(o Record) Record {
+	r.Unclear = r.Unclear || o.Unclear
+	if o.Proof.IsZero() {
+		r.Proof = Proof{}
+	}
+	if o.Until.After(r.Until) {
+		r.Until = o.Until
+	}
+	return r
+}
+
 // sharedLocked returns the copy of an origin that all its records share.
 func (t *Table) sharedLocked(o Origin) Origin {
 	if shared, ok := t.origins[o]; ok {
