--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -64,7 +64,7 @@
 			r.startVersion(on.service, fmt.Sprintf("e-%d", i), version)
 		}
 		for range 10 {
-			got := r.do(r.request(http.MethodPost, on.path, fmt.Sprint(requests.n)))
+			got := r.do(r.request(http.MethodPost, on.path, uniqueBody()))
 			assert.NilError(t, got.err)
 			version := strings.Fields(strings.SplitN(got.body, "data: ", 2)[1])[0]
 			assert.Equal(t, strings.Count(got.body, version+" piece"), 6, "%s", got.body)
@@ -108,7 +108,7 @@
 	r.startVersion("plain", "p-1", "v1")
 	r.startVersion("other", "o-1", "v1")
 	for range 20 {
-		first := r.request(http.MethodPost, "/events-resume/", fmt.Sprint(requests.n))
+		first := r.request(http.MethodPost, "/events-resume/", uniqueBody())
 		got := r.do(first)
 		served := got.header.Get("X-Service")
 		again := r.request(http.MethodPost, "/events-resume/", "prompt")
@@ -120,6 +120,14 @@
 	}
 }
 
+// uniqueBody returns a body that no other request has.
+func uniqueBody() string {
+	requests.Lock()
+	defer requests.Unlock()
+	requests.n++
+	return fmt.Sprint("prompt ", requests.n)
+}
+
 // earlierStart is the start of a process that has been replaced.
 const earlierStart catalog.Incarnation = 1
 
