--- a/soak/versions_test.go
+++ b/soak/versions_test.go
@@ -135,6 +135,10 @@
 		return true
 	}
 	setClientHeaders(req, id)
+	g.mu.Lock()
+	incarnation := g.incarnation
+	g.mu.Unlock()
+	r.recorder.recordSender(id, g.name, incarnation)
 	takesUp := s.first != ""
 	if takesUp {
 		req.Header.Set("Last-Event-Id", strconv.Itoa(s.last))
