daemon: a later SIGTERM of a series does not kill a process that has stopped

A platform that sends SIGTERM twice sees a gateway that stopped cleanly end as killed.

Cause: Main gave SIGTERM back its default action (the cancel of signal.NotifyContext) before it returned the exit code. Between that and the exit, the next SIGTERM kills the process. The tests' rig sends SIGTERM to all gateways and each process's own cleanup sends it again, as late as the gateways stop.

Ruled out: a failure of the gateway at work (code -1 is given to a process that a signal ended, and it printed no failure); a SIGKILL of the harness (its time to stop is 20 s, the test took 5.6 s).

Change: package stopsignal holds the signals until the process has exited; used by the daemons, the command-line tool and the stand-ins, which all had the same lines.

Why it works: there is no moment before the exit at which SIGTERM has its default action again.

--- a/cmd/mangostage-fake/main.go
+++ b/cmd/mangostage-fake/main.go
@@ -8,15 +8,14 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alexflint/go-arg"
+
+	"github.com/mangostage/mangostage/internal/stopsignal"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	ctx := stopsignal.Context()
 	var a args
 	parser := arg.MustParse(&a)
 	if parser.Subcommand() == nil {
--- a/cmd/mangostage/main.go
+++ b/cmd/mangostage/main.go
@@ -9,12 +9,11 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alexflint/go-arg"
 
 	"github.com/mangostage/mangostage/finding"
+	"github.com/mangostage/mangostage/internal/stopsignal"
 	"github.com/mangostage/mangostage/settings"
 )
 
@@ -59,10 +58,7 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := execute(ctx, os.Args[1:], os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
+	os.Exit(execute(stopsignal.Context(), os.Args[1:], os.Stdout, os.Stderr))
 }
 
 // execute runs one command line and returns the exit code.
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -5,13 +5,12 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
 
 	"github.com/mangostage/mangostage/finding"
+	"github.com/mangostage/mangostage/internal/stopsignal"
 	"github.com/mangostage/mangostage/settings"
 )
 
@@ -49,8 +48,7 @@
 		fmt.Fprintln(os.Stderr, "error:", err)
 		return ExitUsage
 	}
-	signals, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
+	stopped := stopsignal.Context()
 	var findings finding.List
 	process, err := start(&findings)
 	if len(findings) > 0 {
@@ -61,7 +59,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return ExitFailed
 	}
-	<-signals.Done()
+	<-stopped.Done()
 	ctx, stop := context.WithTimeout(context.Background(), stopTimeout)
 	defer stop()
 	if err := process.Stop(ctx); err != nil {
