keepalive: an answer that breaks off does not look whole to a caller of HTTP/1.0

What callers saw: a caller of HTTP/1.0 gets no chunks; to it the end of the connection is the end of the answer. A stream that its endpoint broke off inside an event, and one whose gateway was killed, reached it as whole.

An aborted answer closes its connection like a completed one.

Ruled out: resetting in the gateway's abort alone, since a killed process aborts nothing.

Change: while such an answer is under way the close of its connection is a reset (linger 0); once its handler has returned, it is an ordinary close again.

Why it works: the kernel closes the connections of a killed process by the same setting, and the server's own abort is a panic of the handler, which does not return.

--- a/integration/streams/broken_test.go
+++ b/integration/streams/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -51,3 +52,31 @@
 		}
 	}
 }
+
+// Guards against a broken stream that looks whole to a caller of HTTP/1.0: to it the end of
+// the connection is the end of the answer.
+func TestBrokenStreamsLookBrokenWithoutChunks(t *testing.T) {
+	t.Parallel()
+	const pace = 30 * time.Millisecond
+	r := newRig(t, pace)
+	r.addEndpoint("llm", "llm-0", "v1")
+	r.addEndpoint("feed", "feed-0", "v1")
+	r.startMembers()
+	for _, route := range []string{"model", "plain"} {
+		for _, name := range []string{"later event", "blank line", "reset", "large last event"} {
+			got, err := r.sendHTTP10(r.members[0], route, breakOffs[name].body())
+			assert.Check(t, err != nil, "%s, route %s: %q looks complete", name, route, got)
+			assert.Check(t, strings.HasSuffix(got, eventText(breakOffs[name].after, "v1")), "%s, route %s: %q lacks events", name, route, got)
+		}
+		got, err := r.sendHTTP10(r.members[0], route, "")
+		assert.Check(t, err == nil && strings.HasSuffix(got, wholeStream("v1")), "whole stream, route %s: %q, %v", route, got, err)
+	}
+	var client sync.WaitGroup
+	client.Go(func() {
+		got, err := r.sendHTTP10(r.members[0], "model", "")
+		assert.Check(t, err != nil, "the gateway is killed: %q looks complete", got)
+	})
+	waitFor(streamLength / 2 * pace)
+	r.members[0].Kill()
+	client.Wait()
+}
--- a/integration/streams/clients_test.go
+++ b/integration/streams/clients_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -65,6 +66,24 @@
 	return res
 }
 
+// sendHTTP10 sends a request with HTTP/1.0, to which answers have no chunks, and reads all
+// that comes; the error says how the connection ended.
+func (r *rig) sendHTTP10(m *member, route, body string) (string, error) {
+	conn, err := net.Dial("tcp", m.frontend)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /%s/ HTTP/1.0\r\nHost: shop.example\r\nMangostage-Attempt-Id: %s-%d\r\n"+
+		"Mangostage-Deadline-Ms: 8000\r\nAuthorization: Token k1\r\nContent-Length: %d\r\n\r\n%s",
+		route, r.t.Name(), calls.Add(1), len(body), body)
+	if err != nil {
+		return "", err
+	}
+	answer, err := io.ReadAll(conn)
+	return string(answer), err
+}
+
 // errLeft means that the client has left by itself.
 var errLeft = errors.New("the client has left")
 
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -1,5 +1,5 @@
-// Package keepalive closes the idle connections of an HTTP server without
-// losing requests.
+// Package keepalive closes the connections of an HTTP server: idle ones without
+// losing requests, and those of unfinished answers so that they do not look whole.
 package keepalive
 
 import (
@@ -56,7 +56,7 @@
 	server.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, nc)
 	}
-	server.Handler = rejectClosed(server.Handler)
+	server.Handler = rejectClosed(resetUnlessComplete(server.Handler))
 	return c
 }
 
