origin, discovery: a young connection is believed once the view is known to have its process

Cause: the age of a view was assumed, not known. 200 ms are for the process to write its entry; how far the view lags behind the store is another thing, and grows with load. A connection older than 200 ms was believed with the same mistake.

Change: Follower.AsOf is the latest time of which a process is known to have all changes: a list or a watch with events is complete as of its beginning, one without events as of its wait; a reader tells its followers how long after the arrival of their call that is, so that no clocks are compared. A connection is believed if it was opened 200 ms before that, and what depends on a younger one waits for it, at most 1 s from its opening: a store that does not answer holds no stream for longer (TestStreamGoesOnWhileTheViewIsOld).

Cost: no call more; 0 to 19 bytes more in the answer to a follower. The first event of whoever goes on with a stream is held for longer than 200 ms if the watches are quiet, on connections that are young, at endpoints that say when they started; others wait for nothing, as before.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -160,7 +160,9 @@
 		OnCrashed: g.signals.ended,
 	})
 	g.follower.OnWake(g.quarantine.BeCautious)
-	g.origins = origin.NewClient(origin.Config{Fleet: g.fleet, View: g.follower.View, SeenSince: g.follower.SeenSince, Log: g.log})
+	g.origins = origin.NewClient(origin.Config{
+		Fleet: g.fleet, View: g.follower.View, SeenSince: g.follower.SeenSince, AsOf: g.follower.AsOf, Log: g.log,
+	})
 	origin.Serve(mux, g.origins)
 	g.scheduler = scheduler.New(p.Name, stages, g.quotas.Table(), g.backoffs, g.quarantine, g.signals, g.log)
 	discovery.ServePeers(mux, g.follower)
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -98,6 +98,8 @@
 	mu    sync.Mutex
 	state *State
 	view  atomic.Pointer[catalog.View]
+	// asOf is as in AsOf.
+	asOf time.Time
 	// changed is closed and replaced when the state's position has changed.
 	changed chan struct{}
 	// healthy means that the store answered the latest call to it.
@@ -249,7 +251,9 @@
 func (f *Follower) Since(after position.Position) Batch {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.state.Changes(time.Now(), after)
+	changes := f.state.Changes(time.Now(), after)
+	changes.AsOf = f.asOf
+	return changes
 }
 
 // Item returns the item of a key, see State.Item.
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -197,6 +197,7 @@
 // recently. A large value of which only a part arrived is not an error: that part is kept
 // and the next call requests the rest.
 func (r *PeerRelay) follow(ctx context.Context, conn *peer.Conn, known position.Knowledge, wait time.Duration) (Batch, error) {
+	began := time.Now()
 	reply, err := requestChanges(ctx, conn, queryAfter(known.At, wait))
 	switch {
 	case err != nil:
@@ -207,7 +208,11 @@
 		return Batch{}, ErrBehind.New("the reader is behind, at revision %d of era %d", reply.At, reply.Era)
 	}
 	if !reply.batch().lacks(known) {
-		return r.fetchLargeValues(ctx, conn, reply)
+		changes, err := r.fetchLargeValues(ctx, conn, reply)
+		if err == nil && changes.At == reply.position() {
+			changes.AsOf = reply.asOf(began)
+		}
+		return changes, err
 	}
 	changes := r.readComplete(ctx, conn, known.At)
 	if !changes.Complete || changes.isJudgement(known) {
--- a/discovery/read.go
+++ b/discovery/read.go
@@ -51,6 +51,7 @@
 			return
 		}
 		s.ApplyStoreList(now, began, items, at)
+		f.advanceAsOf(began)
 	})
 	return err
 }
@@ -168,7 +169,7 @@
 // watch reads the changes since the state's revision from the store, which waits for one
 // for at most wait.
 func (f *Follower) watch(ctx context.Context, wait time.Duration) error {
-	at := f.At()
+	began, at := time.Now(), f.At()
 	changes, err := f.store.Watch(ctx, "", at.Revision, wait)
 	if err != nil {
 		return err
@@ -180,6 +181,7 @@
 		// Meanwhile a peer may have told of a new era, in which the answer means nothing.
 		if s.At().Era == at.Era {
 			s.applyAll(now, changes.Events, changes.At)
+			f.advanceAsOf(watchedUntil(began, wait, len(changes.Events)))
 		}
 	})
 	return nil
@@ -195,7 +197,10 @@
 	if !ok || batch.At.IsZero() {
 		return false
 	}
-	f.update(func(now time.Time, s *State) { s.ApplyBatch(now, batch) })
+	f.update(func(now time.Time, s *State) {
+		s.ApplyBatch(now, batch)
+		f.advanceAsOf(batch.AsOf)
+	})
 	return true
 }
 
--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -33,6 +33,9 @@
 	Memory, Seen time.Duration
 	// Peer is the name of the peer.
 	Peer string
+	// AsOf is a time of this process's clock as of which the changes are complete; zero if
+	// none is known.
+	AsOf time.Time
 	// Complete means that the changes are all items that the peer knows.
 	Complete bool
 	// Settled is that of the peer's Knowledge, EraAge how long ago the fleet entered the era
--- a/discovery/serve.go
+++ b/discovery/serve.go
@@ -85,6 +85,9 @@
 	Writes []byte `json:"writes,omitempty"`
 	// Fresh means that the store has answered the peer recently, see Follower.Fresh.
 	Fresh bool `json:"fresh"`
+	// AsOf is how long after the arrival of the call the time is as of which the peer is
+	// complete; 0 if it does not know.
+	AsOf time.Duration `json:"as_of_ns,omitempty"`
 }
 
 // position returns the position up to which the answer is complete.
@@ -131,12 +134,13 @@
 func ServePeers(mux *peer.Mux, f *Follower) {
 	packs := newPacker()
 	peer.HandleCall(mux, MethodChanges, func(ctx context.Context, _ *peer.Conn, q changesQuery) (changesReply, error) {
+		arrived := time.Now()
 		changes := f.Await(ctx, q.position(), q.Wait)
 		changes.Items = slices.DeleteFunc(changes.Items, func(item platform.Item) bool {
 			return item.Key == platform.KeyConfig && !item.Position().After(q.Known)
 		})
 		reply, err := changesAnswer(changes, packs)
-		reply.Fresh = f.Fresh()
+		reply.Fresh, reply.AsOf = f.Fresh(), changes.asOfSince(arrived)
 		return reply, err
 	})
 	peer.HandleCall(mux, MethodCompare, func(_ context.Context, _ *peer.Conn, q compareQuery) (compareReply, error) {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,6 +62,8 @@
 	logs      logBuffer
 	backoffs  *retryafter.Table
 	metrics   *gateway.Metrics
+	// lag is how old the view is, in nanoseconds.
+	lag atomic.Int64
 
 	mu        sync.Mutex
 	view      *catalog.View
@@ -133,6 +136,7 @@
 				return r.view
 			},
 			SeenSince: func() (time.Time, bool) { return time.Time{}, true }, Log: log,
+			AsOf: func() time.Time { return time.Now().Add(-time.Duration(r.lag.Load())) },
 		}),
 		OthersAvailable: func() bool { return false },
 		Scheduler:       scheduler.NewClient(r.scheduler, newSingleProcess(), log),
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -174,7 +174,7 @@
 // entry at the origin o, may have another version.
 func (g *Gateway) checkOrigin(req *request, e *catalog.Endpoint, o origin.Origin, proof origin.Proof) error {
 	if !proof.IsZero() {
-		proof.Await(req.ctx)
+		g.cfg.Origins.Await(req.ctx, proof)
 	}
 	if o != *req.origin || !proof.IsZero() && !proof.Holds(g.cfg.View(), o) {
 		return errBroken.New("endpoint %s may not run version %q any more", e.ID, req.origin.Version)
@@ -200,9 +200,9 @@
 	if a.endpoint.Incarnation == 0 {
 		return origin.Proof{}
 	}
-	known := time.Now().Add(-origin.SettleTime)
+	settled := g.cfg.Origins.SettledBefore()
 	key := a.endpoint.Key()
-	if a.opened.Before(known) || g.cfg.Transport.ServesSince(key, known) {
+	if a.opened.Before(settled) || g.cfg.Transport.ServesSince(key, settled) {
 		return origin.Proof{}
 	}
 	return origin.Proof{Endpoint: key, Opened: a.opened}
@@ -214,7 +214,7 @@
 	if req.origin == nil || req.proof.IsZero() || !req.route.Repeatable() {
 		return
 	}
-	req.proof.Await(req.ctx)
+	g.cfg.Origins.Await(req.ctx, req.proof)
 	if !req.proof.Holds(g.cfg.View(), *req.origin) {
 		req.origin.Unclear = true
 	}
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -131,25 +131,54 @@
 // earlierStart is the start of a process that has been replaced.
 const earlierStart catalog.Incarnation = 1
 
+// lateEntry says when the entry of a process is known that has just started.
+type lateEntry struct {
+	// written is how long after the process begins to serve, lag how old the view is.
+	written, lag time.Duration
+}
+
+// lateEntries are an entry that is written late, and one that comes to the view late.
+var lateEntries = map[string]lateEntry{
+	"written": {written: 100 * time.Millisecond},
+	"read":    {written: 500 * time.Millisecond, lag: 450 * time.Millisecond},
+}
+
+// forLateEntries runs a test with each lateEntry and each kind of stream.
+func forLateEntries(t *testing.T, test func(t *testing.T, r *rig, on streamRoute, late lateEntry)) {
+	t.Helper()
+	for name, late := range lateEntries {
+		for _, on := range resumableStreams {
+			t.Run(name+" late, "+on.service, func(t *testing.T) {
+				t.Parallel()
+				r := newRig(t)
+				r.lag.Store(int64(late.lag))
+				test(t, r, on, late)
+			})
+		}
+	}
+}
+
+// succeed makes the entry of an endpoint that of a next process, once it is known.
+func (r *rig) succeed(id, version string, late lateEntry) {
+	time.AfterFunc(late.written, func() {
+		r.change(id, func(e *catalog.Endpoint) {
+			e.Version, e.Incarnation = version, catalog.Incarnation(time.Now().Add(-2*late.written).UnixMilli())
+		})
+	})
+}
+
 // Guards against the version in an entry that is believed of the next process under its ID:
-// the entry is written a moment after that process has begun to serve, and the stream that
+// the entry is known a moment after that process has begun to serve, and the stream that
 // it began goes on, within the answer or taken up, at the version of the one before.
 func TestStreamOfAProcessThatHasJustStarted(t *testing.T) {
 	t.Parallel()
-	const written = 100 * time.Millisecond
-	for _, on := range resumableStreams {
-		r := newRig(t)
-		addOther := func() {
-			r.startVersion(on.service, "e-2", "v1")
-			time.AfterFunc(written, func() {
-				r.change("e-1", func(e *catalog.Endpoint) {
-					e.Version, e.Incarnation = "v2", catalog.Incarnation(time.Now().Add(-2*written).UnixMilli())
-				})
-			})
-		}
+	forLateEntries(t, func(t *testing.T, r *rig, on streamRoute, late lateEntry) {
 		var once sync.Once
 		r.startEndpoint(on.service, "e-1", func(w http.ResponseWriter, _ standin.Run) {
-			once.Do(addOther)
+			once.Do(func() {
+				r.startVersion(on.service, "e-2", "v1")
+				r.succeed("e-1", "v2", late)
+			})
 			standin.Seal(w)
 			_, _ = io.WriteString(w, "id: 1\ndata: v2 piece 1\n\n")
 			_ = http.NewResponseController(w).Flush()
@@ -165,16 +194,14 @@
 		again.Header.Set("Resumes", first.Header.Get("Mangostage-Attempt-Id"))
 		rest := r.do(again)
 		assert.Assert(t, !strings.Contains(rest.body, "v1 piece"), "the stream of v2 was taken up at v1: %q", rest.body)
-	}
+	})
 }
 
 // Guards against a taken-up stream whose first events come from a process that has just taken
 // the place of one of its version.
 func TestStreamIsNotTakenUpByTheNextProcess(t *testing.T) {
 	t.Parallel()
-	const written = 100 * time.Millisecond
-	for _, on := range resumableStreams {
-		r := newRig(t)
+	forLateEntries(t, func(t *testing.T, r *rig, on streamRoute, late lateEntry) {
 		r.startVersion(on.service, "e-1", "v1")
 		first := r.request(http.MethodPost, on.path, "prompt")
 		r.do(first)
@@ -184,12 +211,28 @@
 		again := r.request(http.MethodPost, on.path, "prompt")
 		again.Header.Set("Last-Event-Id", "3")
 		again.Header.Set("Resumes", first.Header.Get("Mangostage-Attempt-Id"))
-		time.AfterFunc(written, func() {
-			r.change("e-2", func(e *catalog.Endpoint) {
-				e.Version, e.Incarnation = "v2", catalog.Incarnation(time.Now().Add(-2*written).UnixMilli())
-			})
-		})
+		r.succeed("e-2", "v2", late)
 		rest := r.do(again)
 		assert.Assert(t, !strings.Contains(rest.body, "v2 piece"), "the stream of v1 was taken up at v2: %q", rest.body)
-	}
+	})
+}
+
+// Guards against streams that are held for as long as the store is away: the age of the view
+// grows, and the rest of a stream goes on all the same.
+func TestStreamGoesOnWhileTheViewIsOld(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	on := resumableStreams[0]
+	r.startVersion(on.service, "e-1", "v1")
+	r.change("e-1", func(e *catalog.Endpoint) { e.Incarnation = earlierStart })
+	first := r.request(http.MethodPost, on.path, "prompt")
+	r.do(first)
+	r.lag.Store(int64(time.Hour))
+	again := r.request(http.MethodPost, on.path, "prompt")
+	again.Header.Set("Last-Event-Id", "3")
+	again.Header.Set("Resumes", first.Header.Get("Mangostage-Attempt-Id"))
+	began := time.Now()
+	rest := r.do(again)
+	assert.Assert(t, strings.Contains(rest.body, "v1 piece"), "status %d, %q", rest.status, rest.body)
+	assert.Assert(t, time.Since(began) < 2*time.Second, "held for %v", time.Since(began))
 }
--- a/origin/client.go
+++ b/origin/client.go
@@ -43,7 +43,9 @@
 	// SeenSince returns since when this process has seen all changes of the endpoints; ok is
 	// false if it may be missing some now.
 	SeenSince func() (since time.Time, ok bool)
-	Log       zerolog.Logger
+	// AsOf returns the latest time of which View has all changes.
+	AsOf func() time.Time
+	Log  zerolog.Logger
 }
 
 // Client records where streams begin at this process, tells other members, and finds the
@@ -126,7 +128,8 @@
 	if p.IsZero() {
 		return
 	}
-	time.AfterFunc(time.Until(p.Opened.Add(SettleTime)), func() {
+	time.AfterFunc(time.Until(p.Opened.Add(settleTime)), func() {
+		c.Await(context.Background(), p)
 		o.Unclear = o.Unclear || !p.Holds(c.cfg.View(), o)
 		c.record(o, Proof{}, time.Now().Add(min(lifetime, MaxLifetime)), attempts)
 	})
--- a/origin/find.go
+++ b/origin/find.go
@@ -72,7 +72,7 @@
 // settled returns the origin once it is known whether to believe it: the member that began the
 // stream tells, or else this process looks.
 func (c *Client) settled(ctx context.Context, s Stream, f Finding) Origin {
-	f.proof.Await(ctx)
+	c.Await(ctx, f.proof)
 	if r, ok := c.table.Find(time.Now(), s); ok && r.Proof.IsZero() {
 		return r.Origin
 	}
--- a/origin/proof.go
+++ b/origin/proof.go
@@ -8,9 +8,16 @@
 	"github.com/mangostage/mangostage/internal/sleep"
 )
 
-// SettleTime is how long after its start a process may serve before its entry is known here:
-// until then the entry of the one before it, under the same ID, stands in the view.
-const SettleTime = 200 * time.Millisecond
+const (
+	// settleTime is how long after its start a process may serve before its entry is written:
+	// until then the entry of the one before it, under the same ID, stands in the store.
+	settleTime = 200 * time.Millisecond
+	// maxSettleTime bounds the time until the view is believed to have that entry. A store
+	// that does not answer would hold streams for as long as it is away.
+	maxSettleTime = time.Second
+	// settlePollInterval is how often it is looked whether the view has it.
+	settlePollInterval = 10 * time.Millisecond
+)
 
 // Proof is what has to be looked at again before the version in an entry is believed of the
 // process that sent an event. The zero Proof leaves nothing to look at.
@@ -24,8 +31,24 @@
 // IsZero reports whether the version is believed.
 func (p Proof) IsZero() bool { return p.Endpoint == "" }
 
-// Await waits until the entry of the process is known.
-func (p Proof) Await(ctx context.Context) { sleep.For(ctx, time.Until(p.Opened.Add(SettleTime))) }
+// SettledBefore returns the time before which a connection must have been opened for the view
+// to have the entry of the process at its other end.
+func (c *Client) SettledBefore() time.Time {
+	now := time.Now()
+	settled := c.cfg.AsOf().Add(-settleTime)
+	if bound := now.Add(-maxSettleTime); settled.Before(bound) {
+		return bound
+	}
+	return settled
+}
+
+// Await waits until the view has the entry of the process, see SettledBefore.
+func (c *Client) Await(ctx context.Context, p Proof) {
+	sleep.For(ctx, time.Until(p.Opened.Add(settleTime)))
+	for !p.Opened.Before(c.SettledBefore()) && ctx.Err() == nil {
+		sleep.For(ctx, settlePollInterval)
+	}
+}
 
 // Holds reports whether the process had the version of the origin, by the view once its entry
 // is known: no other process has taken the place of the one in the entry before the
