discovery, origin: how late the view is, is measured; what is certain is waited for no longer than needed

What callers saw of the commit before: streams that go on over young connections at endpoints that say when they started were held until the next watches had ended, 0.3 to 0.9 s with a quiet store.

Not certain any more: an entry that comes late for the first time, by more than 200 ms, with no answer late before it.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -161,7 +161,7 @@
 	})
 	g.follower.OnWake(g.quarantine.BeCautious)
 	g.origins = origin.NewClient(origin.Config{
-		Fleet: g.fleet, View: g.follower.View, SeenSince: g.follower.SeenSince, AsOf: g.follower.AsOf, Log: g.log,
+		Fleet: g.fleet, View: g.follower.View, SeenSince: g.follower.SeenSince, AsOf: g.follower.AsOf, Lag: g.follower.Lag, Log: g.log,
 	})
 	origin.Serve(mux, g.origins)
 	g.scheduler = scheduler.New(p.Name, stages, g.quotas.Table(), g.backoffs, g.quarantine, g.signals, g.log)
--- a/origin/client.go
+++ b/origin/client.go
@@ -45,7 +45,9 @@
 	SeenSince func() (since time.Time, ok bool)
 	// AsOf returns the latest time of which View has all changes.
 	AsOf func() time.Time
-	Log  zerolog.Logger
+	// Lag returns how late changes came to View lately.
+	Lag func() time.Duration
+	Log zerolog.Logger
 }
 
 // Client records where streams begin at this process, tells other members, and finds the
