quarantine: what another member lists as replaced has ended here as well

At the member that lists the successor the end of the former is no news about any entry, so that it told nobody of it in the topic that is for that.

Evidence: TestReplacedElsewhereHasEndedHere failed before.

Change: a crash that is told with that evidence marks the process as ended, as one's own evidence does: its version is in doubt until the entry is written again.

--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -48,7 +48,7 @@
 	// nil for none.
 	CheckPause func()
 	// OnCrashed, if set, is called with the Key of an endpoint whose process is found to have
-	// crashed.
+	// crashed, here or by a member that lists another one under its ID.
 	OnCrashed func(endpoint string)
 	Log       zerolog.Logger
 }
@@ -169,17 +169,26 @@
 	if !c.table.Merge(time.Now(), l) {
 		return false
 	}
-	switch {
-	case l.Verdict != Crashed:
-	case l.Answers == 0:
-		c.logLoss(logCrashed, l, from).Msg(textCrashed)
-	default:
-		c.logLoss(logForgiven, l, from).Int("answers", l.Answers).Msg(textForgiven)
+	if l.Verdict == Crashed {
+		c.applyCrash(l, from)
 	}
 	c.logChanges(from)
 	return true
 }
 
+// applyCrash logs a crash that the member of that name knows. If that member lists the next
+// process, this one may still list the one that has crashed.
+func (c *Client) applyCrash(l Loss, from string) {
+	if l.Answers > 0 {
+		c.logLoss(logForgiven, l, from).Int("answers", l.Answers).Msg(textForgiven)
+		return
+	}
+	c.logLoss(logCrashed, l, from).Msg(textCrashed)
+	if l.Evidence == EvidenceReplaced {
+		c.cfg.OnCrashed(l.Endpoint)
+	}
+}
+
 // mergeAll merges losses of another member. If this process owns the queue, it tells the
 // other members what was news.
 func (c *Client) mergeAll(losses []Loss, from string) {
