--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -3,12 +3,10 @@
 import (
 	"cmp"
 	"context"
-	"expvar"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime"
 	"strconv"
 	"sync"
 	"syscall"
@@ -23,7 +21,6 @@
 	"github.com/mangostage/mangostage/gateway"
 	"github.com/mangostage/mangostage/internal/keepalive"
 	"github.com/mangostage/mangostage/internal/logsink"
-	"github.com/mangostage/mangostage/internal/sleep"
 	"github.com/mangostage/mangostage/kernel"
 	"github.com/mangostage/mangostage/origin"
 	"github.com/mangostage/mangostage/peer"
@@ -37,26 +34,6 @@
 )
 
 const (
-	// maxBalancerWait is the longest time that a stopping gateway waits until the
-	// balancer sends it no new connections: the balancer checks readiness once a
-	// second and acts on the second failed check.
-	maxBalancerWait = 2500 * time.Millisecond
-	// inTransitWait is the time for connections to arrive that the balancer passed
-	// on before it noticed: many times the network delay from the clients.
-	inTransitWait = 100 * time.Millisecond
-	// exitReserve is the part of the grace that is kept for the exit of the process;
-	// finalAnswerTime is the part of exitReserve for the answers to requests that
-	// are given up.
-	exitReserve     = 700 * time.Millisecond
-	finalAnswerTime = 200 * time.Millisecond
-	// exitReserveDivisor limits the reserve of a short grace to grace/exitReserveDivisor.
-	exitReserveDivisor = 6
-	// idleCloseInterval is the interval at which a stopping gateway closes idle
-	// connections, and so the time that a new connection has to send its request:
-	// many times the network delay from the clients.
-	idleCloseInterval = 50 * time.Millisecond
-	// drainPollInterval is how often a stopping gateway checks whether it has drained.
-	drainPollInterval = 10 * time.Millisecond
 	// clientHeaderTimeout closes client connections that do not send their header.
 	clientHeaderTimeout = 10 * time.Second
 	// clientIdleTimeout is longer than any idle limit of the clients, so that the
@@ -214,12 +191,6 @@
 	return t
 }
 
-// storeReturns returns the counters of the store's returns from a copy.
-func (g *Gateway) storeReturns() map[string]uint64 {
-	returns, dropped := g.follower.StoreReturns()
-	return map[string]uint64{"returns": returns, "items_dropped": dropped}
-}
-
 // publishView publishes a new view to the components that keep state per endpoint.
 // Requests read the view directly from the follower, so that no request sees an
 // older view than an earlier request.
@@ -306,118 +277,3 @@
 		}
 	}
 }
-
-// Stop drains the gateway: it makes the process unready and serves until the
-// balancer has noticed and all requests in flight have ended, within the
-// platform's grace.
-//
-// The gateway keeps listening until the end: if most gateways of a failure domain
-// stop at once, the balancer still sends clients to them, and a request short
-// enough to finish in time is better served than refused for want of a listener.
-func (g *Gateway) Stop(ctx context.Context) error {
-	began := time.Now()
-	g.log.Info().Str("event", logDraining).Msg("stopping")
-	end, last := stopTimes(ctx, began, g.loaded.Platform.Bounds.Grace)
-	g.gateway.BeginShutdown(end)
-	g.fleet.Leave()
-	ctx, cancel := context.WithDeadline(ctx, last)
-	defer cancel()
-	g.awaitBalancer(ctx)
-	g.gateway.OutOfRotation()
-	// Idle connections are closed now, so that their clients send the next request
-	// to a gateway that is not stopping.
-	g.clientConns.CloseIdle()
-	g.awaitDrained(ctx)
-	err := g.shutdownFrontend(ctx)
-	cut := g.gateway.InFlight()
-	for _, server := range g.auxServers {
-		_ = server.Close()
-	}
-	g.stop()
-	// Peers that do not answer must not delay the exit of the process.
-	go g.fleet.Close()
-	g.log.Info().Str("event", logStopped).Dur("took_ms", time.Since(began)).Int64("cut", cut).Err(err).Msg("stopped")
-	g.sink.Close(exitReserve / 2)
-	return nil
-}
-
-// stopTimes returns the time end by which all requests must have ended, and the
-// time last by which their final answers must have been written. If ctx's deadline
-// is earlier than the end of the grace, it takes the place of the grace. Most of a
-// short grace is left to the requests.
-func stopTimes(ctx context.Context, began time.Time, grace time.Duration) (end, last time.Time) {
-	if limit, ok := ctx.Deadline(); ok {
-		grace = min(grace, limit.Sub(began))
-	}
-	reserve := min(exitReserve, grace/exitReserveDivisor)
-	end = began.Add(grace - reserve)
-	return end, end.Add(reserve * finalAnswerTime / exitReserve)
-}
-
-// awaitBalancer waits until the balancer sends new connections elsewhere, at most
-// maxBalancerWait.
-func (g *Gateway) awaitBalancer(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, maxBalancerWait)
-	defer cancel()
-	select {
-	case <-ctx.Done():
-	case <-g.gateway.UnreadyObserved():
-		sleep.For(ctx, inTransitWait)
-	}
-}
-
-// awaitDrained waits until no request is in flight, and until no stage runs that
-// this process has started as the owner of the queue: requests of other gateways
-// wait for those stages and would have to start again.
-func (g *Gateway) awaitDrained(ctx context.Context) {
-	for (g.gateway.InFlight() > 0 || g.scheduler.HasUnfinishedStages()) && ctx.Err() == nil {
-		sleep.For(ctx, drainPollInterval)
-	}
-}
-
-// shutdownFrontend shuts down the frontend server. Until it is done, new
-// connections that carry no request are closed repeatedly, because the server
-// itself would wait 5 s for them.
-func (g *Gateway) shutdownFrontend(ctx context.Context) error {
-	done, stop := context.WithCancel(ctx)
-	defer stop()
-	go func() {
-		for done.Err() == nil {
-			sleep.For(done, idleCloseInterval)
-			g.clientConns.CloseIdle()
-		}
-	}()
-	return g.frontend.Shutdown(ctx)
-}
-
-// vars returns the metrics of the process.
-func (g *Gateway) vars() *expvar.Map {
-	m := new(expvar.Map).Init()
-	m.Set("answers", g.metrics.Answers)
-	m.Set("sends", g.metrics.Sends)
-	m.Set("stream_ends", g.metrics.StreamEnds)
-	m.Set("stream_origins", g.origins.Counters)
-	m.Set("streams_held", expvar.Func(func() any { return g.origins.Stats() }))
-	m.Set("latency_ms", expvar.Func(func() any { return g.metrics.Latency() }))
-	m.Set("queues", expvar.Func(func() any { return g.scheduler.Stats() }))
-	m.Set("endpoints", expvar.Func(func() any { return g.gateway.EndpointStats() }))
-	m.Set("quota_changes", g.quotas.Counters)
-	m.Set("quotas", expvar.Func(func() any { return g.quotas.Stats() }))
-	m.Set("backoffs", expvar.Func(func() any { return g.backoffs.Stats(time.Now()) }))
-	m.Set("content_changes", g.quarantine.Counters)
-	m.Set("quarantine", expvar.Func(func() any { return g.quarantine.Table().Stats(time.Now()) }))
-	m.Set("ownership", expvar.Func(func() any { return g.fleet.Ownership() }))
-	m.Set("fleet_size", expvar.Func(func() any { return g.fleet.Size() }))
-	m.Set("store_at", expvar.Func(func() any { return g.follower.At().Revision }))
-	m.Set("store_era", expvar.Func(func() any { return g.follower.At().Era }))
-	m.Set("store_returns", expvar.Func(func() any { return g.storeReturns() }))
-	m.Set("store_healthy", expvar.Func(func() any { return g.follower.Healthy() }))
-	m.Set("evacuated_domains", expvar.Func(func() any { return g.follower.Evacuated() }))
-	m.Set("store_items_malformed", expvar.Func(func() any { return g.follower.Faults() }))
-	m.Set("log_lines_dropped", expvar.Func(func() any { return g.sink.Dropped() }))
-	m.Set("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
-	if memstats := expvar.Get("memstats"); memstats != nil {
-		m.Set("memstats", memstats)
-	}
-	return m
-}
