gateway: whether a version over a young connection is believed, and after how long, is seen

The two places that decide it share one function. An endpoint whose entry already says another version is turned down without the wait.

--- a/gateway/lognames.go
+++ b/gateway/lognames.go
@@ -10,6 +10,9 @@
 	logStreamEnded = "stream_ended"
 	// logTakenUp is logged when a client takes a stream up.
 	logTakenUp = "stream_taken_up"
+	// logOriginProved is logged when it is known whether the version in an entry is that of
+	// the process that has sent an event over a young connection.
+	logOriginProved = "stream_version_checked"
 	// logArrivedDuringShutdown is logged for a request that arrived after the shutdown
 	// had begun.
 	logArrivedDuringShutdown = "taken_while_stopping"
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -173,10 +173,7 @@
 // checkOrigin returns an error if an endpoint that goes on with the request's stream, by its
 // entry at the origin o, may have another version.
 func (g *Gateway) checkOrigin(req *request, e *catalog.Endpoint, o origin.Origin, proof origin.Proof) error {
-	if !proof.IsZero() {
-		g.cfg.Origins.Await(req.ctx, proof)
-	}
-	if o != *req.origin || !proof.IsZero() && !proof.Holds(g.cfg.View(), o) {
+	if o != *req.origin || !proof.IsZero() && !g.proves(req, proof, o) {
 		return errBroken.New("endpoint %s may not run version %q any more", e.ID, req.origin.Version)
 	}
 	g.tellBegun(req, o, origin.Proof{})
@@ -214,13 +211,24 @@
 	if req.origin == nil || req.proof.IsZero() || !req.route.Repeatable() {
 		return
 	}
-	g.cfg.Origins.Await(req.ctx, req.proof)
-	if !req.proof.Holds(g.cfg.View(), *req.origin) {
+	if !g.proves(req, req.proof, *req.origin) {
 		req.origin.Unclear = true
 	}
 	req.proof = origin.Proof{}
 }
 
+// proves waits until the view has the entry of the process that sent the request an answer,
+// and reports whether that had the version of the origin.
+func (g *Gateway) proves(req *request, proof origin.Proof, o origin.Origin) bool {
+	began := time.Now()
+	g.cfg.Origins.Await(req.ctx, proof)
+	holds := proof.Holds(g.cfg.View(), o)
+	g.cfg.Log.Info().Str("event", logOriginProved).Str("request", req.ID).Str("endpoint", proof.Endpoint).
+		Str("version", o.Version).Bool("holds", holds).Dur("connection_age_ms", time.Since(proof.Opened)).
+		Dur("took_ms", time.Since(began)).Msg("an endpoint's version over a young connection")
+	return holds
+}
+
 // currentOrigin returns the origin of a stream that an endpoint begins now. The entry by
 // which the endpoint was chosen may be that of an earlier process.
 func (g *Gateway) currentOrigin(e *catalog.Endpoint) origin.Origin {
