gateway, origin: a stream whose process was replaced by one of its version goes on

What callers saw: where endpoints keep their IDs, a stream whose process another one replaced in the list before its first event came was broken off and could be taken up nowhere (stream_version_unclear), also with one version in service.

Cause: the origin was in doubt as soon as the list named another process than the one by whose entry the endpoint was chosen. Which of the two sent the event matters only if their versions differ: what is not needed to be known was asked for.

Ruled out for the fix: to believe the former entry because the connection is older than the next process's start, since that compares two clocks.

Change: an origin is clear if the entry of now and that of the choice name the same service and version, in both places that look (currentOrigin, Proof.Holds).

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -230,11 +230,12 @@
 }
 
 // currentOrigin returns the origin of a stream that an endpoint begins now. The entry by
-// which the endpoint was chosen may be that of an earlier process.
+// which the endpoint was chosen may be that of an earlier process: which of the two has sent
+// the event does not matter if their versions are the same.
 func (g *Gateway) currentOrigin(e *catalog.Endpoint) origin.Origin {
 	o := origin.Origin{Service: e.Service, Version: e.Version, Unclear: e.VersionUnclear}
 	listed := g.cfg.View().EndpointByID(e.ID)
-	if listed != nil && (listed.Key() != e.Key() || !listed.Runs(e.Version)) {
+	if listed != nil && (listed.Service != e.Service || !listed.Runs(e.Version)) {
 		o.Unclear = true
 	}
 	return o
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -238,3 +238,30 @@
 	assert.Assert(t, strings.Contains(rest.body, "v1 piece"), "status %d, %q", rest.status, rest.body)
 	assert.Assert(t, time.Since(began) < 2*time.Second, "held for %v", time.Since(began))
 }
+
+// Guards against a stream that goes on nowhere because its process was replaced by one of the
+// same version before its first event came.
+func TestStreamOfAReplacedProcessOfItsVersionGoesOn(t *testing.T) {
+	t.Parallel()
+	for _, on := range resumableStreams {
+		r := newRig(t)
+		var once sync.Once
+		r.startEndpoint(on.service, "e-1", func(w http.ResponseWriter, run standin.Run) {
+			once.Do(func() {
+				r.change("e-1", func(e *catalog.Endpoint) {
+					e.Incarnation = catalog.Incarnation(time.Now().Add(-time.Second).UnixMilli())
+				})
+			})
+			standin.Seal(w)
+			if run.Header.Get("Last-Event-Id") != "" {
+				standin.WriteEvents(w, 2, 6)
+				return
+			}
+			standin.WriteEvents(w, 1, 1)
+			standin.AbortAnswer()
+		})
+		r.change("e-1", func(e *catalog.Endpoint) { e.Version, e.Incarnation = "v1", earlierStart })
+		got := r.do(r.request(http.MethodPost, on.path, "prompt"))
+		assert.Check(t, got.err == nil && got.body == streamBody(6), "%s: status %d, %q", on.service, got.status, got.body)
+	}
+}
--- a/origin/proof.go
+++ b/origin/proof.go
@@ -54,15 +54,17 @@
 }
 
 // Holds reports whether the process had the version of the origin, by the view once its entry
-// is known: no other process has taken the place of the one in the entry before the
-// connection was opened.
+// is known: no process of another version has taken the place of the one in the entry before
+// the connection was opened.
 func (p Proof) Holds(view *catalog.View, o Origin) bool {
 	listed := view.EndpointByID(catalog.IDOfKey(p.Endpoint))
 	switch {
 	case listed == nil:
 		return true
+	case listed.Service == o.Service && listed.Runs(o.Version):
+		return true
 	case listed.Key() == p.Endpoint:
-		return listed.Runs(o.Version)
+		return false
 	}
 	return listed.Incarnation.Time().After(p.Opened)
 }
