gateway: an empty rest is no end of a stream that was broken off inside an event

What callers saw: an endpoint broke a resumable stream off inside event 4; the endpoint that went on with it ended with its connection before any event; the caller had three events in an answer framed as complete. Found by reading the change.

An end without events is whole for a stream that goes on, since it may have nothing left to send.

Evidence: TestEmptyRestAfterAPartOfAnEventIsBroken failed before, 4 of 4 (model engine and plain service, two runs), and passes now; TestResumedStreamWithoutMoreEventsIsWhole (the client names the last event itself) is unchanged and passes.

Change: a request remembers whether its stream was broken off inside an event; until events follow, an end of the connection is a break, and goes on elsewhere like any other.

Not changed: a client's new attempt knows of no part of an event that an earlier one saw.

--- a/gateway/broken_stream_test.go
+++ b/gateway/broken_stream_test.go
@@ -208,6 +208,28 @@
 	}
 }
 
+// Guards against an end without events that is taken for the rest of a stream which was broken
+// off inside an event: that event is missing.
+func TestEmptyRestAfterAPartOfAnEventIsBroken(t *testing.T) {
+	t.Parallel()
+	for _, on := range resumableStreams {
+		r := newRig(t)
+		var runs atomic.Int32
+		answer := func(w http.ResponseWriter, run standin.Run) {
+			if runs.Add(1) == 1 {
+				unframed(t, "HTTP/1.1", false, events(1, 3, "\n"), "id: 4\nda")(w, run)
+				return
+			}
+			unframed(t, "HTTP/1.1", false)(w, run)
+		}
+		r.startEndpoint(on.service, "e-1", answer)
+		r.startEndpoint(on.service, "e-2", answer)
+		got := r.do(r.request(http.MethodPost, on.path, "prompt"))
+		assert.Check(t, got.err != nil, "%s: %q looks complete", on.service, got.body)
+		assert.Check(t, runs.Load() > 1, "%s: the stream did not go on", on.service)
+	}
+}
+
 // Guards against events that wait for the end of their stream, or for more bytes.
 func TestEventsArriveAsTheyAreMade(t *testing.T) {
 	for _, on := range append(onceStreams, resumableStreams...) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -28,6 +28,8 @@
 	lastEventID string
 	// split is true if the client has a part of an event: no other endpoint can go on.
 	split bool
+	// lacksEvent is true if the stream was broken off inside an event: more has to follow.
+	lacksEvent bool
 	// brokenBy is the ID of the endpoint that broke the stream off last, brokenErr how.
 	brokenBy  string
 	brokenErr error
@@ -64,7 +66,7 @@
 		return endBetweenEvents
 	case stream.InsideEvent():
 		return endInsideEvent
-	case stream.Events() == 0 && req.stream.lastEventID == "":
+	case stream.Events() == 0 && (req.stream.lastEventID == "" || req.stream.lacksEvent):
 		return endNoEvent
 	}
 	return endBetweenEvents
@@ -74,6 +76,9 @@
 // logs it and returns the error.
 func (g *Gateway) recordStreamEnd(req *request, a *answer, stream *sse.Reader, err error) error {
 	end := req.endOf(a, stream, err)
+	if stream.Events() > 0 || stream.InsideEvent() {
+		req.stream.lacksEvent = stream.InsideEvent()
+	}
 	g.cfg.Metrics.countStreamEnd(req, a.framing(), end)
 	switch end {
 	case endBetweenEvents:
