quarantine: logs and messages name the shared parts of a prompt

A Subject is what a request is known by: its content, the parts of its prompt but the last, and its service. A loss carries the parts, also to other members. No decision changes.

--- a/gateway/content.go
+++ b/gateway/content.go
@@ -9,6 +9,7 @@
 	"github.com/mangostage/mangostage/balance"
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/quarantine"
+	"github.com/mangostage/mangostage/quarantine/part"
 )
 
 const (
@@ -33,8 +34,8 @@
 
 // refuseQuarantined refuses a request whose content is quarantined.
 func (g *Gateway) refuseQuarantined(req *request) *problem {
-	req.content = hashContent(req)
-	if left := g.cfg.Quarantine.RefusedFor(req.content); left > 0 {
+	req.subject = quarantine.Subject{Content: hashContent(req), Parts: part.Shared(req.Prefix), Service: req.serviceName}
+	if left := g.cfg.Quarantine.RefusedFor(req.subject.Content); left > 0 {
 		return unavailable(reasonCrashes, left)
 	}
 	return nil
@@ -46,7 +47,7 @@
 	req.endRun()
 	req.runs++
 	id := req.ID + "#" + strconv.Itoa(req.runs)
-	run, waited, refusal := g.cfg.Quarantine.Begin(req.ctx, req.content, req.ID, id, req.remaining())
+	run, waited, refusal := g.cfg.Quarantine.Begin(req.ctx, req.subject, req.ID, id, req.remaining())
 	if refusal == nil {
 		req.run = run
 		return waited, nil
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -76,7 +76,7 @@
 	_, estimate := g.estimateDuration(m.request)
 	ctx, cancel := g.shutdown.boundContext(m.ctx, estimate)
 	defer cancel()
-	ctx, unwatch := g.cfg.Quarantine.Bound(ctx, m.content)
+	ctx, unwatch := g.cfg.Quarantine.Bound(ctx, m.subject.Content)
 	defer unwatch()
 	job := m.job(g.cfg.Domain)
 	job.Excluded = g.excludedEngines(m)
@@ -85,7 +85,7 @@
 	case err != nil && cancelledByShutdown(ctx):
 		return nil, giveUp(m.request, reasonStopping, g.shutdownRetryAfter(estimate))
 	case err != nil:
-		if left := g.cfg.Quarantine.RefusedFor(m.content); left > 0 {
+		if left := g.cfg.Quarantine.RefusedFor(m.subject.Content); left > 0 {
 			return nil, giveUp(m.request, m.endReason(reasonCrashes), left)
 		}
 		return nil, giveUp(m.request, m.endReason("queue_unreachable"), overloadRetryAfter)
@@ -108,7 +108,7 @@
 	j := dispatch.Job{
 		Ticket:         m.ID + "#" + strconv.Itoa(m.submits),
 		Request:        m.ID,
-		Content:        m.content,
+		Content:        m.subject.Content,
 		Service:        m.serviceName,
 		Route:          m.route.Name,
 		Account:        m.accountName(),
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -7,6 +7,7 @@
 
 	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/quarantine/part"
 )
 
 // problem is an error answer that the gateway itself gives.
@@ -90,7 +91,7 @@
 	g.cfg.Metrics.countAnswer(req, p.reason)
 	line := g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", routeName(req))
 	if p.reason == reasonCrashes || p.reason == reasonAwaitsVerdict {
-		line.Stringer("content", req.content)
+		line.Stringer("content", req.subject.Content).Strs("parts", part.Texts(req.subject.Parts))
 	}
 	line.Int("status", p.status).Str("reason", p.reason).Bool("offered", req.sent).
 		Bool("may_have_run", req.mayHaveRun).Bool("client_left", clientLeft).Uint64("config", req.configVersion).
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -34,8 +34,8 @@
 	serviceName string
 	account     *catalog.Account
 	body        []byte
-	// content identifies the content of the request across a client's retries.
-	content quarantine.Content
+	// subject is what the request is known by across a client's retries.
+	subject quarantine.Subject
 	// run is the current send to an endpoint, runs the number of sends.
 	run     *quarantine.Run
 	runs    int
--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -11,6 +11,7 @@
 	"github.com/mangostage/mangostage/broadcast"
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/peer"
+	"github.com/mangostage/mangostage/quarantine/part"
 )
 
 // Methods between processes.
@@ -254,7 +255,7 @@
 func (c *Client) logLoss(event string, l Loss, from string) *zerolog.Event {
 	c.Counters.Add(event, 1)
 	return c.log.Warn().Str("event", event).Str("request", l.Request).Stringer("content", l.Content).
-		Str("endpoint", l.Endpoint).Stringer("verdict", l.Verdict).Str("evidence", string(l.Evidence)).
+		Strs("parts", part.Texts(l.Parts)).Str("endpoint", l.Endpoint).Stringer("verdict", l.Verdict).Str("evidence", string(l.Evidence)).
 		Dur("ran_ms", l.RanFor).Dur("after_ms", l.Age).Str("from", from)
 }
 
--- a/quarantine/client_test.go
+++ b/quarantine/client_test.go
@@ -1,10 +1,15 @@
 package quarantine
 
 import (
+	"bytes"
+	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/quarantine/part"
 )
 
 // Guards against an entry that is believed of the next process although another member lists
@@ -22,3 +27,15 @@
 	assert.Assert(t, c.apply(forgiven, "g0"))
 	assert.DeepEqual(t, ended, []string{"a@1"})
 }
+
+// Guards against losses that nobody can compare: without the parts of their prompts, logs tell
+// no request that crashes an endpoint from those that merely ran beside it.
+func TestLossesNameTheirParts(t *testing.T) {
+	var lines bytes.Buffer
+	c := NewClient(Config{Drain: drain, Log: zerolog.New(&lines)})
+	c.Broken(Break{Content: 1, Parts: []part.ID{0xa1, 0xb2}, Endpoint: Endpoint{Key: "a@1", Addr: "127.0.0.1:1", Service: "s"}}, syscall.EHOSTUNREACH)
+	assert.Assert(t, strings.Contains(lines.String(), `"event":"send_held","request":"","content":"0000000000000001","parts":["a1","b2"]`), lines.String())
+	lines.Reset()
+	c.apply(Loss{Content: 2, Parts: []part.ID{0xc3}, Endpoint: "b@1", Verdict: Crashed}, "g0")
+	assert.Assert(t, strings.Contains(lines.String(), `"event":"endpoint_crashed","request":"","content":"0000000000000002","parts":["c3"]`), lines.String())
+}
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"github.com/mangostage/mangostage/quarantine/part"
+)
 
 const (
 	// crashLimit is the number of crashes after which content is quarantined.
@@ -25,6 +29,15 @@
 	maxLossesPerContent = 32
 )
 
+// Subject is what a request is known by across retries and other requests.
+type Subject struct {
+	Content Content
+	// Parts are the parts of the request's prompt that other requests may share.
+	Parts []part.ID
+	// Service is the service that serves the request.
+	Service string
+}
+
 // Standing is what may be done with content.
 type Standing int
 
--- a/quarantine/loss.go
+++ b/quarantine/loss.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/mangostage/mangostage/quarantine/part"
 )
 
 // Content is the hash of what stays the same when a request comes again.
@@ -93,6 +95,8 @@
 	Served bool `json:"served,omitempty"`
 	// ServiceLost is true if no endpoint of the service was left.
 	ServiceLost bool `json:"service_lost,omitempty"`
+	// Parts are the parts of the request's prompt that other requests may share.
+	Parts []part.ID `json:"parts,omitempty"`
 	// Age is the time since the break. It is relative because members' clocks differ.
 	Age time.Duration `json:"age_ns"`
 }
@@ -118,7 +122,7 @@
 
 // merge merges what another member knows of the same loss and reports whether it was news.
 func (l *loss) merge(other Loss, at time.Time) bool {
-	before := l.Loss
+	before := l.findings()
 	if other.Verdict > l.Verdict {
 		l.Verdict, l.Evidence = other.Verdict, other.Evidence
 	}
@@ -131,5 +135,22 @@
 		// Each message adds its delay; ages that travel in a circle must not shrink.
 		l.at = at
 	}
-	return l.Loss != before
+	if len(l.Parts) == 0 {
+		l.Parts = other.Parts
+	}
+	return l.findings() != before
+}
+
+// findings are what members may know more or less of.
+type findings struct {
+	verdict                    Verdict
+	answers                    int
+	ranFor                     time.Duration
+	trial, served, serviceLost bool
+}
+
+func (l *loss) findings() findings {
+	return findings{
+		verdict: l.Verdict, answers: l.Answers, ranFor: l.RanFor, trial: l.Trial, served: l.Served, serviceLost: l.ServiceLost,
+	}
 }
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -13,7 +13,7 @@
 // it. A nil Run does nothing.
 type Run struct {
 	client  *Client
-	content Content
+	subject Subject
 	request string
 	id      string
 	trial   bool
@@ -32,12 +32,12 @@
 	RetryAfter  time.Duration
 }
 
-// Begin asks for a run of the content for a request. left is the time that the request has
+// Begin asks for a run of a request. left is the time that the request has
 // left. waited is true if some time has passed. Exactly one of run and refusal is set.
-func (c *Client) Begin(ctx context.Context, content Content, request, id string, left time.Duration) (run *Run, waited bool, refusal *Refusal) {
+func (c *Client) Begin(ctx context.Context, subject Subject, request, id string, left time.Duration) (run *Run, waited bool, refusal *Refusal) {
 	c.cfg.CheckPause()
-	asked := ask{Content: content, Run: id, began: time.Now(), left: left}
-	run = &Run{client: c, content: content, request: request, id: id}
+	asked := ask{Subject: subject, Run: id, began: time.Now(), left: left}
+	run = &Run{client: c, subject: subject, request: request, id: id}
 	var watch *Watch
 	defer func() { watch.Stop() }()
 	for ; ; waited = true {
@@ -54,7 +54,7 @@
 		}
 		if !waited {
 			c.Counters.Add(countWaited, 1)
-			watch = c.table.Watch(content)
+			watch = c.table.Watch(subject.Content)
 		}
 		awaitChange(ctx, watch.Changed())
 	}
@@ -62,9 +62,9 @@
 
 // ask is a request for a run.
 type ask struct {
-	Content Content
-	Run     string
-	began   time.Time
+	Subject
+	Run   string
+	began time.Time
 	// left is the time that the request had left when it began to ask.
 	left time.Duration
 }
@@ -109,7 +109,7 @@
 		return
 	}
 	c.Counters.Add(logTrial, 1)
-	c.log.Info().Str("event", logTrial).Str("request", run.request).Stringer("content", run.content).Msg("trial of quarantined content")
+	c.log.Info().Str("event", logTrial).Str("request", run.request).Stringer("content", run.subject.Content).Msg("trial of quarantined content")
 }
 
 // ask asks the owner of the queue for a run, or decides alone if there is none.
@@ -124,7 +124,7 @@
 			return p
 		}
 	}
-	p := c.table.Begin(now, run.content, run.id, now.Add(left))
+	p := c.table.Begin(now, run.subject.Content, run.id, now.Add(left))
 	run.leased, run.owner = p.Outcome == Granted, nil
 	return p
 }
@@ -133,12 +133,12 @@
 func (c *Client) askOwner(ctx context.Context, conn *peer.Conn, run *Run, left time.Duration) (p Permission, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	call := beginCall{Content: run.content, Run: run.id, Left: left, Losses: c.table.Losses(time.Now(), run.content)}
+	call := beginCall{Content: run.subject.Content, Run: run.id, Left: left, Losses: c.table.Losses(time.Now(), run.subject.Content)}
 	var reply beginReply
 	if err := conn.Call(ctx, MethodBegin, call, &reply); err != nil {
 		c.Counters.Add(countNoOwner, 1)
 		// The owner may have granted the run.
-		go func() { _ = conn.Notify(MethodEnd, endNote{Content: run.content, Run: run.id}) }()
+		go func() { _ = conn.Notify(MethodEnd, endNote{Content: run.subject.Content, Run: run.id}) }()
 		return Permission{}, false
 	}
 	c.mergeAll(reply.Losses, conn.Peer().Process.Name)
@@ -152,8 +152,8 @@
 		return
 	}
 	r.once.Do(func() {
-		r.client.Broken(Break{Content: r.content, Endpoint: e, Request: r.request, RanFor: time.Since(r.began), Trial: r.trial}, err)
-		r.release(r.client.table.Losses(time.Now(), r.content))
+		r.client.Broken(Break{Content: r.subject.Content, Parts: r.subject.Parts, Endpoint: e, Request: r.request, RanFor: time.Since(r.began), Trial: r.trial}, err)
+		r.release(r.client.table.Losses(time.Now(), r.subject.Content))
 	})
 }
 
@@ -162,7 +162,7 @@
 	if r == nil {
 		return
 	}
-	r.once.Do(func() { r.release(r.client.answered(r.content, r.request, r.trial)) })
+	r.once.Do(func() { r.release(r.client.answered(r.subject.Content, r.request, r.trial)) })
 }
 
 // End ends a run that showed nothing.
@@ -178,9 +178,9 @@
 	switch {
 	case !r.leased:
 	case r.owner == nil:
-		r.client.table.End(r.content, r.id)
+		r.client.table.End(r.subject.Content, r.id)
 	default:
-		conn, note := r.owner, endNote{Content: r.content, Run: r.id, Losses: losses}
+		conn, note := r.owner, endNote{Content: r.subject.Content, Run: r.id, Losses: losses}
 		go func() { _ = conn.Notify(MethodEnd, note) }()
 	}
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/quarantine/part"
 )
 
 const (
@@ -33,7 +34,9 @@
 
 // Break is a connection that broke under a request.
 type Break struct {
-	Content  Content
+	Content Content
+	// Parts are the parts of the request's prompt that other requests may share.
+	Parts    []part.ID
 	Endpoint Endpoint
 	Request  string
 	// RanFor is the time since the request was sent.
@@ -140,7 +143,7 @@
 	}
 	added := &loss{at: now, Loss: Loss{
 		Content: b.Content, Endpoint: b.Endpoint.Key, Service: b.Endpoint.Service, Request: b.Request,
-		RanFor: b.RanFor, Trial: b.Trial, Served: t.served.has(now, b.Content),
+		Parts: b.Parts, RanFor: b.RanFor, Trial: b.Trial, Served: t.served.has(now, b.Content),
 	}}
 	if b.TimedOut {
 		added.Verdict, added.Evidence = t.silentLocked(now, added.Endpoint, EvidenceTimeout)
