integration/crash: a part of prompts that crashes one engine after the other (fails)

Real gateways before 16 engines, 40 sound requests a second that share their key and parts with the deadly ones, which come five times a second, no two alike.

--- a/integration/crash/rig_test.go
+++ b/integration/crash/rig_test.go
@@ -76,10 +76,16 @@
 	// sameID starts crashed endpoints again under their IDs, keepEntries keeps the entries
 	// of crashed endpoints.
 	sameID, keepEntries bool
+	// storeAway makes the store fail all calls once the gateways serve.
+	storeAway bool
 	// runTime is how long other requests run.
 	runTime time.Duration
 	// stageTime is how long calls for stages take beside that, in nanoseconds.
 	stageTime atomic.Int64
+	// size is the number of gateways; 0 means crashMembers.
+	size int
+	// deadly are the parts of prompts that crash the endpoints which write answers on them.
+	deadly partBook
 	// onRun, if set, is called when an endpoint that serves begins a run; it may abort it.
 	onRun func(e *crashEndpoint, body string)
 
@@ -119,13 +125,20 @@
 		}
 	}
 	t.Cleanup(r.end)
-	for range crashMembers {
+	if r.size == 0 {
+		r.size = crashMembers
+	}
+	for range r.size {
 		r.peers = append(r.peers, harness.FreePort(t))
 	}
-	for range crashMembers {
+	for range r.size {
 		r.startGateway()
 	}
 	r.awaitServing()
+	if r.storeAway {
+		r.store.SetBeforeCall(func(string) bool { return false })
+		t.Cleanup(func() { r.store.SetBeforeCall(nil) })
+	}
 	return r
 }
 
@@ -145,7 +158,7 @@
 		r.peers = append(r.peers, harness.FreePort(r.t))
 	}
 	r.frontends = append(r.frontends, harness.FreePort(r.t))
-	r.members = append(r.members, startMember(r.t, fmt.Sprintf("g%d", n+1), r.peers[n], r.frontends[n], r.storeAddr, r.peers[:crashMembers]...))
+	r.members = append(r.members, startMember(r.t, fmt.Sprintf("g%d", n+1), r.peers[n], r.frontends[n], r.storeAddr, r.peers[:r.size]...))
 	r.t.Cleanup(r.terminate)
 }
 
@@ -238,6 +251,9 @@
 	}
 	return &standin.Endpoint{ID: e.id, Answer: func(w http.ResponseWriter, run standin.Run) {
 		standin.Seal(w)
+		if part := r.deadly.in(run.Header); part != "" {
+			r.crashByPart(e, w, part)
+		}
 		if string(run.Body) == crashContent && r.at == betweenEvents {
 			r.crashBetweenEvents(e, w)
 			return
@@ -312,7 +328,10 @@
 func (r *crashRig) uniqueBody() string { return "body-" + strconv.FormatInt(r.sent.Add(1), 10) }
 
 // send sends one request through gateway i.
-func (r *crashRig) send(i int, route, body string) reply {
+func (r *crashRig) send(i int, route, body string) reply { return r.sendPrompt(i, route, body, "") }
+
+// sendPrompt sends one request whose prompt has parts through gateway i.
+func (r *crashRig) sendPrompt(i int, route, body, prompt string) reply {
 	began := time.Now()
 	id := fmt.Sprintf("%s-%d", r.t.Name(), r.sent.Add(1))
 	req, err := http.NewRequest(http.MethodPost, "http://"+r.frontends[i]+"/"+route+"/", strings.NewReader(body))
@@ -323,6 +342,11 @@
 	req.Header.Set("Mangostage-Attempt-Id", id)
 	req.Header.Set("Mangostage-Deadline-Ms", "4000")
 	req.Header.Set("Authorization", "Token k1")
+	if prompt != "" {
+		req.Header.Set("Mangostage-Model", "m")
+		req.Header.Set("Mangostage-Token-Usage", "300,20")
+		req.Header.Set("Mangostage-Prefix-Hash", prompt)
+	}
 	if route == "staged" {
 		req.Header.Set("Mangostage-Segments", "1")
 		req.Header.Set("Mangostage-Segment-Key", body)
