quarantine: the part of prompts that crashes engines is found and refused

Cause: what crashes was known by the hash of the whole request, an identity finer than the cause. Each such request was a new content with one or two crashes; nothing compared what the lost endpoints have in common, and what was learned ended with the request.

Change: package quarantine/part. A crash is an endpoint with the shared parts of the prompts that ran on it; a complete answer clears a part of the crashes before it. A request with a blamed part is refused on arrival, before each send, and out of the queue; parts that always came together are told apart by the first request that has only some of them. Content that ran beside a blamed part is excused. An answer without a length that ends with its connection counts as an answer once the endpoint is found alive.

--- a/daemon/gateway_vars.go
+++ b/daemon/gateway_vars.go
@@ -22,6 +22,7 @@
 	m.Set("backoffs", expvar.Func(func() any { return g.backoffs.Stats(time.Now()) }))
 	m.Set("content_changes", g.quarantine.Counters)
 	m.Set("quarantine", expvar.Func(func() any { return g.quarantine.Table().Stats(time.Now()) }))
+	m.Set("parts", expvar.Func(func() any { return g.quarantine.PartStats() }))
 	m.Set("ownership", expvar.Func(func() any { return g.fleet.Ownership() }))
 	m.Set("fleet_size", expvar.Func(func() any { return g.fleet.Size() }))
 	m.Set("store_at", expvar.Func(func() any { return g.follower.At().Revision }))
--- a/dispatch/content.go
+++ b/dispatch/content.go
@@ -4,13 +4,17 @@
 	"time"
 
 	"github.com/mangostage/mangostage/quarantine"
+	"github.com/mangostage/mangostage/quarantine/part"
 )
 
-// Contents tells what may be done with the content of jobs; *quarantine.Table implements it.
+// Contents tells what may be done with the content of jobs and the parts of their prompts;
+// *quarantine.Client implements it.
 type Contents interface {
-	// Empty reports whether all content may run without limits.
+	// Empty reports whether all jobs may run without limits.
 	Empty() bool
 	State(now time.Time, content quarantine.Content) quarantine.State
+	// RefusesParts reports whether requests to a service are refused for parts of their prompts.
+	RefusesParts(now time.Time, service string, parts []part.ID) bool
 }
 
 // LimitContents makes the core run content as contents says.
@@ -38,6 +42,9 @@
 	if c.contents == nil || c.contents.Empty() || j.Content == 0 {
 		return callShared
 	}
+	if c.contents.RefusesParts(now, j.Service, j.parts) {
+		return callHeld
+	}
 	s := c.contents.State(now, j.Content)
 	mode := callAlone
 	switch {
--- a/dispatch/engines.go
+++ b/dispatch/engines.go
@@ -169,7 +169,10 @@
 			continue
 		}
 		ms := e.cost(j, inputs, now)
-		if e == favourite {
+		if j.LeastLoaded {
+			ms = float64(len(e.requests))
+		}
+		if e == favourite && !j.LeastLoaded {
 			ms -= affinityBonus
 		}
 		if e.quotas.ProbeDue(now, e.key, quota.ProbeInterval) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/quarantine"
+	"github.com/mangostage/mangostage/quarantine/part"
 )
 
 // Job is a request for a model engine, with the stages to run before it.
@@ -43,6 +44,8 @@
 	Avoid []string `json:"avoid,omitempty"`
 	// Excluded lists the Keys of model engines that asked the submitter for a backoff.
 	Excluded []string `json:"excluded,omitempty"`
+	// LeastLoaded makes the engine with the fewest requests be chosen: it may crash.
+	LeastLoaded bool `json:"least_loaded,omitempty"`
 	// Version, if set, is the only software version of engines that may serve the request:
 	// that of the engine which began the stream.
 	Version *string `json:"version,omitempty"`
@@ -78,6 +81,8 @@
 	// submission; large results are produced there.
 	preferredDomain string
 	submitted       time.Time
+	// parts are the parts of the prompt that other requests may share.
+	parts []part.ID
 	// late is true if the job is expected to miss its objective; it is then queued
 	// behind jobs that can meet theirs.
 	late bool
@@ -169,6 +174,7 @@
 		submitted:   now,
 		objectiveAt: now.Add(j.Objective),
 		deadlineAt:  now.Add(j.Deadline),
+		parts:       part.Shared(j.Prefix),
 	}
 	for i, work := range j.Stages {
 		s := &stage{StageWork: work, job: state, index: i, missing: work.Pieces}
--- a/gateway/content.go
+++ b/gateway/content.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 
@@ -32,11 +33,14 @@
 	return quarantine.Content(h.Sum64())
 }
 
-// refuseQuarantined refuses a request whose content is quarantined.
+// refuseQuarantined refuses a request whose content is quarantined, or of whose prompt a part is
+// blamed.
 func (g *Gateway) refuseQuarantined(req *request) *problem {
 	req.subject = quarantine.Subject{Content: hashContent(req), Parts: part.Shared(req.Prefix), Service: req.serviceName}
-	if left := g.cfg.Quarantine.RefusedFor(req.subject.Content); left > 0 {
-		return unavailable(reasonCrashes, left)
+	if left, parts := g.cfg.Quarantine.RefusedFor(req.subject); left > 0 {
+		p := unavailable(reasonCrashes, left)
+		p.blamed = parts
+		return p
 	}
 	return nil
 }
@@ -56,7 +60,9 @@
 	if refusal.Quarantined {
 		reason = reasonCrashes
 	}
-	return waited, giveUp(req, req.endReason(reason), refusal.RetryAfter)
+	p = giveUp(req, req.endReason(reason), refusal.RetryAfter)
+	p.blamed = refusal.Parts
+	return waited, p
 }
 
 // beginSend asks whether the request may be sent now to the endpoint that was chosen; picked
@@ -92,5 +98,22 @@
 		req.endRun()
 		return
 	}
-	req.run.Broken(quarantine.Endpoint{Key: e.Key(), Addr: e.Addr, Service: e.Service}, err)
+	req.run.Broken(crashable(e), err)
+}
+
+// recordConnectionEnd records that the end of a connection ended a whole answer: the end of
+// the endpoint looks like that.
+func (g *Gateway) recordConnectionEnd(req *request, e *catalog.Endpoint, a *answer) {
+	switch {
+	case a.framing() != framedByConnection || req.http.Method == http.MethodHead:
+	case req.ctx.Err() != nil:
+		req.endRun()
+	default:
+		req.run.BrokenOrWhole(crashable(e), errBroken.New("the answer ended with the connection"))
+	}
+}
+
+// crashable describes an endpoint that may have crashed.
+func crashable(e *catalog.Endpoint) quarantine.Endpoint {
+	return quarantine.Endpoint{Key: e.Key(), Addr: e.Addr, Service: e.Service}
 }
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -76,17 +76,20 @@
 	_, estimate := g.estimateDuration(m.request)
 	ctx, cancel := g.shutdown.boundContext(m.ctx, estimate)
 	defer cancel()
-	ctx, unwatch := g.cfg.Quarantine.Bound(ctx, m.subject.Content)
+	ctx, unwatch := g.cfg.Quarantine.Bound(ctx, m.subject)
 	defer unwatch()
 	job := m.job(g.cfg.Domain)
 	job.Excluded = g.excludedEngines(m)
+	job.LeastLoaded = g.cfg.Quarantine.TrialDue(m.subject)
 	lease, err := g.cfg.Scheduler.Submit(ctx, job)
 	switch {
 	case err != nil && cancelledByShutdown(ctx):
 		return nil, giveUp(m.request, reasonStopping, g.shutdownRetryAfter(estimate))
 	case err != nil:
-		if left := g.cfg.Quarantine.RefusedFor(m.subject.Content); left > 0 {
-			return nil, giveUp(m.request, m.endReason(reasonCrashes), left)
+		if left, parts := g.cfg.Quarantine.RefusedFor(m.subject); left > 0 {
+			p := giveUp(m.request, m.endReason(reasonCrashes), left)
+			p.blamed = parts
+			return nil, p
 		}
 		return nil, giveUp(m.request, m.endReason("queue_unreachable"), overloadRetryAfter)
 	case lease.Refuse != nil && lease.Refuse.Reason == dispatch.ReasonNoVersion:
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -278,14 +278,6 @@
 	return nil
 }
 
-// recordConnectionEnd records that the end of a connection ended a whole answer: the end of
-// the endpoint looks like that.
-func (g *Gateway) recordConnectionEnd(req *request, e *catalog.Endpoint, a *answer) {
-	if a.framing() == framedByConnection && req.http.Method != http.MethodHead {
-		g.recordBroken(req, e, errBroken.New("the answer ended with the connection"))
-	}
-}
-
 // write writes a complete answer to the client.
 func (b *bufferedAnswer) write(w http.ResponseWriter) {
 	b.writeHead(w)
--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -22,6 +22,8 @@
 	queue    string
 	shortOf  dispatch.Resource
 	lateness time.Duration
+	// blamed are the parts of the prompt for which the request is refused.
+	blamed []part.ID
 	// close is true if the client's connection is to be closed after the answer.
 	close bool
 	// readInterrupted is true if the gateway itself interrupted reading from the client,
@@ -91,7 +93,7 @@
 	g.cfg.Metrics.countAnswer(req, p.reason)
 	line := g.cfg.Log.Info().Str("event", logAnswered).Str("request", req.ID).Str("route", routeName(req))
 	if p.reason == reasonCrashes || p.reason == reasonAwaitsVerdict {
-		line.Stringer("content", req.subject.Content).Strs("parts", part.Texts(req.subject.Parts))
+		line.Stringer("content", req.subject.Content).Strs("parts", part.Texts(req.subject.Parts)).Strs("blamed", part.Texts(p.blamed))
 	}
 	line.Int("status", p.status).Str("reason", p.reason).Bool("offered", req.sent).
 		Bool("may_have_run", req.mayHaveRun).Bool("client_left", clientLeft).Uint64("config", req.configVersion).
--- a/integration/crash/part_rig_test.go
+++ b/integration/crash/part_rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -93,6 +94,18 @@
 	return all, fifth, late
 }
 
+// summary returns what each part has cost.
+func (b *partBook) summary() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []string
+	for part, lost := range b.lost {
+		all = append(all, fmt.Sprintf("%s %d (reached %d)", part, len(lost), len(b.reached[part])))
+	}
+	slices.Sort(all)
+	return strings.Join(all, ", ")
+}
+
 // crashByPart sends the head of the answer and crashes the endpoint.
 func (r *crashRig) crashByPart(e *crashEndpoint, w http.ResponseWriter, part string) {
 	r.deadly.record(&r.deadly.reached, part)
@@ -184,6 +197,7 @@
 			found = fifth
 		}
 	}
+	t.Logf("endpoints lost: %s", r.deadly.summary())
 	r.checkSound(sound, found.Add(foundTime))
 	if found.IsZero() {
 		return
@@ -206,6 +220,7 @@
 			served++
 		}
 	}
+	r.t.Logf("%d of %d sound requests served", served, sent)
 	assert.Check(r.t, sent >= 20, "%d sound requests", sent)
 	assert.Check(r.t, float64(served) >= soundShare*float64(sent), "%d of %d sound requests served", served, sent)
 }
--- a/quarantine/arbiter.go
+++ b/quarantine/arbiter.go
@@ -1,12 +1,18 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"github.com/mangostage/mangostage/quarantine/part"
+)
 
 // Permission says whether a run may begin.
 type Permission struct {
 	Outcome Outcome `json:"outcome"`
 	// Trial is true if the run is a trial of quarantined content.
 	Trial bool `json:"trial,omitempty"`
+	// Parts are the blamed parts for which the run is refused or of which it is a trial.
+	Parts []part.ID `json:"parts,omitempty"`
 	// RetryAfter is the time to the next trial of content that is refused.
 	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
 }
--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -20,6 +20,9 @@
 	MethodUpdate = "quarantine.update"
 	MethodBegin  = "quarantine.begin"
 	MethodEnd    = "quarantine.end"
+
+	MethodPartReport = "quarantine.part_report"
+	MethodPartUpdate = "quarantine.part_update"
 )
 
 const (
@@ -58,9 +61,11 @@
 // and asks the owner of the queue for runs of suspect content.
 type Client struct {
 	table  *Table
+	parts  *part.Table
 	cfg    Config
 	log    zerolog.Logger
 	topic  broadcast.Topic[Loss]
+	notes  broadcast.Topic[partNote]
 	prober *prober
 	outbox outbox
 	// cautiousUntil is the end of the time in which all runs are asked for, in Unix
@@ -78,10 +83,14 @@
 	if cfg.OnCrashed == nil {
 		cfg.OnCrashed = func(string) {}
 	}
-	c := &Client{table: NewTable(cfg.Drain), cfg: cfg, log: cfg.Log, prober: newProber(), Counters: new(expvar.Map).Init()}
+	c := &Client{table: NewTable(cfg.Drain), parts: part.NewTable(), cfg: cfg, log: cfg.Log, prober: newProber(), Counters: new(expvar.Map).Init()}
 	c.topic = broadcast.Topic[Loss]{
 		Report: MethodReport, Update: MethodUpdate, Fleet: cfg.Fleet, Apply: c.apply,
-		Known: func(most int) []Loss { return c.table.Known(time.Now(), most) },
+		Known: c.known,
+	}
+	c.notes = broadcast.Topic[partNote]{
+		Report: MethodPartReport, Update: MethodPartUpdate, Fleet: cfg.Fleet, Apply: c.applyNote,
+		Known: func(int) []partNote { return nil },
 	}
 	c.BeCautious()
 	c.outbox.wake = make(chan struct{}, 1)
@@ -90,46 +99,66 @@
 
 // beginCall asks the owner for a run.
 type beginCall struct {
-	Content Content `json:"content"`
-	Run     string  `json:"run"`
+	Content Content   `json:"content"`
+	Parts   []part.ID `json:"parts,omitempty"`
+	Service string    `json:"service,omitempty"`
+	Run     string    `json:"run"`
 	// Left is the time in which the run ends.
 	Left time.Duration `json:"left_ns"`
-	// Losses are what the caller knows of the content.
+	// Losses are what the caller knows of the content and the parts.
 	Losses []Loss `json:"losses,omitempty"`
 }
 
 // beginReply is the owner's answer.
 type beginReply struct {
 	Permission
-	// Losses are what the owner knows of the content.
+	// Losses are what the owner knows of the content and the parts.
 	Losses []Loss `json:"losses,omitempty"`
 }
 
 // endNote tells the owner that a run has ended, and what it showed.
 type endNote struct {
-	Content Content `json:"content"`
-	Run     string  `json:"run"`
-	Losses  []Loss  `json:"losses,omitempty"`
+	Content Content   `json:"content"`
+	Parts   []part.ID `json:"parts,omitempty"`
+	Run     string    `json:"run"`
+	// Answered is true if the run gave a complete answer.
+	Answered bool   `json:"answered,omitempty"`
+	Losses   []Loss `json:"losses,omitempty"`
 }
 
 // Serve registers the methods by which other processes use the client.
 func Serve(mux *peer.Mux, c *Client) {
 	c.topic.Serve(mux)
+	c.notes.Serve(mux)
 	peer.HandleCall(mux, MethodBegin, func(_ context.Context, from *peer.Conn, call beginCall) (beginReply, error) {
 		c.mergeAll(call.Losses, from.Peer().Process.Name)
 		now := time.Now()
-		p := c.table.Begin(now, call.Content, call.Run, now.Add(call.Left))
-		return beginReply{Permission: p, Losses: c.table.Losses(now, call.Content)}, nil
+		p := c.begin(now, call)
+		return beginReply{Permission: p, Losses: c.lossesOf(now, call.Content, call.Parts)}, nil
 	})
 	peer.HandleNotification(mux, MethodEnd, func(from *peer.Conn, note endNote) {
 		c.mergeAll(note.Losses, from.Peer().Process.Name)
-		c.table.End(note.Content, note.Run)
+		c.end(note)
 	})
 }
 
 // Table returns the table of what this process knows.
 func (c *Client) Table() *Table { return c.table }
 
+// Empty reports whether nothing is remembered of any content or part.
+func (c *Client) Empty() bool { return c.table.Empty() && c.parts.Empty() }
+
+// State returns the standing of a content.
+func (c *Client) State(now time.Time, content Content) State { return c.table.State(now, content) }
+
+// RefusesParts reports whether requests to a service are refused for parts of their prompts.
+func (c *Client) RefusesParts(now time.Time, service string, parts []part.ID) bool {
+	return c.parts.Judge(now, service, parts).RefusedFor > 0
+}
+
+// PartStats describes the parts that this member remembers.
+func (c *Client) PartStats() part.Stats { return c.parts.Stats(time.Now()) }
+
 // Greet tells a member that has just connected what is known here.
 func (c *Client) Greet(conn *peer.Conn) { c.topic.Greet(conn) }
 
@@ -139,24 +168,41 @@
 // SetView records a new list of endpoints.
 func (c *Client) SetView(view *catalog.View) { c.resolved(c.table.SetView(time.Now(), view)) }
 
-// RefusedFor returns how long a content is refused; 0 if it is not.
-func (c *Client) RefusedFor(content Content) time.Duration {
-	return c.table.State(time.Now(), content).RefusedFor
+// RefusedFor returns how long a request is refused, and the parts of its prompt that are blamed;
+// 0 if it is not refused.
+func (c *Client) RefusedFor(s Subject) (time.Duration, []part.ID) {
+	now := time.Now()
+	left := c.table.State(now, s.Content).RefusedFor
+	if r := c.parts.Judge(now, s.Service, s.Parts); r.RefusedFor > 0 {
+		return max(left, r.RefusedFor), r.Blamed
+	}
+	return left, nil
+}
+
+// TrialDue reports whether a request would be a trial now.
+func (c *Client) TrialDue(s Subject) bool {
+	now := time.Now()
+	if s := c.table.State(now, s.Content); s.Standing == Quarantined && s.RefusedFor == 0 {
+		return true
+	}
+	r := c.parts.Judge(now, s.Service, s.Parts)
+	return len(r.Blamed) > 0 && r.RefusedFor == 0
 }
 
-// Bound returns a context that also ends when the content is refused, and a function that
+// Bound returns a context that also ends when the request is refused, and a function that
 // ends the watch.
-func (c *Client) Bound(ctx context.Context, content Content) (context.Context, context.CancelFunc) {
+func (c *Client) Bound(ctx context.Context, s Subject) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	watch := c.table.Watch(content)
+	watch := c.table.Watch(s.Content)
 	go func() {
 		for ctx.Err() == nil {
-			changed := watch.Changed()
-			if c.RefusedFor(content) > 0 {
+			changed, partsChanged := watch.Changed(), c.parts.Changed()
+			if left, _ := c.RefusedFor(s); left > 0 {
 				cancel()
 			}
 			select {
 			case <-changed:
+			case <-partsChanged:
 			case <-ctx.Done():
 			}
 		}
@@ -167,14 +213,13 @@
 
 // apply merges a loss that the member of that name knows.
 func (c *Client) apply(l Loss, from string) bool {
-	if !c.table.Merge(time.Now(), l) {
-		return false
-	}
-	if l.Verdict == Crashed {
+	isNew := c.table.Merge(time.Now(), l)
+	if isNew && l.Verdict == Crashed {
 		c.applyCrash(l, from)
 	}
+	ofParts := c.recordPartCrash(l, from)
 	c.logChanges(from)
-	return true
+	return isNew || ofParts
 }
 
 // applyCrash logs a crash that the member of that name knows. If that member lists the next
@@ -207,6 +252,7 @@
 		return
 	}
 	b.TimedOut = timedOut(err)
+	b.Answered, b.ServiceAnswered = c.parts.Known(time.Now(), b.Endpoint.Service, b.Parts)
 	l, isNew := c.table.RecordBreak(time.Now(), b)
 	if !isNew {
 		return
@@ -236,13 +282,18 @@
 		if l.Verdict == Crashed || l.Known {
 			c.outbox.add(l.Loss, time.Now())
 		}
+		c.recordPartCrash(l.Loss, "")
+		if l.Whole && l.Verdict == Alive {
+			c.answered(Subject{Content: l.Content, Parts: l.Parts, Service: l.Service}, l.Request, l.Trial)
+		}
 	}
 	c.logChanges("")
 }
 
 // answered records a complete answer and returns the losses that it forgives.
-func (c *Client) answered(content Content, request string, trial bool) []Loss {
-	forgiven := c.table.RecordAnswer(time.Now(), content, trial)
+func (c *Client) answered(s Subject, request string, trial bool) []Loss {
+	c.recordPartAnswer(s, request)
+	forgiven := c.table.RecordAnswer(time.Now(), s.Content, trial)
 	for _, l := range forgiven {
 		c.logLoss(logForgiven, l, "").Str("answered", request).Int("answers", l.Answers).Msg(textForgiven)
 		c.outbox.add(l, time.Now())
--- a/quarantine/loss.go
+++ b/quarantine/loss.go
@@ -97,16 +97,40 @@
 	ServiceLost bool `json:"service_lost,omitempty"`
 	// Parts are the parts of the request's prompt that other requests may share.
 	Parts []part.ID `json:"parts,omitempty"`
+	// PartTrial is true if the run was a trial of blamed parts.
+	PartTrial bool `json:"part_trial,omitempty"`
+	// Answered are those of the parts that the member had answered, and ServiceAnswered is how
+	// long before the break the service had last given it a complete answer; 0 if never.
+	Answered        []part.Answered `json:"answered_parts,omitempty"`
+	ServiceAnswered time.Duration   `json:"service_answered_ns,omitempty"`
 	// Age is the time since the break. It is relative because members' clocks differ.
 	Age time.Duration `json:"age_ns"`
 }
 
+// crash returns the loss as the crash of an endpoint under the parts of a prompt.
+func (l *Loss) crash(now time.Time) part.Crash {
+	return part.Crash{
+		Endpoint: l.Endpoint, Service: l.Service, Content: uint64(l.Content), Request: l.Request, Parts: l.Parts,
+		Answered: l.Answered, ServiceAnswered: l.ServiceAnswered, Trial: l.PartTrial, RanFor: l.RanFor, At: now.Add(-l.Age),
+	}
+}
+
+// lossOf returns the crash of an endpoint under the parts of a prompt as a loss.
+func lossOf(now time.Time, c part.Crash) Loss {
+	return Loss{
+		Content: Content(c.Content), Endpoint: c.Endpoint, Service: c.Service, Verdict: Crashed, Request: c.Request, Parts: c.Parts,
+		PartTrial: c.Trial, Answered: c.Answered, RanFor: c.RanFor, Age: max(0, now.Sub(c.At)),
+	}
+}
+
 // loss is a Loss with the time of the break by this process's clock; its Age is not used.
 type loss struct {
 	Loss
 	at time.Time
 	// shared is true if other members may know the loss.
 	shared bool
+	// whole is true if the answer was complete, unless the endpoint crashed.
+	whole bool
 }
 
 // export returns the loss for another member.
@@ -136,7 +160,8 @@
 		l.at = at
 	}
 	if len(l.Parts) == 0 {
-		l.Parts = other.Parts
+		l.Parts, l.PartTrial = other.Parts, other.PartTrial
+		l.Answered, l.ServiceAnswered = other.Answered, other.ServiceAnswered
 	}
 	return l.findings() != before
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -41,8 +41,14 @@
 	Request  string
 	// RanFor is the time since the request was sent.
 	RanFor time.Duration
-	// Trial is true if the run was a trial.
-	Trial bool
+	// Trial is true if the run was a trial of quarantined content, PartTrial if it was one of
+	// blamed parts.
+	Trial, PartTrial bool
+	// Whole is true if the answer was complete, unless the endpoint crashed.
+	Whole bool
+	// Answered and ServiceAnswered are as in a Loss.
+	Answered        []part.Answered
+	ServiceAnswered time.Duration
 	// TimedOut is true if the endpoint had been silent, so that no new connection tells
 	// more.
 	TimedOut bool
@@ -141,9 +147,10 @@
 	if known := c.losses[b.Endpoint.Key]; known != nil {
 		return known.Loss, false
 	}
-	added := &loss{at: now, Loss: Loss{
+	added := &loss{at: now, whole: b.Whole, Loss: Loss{
 		Content: b.Content, Endpoint: b.Endpoint.Key, Service: b.Endpoint.Service, Request: b.Request,
-		Parts: b.Parts, RanFor: b.RanFor, Trial: b.Trial, Served: t.served.has(now, b.Content),
+		RanFor: b.RanFor, Trial: b.Trial, Served: t.served.has(now, b.Content),
+		Parts: b.Parts, PartTrial: b.PartTrial, Answered: b.Answered, ServiceAnswered: b.ServiceAnswered,
 	}}
 	if b.TimedOut {
 		added.Verdict, added.Evidence = t.silentLocked(now, added.Endpoint, EvidenceTimeout)
@@ -222,6 +229,8 @@
 	Loss
 	// Known is true if other members know the loss and have to be told.
 	Known bool
+	// Whole is true if the answer was complete, unless the endpoint crashed.
+	Whole bool
 }
 
 // Resolve records what a new connection to an endpoint has shown that was opened at opened,
@@ -258,7 +267,7 @@
 		l.Verdict, l.Evidence = verdict, evidence
 		known := l.shared
 		t.changedLocked(now, t.contents[content], l)
-		resolved = append(resolved, Resolved{Loss: l.export(now), Known: known})
+		resolved = append(resolved, Resolved{Loss: l.export(now), Known: known, Whole: l.whole})
 	}
 	return resolved
 }
@@ -315,6 +324,23 @@
 	return told
 }
 
+// Excuse forgives all crashes of an endpoint that is known to have crashed for another reason
+// than the content that ran there, and returns how many.
+func (t *Table) Excuse(now time.Time, endpoint string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	excused := 0
+	for content, l := range t.lossesAt[endpoint] {
+		if l.weight() == 0 {
+			continue
+		}
+		l.Answers = answersToForgive
+		t.reportLocked(now, content, t.contents[content])
+		excused++
+	}
+	return excused
+}
+
 // Merge merges a loss that another member knows and reports whether it was news.
 func (t *Table) Merge(now time.Time, other Loss) bool {
 	if other.Age < 0 || other.Age > contentTime || other.Endpoint == "" || other.Verdict < Pending || other.Verdict > Crashed {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -84,7 +84,7 @@
 		ctx:        context.Background(),
 	}
 	if contents != nil {
-		s.core.LimitContents(contents.Table())
+		s.core.LimitContents(contents)
 	}
 	return s
 }
