quarantine/part: crashes that are all at once do not suffice; innocents on real processes

A part that nobody had answered yet and that ran on every endpoint was blamed when power was lost, with a trial a second later. Crashes within 50 ms now do not suffice alone; one at another time does. The early trial goes: it cost an endpoint a second after each burst.

--- a/integration/crash/part_test.go
+++ b/integration/crash/part_test.go
@@ -21,6 +21,7 @@
 		"in changing company": {parts: []string{"dead"}, partsOf: func(n int) []string { return []string{"f0", fmt.Sprintf("a%d", n%3), "dead"} }, most: 6},
 		"written differently": {parts: []string{"dead"}, partsOf: func(n int) []string { return []string{"f0", []string{"dead", "DEAD", "00dead"}[n%3]} }, most: 6},
 		"one gateway":         {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), most: 6, change: func(r *crashRig) { r.size = 1 }},
+		"thirty gateways":     {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), most: 6, change: func(r *crashRig) { r.size = 30 }},
 		"one a second":        {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), interval: time.Second, most: 6},
 		"thirty a second":     {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), interval: time.Second / 30, most: 12, change: func(r *crashRig) { r.size = 6 }},
 		"two parts":           {parts: []string{"dead", "bad"}, partsOf: func(n int) []string { return []string{"f0", []string{"dead", "bad"}[n%2]} }, most: 12},
--- a/quarantine/part/blame.go
+++ b/quarantine/part/blame.go
@@ -6,13 +6,11 @@
 )
 
 const (
-	// trialDelay is the time from the latest crash to the first trial, earlyTrialDelay that if
-	// all crashes were at once. Both double with each trial that crashes an endpoint; after
-	// maxTrials the part is tried once in a lateTrialDelay.
-	trialDelay      = time.Minute
-	earlyTrialDelay = time.Second
-	maxTrials       = 3
-	lateTrialDelay  = time.Hour
+	// trialDelay is the time from the latest crash to the first trial. It doubles with each trial
+	// that crashes an endpoint; after maxTrials the part is tried once in a lateTrialDelay.
+	trialDelay     = time.Minute
+	maxTrials      = 3
+	lateTrialDelay = time.Hour
 )
 
 // blamedLocked reports whether a part is blamed.
@@ -89,16 +87,12 @@
 // trialAtLocked returns when the next trial of a blamed part is due.
 func (t *Table) trialAtLocked(id ID, s *state) time.Time {
 	f := t.findingsLocked(id, s)
-	first, latest := f.left[0], f.left[len(f.left)-1]
+	latest := f.left[len(f.left)-1].at
 	failed := f.failedTrials(id)
-	delay := trialDelay
-	switch {
-	case failed >= maxTrials:
-		return latest.at.Add(lateTrialDelay)
-	case latest.at.Sub(first.at) < outageWindow:
-		delay = earlyTrialDelay
+	if failed >= maxTrials {
+		return latest.Add(lateTrialDelay)
 	}
-	return latest.at.Add(delay << failed)
+	return latest.Add(trialDelay << failed)
 }
 
 // failedTrials returns the number of trials of the part that crashed their endpoints.
--- a/quarantine/part/doc.go
+++ b/quarantine/part/doc.go
@@ -8,7 +8,8 @@
 //
 // Three things keep innocent parts from that. A content counts for at most maxCrashesPerContent
 // crashes: what it crashes itself is no fault of its parts. Crashes at the same time as those of
-// endpoints without the part count as one: such losses have another cause. And a crash is
+// endpoints without the part count as one, and crashes that are all at once do not suffice:
+// such losses may have another cause. And a crash is
 // explained by the part that explains most: a part whose crashes are nearly all among those of
 // another one is not blamed. A part that had been answered before its crashes is explained by
 // each part that had not, and else blamed only for crashes that are spread over time while its
--- a/quarantine/part/evidence.go
+++ b/quarantine/part/evidence.go
@@ -13,6 +13,9 @@
 	crashLimit = 5
 	// maxCrashesPerContent is how many crashes of one content count for its parts.
 	maxCrashesPerContent = 2
+	// atOnceTime is the time within which crashes of one part do not suffice alone: a loss of
+	// power looks like that.
+	atOnceTime = 50 * time.Millisecond
 	// outageWindow is the time between crashes that may have one cause, outageOthers the
 	// number of endpoints without the part that show such a cause.
 	outageWindow = 100 * time.Millisecond
@@ -67,7 +70,7 @@
 	if len(f.left) >= answersToldFrom {
 		f.counted = t.withoutOutagesLocked(id, withoutRepeats(id, f.left))
 	}
-	f.enough = len(f.counted) >= crashLimit
+	f.enough = len(f.counted) >= crashLimit && f.counted[len(f.counted)-1].at.Sub(f.counted[0].at) >= atOnceTime
 	if f.enough && f.answeredBefore {
 		f.enough = t.spreadLocked(f.counted)
 	}
--- a/quarantine/part/table_test.go
+++ b/quarantine/part/table_test.go
@@ -418,3 +418,18 @@
 	assert.Equal(t, len(r.Evidence(nil, 3)), 3)
 	assert.Assert(t, r.Explains("e1") && !r.Explains("unknown"))
 }
+
+// Guards against a part that nobody has answered yet and that is blamed for a loss of power, and
+// against a deadly part that escapes because many requests with it ran at once.
+func TestCrashesAtOnceDoNotSuffice(t *testing.T) {
+	r := newRig()
+	for range 3 * crashLimit {
+		r.crash([]ID{first, deadly})
+		r.pass(time.Millisecond)
+	}
+	assert.Assert(t, !r.blames(first, deadly))
+	r.answer(first)
+	r.pass(200 * time.Millisecond)
+	r.crash([]ID{first, deadly})
+	assert.DeepEqual(t, r.Judge(r.now, "s", []ID{first, deadly}).Blamed, []ID{deadly})
+}
