soak: parts of prompts that crash endpoints, and a balancer that favours one gateway

All requests have prompts with a part that all share and one that many do. A client sends requests with a deadly part, no two alike, at 20, 5 or 1 a second, to all gateways in turn or most to one; it may cost five endpoints and two in flight in each part of the fleet. The load balancer may send nine of ten new connections to one gateway.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -74,6 +75,10 @@
 	if len(usable) == 0 {
 		return nil
 	}
+	favoured := r.favoured.Load()
+	if favoured != nil && slices.Contains(usable, favoured) && rng.IntN(10) < favourShare {
+		return favoured
+	}
 	return usable[rng.IntN(len(usable))]
 }
 
@@ -161,6 +166,13 @@
 	req.Header.Set("Mangostage-Attempt-Id", id)
 	req.Header.Set("Mangostage-Deadline-Ms", strconv.FormatInt(routeTimeout.Milliseconds(), 10))
 	req.Header.Set("Authorization", "Token "+apiKey)
+	req.Header.Set("Mangostage-Prefix-Hash", promptOf(id))
+}
+
+// setStageHeaders sets the headers of a request whose route has stages.
+func setStageHeaders(req *http.Request, id string) {
+	req.Header.Set("Mangostage-Segments", "3,2")
+	req.Header.Set("Mangostage-Segment-Key", "key-"+id)
 }
 
 // send makes one request and returns its status and body, or an error if no
@@ -175,8 +187,7 @@
 	req.ContentLength = int64(len(body))
 	setClientHeaders(req, id)
 	if route == "staged" {
-		req.Header.Set("Mangostage-Segments", "3,2")
-		req.Header.Set("Mangostage-Segment-Key", "key-"+id)
+		setStageHeaders(req, id)
 	}
 	if route == "staged" && strings.HasPrefix(body, crashPrefix) {
 		req.Header.Set("Mangostage-Segment-Key", body)
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -85,7 +85,7 @@
 	standin.AbortAnswer()
 }
 
-// checkCrashes checks how many endpoints each content has cost. Each part of a fleet that is
+// checkCrashes checks how many endpoints each content, or part of prompts, has cost. Each part of a fleet that is
 // cut by other faults may lose as many.
 func (r *rig) checkCrashes(set faultSet) {
 	parts := 1
@@ -95,7 +95,11 @@
 	r.crashes.mu.Lock()
 	defer r.crashes.mu.Unlock()
 	for content, lost := range r.crashes.lost {
-		if bound := parts * (crashLimit + crashCopies + crashTrials); lost > bound {
+		bound := parts * (crashLimit + crashCopies + crashTrials)
+		if strings.HasPrefix(content, deadlyPrefix) {
+			bound = parts * (partLimit + partCopies)
+		}
+		if lost > bound {
 			r.recorder.addViolation("%s cost %d endpoints (bound %d)", content, lost, bound)
 		}
 	}
--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -107,6 +107,8 @@
 	recorder  *recorder
 	crashes   crashBook
 	streams   streamTally
+	// favoured is the gateway to which the load balancer sends most clients; nil for none.
+	favoured atomic.Pointer[gateway]
 
 	mu      sync.Mutex
 	version int
@@ -294,6 +296,7 @@
 			r.recorder.recordRun(run, id, drainedAt)
 			r.checkArrival(run.ID, e)
 			r.crashIfAsked(e, string(run.Body))
+			r.crashIfDeadly(e, w, run.Header)
 			if e.service == "versioned" || e.service == "feed" {
 				answerVersioned(w, run, version)
 				return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -82,8 +82,9 @@
 	}
 }
 
-// TestCrashingContent guards against requests that crash endpoint after endpoint, in series,
-// overlapping and beside planned work, and against other content that is refused for it.
+// TestCrashingContent guards against requests, and parts of prompts, that crash endpoint after
+// endpoint, in series, overlapping and beside planned work, also with most connections at one
+// gateway, and against other content that is refused for it.
 func TestCrashingContent(t *testing.T) {
 	for _, seed := range []uint64{47, 470} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, crashingContent) })
@@ -231,7 +232,12 @@
 		return work[r.rng.IntN(len(work))]
 	}
 	crashRoute := []string{"idem", "resume", "staged"}[r.rng.IntN(3)]
+	partRoute := []string{"stream", "resume", "staged"}[r.rng.IntN(3)]
+	partInterval := []time.Duration{crashInterval, 5 * crashInterval, crashInterval / 4}[r.rng.IntN(3)]
+	favoured := []*gateway{nil, g}[r.rng.IntN(2)]
+	sendPart := func() { r.sendDeadlyPart(partRoute, partInterval, d+2*time.Second, favoured) }
 	if set == crashingContent {
+		work = append(work, sendPart, sendPart, sendPart, func() { r.favour(g, d) })
 		work = append(work, func() { r.sendCrashing(crashRoute, d+time.Second) }, func() { r.sendCrashing(crashRoute, d+time.Second) }, func() { r.sendCrashing(crashRoute, d+time.Second) })
 		return work[r.rng.IntN(len(work))]
 	}
@@ -260,6 +266,8 @@
 		func() { r.returnStore(age, away) },
 		func() { r.sendCrashing(crashRoute, d+time.Second) },
 		func() { r.sendCrashing(crashRoute, d+time.Second) },
+		sendPart, sendPart,
+		func() { r.favour(g, d) },
 	)
 	return faults[r.rng.IntN(len(faults))]
 }
