quarantine/part: an outage costs little to judge; model of a deadly part in fleets

In the model, 300 members that lose all endpoints under long runs spent minutes on what each loss means for each part: the losses around each crash were compared although the crashes did not suffice anyway. They are compared only for parts whose crashes suffice, and parts that were answered are judged by the spread of their crashes first.

--- a/quarantine/model_rig_test.go
+++ b/quarantine/model_rig_test.go
@@ -8,9 +8,11 @@
 	"time"
 )
 
+const defaultFleetSeeds = 20
+
 // fleetSeeds is the number of fleets of three members in each case of the model; there are
 // fewer larger ones. By hand: go test ./quarantine -run Model -args -fleet.seeds 500.
-var fleetSeeds = flag.Uint64("fleet.seeds", 20, "number of seeds of the smallest fleet")
+var fleetSeeds = flag.Uint64("fleet.seeds", defaultFleetSeeds, "number of seeds of the smallest fleet")
 
 const (
 	// crashing and popular are the contents of the model; seldom ones are numbered from
--- a/quarantine/part/changes.go
+++ b/quarantine/part/changes.go
@@ -49,10 +49,11 @@
 	t.notifyLocked()
 }
 
-// companionsLocked returns the parts that were lost with a part often enough to be blamed.
+// companionsLocked returns the parts that a part may explain: those that were lost with it often
+// enough to be blamed, if it suffices itself or did.
 func (t *Table) companionsLocked(id ID) []ID {
 	s := t.parts[id]
-	if s == nil || len(s.crashes) < crashLimit {
+	if s == nil || len(s.crashes) < crashLimit || !t.blamed[id] && !t.findingsLocked(id, s).enough {
 		return nil
 	}
 	var companions []ID
--- a/quarantine/part/evidence.go
+++ b/quarantine/part/evidence.go
@@ -50,6 +50,17 @@
 	return left
 }
 
+// countLeft returns the number of crashes that no answer clears.
+func (s *state) countLeft() int {
+	n := 0
+	for _, e := range s.crashes {
+		if e.at.After(s.answered[e.service]) {
+			n++
+		}
+	}
+	return n
+}
+
 // answeredBefore reports whether a service under which the part was lost had answered it.
 func (s *state) answeredBefore() bool {
 	for _, e := range s.crashes {
@@ -67,17 +78,29 @@
 	}
 	f := findings{left: s.left(), answeredBefore: s.answeredBefore()}
 	f.counted = f.left
-	if len(f.left) >= answersToldFrom {
-		f.counted = t.withoutOutagesLocked(id, withoutRepeats(id, f.left))
+	if len(f.left) >= limitedFrom {
+		f.counted = withoutRepeats(id, f.left)
 	}
-	f.enough = len(f.counted) >= crashLimit && f.counted[len(f.counted)-1].at.Sub(f.counted[0].at) >= atOnceTime
-	if f.enough && f.answeredBefore {
-		f.enough = t.spreadLocked(f.counted)
+	if f.enough = t.sufficeLocked(f); f.enough {
+		f.counted = t.withoutOutagesLocked(id, f.counted)
+		f.enough = t.sufficeLocked(f)
 	}
 	s.findings, s.revision = f, t.revision
 	return &s.findings
 }
 
+// sufficeLocked reports whether the crashes that count suffice to blame a part.
+func (t *Table) sufficeLocked(f findings) bool {
+	n := len(f.counted)
+	switch {
+	case n < crashLimit, f.counted[n-1].at.Sub(f.counted[0].at) < atOnceTime:
+		return false
+	case f.answeredBefore:
+		return t.spreadLocked(f.counted)
+	}
+	return true
+}
+
 // withoutRepeats returns the crashes that count although a content counts for only
 // maxCrashesPerContent of them: content that crashes endpoints by itself does not accuse its
 // parts.
@@ -116,13 +139,15 @@
 // inOutageLocked reports whether endpoints of the same service were lost at the time of a crash
 // that neither the part nor another suspect explains.
 func (t *Table) inOutageLocked(id ID, e *lostEndpoint) bool {
-	others := 0
+	own, others := t.parts[id].crashes, 0
 	for _, other := range t.lostAroundLocked(e.at) {
-		if other != e && other.service == e.service && !other.has(id) && !t.suspectedLocked(id, other) {
-			others++
+		if own[other.key] == nil && other.service == e.service && !t.suspectedLocked(id, other) {
+			if others++; others >= outageOthers {
+				return true
+			}
 		}
 	}
-	return others >= outageOthers
+	return false
 }
 
 // lostAroundLocked returns the endpoints that were lost within outageWindow of a time.
@@ -138,7 +163,7 @@
 	for _, r := range e.runs {
 		for _, other := range r.parts {
 			s := t.parts[other]
-			if other != id && s != nil && len(s.crashes) >= crashLimit && !s.answeredBefore() && len(s.left()) >= crashLimit {
+			if other != id && s != nil && s.countLeft() >= crashLimit && !s.answeredBefore() {
 				return true
 			}
 		}
--- a/quarantine/part/expire.go
+++ b/quarantine/part/expire.go
@@ -53,7 +53,7 @@
 		switch {
 		case t.blamed[id]:
 			keep = blamedTime
-		case len(s.left()) == 0:
+		case s.countLeft() == 0:
 			keep = clearedTime
 		}
 		if now.Sub(s.latest()) > keep {
@@ -75,7 +75,7 @@
 	}
 	ranks := make([]rank, 0, len(t.parts))
 	for id, s := range t.parts {
-		ranks = append(ranks, rank{id: id, left: len(s.left()), latest: s.latest()})
+		ranks = append(ranks, rank{id: id, left: s.countLeft(), latest: s.latest()})
 	}
 	slices.SortFunc(ranks, func(a, b rank) int { return cmp.Or(cmp.Compare(a.left, b.left), a.latest.Compare(b.latest)) })
 	for _, r := range ranks[:len(ranks)/evictShare] {
--- a/quarantine/part/table.go
+++ b/quarantine/part/table.go
@@ -113,16 +113,6 @@
 	ranFor  time.Duration
 }
 
-// has reports whether a request with the part ran on the endpoint.
-func (e *lostEndpoint) has(id ID) bool {
-	for _, r := range e.runs {
-		if slices.Contains(r.parts, id) {
-			return true
-		}
-	}
-	return false
-}
-
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
@@ -293,7 +283,7 @@
 		if s == nil {
 			continue
 		}
-		cleared = cleared || len(s.left()) > 0
+		cleared = cleared || s.countLeft() > 0
 		s.answered[service] = now
 		if s.hasToTell(now, service) {
 			tell = append(tell, Answer{Part: id, Service: service, At: now})
