--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -252,7 +252,7 @@
 		return
 	}
 	b.TimedOut = timedOut(err)
-	b.Answered, b.ServiceAnswered = c.parts.Known(time.Now(), b.Endpoint.Service, b.Parts)
+	b.Answered, b.ServiceAnswered = c.parts.LastAnswers(time.Now(), b.Endpoint.Service, b.Parts)
 	l, isNew := c.table.RecordBreak(time.Now(), b)
 	if !isNew {
 		return
--- a/quarantine/model_rig_test.go
+++ b/quarantine/model_rig_test.go
@@ -44,9 +44,8 @@
 
 // modelFleet is a fleet in virtual time before endpoints that a content crashes.
 type modelFleet struct {
+	modelClock
 	rng     *rand.Rand
-	now     time.Time
-	events  eventQueue
 	members []judge
 	// part is the part of the fleet of each member while it is cut, owner the owner of the
 	// first part's queue.
@@ -100,14 +99,20 @@
 	return last
 }
 
+// modelClock is virtual time: what happens is played in the order of its times.
+type modelClock struct {
+	now    time.Time
+	events eventQueue
+}
+
 // after schedules do.
-func (s *modelFleet) after(d time.Duration, do func()) {
+func (s *modelClock) after(d time.Duration, do func()) {
 	s.events.seq++
 	heap.Push(&s.events, modelEvent{at: s.now.Add(d), seq: s.events.seq, do: do})
 }
 
 // run plays the events up to d after the epoch.
-func (s *modelFleet) run(d time.Duration) {
+func (s *modelClock) run(d time.Duration) {
 	for len(s.events.all) > 0 && s.events.all[0].at.Before(epoch.Add(d)) {
 		e, _ := heap.Pop(&s.events).(modelEvent)
 		s.now = e.at
@@ -116,6 +121,16 @@
 	s.now = epoch.Add(d)
 }
 
+// every calls do at an interval until end.
+func (s *modelClock) every(interval time.Duration, end time.Duration, do func()) {
+	s.after(interval, func() {
+		if s.now.Before(epoch.Add(end)) {
+			do()
+			s.every(interval, end, do)
+		}
+	})
+}
+
 // send delivers a message between members after a delay, unless they are cut off from each
 // other.
 func (s *modelFleet) send(from, to int, deliver func()) {
@@ -145,7 +160,7 @@
 
 func newModelFleet(seed uint64, members int, newJudge func(s *modelFleet, member int) judge) *modelFleet {
 	s := &modelFleet{
-		rng: rand.New(rand.NewPCG(seed, 47)), now: epoch, part: make([]int, members), down: make(map[int]bool),
+		modelClock: modelClock{now: epoch}, rng: rand.New(rand.NewPCG(seed, 47)), part: make([]int, members), down: make(map[int]bool),
 		running: make(map[int][]*modelRun), lost: make(map[int]int), innocents: make(map[string]int),
 	}
 	for i := range members {
@@ -231,16 +246,6 @@
 	s.after(restartTime, func() { s.down[e] = false })
 }
 
-// every calls do at an interval until end.
-func (s *modelFleet) every(interval time.Duration, end time.Duration, do func()) {
-	s.after(interval, func() {
-		if s.now.Before(epoch.Add(end)) {
-			do()
-			s.every(interval, end, do)
-		}
-	})
-}
-
 // anyMember returns a random member.
 func (s *modelFleet) anyMember() int { return s.rng.IntN(len(s.members)) }
 
--- a/quarantine/part/table.go
+++ b/quarantine/part/table.go
@@ -124,9 +124,9 @@
 // Empty reports whether no part is tracked.
 func (t *Table) Empty() bool { return t.size.Load() == 0 }
 
-// Known returns which of the parts this member has answered, and how long ago the service last
+// LastAnswers returns which of the parts this member has answered, and how long ago the service last
 // gave a complete answer, as a Crash at that time says it.
-func (t *Table) Known(now time.Time, service string, parts []ID) (answered []Answered, serviceAnswered time.Duration) {
+func (t *Table) LastAnswers(now time.Time, service string, parts []ID) (answered []Answered, serviceAnswered time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, id := range parts {
--- a/quarantine/part/table_test.go
+++ b/quarantine/part/table_test.go
@@ -37,7 +37,7 @@
 
 // crashOn records that an endpoint was lost under a content with these shared parts.
 func (r *rig) crashOn(endpoint string, content uint64, trial bool, parts ...ID) {
-	answered, service := r.Known(r.now, "s", parts)
+	answered, service := r.LastAnswers(r.now, "s", parts)
 	r.RecordCrash(r.now, Crash{
 		Endpoint: endpoint, Service: "s", Content: content, Parts: parts, Answered: answered, ServiceAnswered: service,
 		Trial: trial, RanFor: 100 * time.Millisecond, At: r.now,
--- a/quarantine/part_model_rig_test.go
+++ b/quarantine/part_model_rig_test.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -58,9 +57,8 @@
 
 // partFleet is a fleet in virtual time before endpoints that a part crashes.
 type partFleet struct {
+	modelClock
 	rng      *rand.Rand
-	now      time.Time
-	events   eventQueue
 	members  []partJudge
 	side     []int
 	owner    int
@@ -77,7 +75,7 @@
 
 func newPartFleet(seed uint64, day partDay, newJudge func(int) partJudge) *partFleet {
 	s := &partFleet{
-		rng: rand.New(rand.NewPCG(seed, 56)), now: epoch, side: make([]int, day.members), down: make(map[int]bool),
+		modelClock: modelClock{now: epoch}, rng: rand.New(rand.NewPCG(seed, 56)), side: make([]int, day.members), down: make(map[int]bool),
 		running: make(map[int][]*partRun), lost: make(map[int]int), sound: make(map[string]int), runTime: day.runTime,
 	}
 	for i := range day.members {
@@ -113,29 +111,6 @@
 	return parts
 }
 
-func (s *partFleet) after(d time.Duration, do func()) {
-	s.events.seq++
-	heap.Push(&s.events, modelEvent{at: s.now.Add(d), seq: s.events.seq, do: do})
-}
-
-func (s *partFleet) every(interval, end time.Duration, do func()) {
-	s.after(interval, func() {
-		if s.now.Before(epoch.Add(end)) {
-			do()
-			s.every(interval, end, do)
-		}
-	})
-}
-
-func (s *partFleet) run(d time.Duration) {
-	for len(s.events.all) > 0 && s.events.all[0].at.Before(epoch.Add(d)) {
-		e, _ := heap.Pop(&s.events).(modelEvent)
-		s.now = e.at
-		e.do()
-	}
-	s.now = epoch.Add(d)
-}
-
 // send delivers a message between members after a delay, unless they are cut off from each
 // other.
 func (s *partFleet) send(from, to int, deliver func()) {
@@ -305,7 +280,7 @@
 
 func (j *judgedParts) crashed(s *partFleet, r *partRun, endpoint string) {
 	broke := s.now
-	answered, service := j.table.Known(s.now, partService, r.parts)
+	answered, service := j.table.LastAnswers(s.now, partService, r.parts)
 	s.end(j.member, r, false)
 	s.after(verdictTime, func() {
 		c := part.Crash{
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,8 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,21 +13,11 @@
 	// maxContents bounds the contents that are remembered. A full table forgets those first
 	// that count least: forgiven, then suspect, then quarantined, the oldest first.
 	maxContents = 1 << 12
-	// evictShare is the part of a full table that is forgotten at once, as a divisor.
-	evictShare = 8
-	// forgivenTime is how long a content is remembered of which no loss counts: messages
-	// that are older than the answers that forgave it may still arrive.
-	forgivenTime = 2 * time.Minute
-	// contentTime is how long a content is remembered after its latest loss: longer than
-	// the longest quarantine.
-	contentTime = 2 * maxTrialDelay
 	// listWindow is how long after a broken connection the store's list may show that the
 	// endpoint crashed: three heartbeats of the endpoint and a margin.
 	listWindow = 6 * time.Second
 	// probeTime is how long a verdict by a new connection takes at most.
 	probeTime = time.Second
-	// expireInterval is the interval at which old contents are looked for.
-	expireInterval = time.Second
 )
 
 // Break is a connection that broke under a request.
@@ -324,85 +312,6 @@
 	return told
 }
 
-// Excuse forgives all crashes of an endpoint that is known to have crashed for another reason
-// than the content that ran there, and returns how many.
-func (t *Table) Excuse(now time.Time, endpoint string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	excused := 0
-	for content, l := range t.lossesAt[endpoint] {
-		if l.weight() == 0 {
-			continue
-		}
-		l.Answers = answersToForgive
-		t.reportLocked(now, content, t.contents[content])
-		excused++
-	}
-	return excused
-}
-
-// Merge merges a loss that another member knows and reports whether it was news.
-func (t *Table) Merge(now time.Time, other Loss) bool {
-	if other.Age < 0 || other.Age > contentTime || other.Endpoint == "" || other.Verdict < Pending || other.Verdict > Crashed {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	at := now.Add(-other.Age)
-	c := t.contentLocked(now, other.Content)
-	known := c.losses[other.Endpoint]
-	if known == nil {
-		added := &loss{Loss: other, at: at, shared: true}
-		added.Answers = min(max(0, added.Answers), answersToForgive)
-		t.addLocked(now, c, added)
-		return true
-	}
-	known.shared = true
-	if !known.merge(other, at) {
-		return false
-	}
-	t.changedLocked(now, c, known)
-	return true
-}
-
-// Losses returns the losses of a content that count, for another member.
-func (t *Table) Losses(now time.Time, content Content) []Loss {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c := t.contents[content]
-	if c == nil {
-		return nil
-	}
-	losses := make([]Loss, 0, len(c.losses))
-	for _, l := range c.losses {
-		losses = append(losses, l.export(now))
-	}
-	return losses
-}
-
-// Known returns up to most losses for a member that knows none, those of quarantined content
-// first and then the latest.
-func (t *Table) Known(now time.Time, most int) []Loss {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var known []*loss
-	for _, c := range t.contents {
-		for _, l := range c.losses {
-			if l.Verdict == Crashed {
-				known = append(known, l)
-			}
-		}
-	}
-	slices.SortFunc(known, func(a, b *loss) int {
-		return cmp.Or(cmp.Compare(t.contents[b.Content].standing, t.contents[a.Content].standing), b.at.Compare(a.at))
-	})
-	losses := make([]Loss, 0, min(most, len(known)))
-	for _, l := range known[:min(most, len(known))] {
-		losses = append(losses, l.export(now))
-	}
-	return losses
-}
-
 // contentLocked returns the state of a content, a new one if there is none.
 func (t *Table) contentLocked(now time.Time, content Content) *contentState {
 	t.expireLocked(now)
@@ -418,61 +327,3 @@
 	t.size.Store(int64(len(t.contents)))
 	return c
 }
-
-// expireLocked forgets contents whose losses are old.
-func (t *Table) expireLocked(now time.Time) {
-	if now.Sub(t.expiredAt) < expireInterval {
-		return
-	}
-	t.expiredAt = now
-	for content, c := range t.contents {
-		keep := contentTime
-		if c.currentStanding(now) == Clear {
-			keep = forgivenTime
-		}
-		if now.Sub(c.latest()) > keep && c.running(now) == 0 {
-			t.forgetLocked(content, c)
-		}
-	}
-	t.expireLostLocked(now)
-}
-
-// evictLocked forgets the contents that count least, evictShare of all.
-func (t *Table) evictLocked(now time.Time) {
-	ranks := make([]evictionRank, 0, len(t.contents))
-	for content, c := range t.contents {
-		ranks = append(ranks, evictionRank{content: content, standing: c.currentStanding(now), latest: c.latest()})
-	}
-	slices.SortFunc(ranks, func(a, b evictionRank) int {
-		return cmp.Or(cmp.Compare(a.standing, b.standing), a.latest.Compare(b.latest))
-	})
-	for _, r := range ranks[:len(ranks)/evictShare] {
-		t.forgetLocked(r.content, t.contents[r.content])
-	}
-}
-
-// evictionRank is what decides how soon a content is forgotten.
-type evictionRank struct {
-	content  Content
-	standing Standing
-	latest   time.Time
-}
-
-// forgetLocked forgets a content.
-func (t *Table) forgetLocked(content Content, c *contentState) {
-	t.notifyLocked(content)
-	for endpoint := range c.losses {
-		t.forgetLossLocked(content, endpoint)
-	}
-	delete(t.contents, content)
-	t.size.Store(int64(len(t.contents)))
-}
-
-// forgetLossLocked forgets that an endpoint was lost under a content, but not that it was
-// lost.
-func (t *Table) forgetLossLocked(content Content, endpoint string) {
-	delete(t.lossesAt[endpoint], content)
-	if len(t.lossesAt[endpoint]) == 0 {
-		delete(t.lossesAt, endpoint)
-	}
-}
