--- a/integration/crash/part_rig_test.go
+++ b/integration/crash/part_rig_test.go
@@ -133,6 +133,14 @@
 	at time.Time
 }
 
+// gatewayOf returns the gateway of the n-th prompt.
+func (r *crashRig) gatewayOf(n int) int {
+	if r.favoured && n%10 != 0 {
+		return 0
+	}
+	return n % len(r.frontends)
+}
+
 // sendPrompts sends requests at an interval for d, to all gateways in turn, no two alike, with
 // the shared parts that partsOf returns, and returns the outcomes.
 func (r *crashRig) sendPrompts(interval, d time.Duration, partsOf func(n int) []string) []outcome {
@@ -144,7 +152,7 @@
 	for n, end := 0, time.Now().Add(d); time.Now().Before(end); n++ {
 		running.Go(func() {
 			sent := time.Now()
-			got := r.sendPrompt(n%len(r.frontends), "model", r.uniqueBody(), r.promptOf(partsOf(n)...))
+			got := r.sendPrompt(r.gatewayOf(n), "model", r.uniqueBody(), r.promptOf(partsOf(n)...))
 			mu.Lock()
 			defer mu.Unlock()
 			outcomes = append(outcomes, outcome{reply: got, at: sent})
--- a/integration/crash/part_test.go
+++ b/integration/crash/part_test.go
@@ -22,10 +22,14 @@
 		"written differently": {parts: []string{"dead"}, partsOf: func(n int) []string { return []string{"f0", []string{"dead", "DEAD", "00dead"}[n%3]} }, most: 6},
 		"one gateway":         {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), most: 6, change: func(r *crashRig) { r.size = 1 }},
 		"thirty gateways":     {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), most: 6, change: func(r *crashRig) { r.size = 30 }},
-		"one a second":        {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), interval: time.Second, most: 6},
-		"thirty a second":     {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), interval: time.Second / 30, most: 12, change: func(r *crashRig) { r.size = 6 }},
-		"two parts":           {parts: []string{"dead", "bad"}, partsOf: func(n int) []string { return []string{"f0", []string{"dead", "bad"}[n%2]} }, most: 12},
-		"long runs":           {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), most: 6, change: func(r *crashRig) { r.runTime = 1500 * time.Millisecond }},
+		"most at one gateway": {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), most: 6, change: func(r *crashRig) {
+			r.size = 6
+			r.favoured = true
+		}},
+		"one a second":    {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), interval: time.Second, most: 6},
+		"thirty a second": {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), interval: time.Second / 30, most: 12, change: func(r *crashRig) { r.size = 6 }},
+		"two parts":       {parts: []string{"dead", "bad"}, partsOf: func(n int) []string { return []string{"f0", []string{"dead", "bad"}[n%2]} }, most: 12},
+		"long runs":       {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), most: 6, change: func(r *crashRig) { r.runTime = 1500 * time.Millisecond }},
 		"store away": {parts: []string{"dead"}, partsOf: fixedParts("f0", "dead"), most: 6, change: func(r *crashRig) {
 			r.keepEntries = true
 			r.storeAway = true
--- a/integration/crash/rig_test.go
+++ b/integration/crash/rig_test.go
@@ -84,6 +84,8 @@
 	stageTime atomic.Int64
 	// size is the number of gateways; 0 means crashMembers.
 	size int
+	// favoured makes nine of ten prompts go to the first gateway.
+	favoured bool
 	// deadly are the parts of prompts that crash the endpoints which write answers on them.
 	deadly partBook
 	// onRun, if set, is called when an endpoint that serves begins a run; it may abort it.
