quarantine/part: all members know of a trial, and refuse at once what comes beside it

Callers with a blamed part that came while its trial ran were queued, had their stages run and were refused only before the send. And the note on a trial ended at the owner that had granted it, for which it was no news: a new owner could grant a second one. The owner now passes the first note on, and a request beside a trial is refused on arrival, for a second.

--- a/integration/crash/part_innocent_test.go
+++ b/integration/crash/part_innocent_test.go
@@ -139,7 +139,9 @@
 	r.deadly.set()
 	r.checkPartRefused(0, "f0", "dead")
 	waitUntil(time.Now(), untilTrial)
+	const told = 200 * time.Millisecond
 	for i := range r.frontends {
+		waitUntil(time.Now(), told)
 		got := r.sendPrompt(i, "model", r.uniqueBody(), r.promptOf("f0", "dead"))
 		assert.Check(t, got.status == http.StatusOK, "gateway %d: %+v", i+1, got)
 	}
--- a/quarantine/part/runs.go
+++ b/quarantine/part/runs.go
@@ -50,7 +50,11 @@
 		return r
 	}
 	for _, id := range r.Blamed {
-		r.RefusedFor = max(r.RefusedFor, t.trialAtLocked(id, t.parts[id]).Sub(now))
+		s := t.parts[id]
+		r.RefusedFor = max(r.RefusedFor, t.trialAtLocked(id, s).Sub(now))
+		if now.Before(s.trialUntil) {
+			r.RefusedFor = max(r.RefusedFor, besideTrialDelay)
+		}
 	}
 	return r
 }
@@ -127,38 +131,35 @@
 	return Permission{}
 }
 
-// beginTrialLocked grants a trial of blamed parts unless there is one.
+// beginTrialLocked grants a trial of blamed parts unless there is one. Requests that are refused
+// beside it do not come here.
 func (t *Table) beginTrialLocked(now time.Time, blamed []ID, run string, latest time.Time) Permission {
 	for _, id := range blamed {
 		if now.Before(t.parts[id].trialUntil) {
-			return t.besideTrialLocked(blamed)
+			// The request may be innocent and waits for the end of the trial.
+			return Permission{Outcome: Waiting}
 		}
 	}
 	for _, id := range blamed {
 		s := t.parts[id]
-		s.trial, s.trialUntil = run, latest
+		s.trial, s.trialUntil, s.trialTold = run, latest, false
 	}
 	return Permission{Trial: blamed}
 }
 
-// besideTrialLocked is the answer to a request that comes during a trial. Those that may be
-// innocent wait for its end.
-func (t *Table) besideTrialLocked(blamed []ID) Permission {
-	if t.separableLocked(blamed) {
-		return Permission{Outcome: Waiting}
-	}
-	return Permission{Outcome: Refused, RetryAfter: besideTrialDelay}
-}
-
-// NoteTrial records a trial that another member makes for a time.
+// NoteTrial records a trial that a member makes for a time, and reports whether others have to be
+// told of it.
 func (t *Table) NoteTrial(now time.Time, id ID, run string, left time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.parts[id]
-	if s == nil || s.trial == run || left <= 0 {
+	switch {
+	case s == nil || left <= 0 || s.trial == run && s.trialTold:
 		return false
+	case s.trial != run:
+		s.trial, s.trialUntil = run, now.Add(left)
 	}
-	s.trial, s.trialUntil = run, now.Add(left)
+	s.trialTold = true
 	return true
 }
 
--- a/quarantine/part/table.go
+++ b/quarantine/part/table.go
@@ -89,9 +89,11 @@
 	toldAt time.Time
 	// runs holds the ends of the runs that were granted here, by run.
 	runs map[string]time.Time
-	// trial is the run of the current trial, trialUntil its end.
+	// trial is the run of the current trial, trialUntil its end, trialTold whether all members
+	// are told of it.
 	trial      string
 	trialUntil time.Time
+	trialTold  bool
 	// findings were made at a revision.
 	findings findings
 	revision uint64
--- a/quarantine/part/table_test.go
+++ b/quarantine/part/table_test.go
@@ -264,7 +264,10 @@
 	r.pass(verdictTime)
 	assert.DeepEqual(t, r.Begin(r.now, "s", []ID{deadly}, "next", later).Trial, []ID{deadly})
 	// A trial of another member counts as well, also at a new owner of the queue.
+	assert.Assert(t, r.NoteTrial(r.now, deadly, "next", time.Minute), "granted here and not told yet")
+	assert.Assert(t, !r.NoteTrial(r.now, deadly, "next", time.Minute))
 	assert.Assert(t, r.NoteTrial(r.now, deadly, "elsewhere", time.Minute))
+	assert.Equal(t, r.Judge(r.now, "s", []ID{deadly}).RefusedFor, besideTrialDelay)
 	r.End(r.now, []ID{deadly}, "next", false)
 	r.pass(verdictTime)
 	assert.Equal(t, r.Begin(r.now, "s", []ID{deadly}, "third", later).Outcome, Refused)
