quarantine/part: the owner passes an answer on although it has a later one of its own

An owner of the queue that answers a common part itself, and had told of that within the last 200 ms, took another member's note for no news and kept it; it also took it that all members now knew, and told nothing itself. A gateway with few answers of its own went on counting crashes of the part: with most connections at the owner it could blame what all requests share. A note is passed on if a crash lies between it and what all were told. Found by reading; TestAnswerIsPassedOnBesideOwnAnswers failed before.

--- a/quarantine/part/table.go
+++ b/quarantine/part/table.go
@@ -313,7 +313,8 @@
 	return false
 }
 
-// Merge merges an answer that another member has told of and reports whether it was news.
+// Merge merges an answer that another member has told of and reports whether it was news, here or
+// for others.
 func (t *Table) Merge(now time.Time, a Answer) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -329,10 +330,22 @@
 		t.answers.addAt(now, answerKey{a.Service, a.Part}, a.At)
 		return false
 	}
+	before := s.told[a.Service]
 	if !s.merge(a.Service, a.At) {
-		return false
+		// This member has a later answer itself, but the others may not know of any.
+		return s.crashedBetween(a.Service, before, a.At)
 	}
 	t.revision++
 	t.reportLocked(now, []ID{a.Part})
 	return true
 }
+
+// crashedBetween reports whether a service lost an endpoint under the part between two times.
+func (s *state) crashedBetween(service string, from, to time.Time) bool {
+	for _, e := range s.crashes {
+		if e.service == service && e.at.After(from) && e.at.Before(to) {
+			return true
+		}
+	}
+	return false
+}
--- a/quarantine/part/table_test.go
+++ b/quarantine/part/table_test.go
@@ -340,6 +340,23 @@
 	assert.Equal(t, len(r.RecordAnswer(r.now, "s", []ID{first})), 0, "no crash since")
 }
 
+// Guards against an owner of the queue that keeps an answer to itself because it has a later one of
+// its own, which it has not told: the other members go on counting the crash.
+func TestAnswerIsPassedOnBesideOwnAnswers(t *testing.T) {
+	r := newRig()
+	r.crash([]ID{first, rare})
+	r.pass(10 * time.Millisecond)
+	r.answer(first)
+	r.pass(10 * time.Millisecond)
+	r.crash([]ID{first, rare})
+	r.pass(10 * time.Millisecond)
+	elsewhere := r.now
+	r.pass(10 * time.Millisecond)
+	assert.Equal(t, len(r.RecordAnswer(r.now, "s", []ID{first})), 0, "told shortly before")
+	assert.Assert(t, r.Merge(r.now, Answer{Part: first, Service: "s", At: elsewhere}))
+	assert.Assert(t, !r.Merge(r.now, Answer{Part: first, Service: "s", At: elsewhere}), "passed on once")
+}
+
 // Guards against a member that holds its own answers back when others tell of crashes.
 func TestOwnAnswersAreToldWhenOthersCount(t *testing.T) {
 	r := newRig()
