quarantine: an answer that a planned end may have cut is no answer

An answer that ends with its connection counted as complete once the endpoint was found alive, and an endpoint that had ended as planned counts as alive: the answer may have been cut there, and cleared the parts of its prompt of all crashes before. Only a process that accepts connections counts now. TestAnswerCutByAPlannedEndIsNoAnswer failed before.

--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -283,7 +283,8 @@
 			c.outbox.add(l.Loss, time.Now())
 		}
 		c.recordPartCrash(l.Loss, "")
-		if l.Whole && l.Verdict == Alive {
+		// An endpoint that ended as planned may have ended the answer as well.
+		if l.Whole && l.Evidence == EvidenceAccepted {
 			c.answered(Subject{Content: l.Content, Parts: l.Parts, Service: l.Service}, l.Request, l.Trial)
 		}
 	}
--- a/quarantine/client_test.go
+++ b/quarantine/client_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
@@ -39,3 +40,15 @@
 	c.apply(Loss{Content: 2, Parts: []part.ID{0xc3}, Endpoint: "b@1", Verdict: Crashed}, "g0")
 	assert.Assert(t, strings.Contains(lines.String(), `"event":"endpoint_crashed","request":"","content":"0000000000000002","parts":["c3"]`), lines.String())
 }
+
+// Guards against an answer that only its connection ended and that counts as complete although
+// the endpoint ended as well, as planned: it may have been cut there.
+func TestAnswerCutByAPlannedEndIsNoAnswer(t *testing.T) {
+	for evidence, answered := range map[Evidence]bool{EvidenceAccepted: true, EvidencePlanned: false} {
+		c := NewClient(Config{Drain: drain, Log: zerolog.Nop()})
+		l := Loss{Content: 1, Parts: []part.ID{0xa1}, Endpoint: "a@1", Service: "s", Verdict: Alive, Evidence: evidence}
+		c.resolved([]Resolved{{Loss: l, Whole: true}})
+		parts, _ := c.parts.LastAnswers(time.Now(), "s", l.Parts)
+		assert.Equal(t, len(parts) == 1, answered, "%s", evidence)
+	}
+}
