quarantine/part: how long requests with a part wait does not depend on others that were lost

A limited part kept the places of its runs for twice as long as any request had run on the endpoints that were lost, also those without the part: beside streams of minutes, sound requests with a part that nobody had answered yet waited in vain and got 503. Only runs with the part count. TestLimitedRunsDoNotLastAsLongAsOthers failed before.

--- a/quarantine/part/runs.go
+++ b/quarantine/part/runs.go
@@ -109,7 +109,7 @@
 	case len(r.Blamed) > 0:
 		return t.beginTrialLocked(now, r.Blamed, run, latest)
 	}
-	var limited []*state
+	limited := make(map[ID]*state)
 	for _, id := range parts {
 		most := t.maxRunsLocked(id)
 		if most == 0 {
@@ -119,10 +119,10 @@
 		if s.running(now) >= most {
 			return Permission{Outcome: Waiting}
 		}
-		limited = append(limited, s)
+		limited[id] = s
 	}
-	for _, s := range limited {
-		until := now.Add(s.runTime())
+	for id, s := range limited {
+		until := now.Add(s.runTime(id))
 		if latest.Before(until) {
 			until = latest
 		}
@@ -215,13 +215,15 @@
 	return len(s.runs)
 }
 
-// runTime returns how long a run that begins now may yet crash its endpoint, as far as the
-// crashes so far tell.
-func (s *state) runTime() time.Duration {
+// runTime returns how long a run with the part that begins now may yet crash its endpoint, as far
+// as the runs with it that were lost so far tell.
+func (s *state) runTime(id ID) time.Duration {
 	longest := minRunTime
 	for _, e := range s.crashes {
 		for _, r := range e.runs {
-			longest = max(longest, 2*r.ranFor)
+			if slices.Contains(r.parts, id) {
+				longest = max(longest, 2*r.ranFor)
+			}
 		}
 	}
 	return longest
--- a/quarantine/part/table_test.go
+++ b/quarantine/part/table_test.go
@@ -295,6 +295,23 @@
 	assert.Equal(t, r.Begin(r.now, "s", []ID{first, deadly}, "again", later).Outcome, Granted)
 }
 
+// Guards against a part whose requests wait for as long as requests without it ran on the
+// endpoints that were lost.
+func TestLimitedRunsDoNotLastAsLongAsOthers(t *testing.T) {
+	r := newRig()
+	for i, endpoint := range []string{"a", "b"} {
+		r.pass(time.Second)
+		r.crashOn(endpoint, uint64(2*i+1), false, rare)
+		r.RecordCrash(r.now, Crash{Endpoint: endpoint, Service: "s", Content: uint64(2*i + 2), Parts: []ID{other}, RanFor: time.Minute, At: r.now})
+	}
+	later := r.now.Add(time.Hour)
+	for i := range crashLimit - 2 {
+		assert.Equal(t, r.Begin(r.now, "s", []ID{rare}, fmt.Sprint(i), later).Outcome, Granted)
+	}
+	r.pass(minRunTime)
+	assert.Equal(t, r.Begin(r.now, "s", []ID{rare}, "next", later).Outcome, Granted)
+}
+
 // Guards against two parts that excuse each other, or accuse each other's company, because each
 // crashes engines while the other does.
 func TestTwoPartsAreBlamed(t *testing.T) {
