quarantine/part: only changes wake those who wait

Each crash, each answer that cleared something and each end of a run woke every request in the queue, which was judged anew: in an outage that is all crashes times all jobs. Requests are woken when a part becomes blamed or is no longer, or a run that was granted ends, as the comment on Changed says. TestOnlyChangesWakeThoseWhoWait failed before.

--- a/quarantine/part/changes.go
+++ b/quarantine/part/changes.go
@@ -46,7 +46,9 @@
 	for _, id := range changed {
 		t.changes = append(t.changes, t.changeLocked(now, id))
 	}
-	t.notifyLocked()
+	if len(changed) > 0 {
+		t.notifyLocked()
+	}
 }
 
 // companionsLocked returns the parts that a part may explain: those that were lost with it often
--- a/quarantine/part/runs.go
+++ b/quarantine/part/runs.go
@@ -170,23 +170,28 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	until := now
+	if !answered {
+		until = now.Add(verdictTime)
+	}
+	ended := false
 	for _, id := range parts {
 		s := t.parts[id]
 		if s == nil {
 			continue
 		}
-		until := now
-		if !answered {
-			until = now.Add(verdictTime)
-		}
 		if at, ok := s.runs[run]; ok && until.Before(at) {
 			s.runs[run] = until
+			ended = true
 		}
 		if s.trial == run && until.Before(s.trialUntil) {
 			s.trialUntil = until
+			ended = true
 		}
 	}
-	t.notifyLocked()
+	if ended {
+		t.notifyLocked()
+	}
 }
 
 // Cancel ends a run that Begin granted and that did not begin.
--- a/quarantine/part/table_test.go
+++ b/quarantine/part/table_test.go
@@ -340,6 +340,27 @@
 	assert.Equal(t, len(r.Judge(r.now, "unknown", []ID{deadly}).Blamed), 1)
 }
 
+// Guards against all queued requests being judged anew at each crash and each end of a run, also
+// where nothing has changed for them.
+func TestOnlyChangesWakeThoseWhoWait(t *testing.T) {
+	r := newRig()
+	changed := r.Changed()
+	woken := func() bool {
+		select {
+		case <-changed:
+			return true
+		default:
+			return false
+		}
+	}
+	r.crash([]ID{first, deadly})
+	r.answer(first)
+	r.End(r.now, []ID{first, deadly}, "run", false)
+	assert.Assert(t, !woken())
+	r.blame(deadly)
+	assert.Assert(t, woken())
+}
+
 // Guards against members of which one counts crashes that another has cleared: answers are told
 // while others may count a crash, at an interval.
 func TestAnswersAreTold(t *testing.T) {
