quarantine/part: an earlier time of a crash is new evidence

A message that showed a known crash to be earlier, before an answer that clears it, moved the crash and left the findings as they were until the next news: members that heard the same in another order could disagree. TestEarlierTimeOfACrashCounts failed before.

--- a/quarantine/part/table.go
+++ b/quarantine/part/table.go
@@ -184,6 +184,7 @@
 		// Each message adds its delay, so that the earliest time is the best.
 		t.byTime = slices.DeleteFunc(t.byTime, func(other *lostEndpoint) bool { return other == e })
 		e.at = c.At
+		t.revision++
 	}
 	at, _ := slices.BinarySearchFunc(t.byTime, e.at, func(other *lostEndpoint, at time.Time) int { return other.at.Compare(at) })
 	t.byTime = slices.Insert(t.byTime, at, e)
--- a/quarantine/part/table_test.go
+++ b/quarantine/part/table_test.go
@@ -421,6 +421,21 @@
 	assert.Equal(t, len(r.parts[deadly].left()), 0)
 }
 
+// Guards against findings that stand after a message has shown that a crash was earlier, before an
+// answer that clears it.
+func TestEarlierTimeOfACrashCounts(t *testing.T) {
+	r := newRig()
+	c := Crash{Endpoint: "a", Service: "s", Content: 1, Parts: []ID{rare}, At: r.now.Add(time.Second)}
+	r.pass(2 * time.Second)
+	r.RecordCrash(r.now, c)
+	assert.Equal(t, len(r.findingsLocked(rare, r.parts[rare]).left), 1)
+	r.Merge(r.now, Answer{Part: rare, Service: "s", At: epoch.Add(500 * time.Millisecond)})
+	assert.Equal(t, len(r.findingsLocked(rare, r.parts[rare]).left), 1)
+	c.At = epoch.Add(100 * time.Millisecond)
+	r.RecordCrash(r.now, c)
+	assert.Equal(t, len(r.findingsLocked(rare, r.parts[rare]).left), 0)
+}
+
 // Guards against memory that grows with the parts that callers invent, and against a blamed part
 // that is forgotten for them.
 func TestTableIsBounded(t *testing.T) {
