dispatch, scheduler: what the owner of the queue does for each route, and what it costs

On the large site one kind of request is served too little; nothing told the hypotheses apart: neither what became of a route's jobs at the owner, nor what its processor does, nor how late it is.

The owner now counts, by route, jobs asked, admitted, refused by cause, given up by cause and made late by service; a pool lists the client accounts above their shares with their restraint; events are counted by kind with the time they take and wait; run_delay measures how long a goroutine that is ready waits for the processor (a ticker does not show it: its goroutine goes first). All in the metrics, in gateway status, and in queue_summary once a second.

--- a/cmd/mangostage/gateway_status.go
+++ b/cmd/mangostage/gateway_status.go
@@ -11,8 +11,8 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/internal/metrics"
+	"github.com/mangostage/mangostage/scheduler"
 )
 
 const (
@@ -89,13 +89,18 @@
 	return table.Flush()
 }
 
-func printQueues(w io.Writer, q *dispatch.Stats) {
+func printQueues(w io.Writer, q *scheduler.Stats) {
 	_, _ = fmt.Fprintf(w, "  queue\t%d jobs\t%d calls\tevents handled %s late\thears %.0f%% of the fleet\n",
 		q.Jobs, q.Calls, duration(q.Lag), 100*q.Share)
 	for _, p := range q.Pools {
 		_, _ = fmt.Fprintf(w, "  stage\t%s\t%d pieces wait\t%d of %d busy\t%.0f%% of the room booked\n",
 			p.Service, p.Waiting, p.Busy, p.Workers, 100*p.RoomUsed)
 	}
+	for _, route := range slices.Sorted(maps.Keys(q.Routes)) {
+		r := q.Routes[route]
+		_, _ = fmt.Fprintf(w, "  route\t%s\t%d asked, %d of them again\t%d on time, %d late\trefused %v, given up %v, late at %v\n",
+			route, r.Asked, r.Returned, r.OnTime, r.Late, r.Refused, r.GivenUp, r.LateAt)
+	}
 	for _, s := range q.Workers {
 		_, _ = fmt.Fprintf(w, "  worker\t%s\t%d calls\t%.1f times nominal\t%s\n",
 			s.Endpoint, s.Calls, s.Speed, condition{paused: s.Paused, suspect: s.Suspect, leaving: s.Leaving, evacuated: s.Evacuated, cold: s.ColdLeft, speed: s.Speed})
--- a/dispatch/admissions.go
+++ b/dispatch/admissions.go
@@ -35,11 +35,15 @@
 	if a.Refused == nil {
 		a.Refused = make(map[string]int)
 	}
-	cause := string(reason)
-	if short != "" {
-		cause += "/" + string(short)
+	a.Refused[causeOf(reason, short)]++
+}
+
+// causeOf returns the reason of a refusal and, after a slash, what was short.
+func causeOf(reason Reason, short Resource) string {
+	if short == "" {
+		return string(reason)
 	}
-	a.Refused[cause]++
+	return string(reason) + "/" + string(short)
 }
 
 // admissionStats returns the counts at now.
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -49,8 +49,9 @@
 	sharesRoom, sharesAllowed bool
 	// handedOver is true while another process owns the queue.
 	handedOver bool
-	// admissions counts what was decided.
+	// admissions counts what was decided, routes the same by route.
 	admissions Admissions
+	routes     routeStats
 	// lastStageID is the ID last given to a stage in the demand of a pool.
 	lastStageID uint64
 	effects     []Effect
@@ -72,6 +73,7 @@
 		pendingFrees: make(map[uint64][]*result),
 		meanSizes:    make(map[string]float64),
 		streams:      make(streamTimes),
+		routes:       make(routeStats),
 	}
 	c.late = c
 	return c
@@ -119,6 +121,7 @@
 	}
 	state := newJob(j, now)
 	c.jobs[j.Ticket] = state
+	c.routes.countAsked(state)
 	if !c.plan(state, now) {
 		return nil
 	}
@@ -176,6 +179,7 @@
 		return false
 	}
 	c.admissions.countDecision(j)
+	c.routes.countAdmitted(j)
 	return true
 }
 
@@ -259,6 +263,7 @@
 	c.endWait(j)
 	j.engine = e
 	j.granted = now
+	c.routes.countGranted(j)
 	c.modelEngines[j.Service].assign(e, j)
 	c.emit(Grant{
 		Ticket:   j.Ticket,
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -141,6 +141,8 @@
 	// overShare is true if the job is late or refused because its account has more than
 	// its share of shortService.
 	overShare bool
+	// admitted is true once the job was accepted at submission.
+	admitted bool
 	// ended is true once the job was granted and done, or refused, moved or cancelled.
 	ended bool
 }
--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -58,6 +58,9 @@
 
 // markLate makes a job late.
 func (c *Core) markLate(j *job, now time.Time) {
+	if !j.late {
+		c.routes.countLate(j)
+	}
 	j.late = true
 	j.updateDemand()
 	c.uncountAdmitted(j, now)
--- a/dispatch/refuse.go
+++ b/dispatch/refuse.go
@@ -9,6 +9,7 @@
 	}
 	c.recordWaitShortage(j)
 	c.admissions.countRefused(reason, j.shortResource)
+	c.routes.countRefused(j, reason)
 	c.emit(Refuse{Ticket: j.Ticket, Reason: reason, RetryAfter: c.late.retryAfter(j, reason, now), ShortService: j.shortService, ShortResource: j.shortResource, LateBy: j.lateBy, OverShare: j.overShare})
 	c.finish(j, now)
 }
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/mangostage/mangostage/share"
 )
 
 // Stats is the state of the queues, for metrics and logs.
@@ -17,6 +19,8 @@
 	Pools []PoolStats   `json:"pools"`
 	// Admissions counts what the owner decided about jobs.
 	Admissions Admissions `json:"admissions"`
+	// Routes counts the same by route.
+	Routes map[string]RouteStats `json:"routes,omitempty"`
 	// Workers are the stage endpoints, Engines the model engines.
 	Workers []WorkerStats `json:"workers"`
 	Engines []EngineStats `json:"engines"`
@@ -78,13 +82,67 @@
 	// RoomUsed is the fraction of the workers' memory that is reserved.
 	RoomUsed    float64       `json:"room_used"`
 	AvgCallTime time.Duration `json:"took"`
+	// HoldTime is the mean time for which a result occupies memory, ForecastError how much
+	// later than forecast stages start.
+	HoldTime      time.Duration `json:"hold_time"`
+	ForecastError time.Duration `json:"forecast_error"`
+	// Accounts are the client accounts that ask for more than their share.
+	Accounts []AccountStats `json:"accounts,omitempty"`
+}
+
+// AccountStats is what a client account has of a pool that is short.
+type AccountStats struct {
+	Account  string `json:"account"`
+	Priority int    `json:"priority"`
+	// Asked and Part are what it asks for and its share, in pieces a second.
+	Asked float64 `json:"asked"`
+	Part  float64 `json:"part"`
+	// Restraint is how far it has to leave the queue to others, from 0 to 1.
+	Restraint float64 `json:"restraint,omitempty"`
+}
+
+// maxAccountStats bounds the accounts of a pool's PoolStats: those that ask for most.
+const maxAccountStats = 16
+
+// accountStats returns the accounts that ask for more than their share, as of the latest
+// division.
+func (p *pool) accountStats() []AccountStats {
+	var all []AccountStats
+	for _, h := range p.shares.Held(maxAccountStats) {
+		all = append(all, AccountStats{
+			Account: h.Key().Name, Priority: h.Key().Rank, Asked: share.PerSecond(h.Demand()), Part: share.PerSecond(h.Part()), Restraint: restraint(h),
+		})
+	}
+	return all
 }
 
 // Stats returns the state at now.
 func (c *Core) Stats(now time.Time) Stats {
-	stats := Stats{Jobs: len(c.jobs), Calls: len(c.calls), Lag: c.lag, Share: c.fleetShare, Admissions: c.admissionStats(now)}
+	stats := c.QueueStats(now)
+	for _, p := range c.sortedPools {
+		for _, w := range p.workers {
+			stats.Workers = append(stats.Workers, w.stats(now))
+		}
+	}
+	for _, service := range slices.Sorted(maps.Keys(c.modelEngines)) {
+		for _, e := range c.modelEngines[service].all {
+			stats.Engines = append(stats.Engines, e.stats(now))
+		}
+	}
+	return stats
+}
+
+// QueueStats returns the state at now without that of each endpoint.
+func (c *Core) QueueStats(now time.Time) Stats {
+	stats := Stats{
+		Jobs: len(c.jobs), Calls: len(c.calls), Lag: c.lag, Share: c.fleetShare,
+		Admissions: c.admissionStats(now), Routes: c.routes.clone(),
+	}
 	for _, p := range c.sortedPools {
-		s := PoolStats{Service: p.name, Waiting: p.waiting, Workers: p.usable, AvgCallTime: p.avgCallTime}
+		s := PoolStats{
+			Service: p.name, Waiting: p.waiting, Workers: p.usable, AvgCallTime: p.avgCallTime,
+			HoldTime: p.avgHoldTime, ForecastError: p.forecastErrorAt(now), Accounts: p.accountStats(),
+		}
 		var used, room int64
 		for _, w := range p.workers {
 			if len(w.calls) > 0 {
@@ -92,18 +150,12 @@
 			}
 			used += w.usedMemory
 			room += w.spec.Room
-			stats.Workers = append(stats.Workers, w.stats(now))
 		}
 		if room > 0 {
 			s.RoomUsed = float64(used) / float64(room)
 		}
 		stats.Pools = append(stats.Pools, s)
 	}
-	for _, service := range slices.Sorted(maps.Keys(c.modelEngines)) {
-		for _, e := range c.modelEngines[service].all {
-			stats.Engines = append(stats.Engines, e.stats(now))
-		}
-	}
 	return stats
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/mangostage/mangostage/balance"
-	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/fleet"
 	"github.com/mangostage/mangostage/gateway"
+	"github.com/mangostage/mangostage/scheduler"
 )
 
 const (
@@ -31,7 +31,7 @@
 	StoreHealthy bool                         `json:"store_healthy"`
 	Answers      map[string]int64             `json:"answers"`
 	Latency      map[string]gateway.Quantiles `json:"latency_ms"`
-	Queues       dispatch.Stats               `json:"queues"`
+	Queues       scheduler.Stats              `json:"queues"`
 	Endpoints    []balance.Stats              `json:"endpoints"`
 	// Evacuated holds the failure domains that are evacuated and get no work.
 	Evacuated    map[string]uint64 `json:"evacuated_domains"`
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -71,7 +71,7 @@
 	line.Str("event", logStageCall).Uint64("call", e.Call).Str("service", e.Service).Str("endpoint", e.Endpoint).
 		Strs("requests", requestsOf(e.Pieces)).Int("waiting", e.Waiting).Int("pieces", len(pieces)).Int("failed", failed).Str("fault", string(fault)).
 		Float64("speed", e.Speed).Bool("suspect", e.Suspect).Dur("took_ms", time.Since(sent)).Msg("stage call ended")
-	s.handle(func(now time.Time, c *dispatch.Core) { c.CallEnded(now, e.Call, fault, outcomes) })
+	s.handle(eventCallEnded, func(now time.Time, c *dispatch.Core) { c.CallEnded(now, e.Call, fault, outcomes) })
 }
 
 // recordBroken records that the connection broke under a call, for the content of each of
@@ -145,7 +145,7 @@
 // backoff is not asked.
 func (s *Scheduler) freeResults(e dispatch.Free) {
 	if s.backoffs.Active(time.Now(), e.Key) {
-		s.handle(func(now time.Time, c *dispatch.Core) { c.FreeEnded(now, e.ID, false) })
+		s.handle(eventFreeEnded, func(now time.Time, c *dispatch.Core) { c.FreeEnded(now, e.ID, false) })
 		return
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, freeTimeout)
@@ -153,7 +153,7 @@
 	sent := time.Now()
 	signals, err := s.stages.Free(ctx, e.Endpoint, e.Addr, e.Handles)
 	s.signals.Observe(e.Key, "", sent, signals)
-	s.handle(func(now time.Time, c *dispatch.Core) { c.FreeEnded(now, e.ID, err == nil) })
+	s.handle(eventFreeEnded, func(now time.Time, c *dispatch.Core) { c.FreeEnded(now, e.ID, err == nil) })
 	if err != nil {
 		s.log.Warn().Str("event", logFreeFailed).Str("endpoint", e.Endpoint).Int("results", len(e.Handles)).
 			Err(err).Msg("freeing results failed")
--- a/scheduler/lognames.go
+++ b/scheduler/lognames.go
@@ -6,4 +6,6 @@
 	logJobMoves     = "job_moves"
 	logOwnerNotTold = "owner_not_told"
 	logStageCall    = "stage_call"
+	// logQueueSummary is logged once a second while the process has jobs.
+	logQueueSummary = "queue_summary"
 )
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 
 	mu   sync.Mutex
 	core *dispatch.Core
+	load load
 	// waiting maps the tickets of undecided jobs to their callers.
 	waiting map[string]chan Decision
 	// wake wakes the ticker when a job is submitted.
@@ -78,6 +80,7 @@
 		quarantine: contents,
 		log:        log,
 		core:       dispatch.New(name, quotas, backoffs),
+		load:       newLoad(),
 		waiting:    make(map[string]chan Decision),
 		wake:       make(chan struct{}, 1),
 		ctx:        context.Background(),
@@ -118,26 +121,40 @@
 // tick advances the core's time and reports whether there is nothing left to wait for.
 // due is when the tick should have occurred.
 func (s *Scheduler) tick(due time.Time) bool {
+	delay := measureRunDelay()
 	now := s.lock(due)
+	s.load.observeRunDelay(delay)
 	s.core.Tick(now)
 	idle := s.core.Idle()
 	effects := s.core.Effects()
+	s.load.count(eventTick, due, now)
+	events, summarize := s.load.summaryDue(now)
+	var stats dispatch.Stats
+	if summarize {
+		stats = s.core.QueueStats(now)
+	}
+	runDelay := s.load.runDelay
 	s.mu.Unlock()
 	s.runEffects(effects)
+	if summarize {
+		s.logSummary(stats, events, runDelay)
+	}
 	return idle
 }
 
 // SetView passes a new view to the core.
 func (s *Scheduler) SetView(view *catalog.View) {
-	s.handle(func(now time.Time, c *dispatch.Core) { c.SetView(now, view) })
+	s.handle(eventView, func(now time.Time, c *dispatch.Core) { c.SetView(now, view) })
 }
 
 // Submit runs the stages of a job and returns its decision. If the context ends before,
 // it cancels the job and returns ErrCallerLeft.
 func (s *Scheduler) Submit(ctx context.Context, j dispatch.Job) (Decision, error) {
 	decision := make(chan Decision, 1)
-	now := s.lock(time.Now())
+	arrived := time.Now()
+	now := s.lock(arrived)
 	err := s.core.Submit(now, j)
+	s.load.count(eventSubmit, arrived, now)
 	if err != nil {
 		s.mu.Unlock()
 		return Decision{}, err
@@ -162,7 +179,7 @@
 
 // Cancel cancels a job.
 func (s *Scheduler) Cancel(ticket string) {
-	s.handle(func(now time.Time, c *dispatch.Core) { c.Cancel(now, ticket) })
+	s.handle(eventCancel, func(now time.Time, c *dispatch.Core) { c.Cancel(now, ticket) })
 	s.mu.Lock()
 	delete(s.waiting, ticket)
 	s.mu.Unlock()
@@ -170,7 +187,7 @@
 
 // FirstEvent records that the model engine has begun to answer.
 func (s *Scheduler) FirstEvent(n Note) {
-	s.handle(func(now time.Time, c *dispatch.Core) {
+	s.handle(eventFirst, func(now time.Time, c *dispatch.Core) {
 		if n.OtherEngine {
 			c.FirstEventElsewhere(now, n.Ticket)
 			return
@@ -181,25 +198,25 @@
 
 // Done ends a granted job.
 func (s *Scheduler) Done(n Note) {
-	s.handle(func(now time.Time, c *dispatch.Core) { c.DoneStream(now, n.Ticket, n.Served, n.Stream) })
+	s.handle(eventDone, func(now time.Time, c *dispatch.Core) { c.DoneStream(now, n.Ticket, n.Served, n.Stream) })
 }
 
 // RecordPlacements records which prompts engines have read, as reported by the processes that
 // sent them.
 func (s *Scheduler) RecordPlacements(placements []dispatch.Placement) {
-	s.handle(func(_ time.Time, c *dispatch.Core) { c.RecordPlacements(placements) })
+	s.handle(eventPlacements, func(_ time.Time, c *dispatch.Core) { c.RecordPlacements(placements) })
 }
 
 // HandOver returns the jobs that have not begun to the processes that submitted them,
 // because another process owns the queue.
 func (s *Scheduler) HandOver() {
-	s.handle(func(now time.Time, c *dispatch.Core) { c.HandOver(now) })
+	s.handle(eventOwnership, func(now time.Time, c *dispatch.Core) { c.HandOver(now) })
 }
 
 // BecomeOwner records that this process has become the owner of the queue, and which part
 // of the fleet it reaches.
 func (s *Scheduler) BecomeOwner(r fleet.Reach) {
-	s.handle(func(_ time.Time, c *dispatch.Core) {
+	s.handle(eventOwnership, func(_ time.Time, c *dispatch.Core) {
 		c.BecomeOwner(r.Share)
 		c.Reach(r.Unreached)
 	})
@@ -207,7 +224,7 @@
 
 // SetReach updates the part of the fleet that the owner reaches.
 func (s *Scheduler) SetReach(r fleet.Reach) {
-	s.handle(func(_ time.Time, c *dispatch.Core) {
+	s.handle(eventOwnership, func(_ time.Time, c *dispatch.Core) {
 		c.SetReach(r.Share)
 		c.Reach(r.Unreached)
 	})
@@ -222,10 +239,10 @@
 }
 
 // Stats returns the state of the queues.
-func (s *Scheduler) Stats() dispatch.Stats {
+func (s *Scheduler) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Stats(time.Now())
+	return Stats{Stats: s.core.Stats(time.Now()), Events: maps.Clone(s.load.events), RunDelay: s.load.runDelay}
 }
 
 // lock locks the core for an event that arrived at a time, reports the delay to the core,
@@ -238,10 +255,12 @@
 }
 
 // handle applies an event to the core and runs its effects.
-func (s *Scheduler) handle(apply func(time.Time, *dispatch.Core)) {
-	now := s.lock(time.Now())
+func (s *Scheduler) handle(kind eventKind, apply func(time.Time, *dispatch.Core)) {
+	arrived := time.Now()
+	now := s.lock(arrived)
 	apply(now, s.core)
 	effects := s.core.Effects()
+	s.load.count(kind, arrived, now)
 	s.mu.Unlock()
 	s.runEffects(effects)
 }
--- a/share/decayed.go
+++ b/share/decayed.go
@@ -38,3 +38,6 @@
 // Steady returns the count, with the half-life HalfLife, to which a steady rate per second
 // leads.
 func Steady(perSecond float64) float64 { return perSecond * HalfLife.Seconds() / math.Ln2 }
+
+// PerSecond returns the steady rate that leads to a count with the half-life HalfLife.
+func PerSecond(count float64) float64 { return count * math.Ln2 / HalfLife.Seconds() }
--- a/share/table.go
+++ b/share/table.go
@@ -1,7 +1,9 @@
 package share
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -233,6 +235,28 @@
 	return a.claim.Demand / a.claim.Even
 }
 
+// Key returns the account and the rank.
+func (a *Account) Key() Key { return a.key }
+
+// Demand returns what the account asked for, as of the latest division.
+func (a *Account) Demand() float64 { return a.claim.Demand }
+
+// Part returns what the latest division gave the account.
+func (a *Account) Part() float64 { return a.claim.Part }
+
+// Held returns the accounts, at most so many, that the latest division gave less than they
+// asked for, those that asked for most first.
+func (t *Table) Held(most int) []*Account {
+	var held []*Account
+	for _, a := range t.all {
+		if a.claim.Held() {
+			held = append(held, a)
+		}
+	}
+	slices.SortFunc(held, func(a, b *Account) int { return cmp.Compare(b.claim.Demand, a.claim.Demand) })
+	return held[:min(most, len(held))]
+}
+
 // TryUse reports whether the account may be given an amount of 1 now, and counts it as
 // given. A held account may have its part and bursts of so many standard deviations of
 // requests that come at random; beyond that it is given its part evenly. If it may not,
