gateway: connections in use are kept, whatever their number

Cause: since a process keeps at most 256 idle connections in all. The owner of the queue calls some 300 endpoints in turn there, so that net/http closed the one that was needed next: nearly each call and each message that gives results up opened a connection. The owner's processor was busy with that, its calls ended late, stages looked slower than they are, jobs were late and refused, and came back. A fixed bound below what the traffic uses, in the one process that all wait for.

Change: the bound is on connections that were not used for 2 s. Those used lately are kept, up to 2,048 in all; as before at most 16 for an endpoint, and each for as long as its endpoint says.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -22,8 +22,8 @@
 	raw syscall.RawConn
 	// mu guards the begin of an exchange against the end of the idle time.
 	mu sync.Mutex
-	// idle runs while the connection is idle; nil before it first is.
-	idle *time.Timer
+	// idleTimer runs while the connection is idle; nil before it first is.
+	idleTimer *time.Timer
 	// exchange is the latest one over the connection. It is set with mu held.
 	exchange atomic.Pointer[exchange]
 }
@@ -33,19 +33,30 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange.Store(x)
-	if c.idle != nil {
-		c.idle.Stop()
+	c.transport.idle.remove(c)
+	if c.idleTimer != nil {
+		c.idleTimer.Stop()
 	}
 }
 
 // endExchange records that an exchange has ended, and closes the connection if no other
-// begins within the time keep.
+// begins within the time keep, or if others are used more.
 func (c *endpointConn) endExchange(x *exchange, keep time.Duration) {
+	for _, s := range c.becomeIdle(x, keep) {
+		s.conn.closeIdle(s.exchange)
+	}
+}
+
+// becomeIdle records that an exchange has ended, and returns the idle connections that are
+// not to be kept any more.
+func (c *endpointConn) becomeIdle(x *exchange, keep time.Duration) (surplus []idleConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.exchange.Load() == x {
-		c.idle = time.AfterFunc(keep, func() { c.closeIdle(x) })
+	if c.exchange.Load() != x {
+		return nil
 	}
+	c.idleTimer = time.AfterFunc(keep, func() { c.closeIdle(x) })
+	return c.transport.idle.add(c, x)
 }
 
 // closeIdle closes the connection if the exchange is still the latest one.
@@ -87,6 +98,7 @@
 
 // Close implements net.Conn.
 func (c *endpointConn) Close() error {
+	c.transport.idle.remove(c)
 	c.transport.mu.Lock()
 	delete(c.transport.conns, c)
 	c.transport.mu.Unlock()
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -23,8 +23,6 @@
 	idleMargin = time.Second
 	// maxIdlePerEndpoint bounds the idle connections to one endpoint.
 	maxIdlePerEndpoint = 16
-	// maxIdle bounds all idle connections of a process, each of which takes about 20 kB.
-	maxIdle = 256
 )
 
 // endpointLimits limits connections to endpoints. An endpoint that is partitioned
@@ -53,6 +51,8 @@
 	// not have run, and its client waits without an answer until its deadline.
 	BeforeRequest func()
 
+	idle *idleConns
+
 	mu    sync.Mutex
 	conns map[*endpointConn]struct{}
 	// endpointsByAddr holds the endpoint listed at each address in the latest view.
@@ -63,11 +63,10 @@
 // the environment and requests no content encoding, since answers are relayed
 // unchanged.
 func NewTransport() *Transport {
-	t := &Transport{conns: make(map[*endpointConn]struct{})}
+	t := &Transport{idle: newIdleConns(), conns: make(map[*endpointConn]struct{})}
 	t.Transport = &http.Transport{
 		DialContext:            t.dial,
 		DisableCompression:     true,
-		MaxIdleConns:           maxIdle,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        maxIdleTimeout,
 		MaxResponseHeaderBytes: bounded.MaxHead,
