dispatch: results at one endpoint are freed together while its memory is not short

Cause: each job leaves results at several endpoints, and each of them got a message of its own when it was no longer needed: 1,000 to 1,800 calls over HTTP a second from the owner, more than twice those that do the work.

Change: an endpoint's results are gathered for half a second, or until the memory that they occupy is needed for what waits and is worth a message. They are freed at once when the owner hands over. Two tests that expected the message at once now wait for that half second; what they check is the same.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -27,6 +27,8 @@
 	// pendingFrees holds, by effect ID, the results whose Free the endpoint has not
 	// answered yet.
 	pendingFrees map[uint64][]*result
+	// gathering holds the endpoints with gathered results.
+	gathering map[*worker]struct{}
 	// meanSizes is the moving average of the job size of each route, in weighted
 	// tokens.
 	meanSizes map[string]float64
@@ -71,6 +73,7 @@
 		modelEngines: make(map[string]*modelEngines),
 		calls:        make(map[uint64]*call),
 		pendingFrees: make(map[uint64][]*result),
+		gathering:    make(map[*worker]struct{}),
 		meanSizes:    make(map[string]float64),
 		streams:      make(streamTimes),
 		routes:       make(routeStats),
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -23,7 +23,7 @@
 	}
 	sim.core.FirstEvent(sim.now, "a")
 	sim.core.Done(sim.now, "a", true)
-	sim.drain()
+	sim.run(gatherTime)
 	assert.Equal(t, len(sim.freed), 2+1+8, "all results are freed, each once")
 	for h, n := range sim.freed {
 		assert.Equal(t, n, 1, h)
@@ -271,6 +271,7 @@
 	reserved := heavy.usedMemory
 	assert.Assert(t, reserved > 0)
 	sim.core.FirstEvent(sim.now, "a")
+	sim.core.Tick(sim.now.Add(gatherTime))
 	frees := 0
 	for _, e := range sim.core.Effects() {
 		free, ok := e.(Free)
--- /dev/null
+++ b/dispatch/fleet_rig_test.go
@@ -0,0 +1,432 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+)
+
+// The stage services of a fleetLoad, in the order of a chain.
+const (
+	stageFirst  = "prepare"
+	stageSecond = "lookup"
+	stageThird  = "reserve"
+)
+
+// fleetSize is the size of a fleet and of its load.
+type fleetSize struct {
+	// engines is the number of model engines, workers that of the endpoints of each stage.
+	engines int
+	workers map[string]int
+	// accounts is the number of client accounts, of which a few are large.
+	accounts int
+	// times is the load, relative to that of routesOfAFleet.
+	times float64
+}
+
+// largeFleet is a fleet of hundreds of endpoints.
+var largeFleet = fleetSize{
+	engines: 180, workers: map[string]int{stageFirst: 43, stageSecond: 36, stageThird: 41}, accounts: 40, times: 1,
+}
+
+// scaled returns a fleet and a load that are so many times as large.
+func (s fleetSize) scaled(times float64) fleetSize {
+	workers := make(map[string]int, len(s.workers))
+	for name, n := range s.workers {
+		workers[name] = max(1, int(math.Round(times*float64(n))))
+	}
+	return fleetSize{engines: max(1, int(math.Round(times*float64(s.engines)))), workers: workers, accounts: s.accounts, times: s.times * times}
+}
+
+var fleetSpecs = map[string]catalog.Batch{
+	stageFirst:  {Slots: 1, Queue: 2, Items: 8, CallTime: 150 * time.Millisecond, ItemTime: 16 * time.Millisecond, Room: 42_000_000, ResultTTL: 4 * time.Second},
+	stageSecond: {Slots: 1, Queue: 2, Items: 40, CallTime: 150 * time.Millisecond, ItemTime: 3200 * time.Microsecond, Room: 7_100_000, ResultTTL: 4 * time.Second},
+	stageThird:  {Slots: 1, Queue: 2, Items: 70, CallTime: 150 * time.Millisecond, ItemTime: 1800 * time.Microsecond, Room: 1_200_000, ResultTTL: 4 * time.Second},
+}
+
+var fleetDomains = []string{"a", "b", "c", "d", "e"}
+
+// view returns the view of the fleet.
+func (s fleetSize) view() *catalog.View {
+	c := &catalog.Config{Version: 1, Accounts: make([]catalog.Account, s.accounts), Services: []catalog.Service{
+		{Name: serviceModel, Model: &catalog.Model{Slots: 32, CacheTokens: 351_294}},
+	}}
+	counts := map[string]int{serviceModel: s.engines}
+	for _, name := range []string{stageFirst, stageSecond, stageThird} {
+		spec := fleetSpecs[name]
+		c.Services = append(c.Services, catalog.Service{Name: name, Batch: &spec})
+		counts[name] = s.workers[name]
+	}
+	var endpoints []*catalog.Endpoint
+	for _, service := range c.Services {
+		for i := range counts[service.Name] {
+			id := fmt.Sprintf("%s-%d", service.Name, i)
+			endpoints = append(endpoints, &catalog.Endpoint{ID: id, Service: service.Name, Addr: id + ":80", Domain: fleetDomains[i%len(fleetDomains)], Slots: 32})
+		}
+	}
+	return catalog.NewView(catalog.NewIndex(c), endpoints, 1)
+}
+
+// fleetRoute is a route of a fleetLoad.
+type fleetRoute struct {
+	name                string
+	priority            int
+	rate                float64
+	objective, deadline time.Duration
+	// sharedTokens are those of the parts of a prompt that others share, ownTokens its own.
+	sharedTokens, ownTokens, tokensOut int
+	stages                             func(*rand.Rand) []StageWork
+}
+
+// spreadCount returns a number of at least 1 with about the mean.
+func spreadCount(r *rand.Rand, mean, spread float64, most int) int {
+	n := mean * math.Exp(spread*r.NormFloat64()-spread*spread/2)
+	return min(most, max(1, int(math.Round(n))))
+}
+
+// lookupChain returns the stages of a chain that begins after the stage with the index.
+func lookupChain(r *rand.Rand, first int) []StageWork {
+	return []StageWork{
+		{Service: stageFirst, Pieces: 1, ResultBytes: 8_000},
+		{Service: stageSecond, DependsOn: []int{first}, Pieces: 8, ResultBytes: 60_000},
+		{Service: stageThird, DependsOn: []int{first + 1}, Pieces: spreadCount(r, 16, 0.4, 40), ResultBytes: 6_000},
+	}
+}
+
+// routesOfAFleet returns an urgent route with three stages in a row, a less urgent one with
+// one stage, and the least urgent one with four.
+func routesOfAFleet() []*fleetRoute {
+	return []*fleetRoute{
+		{
+			name: "chain", priority: 0, rate: 206, objective: 1600 * time.Millisecond, deadline: 6 * time.Second,
+			sharedTokens: 568, ownTokens: 1232, tokensOut: 23,
+			stages: func(r *rand.Rand) []StageWork { return lookupChain(r, 0) },
+		},
+		{
+			name: "single", priority: 1, rate: 171, objective: time.Second, deadline: 6 * time.Second,
+			sharedTokens: 6300, ownTokens: 2890, tokensOut: 52,
+			stages: func(r *rand.Rand) []StageWork {
+				pieces := 0
+				if r.Float64() < 0.7 {
+					pieces = spreadCount(r, 2.5, 0.6, 10)
+				}
+				return []StageWork{{Service: stageFirst, Pieces: pieces, ResultBytes: 3_000_000}}
+			},
+		},
+		{
+			name: "chat", priority: 2, rate: 127, objective: 1500 * time.Millisecond, deadline: 15 * time.Second,
+			sharedTokens: 172, ownTokens: 371, tokensOut: 280,
+			stages: func(r *rand.Rand) []StageWork {
+				pieces := 0
+				if r.Float64() < 0.4 {
+					pieces = spreadCount(r, 1.5, 0.6, 6)
+				}
+				return append([]StageWork{{Service: stageFirst, Pieces: pieces, ResultBytes: 3_000_000}}, lookupChain(r, 1)...)
+			},
+		},
+	}
+}
+
+// fleetClient is one request with its retry.
+type fleetClient struct {
+	route  *fleetRoute
+	job    Job
+	tries  int
+	first  time.Time
+	number int
+}
+
+// routeResult counts what became of the requests of one route.
+type routeResult struct{ offered, inTime, late, refused, unserved int }
+
+// servedInTime returns the fraction of the offered requests that were served in time.
+func (r routeResult) servedInTime() float64 { return float64(r.inTime) / float64(max(1, r.offered)) }
+
+// ownerEvent is something that the owner has to handle.
+type ownerEvent struct {
+	at     time.Time
+	number int
+	// own is true if it happens without the owner's processor, such as a client's arrival.
+	own    bool
+	handle func(now time.Time)
+}
+
+type ownerEvents []ownerEvent
+
+// Len implements heap.Interface.
+func (h ownerEvents) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h ownerEvents) Less(a, b int) bool {
+	if !h[a].at.Equal(h[b].at) {
+		return h[a].at.Before(h[b].at)
+	}
+	return h[a].number < h[b].number
+}
+
+// Swap implements heap.Interface.
+func (h ownerEvents) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+
+// Push implements heap.Interface.
+func (h *ownerEvents) Push(x any) { *h = append(*h, x.(ownerEvent)) }
+
+// Pop implements heap.Interface.
+func (h *ownerEvents) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// fleetLoad plays clients of a fleet against a Core whose processor handles one event after
+// the other.
+type fleetLoad struct {
+	core   *Core
+	rng    *rand.Rand
+	size   fleetSize
+	routes []*fleetRoute
+	// burst returns the factor of a route's rate at a time from the beginning.
+	burst func(r *fleetRoute, at time.Duration) float64
+	// cost returns the owner's processor time for an event that the Core handled in took.
+	cost func(took time.Duration) time.Duration
+	// onEffect, if set, is called with each effect.
+	onEffect func(Effect)
+	// freeAt is when the owner's processor is free.
+	freeAt  time.Time
+	events  ownerEvents
+	numbers int
+	clients map[string]*fleetClient
+	results map[string]*routeResult
+	// coreTime is the processor time in the Core, handled counts events, longest is the
+	// longest time for which an event waited, waited the sum of these.
+	coreTime        time.Duration
+	handled         int
+	longest, waited time.Duration
+	end             time.Time
+	pieceIDs        int
+}
+
+// networkDelay is the time that a message between processes takes.
+const networkDelay = 2 * time.Millisecond
+
+// newOwner returns a Core that shares the room of its pools among accounts.
+func newOwner() *Core {
+	c := New("owner", nil, nil)
+	c.ShareAmongAccounts()
+	return c
+}
+
+func newFleetLoad(seed uint64, size fleetSize) *fleetLoad {
+	l := &fleetLoad{
+		core: newOwner(), rng: rand.New(rand.NewPCG(seed, 1)), size: size, routes: routesOfAFleet(), freeAt: epoch,
+		clients: make(map[string]*fleetClient), results: make(map[string]*routeResult),
+		burst: func(*fleetRoute, time.Duration) float64 { return 1 },
+		cost:  func(time.Duration) time.Duration { return 0 },
+	}
+	for _, r := range l.routes {
+		l.results[r.name] = &routeResult{}
+	}
+	l.core.SetView(epoch, size.view())
+	return l
+}
+
+// at adds an event that the owner has to handle.
+func (l *fleetLoad) at(t time.Time, handle func(now time.Time)) { l.add(t, false, handle) }
+
+// outside adds an event that does not need the owner.
+func (l *fleetLoad) outside(t time.Time, handle func(now time.Time)) { l.add(t, true, handle) }
+
+func (l *fleetLoad) add(t time.Time, own bool, handle func(now time.Time)) {
+	l.numbers++
+	heap.Push(&l.events, ownerEvent{at: t, number: l.numbers, own: own, handle: handle})
+}
+
+// play offers the load for a time and lets all requests end.
+func (l *fleetLoad) play(d time.Duration) *fleetLoad {
+	l.end = epoch.Add(d)
+	for _, r := range l.routes {
+		l.outside(l.nextArrival(r, epoch), func(now time.Time) { l.arrive(r, now) })
+	}
+	l.at(epoch.Add(tickEvery), l.tick)
+	for l.events.Len() > 0 {
+		l.step()
+	}
+	return l
+}
+
+// tickEvery is the time between two ticks.
+const tickEvery = 20 * time.Millisecond
+
+func (l *fleetLoad) tick(now time.Time) {
+	l.core.Tick(now)
+	if now.Before(l.end) || !l.core.Idle() {
+		// A ticker drops the ticks that nobody takes.
+		l.at(l.freeAt.Truncate(tickEvery).Add(tickEvery), l.tick)
+	}
+}
+
+// step handles the next event.
+func (l *fleetLoad) step() {
+	e := heap.Pop(&l.events).(ownerEvent)
+	if e.own {
+		e.handle(e.at)
+		return
+	}
+	now := e.at
+	if l.freeAt.After(now) {
+		now = l.freeAt
+	}
+	l.handled++
+	l.waited += now.Sub(e.at)
+	l.longest = max(l.longest, now.Sub(e.at))
+	l.core.ObserveLag(now.Sub(e.at))
+	began := time.Now()
+	l.freeAt = now
+	e.handle(now)
+	took := time.Since(began)
+	l.coreTime += took
+	l.freeAt = now.Add(l.cost(took))
+	l.carryOut(l.freeAt)
+}
+
+func (l *fleetLoad) nextArrival(r *fleetRoute, after time.Time) time.Time {
+	rate := r.rate * l.size.times * l.burst(r, after.Sub(epoch))
+	return after.Add(time.Duration(l.rng.ExpFloat64() / rate * float64(time.Second)))
+}
+
+func (l *fleetLoad) arrive(r *fleetRoute, now time.Time) {
+	if now.After(l.end) {
+		return
+	}
+	l.results[r.name].offered++
+	c := &fleetClient{route: r, first: now, number: l.numbers, job: l.newJob(r)}
+	l.send(c, now)
+	l.outside(l.nextArrival(r, now), func(now time.Time) { l.arrive(r, now) })
+}
+
+// newJob returns the job of a new request.
+func (l *fleetLoad) newJob(r *fleetRoute) Job {
+	own := spreadCount(l.rng, float64(r.ownTokens), 1, 8*r.ownTokens)
+	first, second := fmt.Sprint(r.name, l.rng.IntN(32)), fmt.Sprint(r.name, "-s", l.rng.IntN(2000))
+	prefix := []catalog.PrefixPart{
+		{ID: first, Tokens: r.sharedTokens / 2}, {ID: second, Tokens: r.sharedTokens / 2}, {ID: fmt.Sprint("own", l.numbers), Tokens: own},
+	}
+	// Squared, so that a few accounts are large.
+	u := l.rng.Float64()
+	return Job{
+		Service: serviceModel, Route: r.name, Account: fmt.Sprint("account-", int(u*u*float64(l.size.accounts))),
+		Domain: fleetDomains[l.rng.IntN(len(fleetDomains))], PieceKey: "key", Prefix: prefix,
+		TokensIn: r.sharedTokens + own, TokensOut: spreadCount(l.rng, float64(r.tokensOut), 1, 4*r.tokensOut), Priority: r.priority,
+		RouteObjective: r.objective, EventGap: 400 * time.Millisecond, Stages: r.stages(l.rng),
+	}
+}
+
+// send submits the next try of a client.
+func (l *fleetLoad) send(c *fleetClient, now time.Time) {
+	c.tries++
+	j := c.job
+	j.Ticket = fmt.Sprintf("%d#%d", c.number, c.tries)
+	j.Request = j.Ticket
+	j.RefusedBefore = c.tries > 1
+	age := now.Sub(c.first)
+	j.Objective, j.Deadline = c.route.objective-age, c.route.deadline-age
+	l.clients[j.Ticket] = c
+	l.at(now.Add(networkDelay), func(now time.Time) {
+		if err := l.core.Submit(now, j); err != nil {
+			panic(err)
+		}
+	})
+}
+
+// carryOut carries out the effects of an event that was handled until now.
+func (l *fleetLoad) carryOut(now time.Time) {
+	for _, e := range l.core.Effects() {
+		if l.onEffect != nil {
+			l.onEffect(e)
+		}
+		switch e := e.(type) {
+		case StartCall:
+			l.startCall(e, now)
+		case Grant:
+			l.granted(e, now)
+		case Refuse:
+			l.refused(e, now)
+		case Free:
+			l.at(now.Add(2*networkDelay), func(now time.Time) { l.core.FreeEnded(now, e.ID, true) })
+		}
+	}
+}
+
+func (l *fleetLoad) startCall(e StartCall, now time.Time) {
+	spec := fleetSpecs[e.Service]
+	outcomes := make([]Outcome, len(e.Pieces))
+	for i := range outcomes {
+		l.pieceIDs++
+		outcomes[i] = Outcome{Handle: fmt.Sprintf("%s/%d", e.Addr, l.pieceIDs)}
+	}
+	ends := now.Add(2*networkDelay + spec.CallTimeFor(len(e.Pieces)))
+	l.at(ends, func(now time.Time) { l.core.CallEnded(now, e.Call, CallOK, outcomes) })
+}
+
+func (l *fleetLoad) granted(g Grant, now time.Time) {
+	c := l.clients[g.Ticket]
+	delete(l.clients, g.Ticket)
+	reading := time.Duration(float64(c.job.TokensIn)/20*float64(time.Millisecond)) + 40*time.Millisecond
+	first := now.Add(2*networkDelay + reading)
+	last := first.Add(time.Duration(c.job.TokensOut) * 8 * time.Millisecond)
+	result := l.results[c.route.name]
+	switch {
+	case last.Sub(c.first) > c.route.deadline:
+		result.unserved++
+	case first.Sub(c.first) <= c.route.objective:
+		result.inTime++
+	default:
+		result.late++
+	}
+	l.at(first.Add(networkDelay), func(now time.Time) { l.core.FirstEvent(now, g.Ticket) })
+	l.at(last.Add(networkDelay), func(now time.Time) { l.core.Done(now, g.Ticket, true) })
+}
+
+func (l *fleetLoad) refused(r Refuse, now time.Time) {
+	c := l.clients[r.Ticket]
+	delete(l.clients, r.Ticket)
+	result := l.results[c.route.name]
+	result.refused++
+	left := c.first.Add(c.route.deadline).Sub(now)
+	if c.tries > 1 || left < time.Second {
+		result.unserved++
+		return
+	}
+	l.outside(now.Add(min(r.RetryAfter, left/3)), func(now time.Time) { l.send(c, now) })
+}
+
+// String returns what became of the requests of each route.
+func (l *fleetLoad) String() string {
+	text := fmt.Sprintf("events %d, core %v for each, waited %v, at most %v;", l.handled, l.coreTime/time.Duration(max(1, l.handled)), l.waited/time.Duration(max(1, l.handled)), l.longest)
+	for _, r := range l.routes {
+		result := *l.results[r.name]
+		text += fmt.Sprintf(" %s %.3f %+v", r.name, result.servedInTime(), result)
+	}
+	return text
+}
+
+// crests returns bursts of one route after the other, and then of all.
+func crests(single, chain, all float64) func(*fleetRoute, time.Duration) float64 {
+	return func(r *fleetRoute, at time.Duration) float64 {
+		switch {
+		case within(at, 5*time.Second, 10*time.Second) && r.name == "single":
+			return single
+		case within(at, 14*time.Second, 19*time.Second) && r.name == "chain":
+			return chain
+		case within(at, 26*time.Second, 30*time.Second):
+			return all
+		}
+		return 1
+	}
+}
+
+func within(at, from, until time.Duration) bool { return at >= from && at < until }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -47,6 +47,8 @@
 	// changed is true if a piece may now fit an idle worker that it did not fit
 	// before. Each tick sets it too, because the passage of time can do the same.
 	changed bool
+	// largestResult is the size of the largest result that a stage asked for, in bytes.
+	largestResult int64
 	// queuedSizes counts the queued stages by the size of their results.
 	queuedSizes map[int64]int
 	// queue holds the stages with waiting pieces, sorted by startBy.
@@ -126,6 +128,7 @@
 	s.queued = true
 	p.changed = true
 	p.queuedSizes[s.ResultBytes]++
+	p.largestResult = max(p.largestResult, s.ResultBytes)
 	p.waiting += len(s.waiting)
 	at := sort.Search(len(p.queue), func(i int) bool { return p.queue[i].startBy.After(s.startBy) })
 	p.queue = append(p.queue, nil)
--- a/dispatch/replaced.go
+++ b/dispatch/replaced.go
@@ -63,6 +63,7 @@
 		c.requeueMissing(j, now)
 	}
 	clear(w.results)
+	c.freeGathered(w)
 	w.usedMemory = 0
 }
 
--- a/dispatch/results.go
+++ b/dispatch/results.go
@@ -14,12 +14,10 @@
 	}
 }
 
-// free frees results that are still recorded, with one effect for each worker.
-// Their memory stays reserved until the endpoint has answered: a call sent
-// meanwhile may overtake the message, and its pieces would find no memory.
+// free gives up results that are still recorded. Their memory stays reserved until the
+// endpoint has answered: a call sent meanwhile may overtake the message, and its pieces
+// would find no memory.
 func (c *Core) free(results []*result, now time.Time) {
-	given := make(map[*worker][]*result)
-	var order []*worker
 	for _, r := range results {
 		if r == nil || r.discarded || !r.worker.hasResult(r) {
 			continue
@@ -30,15 +28,7 @@
 			r.worker.release(r)
 			continue
 		}
-		if given[r.worker] == nil {
-			order = append(order, r.worker)
-		}
-		given[r.worker] = append(given[r.worker], r)
-	}
-	for _, w := range order {
-		c.lastEffectID++
-		c.pendingFrees[c.lastEffectID] = given[w]
-		c.emit(Free{ID: c.lastEffectID, Endpoint: w.endpoint.ID, Key: w.key, Addr: w.endpoint.Addr, Handles: handlesOf(given[w])})
+		c.gather(r, now)
 	}
 }
 
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -22,6 +22,7 @@
 			e.expire(now)
 		}
 	}
+	c.freeDue(now)
 	c.refuseUnservable(now)
 	c.late.readmitLate(now)
 	for _, j := range c.dueJobs(now) {
@@ -33,8 +34,9 @@
 	c.dispatch(now)
 }
 
-// Idle reports whether no ticks are needed: there are no jobs and no calls.
-func (c *Core) Idle() bool { return len(c.jobs) == 0 && len(c.calls) == 0 }
+// Idle reports whether no ticks are needed: there are no jobs and no calls, and nothing is to
+// be freed.
+func (c *Core) Idle() bool { return len(c.jobs) == 0 && len(c.calls) == 0 && len(c.gathering) == 0 }
 
 // jobsByTicket returns all jobs sorted by ticket, so that runs are reproducible.
 func (c *Core) jobsByTicket() []*job { return c.filterJobs(func(*job) bool { return true }) }
@@ -85,7 +87,7 @@
 // HasUnfinishedStages reports whether a call or a Free is in flight, or results are kept that
 // only this process can free.
 func (c *Core) HasUnfinishedStages() bool {
-	if len(c.calls) > 0 || len(c.pendingFrees) > 0 {
+	if len(c.calls) > 0 || len(c.pendingFrees) > 0 || len(c.gathering) > 0 {
 		return true
 	}
 	for _, j := range c.jobs {
@@ -106,6 +108,7 @@
 			c.move(j, now)
 		}
 	}
+	c.freeAllGathered()
 }
 
 // move returns a job to the process that submitted it.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -46,6 +46,8 @@
 	// lost calls, in bytes.
 	usedMemory int64
 	results    map[*result]struct{}
+	// gathered are the results that will be freed together.
+	gathered gathered
 	// earliestExpiry is a lower bound of the expiry times of the results.
 	earliestExpiry time.Time
 	// speed is the moving average of measured over expected call time; 1 is nominal,
