gateway: a client that takes a stream up does not tell how long streams live

Here a stream of which nobody knows the origin goes on only if one origin was possible for as long as streams of its route live. Cause of a hole in that, found by reading: a gateway that has just started learnt that time from the deadlines that it saw, and a client that takes a stream up shows only what is left of it. With deadlines above about twice the route's timeout, a client that comes back late and first would have been taken for younger than the kill.

Change: while no other client of the route was seen, a stream may be as old as any.

--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -43,14 +43,19 @@
 func newLifetimes() *lifetimes { return &lifetimes{routes: make(map[string]time.Duration)} }
 
 // observe records a client's deadline and returns how long a stream of the route lives at
-// most, over all tries of its client.
-func (l *lifetimes) observe(route *catalog.Route, deadline time.Duration) time.Duration {
+// most, over all tries of its client. A client that takes a stream up shows only what is left
+// of its time: while no other one was seen, a stream may be as old as any.
+func (l *lifetimes) observe(route *catalog.Route, deadline time.Duration, takesUp bool) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	known := l.routes[route.Name]
+	if takesUp && known == 0 {
+		return origin.MaxLifetime
+	}
 	if len(l.routes) >= maxRoutes {
 		clear(l.routes)
 	}
-	longest := max(l.routes[route.Name], deadline, route.Timeout)
+	longest := max(known, deadline, route.Timeout)
 	if longest == 0 {
 		longest = defaultDeadline
 	}
@@ -64,7 +69,7 @@
 	if !req.route.ResumableStream() {
 		return nil
 	}
-	req.lifetime = g.lifetimes.observe(req.route, req.Deadline)
+	req.lifetime = g.lifetimes.observe(req.route, req.Deadline, req.takesUpStream())
 	if !req.takesUpStream() {
 		return nil
 	}
