soak: all gateways are killed at once, beside several versions

Once in each run with all faults, at a time drawn by itself, so that the other faults of a seed stay.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"time"
@@ -15,6 +16,9 @@
 	for _, signal := range r.firstSignals() {
 		running.Go(signal)
 	}
+	if set == allFaults {
+		running.Go(r.drawLossOfAll())
+	}
 	for time.Now().Before(end) {
 		fault := r.pickFault(set)
 		running.Go(fault)
@@ -109,6 +113,24 @@
 	g.release(true)
 }
 
+// drawLossOfAll draws when all gateways are killed at once: endpoints of several versions serve
+// all the while. It has random numbers of its own, so that the other faults of a seed stay.
+func (r *rig) drawLossOfAll() func() {
+	draw := rand.New(rand.NewPCG(r.seed, lossOfAllStream))
+	after := time.Duration((0.2 + 0.6*draw.Float64()) * float64(*faultDuration))
+	return func() {
+		wait(after)
+		var killing sync.WaitGroup
+		for _, g := range r.gateways {
+			killing.Go(func() { r.kill(g) })
+		}
+		killing.Wait()
+	}
+}
+
+// lossOfAllStream selects the random numbers of drawLossOfAll.
+const lossOfAllStream = 62
+
 func (r *rig) reload(g *gateway) {
 	if !g.acquire() {
 		return
--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -35,6 +35,7 @@
 // rig is a deployment under test: a store, endpoints and gateways.
 type rig struct {
 	t         *testing.T
+	seed      uint64
 	rng       *rand.Rand
 	store     *standin.Store
 	endpoints []*endpoint
@@ -61,7 +62,7 @@
 }
 
 func newRig(t *testing.T, seed uint64) *rig {
-	r := &rig{t: t, rng: rand.New(rand.NewPCG(seed, seed)), store: standin.NewStore(), recorder: newRecorder(), evacuated: make(map[string]time.Time)}
+	r := &rig{t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), store: standin.NewStore(), recorder: newRecorder(), evacuated: make(map[string]time.Time)}
 	r.writeOrder = rand.New(rand.NewPCG(seed, ^seed))
 	r.publish()
 	for _, service := range []string{"plain", "plain", "plain", "model", "model", "model", "stage", "stage"} {
