--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -113,6 +113,6 @@
 			Dur("call_ms", p.AvgCallTime).Dur("error_ms", p.ForecastError).Float64("room", p.RoomUsed).Interface("accounts", p.Accounts))
 	}
 	s.log.Info().Str("event", logQueueSummary).Int("jobs", stats.Jobs).Int("calls", stats.Calls).
-		Dur("lag_ms", stats.Lag).Dur("run_delay_ms", runDelay).Dict("events", kinds).Dict("pools", pools).
+		Dur("lag_ms", stats.Lag).Dur("run_delay_ms", runDelay).Float64("admit_limit", stats.AdmitLimit).Dict("events", kinds).Dict("pools", pools).
 		Interface("routes", stats.Routes).Msg("what the owner of the queue did")
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -122,7 +122,8 @@
 // due is when the tick should have occurred.
 func (s *Scheduler) tick(due time.Time) bool {
 	delay := measureRunDelay()
-	now := s.lock(due)
+	now := s.lock()
+	s.core.ObserveLag(now.Sub(due))
 	s.load.observeRunDelay(delay)
 	s.core.Tick(now)
 	idle := s.core.Idle()
@@ -152,7 +153,7 @@
 func (s *Scheduler) Submit(ctx context.Context, j dispatch.Job) (Decision, error) {
 	decision := make(chan Decision, 1)
 	arrived := time.Now()
-	now := s.lock(arrived)
+	now := s.lock()
 	err := s.core.Submit(now, j)
 	s.load.count(eventSubmit, arrived, now)
 	if err != nil {
@@ -245,19 +246,16 @@
 	return Stats{Stats: s.core.Stats(time.Now()), Events: maps.Clone(s.load.events), RunDelay: s.load.runDelay}
 }
 
-// lock locks the core for an event that arrived at a time, reports the delay to the core,
-// and returns the current time.
-func (s *Scheduler) lock(arrived time.Time) time.Time {
+// lock locks the core and returns the current time.
+func (s *Scheduler) lock() time.Time {
 	s.mu.Lock()
-	now := time.Now()
-	s.core.ObserveLag(now.Sub(arrived))
-	return now
+	return time.Now()
 }
 
 // handle applies an event to the core and runs its effects.
 func (s *Scheduler) handle(kind eventKind, apply func(time.Time, *dispatch.Core)) {
 	arrived := time.Now()
-	now := s.lock(arrived)
+	now := s.lock()
 	apply(now, s.core)
 	effects := s.core.Effects()
 	s.load.count(kind, arrived, now)
