dispatch: an owner that is asked for few jobs sheds none

Found on reading the change before: on a busy host, with a few jobs a second, ticks are late for reasons of the host; refusing every second job would not help it. TestFewJobsAreNotShed fails without. The weakest VM of the large site grants some 170 jobs a second (CAPACITY).

--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -24,9 +24,10 @@
 	// multiple of the jobs asked for from which there is no limit.
 	reopenSlowly, reopenFast = 0.5, 2.0
 	reopened                 = 1.2
-	// minAdmitted is the least limit as a fraction of the jobs asked for: only jobs show that
-	// the lag is over.
-	minAdmitted = 0.1
+	// minLimit is the least limit, in jobs a second. The weakest VM handles more; an owner that
+	// is asked for fewer and is late shares its processor with something else, and to refuse
+	// jobs would not help it.
+	minLimit = 40.0
 	// returnedDeviations is by how many standard deviations of requests that come at random an
 	// account may have more than its part for clients that were refused before.
 	returnedDeviations = 1.0
@@ -61,6 +62,8 @@
 	s.adjustedAt = now
 	asked := share.PerSecond(s.asked.At(now, share.HalfLife))
 	switch {
+	case asked <= minLimit:
+		s.limit = 0
 	case lag > lagTarget && now.Sub(s.cutAt) >= cutInterval:
 		s.cutAt = now
 		if s.limit == 0 || s.limit > asked {
@@ -68,7 +71,7 @@
 		}
 		granted := share.PerSecond(s.granted.At(now, share.HalfLife))
 		kept := max(keptMin, keptShare-float64(lag)/float64(halting))
-		s.limit = max(minAdmitted*asked, keptMin*s.limit, min(s.limit, kept*granted))
+		s.limit = max(minLimit, keptMin*s.limit, min(s.limit, kept*granted))
 	case s.limit > 0 && lag < lagTarget/2:
 		s.limit *= 1 + reopenRate(lag)*step
 		if s.limit > reopened*asked {
