--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -83,11 +83,8 @@
 	return time.Since(began)
 }
 
-// summaryDue reports whether a summary is due, and if so returns the events since the last.
-func (l *load) summaryDue(now time.Time) (map[eventKind]EventStats, bool) {
-	if now.Sub(l.loggedAt) < summaryInterval {
-		return nil, false
-	}
+// since returns the events since the last summary, and begins the next one.
+func (l *load) since(now time.Time) map[eventKind]EventStats {
 	since := make(map[eventKind]EventStats, len(l.events))
 	for kind, e := range l.events {
 		before := l.logged[kind]
@@ -97,22 +94,36 @@
 		}
 	}
 	l.loggedAt, l.logged = now, maps.Clone(l.events)
-	return since, true
+	return since
+}
+
+// summary is what the owner of the queue did since the last one, and the state of its queues.
+type summary struct {
+	stats    dispatch.Stats
+	events   map[eventKind]EventStats
+	runDelay time.Duration
+}
+
+// summaryLocked returns the summary if it is due, else nil.
+func (s *Scheduler) summaryLocked(now time.Time) *summary {
+	if now.Sub(s.load.loggedAt) < summaryInterval {
+		return nil
+	}
+	return &summary{stats: s.core.QueueStats(now), events: s.load.since(now), runDelay: s.load.runDelay}
 }
 
-// logSummary logs what the owner of the queue did since the last line, and the state of its
-// queues.
-func (s *Scheduler) logSummary(stats dispatch.Stats, events map[eventKind]EventStats, runDelay time.Duration) {
-	kinds := zerolog.Dict()
-	for kind, e := range events {
-		kinds.Dict(string(kind), zerolog.Dict().Int("n", e.Events).Dur("took_ms", e.Took).Dur("waited_ms", e.Waited))
+// logSummary logs a summary.
+func (s *Scheduler) logSummary(sum *summary) {
+	events := zerolog.Dict()
+	for kind, e := range sum.events {
+		events.Dict(string(kind), zerolog.Dict().Int("n", e.Events).Dur("took_ms", e.Took).Dur("waited_ms", e.Waited))
 	}
 	pools := zerolog.Dict()
-	for _, p := range stats.Pools {
+	for _, p := range sum.stats.Pools {
 		pools.Dict(p.Service, zerolog.Dict().Int("waiting", p.Waiting).Int("busy", p.Busy).Int("workers", p.Workers).
 			Dur("call_ms", p.AvgCallTime).Dur("error_ms", p.ForecastError).Float64("room", p.RoomUsed).Interface("accounts", p.Accounts))
 	}
-	s.log.Info().Str("event", logQueueSummary).Int("jobs", stats.Jobs).Int("calls", stats.Calls).
-		Dur("lag_ms", stats.Lag).Dur("run_delay_ms", runDelay).Float64("admit_limit", stats.AdmitLimit).Dict("events", kinds).Dict("pools", pools).
-		Interface("routes", stats.Routes).Msg("what the owner of the queue did")
+	s.log.Info().Str("event", logQueueSummary).Int("jobs", sum.stats.Jobs).Int("calls", sum.stats.Calls).
+		Dur("lag_ms", sum.stats.Lag).Dur("run_delay_ms", sum.runDelay).Float64("admit_limit", sum.stats.AdmitLimit).
+		Dict("events", events).Dict("pools", pools).Interface("routes", sum.stats.Routes).Msg("what the owner of the queue did")
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -129,16 +129,11 @@
 	idle := s.core.Idle()
 	effects := s.core.Effects()
 	s.load.count(eventTick, due, now)
-	events, summarize := s.load.summaryDue(now)
-	var stats dispatch.Stats
-	if summarize {
-		stats = s.core.QueueStats(now)
-	}
-	runDelay := s.load.runDelay
+	summary := s.summaryLocked(now)
 	s.mu.Unlock()
 	s.runEffects(effects)
-	if summarize {
-		s.logSummary(stats, events, runDelay)
+	if summary != nil {
+		s.logSummary(summary)
 	}
 	return idle
 }
