--- a/dispatch/fleet_rig_test.go
+++ b/dispatch/fleet_rig_test.go
@@ -205,7 +205,6 @@
 	countFrom time.Duration
 	// onEffect, if set, is called with each effect.
 	onEffect func(Effect)
-	onTick   func(time.Time)
 	// freeAt is when the owner's processor is free.
 	freeAt  time.Time
 	events  ownerEvents
@@ -464,19 +463,4 @@
 	return text
 }
 
-// crests returns bursts of one route after the other, and then of all.
-func crests(single, chain, all float64) func(*fleetRoute, time.Duration) float64 {
-	return func(r *fleetRoute, at time.Duration) float64 {
-		switch {
-		case within(at, 5*time.Second, 10*time.Second) && r.name == "single":
-			return single
-		case within(at, 14*time.Second, 19*time.Second) && r.name == "chain":
-			return chain
-		case within(at, 26*time.Second, 30*time.Second):
-			return all
-		}
-		return 1
-	}
-}
-
 func within(at, from, until time.Duration) bool { return at >= from && at < until }
