dispatch: an owner that is late refuses nothing for it; reverts

The change let an owner that lags refuse a part of the jobs at once. The lag that it goes by is there, but is not only the owner's work: on a busy host ticks are late, and to refuse does not help that.

--- a/dispatch/appoint.go
+++ b/dispatch/appoint.go
@@ -71,8 +71,7 @@
 		return
 	}
 	for _, s := range j.stages {
-		p := c.pools[s.Service]
-		if p != nil && s.Pieces > 0 && p.calendar.Redeem(now, j.Priority) {
+		if s.Pieces > 0 && c.pools[s.Service].calendar.Redeem(now, j.Priority) {
 			j.expected = true
 			return
 		}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -7,7 +7,6 @@
 
 	"github.com/mangostage/mangostage/quota"
 	"github.com/mangostage/mangostage/retryafter"
-	"github.com/mangostage/mangostage/share"
 )
 
 // Core holds the state of all jobs, stages and endpoints. It is not safe for
@@ -43,10 +42,8 @@
 	// as it knows. salt makes its order of endpoints differ from that of other owners.
 	fleetShare float64
 	salt       uint64
-	// lag is the delay with which events are handled.
-	lag ownerLag
-	// shedder refuses a part of the jobs while the owner is overloaded.
-	shedder shedder
+	// lag is the moving average of the delay with which events are handled.
+	lag time.Duration
 	// unreached are the failure domains that the owner cannot reach.
 	unreached []string
 	// sharesRoom is true if pools that are short divide their room among client accounts,
@@ -79,7 +76,6 @@
 		gathering:    make(map[*worker]struct{}),
 		meanSizes:    make(map[string]float64),
 		streams:      make(streamTimes),
-		shedder:      shedder{accounts: share.NewTable(), totals: share.NewTable()},
 		routes:       make(routeStats),
 	}
 	c.late = c
@@ -140,10 +136,6 @@
 // plan checks that endpoints for the job exist, sets the latest start of its
 // stages and decides on its admission. It reports false if the job was refused.
 func (c *Core) plan(j *job, now time.Time) bool {
-	c.redeem(j, now)
-	if c.shed(j, now) {
-		return false
-	}
 	if c.lacksVersion(j, now) {
 		c.refuseNoVersion(j, now)
 		return false
@@ -183,6 +175,7 @@
 		s.demandEntry.pool, s.demandEntry.id = c.pools[s.Service], c.lastStageID
 		s.updateDemand()
 	}
+	c.redeem(j, now)
 	c.updateWeight(j)
 	if !c.admitToEngines(j, now) || !c.admit(j, now) {
 		c.refuse(j, ReasonOverload, now)
@@ -274,7 +267,6 @@
 	j.engine = e
 	j.granted = now
 	c.routes.countGranted(j)
-	c.shedder.noteGranted(now)
 	c.modelEngines[j.Service].assign(e, j)
 	c.emit(Grant{
 		Ticket:   j.Ticket,
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -108,8 +108,6 @@
 	ResourceEndpoints Resource = "endpoints"
 	// ResourceEngine means a model engine that can accept a request now.
 	ResourceEngine Resource = "engine"
-	// ResourceOwner means the processor of the queue's owner.
-	ResourceOwner Resource = "owner"
 	// ResourceVersion means model engines of the version that began a stream.
 	ResourceVersion Resource = "version"
 )
--- a/dispatch/fleet_rig_test.go
+++ b/dispatch/fleet_rig_test.go
@@ -195,8 +195,7 @@
 	burst func(r *fleetRoute, at time.Duration) float64
 	// cost returns the owner's processor time for an event that the Core handled in took.
 	cost func(took time.Duration) time.Duration
-	// naive makes the owner free the results of each job at each endpoint by themselves, and
-	// admit whatever its pools have room for.
+	// naive makes the owner free the results of each job at each endpoint by themselves.
 	naive bool
 	// flooding, if set, is the account that sends so many times its share more.
 	flooding string
@@ -263,7 +262,7 @@
 	for _, r := range l.routes {
 		l.outside(l.nextArrival(r, epoch), func(now time.Time) { l.arrive(r, now) })
 	}
-	l.tickAt(epoch.Add(tickEvery))
+	l.at(epoch.Add(tickEvery), l.tick)
 	for l.events.Len() > 0 {
 		l.step()
 	}
@@ -273,16 +272,11 @@
 // tickEvery is the time between two ticks.
 const tickEvery = 20 * time.Millisecond
 
-func (l *fleetLoad) tickAt(due time.Time) {
-	l.at(due, func(now time.Time) { l.tick(due, now) })
-}
-
-func (l *fleetLoad) tick(due, now time.Time) {
-	l.core.ObserveLag(now.Sub(due))
+func (l *fleetLoad) tick(now time.Time) {
 	l.core.Tick(now)
 	if now.Before(l.end) || !l.core.Idle() {
 		// A ticker drops the ticks that nobody takes.
-		l.tickAt(l.freeAt.Truncate(tickEvery).Add(tickEvery))
+		l.at(l.freeAt.Truncate(tickEvery).Add(tickEvery), l.tick)
 	}
 }
 
@@ -302,10 +296,10 @@
 	l.longest = max(l.longest, now.Sub(e.at))
 	began := time.Now()
 	l.freeAt = now
+	l.core.ObserveLag(now.Sub(e.at))
 	e.handle(now)
 	if l.naive {
 		l.core.freeAllGathered()
-		l.core.shedder.limit = 0
 	}
 	took := time.Since(began)
 	l.coreTime += took
--- a/dispatch/forecast.go
+++ b/dispatch/forecast.go
@@ -74,24 +74,25 @@
 	return math.Exp2(-max(0, age.Seconds()) / admittedHalfLife.Seconds())
 }
 
-// rankedCounts counts something by priority; the counts decay.
-type rankedCounts struct {
+// admittedPieces counts, by priority, the pieces of jobs that were admitted as on time;
+// the counts decay.
+type admittedPieces struct {
 	counts [appointment.Priorities]float64
 	asOf   time.Time
 }
 
-// add adds to the count of a priority.
-func (a *rankedCounts) add(priority int, n float64, now time.Time) {
+// add counts pieces of a priority.
+func (a *admittedPieces) add(priority int, pieces float64, now time.Time) {
 	left := decay(now.Sub(a.asOf))
 	for i := range a.counts {
 		a.counts[i] *= left
 	}
-	a.counts[appointment.Class(priority)] += n
+	a.counts[appointment.Class(priority)] += pieces
 	a.asOf = now
 }
 
-// upTo returns the sum of the counts that are at least as urgent as the priority.
-func (a *rankedCounts) upTo(priority int, now time.Time) float64 {
+// upTo returns the count of pieces that are at least as urgent as the priority.
+func (a *admittedPieces) upTo(priority int, now time.Time) float64 {
 	sum := 0.0
 	for _, n := range a.counts[:appointment.Class(priority)+1] {
 		sum += n
@@ -133,7 +134,7 @@
 		}
 		wait, short := p.backlogTime(ahead)
 		wait = max(wait, p.backoffWait(now))
-		s.forecastStart = now.Add(wait + c.lag.average)
+		s.forecastStart = now.Add(wait + c.lag)
 		for _, a := range s.DependsOn {
 			if before := j.stages[a]; before.Pieces > 0 {
 				s.forecastStart = later(s.forecastStart, before.forecastStart.Add(c.pools[before.Service].avgCallTime))
--- a/dispatch/lag.go
+++ b/dispatch/lag.go
@@ -3,28 +3,17 @@
 import "time"
 
 const (
-	// lagWeight is the weight of the newest observation in the owner's lag.
-	lagWeight = 0.25
-	// lagMax bounds one observation.
+	// lagWeight is the weight of the newest event in the owner's lag.
+	lagWeight = 0.1
+	// lagMax bounds the lag of one event: a process that was paused is not slow when
+	// it resumes.
 	lagMax = time.Second
 )
 
-// ownerLag is the delay with which the owner handles events, as a moving average.
-type ownerLag struct {
-	average, latest time.Duration
-}
-
-// observe adds an observation. What counts is the lesser of the latest two: a process that
-// was paused once is not slow when it resumes.
-func (l *ownerLag) observe(late time.Duration) {
+// ObserveLag updates the lag with the delay of one event. An owner with an overloaded
+// processor starts each stage that much later than the queues alone suggest;
+// admission adds the lag, so that the owner accepts no more than it can process.
+func (c *Core) ObserveLag(late time.Duration) {
 	late = min(max(0, late), lagMax)
-	observed := min(late, l.latest)
-	l.latest = late
-	l.average += time.Duration(lagWeight * float64(observed-l.average))
+	c.lag += time.Duration(lagWeight * float64(late-c.lag))
 }
-
-// ObserveLag updates the lag with the delay of one tick. An owner with an overloaded
-// processor starts each stage that much later than the queues alone suggest; admission
-// adds the lag, so that the owner accepts no more than it can process, and refuses a part of
-// the jobs at once.
-func (c *Core) ObserveLag(late time.Duration) { c.lag.observe(late) }
--- a/dispatch/lag_test.go
+++ b/dispatch/lag_test.go
@@ -29,7 +29,7 @@
 				c.ObserveLag(lag)
 			}
 			assert.NilError(t, c.Submit(epoch, tight))
-			assert.Equal(t, c.jobs["a"].late, test.late, "lag %v", c.lag.average)
+			assert.Equal(t, c.jobs["a"].late, test.late, "lag %v", c.lag)
 		})
 	}
 }
--- a/dispatch/owner_load_test.go
+++ b/dispatch/owner_load_test.go
@@ -74,12 +74,3 @@
 		assert.Assert(t, l.results["chain"].servedInTime() >= 0.95)
 	}
 }
-
-// inTime returns the number of requests that were served in time.
-func (l *fleetLoad) inTime() int {
-	n := 0
-	for _, r := range l.results {
-		n += r.inTime
-	}
-	return n
-}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -64,7 +64,7 @@
 	// start.
 	forecastError time.Duration
 	// admitted counts the pieces of jobs on time, by priority.
-	admitted rankedCounts
+	admitted admittedPieces
 	// calendar holds the appointments of refused clients.
 	calendar appointment.Calendar
 	// forecastErrorAsOf is when forecastError was last updated.
--- a/dispatch/shares.go
+++ b/dispatch/shares.go
@@ -109,12 +109,8 @@
 // of unequal size that only ask for more than there is are not restrained, because a queue
 // that they fill is worked off later.
 func restraint(account *share.Account) float64 {
-	return floodOf(account) * min(1, account.Unmet()/fullUnmet)
-}
-
-// floodOf returns how far an account counts as a flood, from 0 to 1.
-func floodOf(account *share.Account) float64 {
-	return min(1, max(0, (account.Multiple()-floodFrom)/(floodFull-floodFrom)))
+	flood := min(1, max(0, (account.Multiple()-floodFrom)/(floodFull-floodFrom)))
+	return flood * min(1, account.Unmet()/fullUnmet)
 }
 
 // victimByShare returns the job that j displaces because that job's account has more than
--- a/dispatch/stats.go
+++ b/dispatch/stats.go
@@ -16,10 +16,7 @@
 	// fleet that this process, as the owner, is in contact with.
 	Lag   time.Duration `json:"lag"`
 	Share float64       `json:"share"`
-	// AdmitLimit is the number of jobs admitted in a second while the owner is overloaded, 0
-	// for no limit.
-	AdmitLimit float64     `json:"admit_limit,omitempty"`
-	Pools      []PoolStats `json:"pools"`
+	Pools []PoolStats   `json:"pools"`
 	// Admissions counts what the owner decided about jobs.
 	Admissions Admissions `json:"admissions"`
 	// Routes counts the same by route.
@@ -138,7 +135,7 @@
 // QueueStats returns the state at now without that of each endpoint.
 func (c *Core) QueueStats(now time.Time) Stats {
 	stats := Stats{
-		Jobs: len(c.jobs), Calls: len(c.calls), Lag: c.lag.average, Share: c.fleetShare, AdmitLimit: c.shedder.limit,
+		Jobs: len(c.jobs), Calls: len(c.calls), Lag: c.lag, Share: c.fleetShare,
 		Admissions: c.admissionStats(now), Routes: c.routes.clone(),
 	}
 	for _, p := range c.sortedPools {
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -22,7 +22,6 @@
 			e.expire(now)
 		}
 	}
-	c.shedder.adjust(c.lag.average, now)
 	c.freeDue(now)
 	c.refuseUnservable(now)
 	c.late.readmitLate(now)
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -124,6 +124,6 @@
 			Dur("call_ms", p.AvgCallTime).Dur("error_ms", p.ForecastError).Float64("room", p.RoomUsed).Interface("accounts", p.Accounts))
 	}
 	s.log.Info().Str("event", logQueueSummary).Int("jobs", sum.stats.Jobs).Int("calls", sum.stats.Calls).
-		Dur("lag_ms", sum.stats.Lag).Dur("run_delay_ms", sum.runDelay).Float64("admit_limit", sum.stats.AdmitLimit).
+		Dur("lag_ms", sum.stats.Lag).Dur("run_delay_ms", sum.runDelay).
 		Dict("events", events).Dict("pools", pools).Interface("routes", sum.stats.Routes).Msg("what the owner of the queue did")
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -122,8 +122,7 @@
 // due is when the tick should have occurred.
 func (s *Scheduler) tick(due time.Time) bool {
 	delay := measureRunDelay()
-	now := s.lock()
-	s.core.ObserveLag(now.Sub(due))
+	now := s.lock(due)
 	s.load.observeRunDelay(delay)
 	s.core.Tick(now)
 	idle := s.core.Idle()
@@ -148,7 +147,7 @@
 func (s *Scheduler) Submit(ctx context.Context, j dispatch.Job) (Decision, error) {
 	decision := make(chan Decision, 1)
 	arrived := time.Now()
-	now := s.lock()
+	now := s.lock(arrived)
 	err := s.core.Submit(now, j)
 	s.load.count(eventSubmit, arrived, now)
 	if err != nil {
@@ -241,16 +240,19 @@
 	return Stats{Stats: s.core.Stats(time.Now()), Events: maps.Clone(s.load.events), RunDelay: s.load.runDelay}
 }
 
-// lock locks the core and returns the current time.
-func (s *Scheduler) lock() time.Time {
+// lock locks the core for an event that arrived at a time, reports the delay to the core,
+// and returns the current time.
+func (s *Scheduler) lock(arrived time.Time) time.Time {
 	s.mu.Lock()
-	return time.Now()
+	now := time.Now()
+	s.core.ObserveLag(now.Sub(arrived))
+	return now
 }
 
 // handle applies an event to the core and runs its effects.
 func (s *Scheduler) handle(kind eventKind, apply func(time.Time, *dispatch.Core)) {
 	arrived := time.Now()
-	now := s.lock()
+	now := s.lock(arrived)
 	apply(now, s.core)
 	effects := s.core.Effects()
 	s.load.count(kind, arrived, now)
--- a/share/table.go
+++ b/share/table.go
@@ -244,13 +244,6 @@
 // Part returns what the latest division gave the account.
 func (a *Account) Part() float64 { return a.claim.Part }
 
-// Even returns what the account would have got if all of its rank had asked for more than
-// there is, as of the latest division.
-func (a *Account) Even() float64 { return a.claim.Even }
-
-// Used returns what the account was given lately.
-func (a *Account) Used(now time.Time) float64 { return a.used.At(now, HalfLife) }
-
 // Held returns the accounts, at most so many, that the latest division gave less than they
 // asked for, those that asked for most first.
 func (t *Table) Held(most int) []*Account {
