gateway: closed connections don't count among the idle ones

The end of a connection is often noted before that of its last exchange, as with answers that say Connection: close. It was then listed as idle until its time was over, up to 2,048 of them, and could push out open connections that are used less often than every two seconds.

TestClosedConnectionsAreNotKept lists 2,048 closed ones without this, none with it.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -24,6 +24,8 @@
 	mu sync.Mutex
 	// idleTimer runs while the connection is idle; nil before it first is.
 	idleTimer *time.Timer
+	// closed is true once the connection is closed; idleConns guards it.
+	closed bool
 	// exchange is the latest one over the connection. It is set with mu held.
 	exchange atomic.Pointer[exchange]
 }
@@ -98,7 +100,7 @@
 
 // Close implements net.Conn.
 func (c *endpointConn) Close() error {
-	c.transport.idle.remove(c)
+	c.transport.idle.removeClosed(c)
 	c.transport.mu.Lock()
 	delete(c.transport.conns, c)
 	c.transport.mu.Unlock()
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -42,12 +42,16 @@
 	return &idleConns{now: time.Now, elements: make(map[*endpointConn]*list.Element)}
 }
 
-// add adds a connection, and returns those that are not to be kept any more.
+// add adds a connection, unless it is closed, and returns those that are not to be kept any
+// more.
 func (l *idleConns) add(c *endpointConn, x *exchange) (surplus []idleConn) {
 	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.removeLocked(c)
+	if c.closed {
+		return nil
+	}
 	l.elements[c] = l.order.PushBack(idleConn{conn: c, exchange: x, since: now})
 	for l.order.Len() > maxIdle {
 		oldest := l.order.Front().Value.(idleConn)
@@ -60,13 +64,22 @@
 	return surplus
 }
 
-// remove removes a connection that is used or closed.
+// remove removes a connection that is used.
 func (l *idleConns) remove(c *endpointConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.removeLocked(c)
 }
 
+// removeClosed removes a connection for good. Its end may be noted before that of its last
+// exchange, and it must not take the place of one that is open.
+func (l *idleConns) removeClosed(c *endpointConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.closed = true
+	l.removeLocked(c)
+}
+
 func (l *idleConns) removeLocked(c *endpointConn) {
 	if e := l.elements[c]; e != nil {
 		l.order.Remove(e)
--- a/gateway/idle_many_test.go
+++ b/gateway/idle_many_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -65,3 +66,19 @@
 	assert.Equal(t, l.order.Len(), maxIdle-1)
 	assert.Equal(t, len(l.elements), maxIdle-1)
 }
+
+// Guards against closed connections that take the places of open ones: the end of a
+// connection may be noted before that of its last exchange.
+func TestClosedConnectionsAreNotKept(t *testing.T) {
+	transport := NewTransport()
+	for range 2 * maxRecentIdle {
+		ours, theirs := net.Pipe()
+		_ = theirs.Close()
+		c := &endpointConn{Conn: ours, transport: transport}
+		x := &exchange{}
+		c.beginExchange(x)
+		assert.NilError(t, c.Close())
+		c.endExchange(x, time.Minute)
+	}
+	assert.Equal(t, transport.idle.order.Len(), 0)
+}
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -51,6 +51,7 @@
 	// not have run, and its client waits without an answer until its deadline.
 	BeforeRequest func()
 
+	// idle holds the connections that no request uses.
 	idle *idleConns
 
 	mu    sync.Mutex
