dispatch: what ends after a hand-over is freed at once

Found on reading the change again: results of jobs that ended after the queue had another owner were gathered for half a second like any, though the next owner does not know of them and its calls find no memory; a planned stop waited for them. TestNothingIsGatheredAfterAHandOver fails without.

--- a/dispatch/gather.go
+++ b/dispatch/gather.go
@@ -34,7 +34,7 @@
 }
 
 // gather frees a result together with others of its endpoint: at once if the endpoint's
-// memory is short, and otherwise after gatherTime.
+// memory is short or another process owns the queue, and otherwise after gatherTime.
 func (c *Core) gather(r *result, now time.Time) {
 	w := r.worker
 	if len(w.gathered.results) == 0 {
@@ -43,7 +43,7 @@
 	}
 	w.gathered.results = append(w.gathered.results, r)
 	w.gathered.bytes += r.bytes
-	if len(w.gathered.results) >= maxGathered || c.needsGathered(w) {
+	if c.handedOver || len(w.gathered.results) >= maxGathered || c.needsGathered(w) {
 		c.freeGathered(w)
 	}
 }
--- a/dispatch/gather_test.go
+++ b/dispatch/gather_test.go
@@ -54,3 +54,19 @@
 	assert.Assert(t, !sim.core.HasUnfinishedStages())
 	assertNothingReserved(t, sim.core)
 }
+
+// Guards against results of jobs that end after a hand-over and are kept for gatherTime: the
+// next owner does not know of them, and its calls find no memory.
+func TestNothingIsGatheredAfterAHandOver(t *testing.T) {
+	sim := newSimulation(testView([]string{"north"}, 1))
+	sim.submit(testJob("a"))
+	for len(sim.grants) == 0 {
+		sim.run(10 * time.Millisecond)
+	}
+	sim.core.HandOver(sim.now)
+	assert.Assert(t, sim.core.HasUnfinishedStages(), "the engine has not read the results yet")
+	sim.core.Done(sim.now, "a", true)
+	sim.drain()
+	assert.Assert(t, !sim.core.HasUnfinishedStages())
+	assertNothingReserved(t, sim.core)
+}
