dispatch: no empty service in late_at; a rig without what no test uses

A job that is late for its start without a shortage at admission stood under an empty service. The floods of the fleet's rig were for a guard that was taken back.

--- a/dispatch/fleet_rig_test.go
+++ b/dispatch/fleet_rig_test.go
@@ -197,9 +197,6 @@
 	cost func(took time.Duration) time.Duration
 	// naive makes the owner free the results of each job at each endpoint by themselves.
 	naive bool
-	// flooding, if set, is the account that sends so many times its share more.
-	flooding string
-	flood    float64
 	// countFrom is the time from which requests are counted.
 	countFrom time.Duration
 	// onEffect, if set, is called with each effect.
@@ -317,30 +314,14 @@
 		return
 	}
 	l.request(r, l.newJob(r), now)
-	if l.flood > 0 {
-		for range l.poisson(l.flood / float64(l.size.accounts)) {
-			j := l.newJob(r)
-			j.Account = l.flooding
-			l.request(r, j, now)
-		}
-	}
 	l.outside(l.nextArrival(r, now), func(now time.Time) { l.arrive(r, now) })
 }
 
-// poisson draws the number of events of which a mean number is expected.
-func (l *fleetLoad) poisson(mean float64) int {
-	n := 0
-	for left := l.rng.ExpFloat64(); left < mean; left += l.rng.ExpFloat64() {
-		n++
-	}
-	return n
-}
-
 // request sends a new request.
 func (l *fleetLoad) request(r *fleetRoute, j Job, now time.Time) {
 	l.requests++
 	c := &fleetClient{route: r, first: now, number: l.requests, job: j, result: &routeResult{}}
-	if now.Sub(epoch) >= l.countFrom && (l.flooding == "" || j.Account != l.flooding) {
+	if now.Sub(epoch) >= l.countFrom {
 		c.result = l.results[r.name]
 	}
 	c.result.offered++
--- a/dispatch/route_stats.go
+++ b/dispatch/route_stats.go
@@ -1,12 +1,18 @@
 package dispatch
 
-import "maps"
+import (
+	"cmp"
+	"maps"
+)
 
-// maxRouteStats bounds the routes that are counted by themselves; further ones count as
-// otherRoutes.
 const (
+	// maxRouteStats bounds the routes that are counted by themselves; further ones count as
+	// otherRoutes.
 	maxRouteStats = 64
 	otherRoutes   = "(others)"
+	// noShortage stands for the service of jobs that are late although none was short when
+	// they were admitted.
+	noShortage = "(overdue)"
 )
 
 // RouteStats counts, since the start of the process, what the owner decided about the jobs
@@ -75,7 +81,7 @@
 	if r.LateAt == nil {
 		r.LateAt = make(map[string]int)
 	}
-	r.LateAt[j.shortService]++
+	r.LateAt[cmp.Or(j.shortService, noShortage)]++
 }
 
 // countGranted counts a job that got an engine.
