gateway: a late request in a shutdown is admitted by a known bound only

Cause: whether a request ends in time was guessed from the latest 32 answers of its route, three times the longest. What follows need not resemble them.

Change: from 2.5 s after the start of a shutdown only the client's deadline or the route's timeout counts, by when the request was read whole; what they end in time is always admitted and never given up for the shutdown. Until then an estimate may admit, as a client may have been sent here by a balancer that does not know better. The bound is logged, also where an admitted request is not sent, and counted.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -262,6 +262,8 @@
 	header http.Header
 	body   string
 	err    error
+	// closes is true if the answer says that the connection is closed after it.
+	closes bool
 }
 
 // do sends a request as a client and reads its answer.
@@ -275,5 +277,5 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return clientResult{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+	return clientResult{status: resp.StatusCode, header: resp.Header, body: string(body), err: err, closes: resp.Close}
 }
--- a/gateway/lognames.go
+++ b/gateway/lognames.go
@@ -18,6 +18,9 @@
 	// logArrivedDuringShutdown is logged for a request that arrived after the shutdown
 	// had begun.
 	logArrivedDuringShutdown = "taken_while_stopping"
+	// logNotSentDuringShutdown is logged for a request that was admitted, and that a shutdown
+	// leaves no time to be sent.
+	logNotSentDuringShutdown = "not_sent_while_stopping"
 	// logSharesHeld is logged when a gateway begins or ceases to hold client accounts to
 	// their shares of a plain service.
 	logSharesHeld = "account_shares"
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,6 +23,9 @@
 	Answers    *expvar.Map
 	Sends      *expvar.Map
 	StreamEnds *expvar.Map
+	// ShutdownAdmissions counts the requests that arrived during a shutdown by their bound
+	// and whether they were admitted.
+	ShutdownAdmissions *expvar.Map
 	// Held counts requests that were refused because their client account had more than its
 	// share of a service, by service and account.
 	Held *expvar.Map
@@ -41,7 +44,10 @@
 		Sends:      new(expvar.Map).Init(),
 		StreamEnds: new(expvar.Map).Init(),
 		Held:       new(expvar.Map).Init(),
-		latency:    make(map[string]*hdrhistogram.Histogram),
+
+		ShutdownAdmissions: new(expvar.Map).Init(),
+
+		latency: make(map[string]*hdrhistogram.Histogram),
 	}
 }
 
@@ -51,6 +57,15 @@
 	m.recordLatency("answer "+routeName(req), time.Since(req.arrived))
 }
 
+// countShutdownAdmission counts a request that arrived during a shutdown.
+func (m *Metrics) countShutdownAdmission(bound shutdownBound, admitted bool) {
+	name := string(bound) + " refused"
+	if admitted {
+		name = string(bound) + " admitted"
+	}
+	m.ShutdownAdmissions.Add(name, 1)
+}
+
 // countStreamEnd counts the end of an endpoint's stream.
 func (m *Metrics) countStreamEnd(req *request, f framing, end streamEnd) {
 	m.StreamEnds.Add(routeName(req)+" "+string(f)+" "+string(end), 1)
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -68,8 +68,7 @@
 	}
 	g.allowBrokenOff(m.request, &m.tries)
 	m.submits++
-	_, estimate := g.estimateDuration(m.request)
-	ctx, cancel := g.shutdown.boundContext(m.ctx, estimate)
+	ctx, cancel := g.shutdown.boundContext(m.ctx, func() time.Duration { return g.shutdownNeed(m.request).engine })
 	defer cancel()
 	ctx, unwatch := g.cfg.Quarantine.Bound(ctx, m.subject)
 	defer unwatch()
@@ -79,7 +78,7 @@
 	lease, err := g.cfg.Scheduler.Submit(ctx, job)
 	switch {
 	case err != nil && cancelledByShutdown(ctx):
-		return nil, giveUp(m.request, reasonStopping, g.shutdownRetryAfter(estimate))
+		return nil, giveUp(m.request, reasonStopping, g.shutdownRetryAfter(time.Until(g.shutdown.deadline)))
 	case err != nil:
 		if left, parts := g.cfg.Quarantine.RefusedFor(m.subject); left > 0 {
 			p := giveUp(m.request, m.endReason(reasonCrashes), left)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -247,7 +247,7 @@
 	if tries.rejections >= maxRejections {
 		return false
 	}
-	if _, ok := g.finishesBeforeShutdown(req); !ok {
+	if !g.finishesBeforeShutdown(req) {
 		return false
 	}
 	return g.retryBudget.TryRepeat(req.serviceName, g.retrySlack(), time.Now())
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -40,6 +40,8 @@
 	run     *quarantine.Run
 	runs    int
 	arrived time.Time
+	// readAt is when the request was read whole; when it arrived, before that.
+	readAt time.Time
 	// deadline is the earlier of the client's deadline and the route's timeout.
 	deadline time.Time
 	// age is the estimated time since the client first sent the request; 0 for a first
@@ -70,7 +72,7 @@
 // admit decodes a request and finds its route, service and client account.
 func (g *Gateway) admit(r *http.Request) (*request, *problem) {
 	now := time.Now()
-	req := &request{Request: platform.DecodeRequest(r.Header), http: r, arrived: now}
+	req := &request{Request: platform.DecodeRequest(r.Header), http: r, arrived: now, readAt: now}
 	req.stream.lastEventID = req.LastEvent
 	view := g.cfg.View()
 	if !view.Ready() {
@@ -97,7 +99,7 @@
 // client leaves, at the request's deadline, or at the end of a shutdown.
 func (req *request) startContext(s *shutdown) {
 	ctx, cancelDeadline := context.WithDeadline(req.http.Context(), req.deadline)
-	ctx, cancelStop := s.boundContext(ctx, 0)
+	ctx, cancelStop := s.boundContext(ctx, func() time.Duration { return 0 })
 	req.ctx = ctx
 	req.cancel = func() {
 		cancelStop()
@@ -199,7 +201,7 @@
 		// The client closed the connection or its chunks are malformed.
 		return &problem{status: http.StatusBadRequest, reason: "body_unreadable", close: true}
 	}
-	req.body = buffer.Bytes()
+	req.body, req.readAt = buffer.Bytes(), time.Now()
 	return nil
 }
 
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -18,13 +18,6 @@
 	// otherGatewayRetryAfter is the Retry-After of a client that can reach another
 	// gateway: almost at once, but not in step with all other clients.
 	otherGatewayRetryAfter = 50 * time.Millisecond
-	// outOfRotationMargin multiplies the estimated duration of requests that arrive
-	// after the load balancer has taken the process out of rotation. While load moves to
-	// fewer gateways, a stream may last up to three times as long as estimated. Before
-	// that point the estimate alone decides: a client that the load balancer sends here
-	// has no better place to go, and refusing all would cost more than the few streams
-	// that are cut.
-	outOfRotationMargin = 3
 	// restartTime is the time from the end of a process to its successor being ready
 	// with a view, rounded up.
 	restartTime = time.Second
@@ -38,9 +31,8 @@
 //
 // The failure that it guards against: a client reuses a kept connection seconds after
 // SIGTERM; its stream outlasts the grace period and is cut when the process ends,
-// without an answer and without a log line. A request is therefore admitted, and its
-// engine called, only while the rest of the grace period is sufficient for the longest
-// of the latest requests of its route.
+// without an answer and without a log line. See shutdownNeed for which requests are
+// admitted.
 type shutdown struct {
 	// started is cancelled when the shutdown begins; startedAt and deadline are set
 	// before.
@@ -93,11 +85,12 @@
 }
 
 // boundContext returns a context that is cancelled with the cause errShutdown once
-// the shutdown has begun and less than need is left until its deadline.
-func (s *shutdown) boundContext(parent context.Context, need time.Duration) (context.Context, context.CancelFunc) {
+// the shutdown has begun and less than need is left until its deadline; need is called
+// when the shutdown has begun.
+func (s *shutdown) boundContext(parent context.Context, need func() time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
 	stopWatch := context.AfterFunc(s.started, func() {
-		timer := time.AfterFunc(time.Until(s.deadline.Add(-need)), func() { cancel(errShutdown) })
+		timer := time.AfterFunc(time.Until(s.deadline.Add(-need())), func() { cancel(errShutdown) })
 		context.AfterFunc(ctx, func() { timer.Stop() })
 	})
 	return ctx, func() {
@@ -119,8 +112,7 @@
 func (g *Gateway) UnreadyObserved() <-chan struct{} { return g.shutdown.unreadyObserved }
 
 // OutOfRotation records that the load balancer no longer chooses this process. A
-// request that still arrives uses a kept connection or finds no gateway that stays,
-// and is admitted only with a margin over its estimated duration.
+// request that still arrives uses a kept connection or finds no gateway that stays.
 func (g *Gateway) OutOfRotation() { g.shutdown.outOfRotation.Store(true) }
 
 // InFlight returns the number of requests that have not been answered completely.
