A stopping gateway closes connections as soon as they are idle

Cause: idle connections were closed once, when the balancer had noticed, and again only when nothing was in flight any more.

Evidence: TestStopClosesConnectionsAfterTheirStreams failed before: the connection was still open when another stream ended.

Change: from then on a connection is closed once it has been idle for 50 ms, unless bytes of a request wait to be read on it. A new connection has that time too: so far it was closed at the next tick, whenever that was (TestCloseIdleLeavesNewConnectionsTheirTime).

--- a/daemon/gateway_stop.go
+++ b/daemon/gateway_stop.go
@@ -23,9 +23,11 @@
 	// exitReserveDivisor limits the reserve of a short grace to grace/exitReserveDivisor.
 	exitReserveDivisor = 6
 	// idleCloseInterval is the interval at which a stopping gateway closes idle
-	// connections, and so the time that a new connection has to send its request:
-	// many times the network delay from the clients.
-	idleCloseInterval = 50 * time.Millisecond
+	// connections, idleCloseAfter how long they must have been idle. That is the time
+	// that a new connection has to send its request: many times the network delay from
+	// the clients.
+	idleCloseInterval = 20 * time.Millisecond
+	idleCloseAfter    = 50 * time.Millisecond
 	// drainPollInterval is how often a stopping gateway checks whether it has drained.
 	drainPollInterval = 10 * time.Millisecond
 )
@@ -49,9 +51,11 @@
 	g.gateway.OutOfRotation()
 	// Idle connections are closed now, so that their clients send the next request
 	// to a gateway that is not stopping.
-	g.clientConns.CloseIdle()
+	g.clientConns.CloseIdle(0)
+	stopClosing := g.keepClosingIdle(ctx)
 	g.awaitDrained(ctx)
-	err := g.shutdownFrontend(ctx)
+	err := g.frontend.Shutdown(ctx)
+	stopClosing()
 	cut := g.gateway.InFlight()
 	for _, server := range g.auxServers {
 		_ = server.Close()
@@ -98,17 +102,17 @@
 	}
 }
 
-// shutdownFrontend shuts down the frontend server. Until it is done, new
-// connections that carry no request are closed repeatedly, because the server
-// itself would wait 5 s for them.
-func (g *Gateway) shutdownFrontend(ctx context.Context) error {
-	done, stop := context.WithCancel(ctx)
-	defer stop()
+// keepClosingIdle closes the connections that become idle until stop is called. The head of
+// an answer that began before SIGTERM does not say that its connection is closed after it:
+// its client would send the next request here, late in the shutdown. Connections that carry
+// no request are closed too: the server itself would wait 5 s for them.
+func (g *Gateway) keepClosingIdle(ctx context.Context) (stop func()) {
+	ctx, stop = context.WithCancel(ctx)
 	go func() {
-		for done.Err() == nil {
-			sleep.For(done, idleCloseInterval)
-			g.clientConns.CloseIdle()
+		for ctx.Err() == nil {
+			sleep.For(ctx, idleCloseInterval)
+			g.clientConns.CloseIdle(idleCloseAfter)
 		}
 	}()
-	return g.frontend.Shutdown(ctx)
+	return stop
 }
--- a/integration/gateway_stop_test.go
+++ b/integration/gateway_stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -170,3 +171,29 @@
 	assert.Equal(t, r.gateway.WaitExit(recoveryTimeout), 0)
 	assert.Assert(t, time.Since(began) < stopGrace, "the process must exit within the grace period")
 }
+
+// Guards against a client that is not told of a stop: its stream began before SIGTERM, so the
+// head says nothing, and it would send its next request to the stopping gateway.
+func TestStopClosesConnectionsAfterTheirStreams(t *testing.T) {
+	const streamFor = 3 * time.Second
+	r := startStopRig(t, streamFor)
+	early, late := r.dial(t), r.dial(t)
+	finish := func(c *client) {
+		status, body, err := c.send(t)
+		assert.Check(t, err == nil && status == http.StatusOK && strings.Count(body, "data:") == 10, "%d %v", status, err)
+	}
+	var earlyEnds, lateEnds sync.WaitGroup
+	earlyEnds.Go(func() { finish(early) })
+	<-time.After(streamFor / 2)
+	lateEnds.Go(func() { finish(late) })
+	testwait.For(t, recoveryTimeout, func() bool { return len(r.engine.Runs()) == 2 })
+	r.gateway.Term()
+	testwait.For(t, recoveryTimeout, func() bool { return !r.isReady() })
+	assert.Assert(t, !r.isReady())
+	earlyEnds.Wait()
+	assert.NilError(t, early.conn.SetReadDeadline(time.Now().Add(streamFor/6)))
+	_, err := early.in.Peek(1)
+	assert.Check(t, errors.Is(err, io.EOF), "the connection is kept: %v", err)
+	lateEnds.Wait()
+	assert.Equal(t, r.gateway.WaitExit(recoveryTimeout), 0)
+}
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -8,6 +8,9 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"github.com/mangostage/mangostage/internal/socket"
 )
 
 // Conns tracks the connections of one server.
@@ -35,6 +38,8 @@
 	// idle is true while every request of which a byte has been read has been
 	// answered.
 	idle bool
+	// idleSince is when the connection was accepted or its latest answer ended.
+	idleSince time.Time
 	// closed is true once closeIfIdle has closed the connection.
 	closed bool
 }
@@ -84,10 +89,11 @@
 // Listener wraps l; the server must serve the returned listener.
 func (c *Conns) Listener(l net.Listener) net.Listener { return &listener{Listener: l, conns: c} }
 
-// CloseIdle closes the connections on which no request is in progress. A request
-// that the client has sent but of which nothing has been read is never read, and
-// its client sees the connection close without an answer.
-func (c *Conns) CloseIdle() {
+// CloseIdle closes the connections on which no request has been in progress for at least
+// the time given. A request that arrives as its connection is closed is never read, and its
+// client sees the connection close without an answer.
+func (c *Conns) CloseIdle(atLeast time.Duration) {
+	before := time.Now().Add(-atLeast)
 	c.mu.Lock()
 	open := make([]*conn, 0, len(c.open))
 	for conn := range c.open {
@@ -95,7 +101,7 @@
 	}
 	c.mu.Unlock()
 	for _, conn := range open {
-		conn.closeIfIdle()
+		conn.closeIfIdle(before)
 	}
 }
 
@@ -111,7 +117,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &conn{Conn: nc, conns: l.conns, idle: true}
+	conn := &conn{Conn: nc, conns: l.conns, idle: true, idleSince: time.Now()}
 	l.conns.mu.Lock()
 	l.conns.open[conn] = struct{}{}
 	l.conns.mu.Unlock()
@@ -166,13 +172,15 @@
 func (c *conn) markIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
+	c.idle, c.idleSince = true, time.Now()
 }
 
-// closeIfIdle closes the connection if it is idle.
-func (c *conn) closeIfIdle() {
+// closeIfIdle closes the connection if it has been idle since before the time given and no
+// bytes of a request wait to be read.
+func (c *conn) closeIfIdle(before time.Time) {
+	raw := socket.Raw(c.Conn)
 	c.mu.Lock()
-	idle := c.idle && !c.closed
+	idle := c.idle && !c.closed && !c.idleSince.After(before) && (raw == nil || !socket.Readable(raw))
 	c.closed = c.closed || idle
 	c.mu.Unlock()
 	if idle {
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/keepalive/keepalive_test.go
@@ -107,7 +107,7 @@
 		}
 		close(begin)
 		<-time.After(time.Duration(round%clients) * step)
-		s.conns.CloseIdle()
+		s.conns.CloseIdle(0)
 		asking.Wait()
 		// Only after the server has ended is it certain which requests ran.
 		defer func() {
@@ -132,7 +132,7 @@
 	used, fresh := s.dial(t), s.dial(t)
 	assert.Assert(t, used.ask("1"))
 	testwait.For(t, waitTimeout, func() bool {
-		s.conns.CloseIdle()
+		s.conns.CloseIdle(0)
 		return used.closed(t) && fresh.closed(t)
 	})
 	assert.Assert(t, s.dial(t).ask("2"), "a new connection is served")
@@ -152,7 +152,7 @@
 	answered := make(chan bool)
 	go func() { answered <- c.ask("1") }()
 	<-began
-	s.conns.CloseIdle()
+	s.conns.CloseIdle(0)
 	close(release)
 	assert.Assert(t, <-answered)
 }
@@ -175,7 +175,7 @@
 	_, err := fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\nId: 1\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\nId: 2\r\n\r\n")
 	assert.NilError(t, err)
 	<-began
-	s.conns.CloseIdle()
+	s.conns.CloseIdle(0)
 	close(release)
 	for range 2 {
 		resp, err := http.ReadResponse(c.in, nil)
@@ -185,3 +185,17 @@
 		assert.NilError(t, resp.Body.Close())
 	}
 }
+
+// Guards against a new connection that a stopping server closes before its client can have
+// sent a request.
+func TestCloseIdleLeavesNewConnectionsTheirTime(t *testing.T) {
+	s := start(t)
+	fresh := s.dial(t)
+	for range 50 {
+		s.conns.CloseIdle(waitTimeout)
+		<-time.After(time.Millisecond)
+	}
+	assert.Assert(t, fresh.ask("1"))
+	s.conns.CloseIdle(waitTimeout)
+	assert.Assert(t, fresh.ask("2"), "idle for less than the time given")
+}
--- a/internal/socket/closed_linux.go
+++ b/internal/socket/closed_linux.go
@@ -18,3 +18,15 @@
 	})
 	return err != nil || closed
 }
+
+// Readable reports whether reading from the connection would not block: received data waits
+// to be read, or the peer has closed its side.
+func Readable(conn syscall.RawConn) bool {
+	readable := false
+	err := conn.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(poll, 0)
+		readable = err == nil && n > 0 && poll[0].Revents&unix.POLLIN != 0
+	})
+	return err == nil && readable
+}
