gateway: a status that promises "not run" is passed on only with that statement

Cause: errors of endpoints were relayed whatever their status, for requests that must not be repeated too, on plain and on model routes.

Change: one rule for both paths that write an endpoint's error: such an answer is withheld, logged and counted, and the client gets the gateway's own 502, which promises nothing.

--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -93,7 +93,7 @@
 
 // relayFailure relays an engine's own error, unless another attempt is possible.
 func (g *Gateway) relayFailure(w http.ResponseWriter, m *modelRequest, e *catalog.Endpoint, a *answer) streamResult {
-	if m.stream.headSent || m.route.Repeatable() && m.tries.runs+1 < m.route.MaxAttempts {
+	if m.stream.headSent || g.withholds(m.request, a) || m.route.Repeatable() && m.tries.runs+1 < m.route.MaxAttempts {
 		return streamFailed
 	}
 	b := &bufferedAnswer{answer: a}
--- a/gateway/lognames.go
+++ b/gateway/lognames.go
@@ -21,6 +21,9 @@
 	// logNotSentDuringShutdown is logged for a request that was admitted, and that a shutdown
 	// leaves no time to be sent.
 	logNotSentDuringShutdown = "not_sent_while_stopping"
+	// logPromiseWithheld is logged when an endpoint's answer is not passed on because its
+	// status promises more than the endpoint states.
+	logPromiseWithheld = "promise_withheld"
 	// logSharesHeld is logged when a gateway begins or ceases to hold client accounts to
 	// their shares of a plain service.
 	logSharesHeld = "account_shares"
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"strconv"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 	// ShutdownAdmissions counts the requests that arrived during a shutdown by their bound
 	// and whether they were admitted.
 	ShutdownAdmissions *expvar.Map
+	// Withheld counts the answers of endpoints that were not passed on, by route and status.
+	Withheld *expvar.Map
 	// Held counts requests that were refused because their client account had more than its
 	// share of a service, by service and account.
 	Held *expvar.Map
@@ -44,6 +47,7 @@
 		Sends:      new(expvar.Map).Init(),
 		StreamEnds: new(expvar.Map).Init(),
 		Held:       new(expvar.Map).Init(),
+		Withheld:   new(expvar.Map).Init(),
 
 		ShutdownAdmissions: new(expvar.Map).Init(),
 
@@ -66,6 +70,11 @@
 	m.ShutdownAdmissions.Add(name, 1)
 }
 
+// countWithheld counts an answer that was not passed on because of its status.
+func (m *Metrics) countWithheld(req *request, status int) {
+	m.Withheld.Add(routeName(req)+" "+strconv.Itoa(status), 1)
+}
+
 // countStreamEnd counts the end of an endpoint's stream.
 func (m *Metrics) countStreamEnd(req *request, f framing, end streamEnd) {
 	m.StreamEnds.Add(routeName(req)+" "+string(f)+" "+string(end), 1)
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -169,6 +169,10 @@
 		g.recordBroken(req, e, err)
 		g.recordSend(req, e, b.answer, g.failureOutcome(req), b.took, errBroken.Wrap(err, "answer with status %d", b.StatusCode))
 		return nil, resultFailed
+	case g.withholds(req, b.answer):
+		g.recordSend(req, e, b.answer, balance.Failed, b.took, nil)
+		g.recordConnectionEnd(req, e, b.answer)
+		return nil, resultFailed
 	case b.StatusCode >= http.StatusInternalServerError:
 		g.recordSend(req, e, b.answer, balance.Failed, b.took, nil)
 		b.endpointError = true
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/mangostage/mangostage/platform"
 )
@@ -31,6 +32,22 @@
 	return framedByConnection
 }
 
+// withholds reports whether an answer must not be passed on, and logs and counts that.
+//
+// The failure that it guards against: an endpoint has run an order and fails it with a
+// status such as 503, without stating that it has not. To the client that status promises
+// that nothing has run, so it sends the order again.
+func (g *Gateway) withholds(req *request, a *answer) bool {
+	if !a.Promises || a.NotRun || req.route.Repeatable() {
+		return false
+	}
+	g.cfg.Metrics.countWithheld(req, a.StatusCode)
+	req.about(g.cfg.Log.Warn().Str("event", logPromiseWithheld)).Str("endpoint", a.endpoint.ID).
+		Int("status", a.StatusCode).Bool("sealed", a.Sealed).Dur("age_ms", time.Since(req.arrived)).
+		Msg("an endpoint's status promises that a request has not run, and it does not state so")
+	return true
+}
+
 // writeHead writes the endpoint's status and headers to the client.
 func (a *answer) writeHead(w http.ResponseWriter) {
 	platform.CopyAnswerHeader(w.Header(), a.Header)
