platform: a success is never a refusal, whatever its headers say

What callers would have seen: an order that ran at two endpoints and was answered 503, "not run".

Cause: the header of a refusal was read on any status, a success too; its answer was thrown away as not run and the request sent on.

Evidence: TestSuccessIsNoRefusal failed before: 503 from the gateway, two runs.

--- a/gateway/promise_test.go
+++ b/gateway/promise_test.go
@@ -138,3 +138,18 @@
 		assert.Assert(t, len(refusing.Runs()) > 0)
 	}
 }
+
+// Guards against a success that is believed not to have run, and is run again elsewhere,
+// because it bears the statement of a refusal.
+func TestSuccessIsNoRefusal(t *testing.T) {
+	r := newRig(t)
+	answer := func(w http.ResponseWriter, _ standin.Run) {
+		standin.Seal(w)
+		w.Header().Set("Mangostage-Not-Executed", "1")
+		_, _ = io.WriteString(w, "placed")
+	}
+	one, two := r.startEndpoint("plain", "i-1", answer), r.startEndpoint("plain", "i-2", answer)
+	got := r.do(r.request(http.MethodPost, "/once/", "order"))
+	assert.Equal(t, got.body, "placed")
+	assert.Equal(t, len(one.Runs())+len(two.Runs()), 1)
+}
