--- a/origin/find.go
+++ b/origin/find.go
@@ -65,6 +65,7 @@
 	c.cfg.Log.Info().Str("event", logFound).Str("request", request).Str("stream", attempt).Str("route", q.Route).
 		Str("verdict", string(f.Verdict)).Str("service", f.Origin.Service).Str("version", f.Origin.Version).
 		Bool("unclear", f.Origin.Unclear).Str("from", f.From).Dur("age_ms", f.Age).Int("asked", f.Asked).
+		Dur("view_age_ms", began.Sub(c.cfg.AsOf())).
 		Dur("took_ms", time.Since(began)).Msg("the origin of a stream that a client takes up")
 	return f
 }
