origin: a stream nobody knows goes on only at a view that is proved to be in step

Cause: that one origin alone is possible was drawn from the member's own view, before anybody was asked, as long as the store counted as steady: a cut is noticed only when a watch is overdue, a pause only at the next tick. Members that were asked answered by the same rule, and told it to those that start. A version that another member told of together with a doubt was believed by the same old view.

Change: members that may know are asked first. What nobody knows goes on if there was one origin it can have had, by a view that has all changes as of the moment at which the stream was taken up: the process asks the store for what has changed since, one call for all that wait. Where it does not reach the store, others are asked for that proof. What cannot be proved within 0.8 s is refused with a time to come again; members that do not answer are asked again until then. An answer that spans a suspension of the VM says nothing of the time after its call began.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -125,7 +125,8 @@
 	})
 	g.follower.OnWake(g.quarantine.BeCautious)
 	g.origins = origin.NewClient(origin.Config{
-		Fleet: g.fleet, View: g.follower.View, SeenSince: g.follower.SeenSince, AsOf: g.follower.AsOf, Lag: g.follower.Lag, Log: g.log,
+		Fleet: g.fleet, View: g.follower.View, SeenSince: g.follower.SeenSince, AsOf: g.follower.AsOf, Lag: g.follower.Lag,
+		Confirm: g.follower.Confirm, Log: g.log,
 	})
 	origin.Serve(mux, g.origins)
 	g.scheduler = scheduler.New(p.Name, stages, g.quotas.Table(), g.backoffs, g.quarantine, g.signals, g.log)
--- a/discovery/asof.go
+++ b/discovery/asof.go
@@ -25,7 +25,7 @@
 // watchedUntil returns the time as of which an answer to a watch is complete that began at
 // the time given. The store answers with nothing only at the end of the wait.
 func watchedUntil(began time.Time, wait time.Duration, events int) time.Time {
-	if events > 0 {
+	if events > 0 || suspendedSince(began) {
 		return began
 	}
 	return began.Add(min(wait, time.Since(began)))
@@ -37,5 +37,20 @@
 	if r.AsOf == 0 || r.More {
 		return time.Time{}
 	}
+	if suspendedSince(began) {
+		return began.Add(min(r.AsOf, 0))
+	}
 	return began.Add(r.AsOf)
 }
+
+// maxClockDrift is the difference between the two clocks, since a call began, that is no
+// suspension.
+const maxClockDrift = 20 * time.Millisecond
+
+// suspendedSince reports whether the VM may have been suspended since t: its monotonic clock
+// stands still meanwhile, and what an answer says of the time after t is not known. A step of
+// the wall clock looks the same and costs nothing.
+func suspendedSince(t time.Time) bool {
+	now := time.Now()
+	return now.Round(0).Sub(t.Round(0))-now.Sub(t) > maxClockDrift
+}
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -120,6 +120,10 @@
 	// catchUpDone is closed when the read after the latest pause has ended; nil before
 	// the first pause.
 	catchUpDone atomic.Pointer[chan struct{}]
+	// confirming is held by the goroutine that confirms the view; nextConfirm, which it
+	// guards, is when the store may be asked next.
+	confirming  chan struct{}
+	nextConfirm time.Time
 	// onWake are called after a pause, before anything is read.
 	onWake []func()
 }
@@ -127,7 +131,7 @@
 // NewFollower returns a Follower of the store; relay may be nil. A configuration must be
 // in force within apply of its being written; onChange is called with each new view.
 func NewFollower(store *platform.Store, relay Relay, apply time.Duration, log zerolog.Logger, onChange func(*catalog.View)) *Follower {
-	f := &Follower{store: store, relay: relay, log: log, state: NewState(), changed: make(chan struct{}), startedAt: time.Now(), onChange: onChange, decodeSignal: make(chan struct{}, 1)}
+	f := &Follower{store: store, relay: relay, log: log, state: NewState(), changed: make(chan struct{}), startedAt: time.Now(), onChange: onChange, decodeSignal: make(chan struct{}, 1), confirming: make(chan struct{}, 1)}
 	f.state.deferDecoding = true
 	f.wait = min(platform.MaxWatchWait, time.Duration(float64(apply)*watchFraction))
 	f.view.Store(catalog.NewView(nil, nil, 0))
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/gateway"
+	"github.com/mangostage/mangostage/internal/sleep"
 	"github.com/mangostage/mangostage/origin"
 	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
@@ -138,6 +139,9 @@
 			SeenSince: func() (time.Time, bool) { return time.Time{}, true }, Log: log,
 			AsOf: func() time.Time { return time.Now().Add(-time.Duration(r.viewAge.Load())) },
 			Lag:  func() time.Duration { return time.Duration(r.lag.Load()) },
+			Confirm: func(ctx context.Context, t time.Time) bool {
+				return sleep.Until(ctx, t.Add(time.Duration(r.viewAge.Load())))
+			},
 		}),
 		OthersAvailable: func() bool { return false },
 		Scheduler:       scheduler.NewClient(r.scheduler, newSingleProcess(), log),
--- /dev/null
+++ b/integration/streams/cut_off_test.go
@@ -0,0 +1,226 @@
+package streams
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/internal/harness"
+	"github.com/mangostage/mangostage/internal/testwait"
+	"github.com/mangostage/mangostage/platform"
+	"github.com/mangostage/mangostage/platform/standin"
+)
+
+// cutMembers is the number of gateways of TestNewVersionBesideAMemberOutOfStep.
+var cutMembers = flag.Int("streams.members", 2, "number of gateways, one of which is out of step")
+
+const (
+	// lifetime is how long a stream of the routes may live, see lifetimes of the gateway: a
+	// member that is younger claims no sole origin.
+	lifetime = 13 * time.Second
+	// cutFor is how long a member is out of step, joinBefore how long before the first take-up
+	// there the new version joins, afterwards how long streams are taken up there later.
+	cutFor     = 2500 * time.Millisecond
+	joinBefore = 100 * time.Millisecond
+	afterwards = 2 * time.Second
+	// cutTakeUps is the number of streams that are taken up in each of these times.
+	cutTakeUps = 20
+)
+
+// startLinkedMembers starts gateways whose connections to the store and to each other pass
+// through links.
+func (r *rig) startLinkedMembers(n int) {
+	listens, peers := make([]string, n), make([]string, n)
+	links := make([]*harness.Link, n)
+	for i := range n {
+		listens[i] = harness.FreePort(r.t)
+		links[i], peers[i] = harness.NewLink(r.t, fmt.Sprintf("peer-%d", i), listens[i])
+	}
+	for i := range n {
+		m := &member{frontend: harness.FreePort(r.t), toPeer: links[i]}
+		var store string
+		m.toStore, store = harness.NewLink(r.t, fmt.Sprintf("store-%d", i), r.storeAddr)
+		text := standin.NodeFile(platform.Settings{
+			Name: fmt.Sprintf("g%d", i+1), Domain: "z0", IP: "127.0.0.1", Cores: 1, Seeds: peers[:min(3, n)],
+			Frontend: m.frontend, Ready: harness.FreePort(r.t), Peer: listens[i], Store: store, Bounds: harness.GatewayBounds(memberGrace),
+		})
+		file := filepath.Join(r.t.TempDir(), "boot.toml")
+		assert.NilError(r.t, os.WriteFile(file, []byte(text), 0o600))
+		m.Process = harness.NewProcess(r.t, fmt.Sprintf("g%d", i+1), harness.Binary(r.t, "mangostage-gateway", true),
+			[]string{"--metrics-port", "0", "--advertise", peers[i]}, []string{platform.SettingsVariable + "=" + file})
+		r.members = append(r.members, m)
+	}
+	r.t.Cleanup(r.terminate)
+	r.awaitServing(r.members)
+	for _, m := range r.members {
+		for route := range resumableRoutes {
+			testwait.For(r.t, recoveryTimeout, func() bool { return r.send(m, call{route: route}).complete })
+		}
+	}
+}
+
+// outOfStep is a case of a member that is out of step while a version joins.
+type outOfStep struct {
+	// store, others and still say what happens to the member: it is cut off from the store,
+	// all members are cut off from each other, or it stands still.
+	store, others, still bool
+	// join lets the new version join; nil if one version serves all the while.
+	join func(*rig)
+	// killed means that the members at which the streams began are killed.
+	killed bool
+}
+
+func joinBeside(r *rig) { r.addVersion("v2") }
+
+// joinUnderIDs replaces one endpoint of each service by one of the new version.
+func joinUnderIDs(r *rig) {
+	for _, e := range r.endpointsOf("v1") {
+		if e.id[len(e.id)-1] == '0' {
+			e.crash()
+			e.version, e.born = "v2", time.Now().UnixMilli()
+			r.startProcess(e)
+			r.list(e, "ready")
+		}
+	}
+}
+
+// joinInPlace replaces one endpoint of each service by one of the new version under another ID.
+func joinInPlace(r *rig) {
+	joinBeside(r)
+	for _, e := range r.endpointsOf("v1") {
+		if e.id[len(e.id)-1] == '0' {
+			r.removeEndpoint(e)
+		}
+	}
+}
+
+// begin lets the member get out of step.
+func (o outOfStep) begin(r *rig, m *member) {
+	if o.store {
+		m.toStore.Drop()
+	}
+	if o.others {
+		for _, other := range r.members {
+			other.toPeer.Drop()
+		}
+	}
+	if o.still {
+		m.Stop()
+	}
+}
+
+// end lets the member go on.
+func (o outOfStep) end(r *rig, m *member) {
+	if o.store {
+		m.toStore.Heal()
+	}
+	if o.others {
+		for _, other := range r.members {
+			other.toPeer.Heal()
+		}
+	}
+	if o.still {
+		m.Cont()
+	}
+}
+
+// beginOf begins a stream of a version at a member that is in step.
+func (r *rig) beginOf(m *member, route, version string) result {
+	for {
+		stream := r.begin(m, route)
+		if versions, _ := stream.events(); len(versions) == leaveAfter && versions[0] == version {
+			return stream
+		}
+	}
+}
+
+// play lets a version join while a member is out of step, and takes streams up there that
+// began at the new version elsewhere: meanwhile, as it wakes, and afterwards.
+func (o outOfStep) play(t *testing.T) {
+	r := newRig(t, time.Millisecond)
+	r.addVersion("v1")
+	for _, e := range r.endpointsOf("v1") {
+		e.born = time.Now().UnixMilli()
+		r.list(e, "ready")
+	}
+	r.startLinkedMembers(*cutMembers)
+	waitFor(lifetime + 2*time.Second)
+	m, others := r.members[0], r.members[1:]
+	o.begin(r, m)
+	cut := time.Now()
+	version := "v1"
+	if o.join != nil {
+		o.join(r)
+		version = "v2"
+	}
+	for _, other := range others {
+		for route := range resumableRoutes {
+			r.beginOf(other, route, version)
+		}
+	}
+	waitFor(time.Until(cut.Add(joinBefore)))
+	var seen tally
+	var taking sync.WaitGroup
+	takeUps := func() {
+		for i := range cutTakeUps {
+			for route := range resumableRoutes {
+				stream := r.beginOf(others[i%len(others)], route, version)
+				taking.Go(func() { seen.add(stream, r.takeUp(m, route, stream)) })
+			}
+		}
+	}
+	takeUps()
+	waitFor(time.Until(cut.Add(cutFor / 2)))
+	takeUps()
+	if o.killed {
+		for _, other := range others {
+			other.Kill()
+		}
+	}
+	waitFor(time.Until(cut.Add(cutFor)))
+	o.end(r, m)
+	if !o.killed {
+		takeUps()
+		waitFor(afterwards)
+		takeUps()
+	}
+	taking.Wait()
+	reasons := make(map[string]int)
+	for _, refused := range seen.refused {
+		reasons[reasonOf(refused)+" "+refused.header.Get("Retry-After")]++
+	}
+	t.Logf("%s: %d went on, %d at another version, refused %v", t.Name(), seen.same, seen.other, reasons)
+	assert.Check(t, seen.other == 0, "%d streams went on at another version", seen.other)
+}
+
+// Guards against a member that is out of step while a version joins, and that takes streams of
+// the new version up at the one that it knows.
+func TestNewVersionBesideAMemberOutOfStep(t *testing.T) {
+	t.Parallel()
+	for name, o := range map[string]outOfStep{
+		"cut off from the store":         {store: true, join: joinBeside},
+		"cut off from all":               {store: true, others: true, join: joinBeside},
+		"cut off from the others":        {others: true, join: joinBeside},
+		"stands still":                   {still: true, join: joinBeside},
+		"cut off from all, in place":     {store: true, others: true, join: joinInPlace},
+		"cut off from all, under IDs":    {store: true, others: true, join: joinUnderIDs},
+		"cut off from store, under IDs":  {store: true, join: joinUnderIDs},
+		"stands still, under IDs":        {still: true, join: joinUnderIDs},
+		"cut off from all, others ended": {store: true, others: true, join: joinBeside, killed: true},
+		"stands still, others ended":     {still: true, join: joinBeside, killed: true},
+		"one version, cut off from all":  {store: true, others: true},
+		"one version, without the store": {store: true},
+		"one version, stands still":      {still: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			o.play(t)
+		})
+	}
+}
--- a/integration/streams/rig_test.go
+++ b/integration/streams/rig_test.go
@@ -51,6 +51,9 @@
 type member struct {
 	*harness.Process
 	frontend, peer string
+	// toStore and toPeer are the links to the store and from the other gateways; nil for
+	// gateways without links.
+	toStore, toPeer *harness.Link
 }
 
 // endpoint is a server at one address, whose processes may crash and start again.
--- a/origin/client.go
+++ b/origin/client.go
@@ -17,12 +17,17 @@
 const (
 	// askTimeout bounds a question to another member: many round trips within a region.
 	askTimeout = 150 * time.Millisecond
+	// findTimeout bounds the time until it is said whether a stream can go on, short of the
+	// second within which its client is to be told.
+	findTimeout = 800 * time.Millisecond
 	// pastTimeout bounds the questions of a member that has started, pastInterval is their
 	// interval.
 	pastTimeout  = 2 * time.Second
 	pastInterval = 100 * time.Millisecond
 	// maxGreeted bounds the streams that a member is told of when it connects.
 	maxGreeted = 4096
+	// missedPeriod is how long members that are not reached any more may come back.
+	missedPeriod = 15 * time.Second
 	// keepersTTL is how long the list of members is used.
 	keepersTTL = 50 * time.Millisecond
 )
@@ -45,6 +50,9 @@
 	SeenSince func() (since time.Time, ok bool)
 	// AsOf returns the latest time of which View has all changes.
 	AsOf func() time.Time
+	// Confirm makes sure that View has all changes as of a time, and reports whether it has by
+	// the end of the context. It notices a pause of the process first.
+	Confirm func(ctx context.Context, t time.Time) bool
 	// Lag returns how late changes came to View lately.
 	Lag func() time.Duration
 	Log zerolog.Logger
@@ -64,6 +72,8 @@
 	// keepers are the members as of keepersAt.
 	keepers   []fleet.Keeper
 	keepersAt time.Time
+	// othersAt is when there last were any.
+	othersAt time.Time
 }
 
 // NewClient returns a client that knows nothing.
@@ -78,18 +88,29 @@
 	peer.HandleNotification(mux, MethodTell, func(from *peer.Conn, groups []told) {
 		c.learn(time.Now(), groups, from.Peer().Process.Name)
 	})
-	peer.HandleCall(mux, MethodAsk, func(_ context.Context, _ *peer.Conn, call askCall) (askReply, error) {
-		return c.answer(time.Now(), call), nil
+	peer.HandleCall(mux, MethodAsk, func(ctx context.Context, _ *peer.Conn, call askCall) (askReply, error) {
+		return c.answer(ctx, time.Now(), call), nil
 	})
-	peer.HandleCall(mux, MethodPast, func(context.Context, *peer.Conn, struct{}) (past, error) {
-		seen, ok := c.cfg.SeenSince()
-		if !ok {
-			return past{}, nil
-		}
-		return c.history.tell(time.Now(), seen), nil
+	peer.HandleCall(mux, MethodPast, func(ctx context.Context, _ *peer.Conn, _ struct{}) (past, error) {
+		return c.tellPast(ctx), nil
 	})
 }
 
+// tellPast returns which origins streams can have had, for a member that starts; nothing
+// unless this process is sure to know all of them until now.
+func (c *Client) tellPast(ctx context.Context) past {
+	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+	defer cancel()
+	if !c.confirm(ctx, time.Now()) {
+		return past{}
+	}
+	seen, ok := c.cfg.SeenSince()
+	if !ok {
+		return past{}
+	}
+	return c.history.tell(time.Now(), seen)
+}
+
 // SetView records a new view of the deployment.
 func (c *Client) SetView(view *catalog.View) {
 	first := !c.history.started()
@@ -130,11 +151,19 @@
 	if p.IsZero() {
 		return
 	}
-	time.AfterFunc(time.Until(p.Opened.Add(settleTime)), func() {
-		c.Await(context.Background(), p)
-		o.Unclear = o.Unclear || !p.Holds(c.cfg.View(), o)
-		c.record(o, Proof{}, time.Now().Add(min(lifetime, MaxLifetime)), attempts)
-	})
+	go c.settle(o, p, min(lifetime, MaxLifetime), attempts)
+}
+
+// settle finds out whether to believe the origin of a stream that this process has begun. As
+// long as the view is not sure to have the entry, others are left with the Proof.
+func (c *Client) settle(o Origin, p Proof, lifetime time.Duration, attempts []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), lifetime)
+	defer cancel()
+	if !c.confirm(ctx, p.Opened.Add(settleTime)) {
+		return
+	}
+	o.Unclear = o.Unclear || !p.Holds(c.cfg.View(), o)
+	c.record(o, Proof{}, time.Now().Add(lifetime), attempts)
 }
 
 // record records where attempts began, and has other members told.
@@ -196,6 +225,18 @@
 	defer c.mu.Unlock()
 	if now := time.Now(); now.Sub(c.keepersAt) > keepersTTL {
 		c.keepers, c.keepersAt = c.cfg.Fleet.Keepers(), now
+		if len(c.keepers) > 0 {
+			c.othersAt = now
+		}
 	}
 	return c.keepers
 }
+
+// missesOthers reports whether this process reaches no other member, and reached one lately:
+// it may be cut off from all of them.
+func (c *Client) missesOthers() bool {
+	alone := len(c.currentKeepers()) == 0
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return alone && !c.othersAt.IsZero() && time.Since(c.othersAt) < missedPeriod
+}
--- a/origin/find.go
+++ b/origin/find.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mangostage/mangostage/fleet"
+	"github.com/mangostage/mangostage/internal/sleep"
 )
 
 // Question is what is asked of a stream.
@@ -28,6 +29,9 @@
 	Unknown Verdict = "unknown"
 	// Unreached means that nobody who answered knows the stream, and some did not answer.
 	Unreached Verdict = "unreached"
+	// unseen means that a process has not seen all origins for as long as the stream can have
+	// lived.
+	unseen Verdict = "unseen"
 )
 
 // Finding is the answer to a Question.
@@ -59,7 +63,7 @@
 		c.table.Add(began, call.Stream, Record{Origin: f.Origin, Proof: f.proof, Learned: began, From: f.From, Until: f.until})
 	}
 	if !f.proof.IsZero() {
-		f.Origin = c.settled(ctx, call.Stream, f)
+		f.Origin, f.Verdict = c.settled(ctx, call.Stream, f)
 	}
 	c.Counters.Add(logFound+" "+string(f.Verdict), 1)
 	c.cfg.Log.Info().Str("event", logFound).Str("request", request).Str("stream", attempt).Str("route", q.Route).
@@ -71,30 +75,76 @@
 }
 
 // settled returns the origin once it is known whether to believe it: the member that began the
-// stream tells, or else this process looks.
-func (c *Client) settled(ctx context.Context, s Stream, f Finding) Origin {
-	c.Await(ctx, f.proof)
+// stream tells, or else this process looks. What another member told is believed only if the
+// view of this process is sure to have the entry; else it may be cut off, and the entry old.
+func (c *Client) settled(ctx context.Context, s Stream, f Finding) (Origin, Verdict) {
+	sure := true
+	if r, ok := c.table.Find(time.Now(), s); ok && r.From == "" {
+		c.Await(ctx, f.proof)
+	} else {
+		sure = c.awaitEntry(ctx, f.proof)
+	}
 	if r, ok := c.table.Find(time.Now(), s); ok && r.Proof.IsZero() {
-		return r.Origin
+		return r.Origin, Known
+	}
+	if !sure {
+		return f.Origin, Unreached
 	}
 	o := f.Origin
 	o.Unclear = o.Unclear || !f.proof.Holds(c.cfg.View(), o)
-	return o
+	return o, Known
 }
 
-// find asks this process first, then the members that are to hold the stream, then all
-// others.
+// find asks this process, then the members that are to hold the stream, then all others. What
+// nobody knows goes on only if there was one origin that it can have had. Members that do not
+// answer are asked again: a process that was paused hears of them only after a moment.
 func (c *Client) find(ctx context.Context, now time.Time, call askCall) Finding {
-	if f := finding(now, c.answer(now, call), ""); f.Verdict != Unknown {
+	if f := finding(now, c.answer(ctx, now, call), ""); f.Verdict != Unknown {
 		return f
 	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	all := c.askEverybody(ctx, now, call)
+	if all.known != nil {
+		return all.best()
+	}
+	sole, verdict := c.proveSole(ctx, now, call)
+	switch verdict {
+	case Sole:
+		return Finding{Verdict: Sole, Origin: sole, Asked: all.asked}
+	case Unreached, unseen:
+		all.addProofs(c.askForProof(ctx, now, call))
+		all.unreached = all.unreached || verdict == Unreached
+	}
+	for all.known == nil && all.sole == nil && all.unreached && sleep.For(ctx, keepersTTL) {
+		again := c.askEverybody(ctx, now, call)
+		all.known, all.unreached = again.known, again.unreached || verdict == Unreached
+	}
+	return all.best()
+}
+
+// askEverybody asks all members whether they know a stream, those first that are to hold it.
+func (c *Client) askEverybody(ctx context.Context, now time.Time, call askCall) answers {
+	all := answers{unreached: c.missesOthers()}
+	if call.Stream == 0 {
+		return all
+	}
 	first, rest := splitKeepers(call.Stream, c.currentKeepers())
-	var all answers
-	c.askAll(ctx, now, first, call, &all)
+	c.askAll(ctx, now, first, call, askTimeout, &all)
 	if all.known == nil {
-		c.askAll(ctx, now, rest, call, &all)
+		c.askAll(ctx, now, rest, call, askTimeout, &all)
 	}
-	return all.best()
+	return all
+}
+
+// askForProof asks a few members whether there is one origin that a stream can have had. This
+// process cannot tell: it does not reach the store, or has started lately.
+func (c *Client) askForProof(ctx context.Context, now time.Time, call askCall) answers {
+	var all answers
+	call.Prove = true
+	few, _ := splitKeepers(call.Stream, c.currentKeepers())
+	c.askAll(ctx, now, few, call, askTimeout+settleTime+proofTimeout, &all)
+	return all
 }
 
 // splitKeepers returns the members that are to hold a stream and the others. One more than
@@ -118,18 +168,17 @@
 }
 
 // answer returns what this process knows.
-func (c *Client) answer(now time.Time, call askCall) askReply {
+func (c *Client) answer(ctx context.Context, now time.Time, call askCall) askReply {
 	if call.Stream != 0 {
 		if r, ok := c.table.Find(now, call.Stream); ok {
 			return askReply{Origin: r.Origin, Proof: tellProof(now, r.Proof), Known: true, Age: now.Sub(r.Learned), Left: r.Until.Sub(now)}
 		}
 	}
-	seen, ok := c.cfg.SeenSince()
-	if !ok {
+	if !call.Prove {
 		return askReply{}
 	}
-	sole, ok := c.history.Sole(now, seen, call.Route, min(call.Lifetime, MaxLifetime))
-	return askReply{Origin: sole, Sole: ok, Age: now.Sub(seen)}
+	sole, verdict := c.proveSole(ctx, now, call)
+	return askReply{Origin: sole, Sole: verdict == Sole}
 }
 
 // finding returns the finding that a member's answer makes.
@@ -166,6 +215,13 @@
 	}
 }
 
+// addProofs adds what members have proved.
+func (a *answers) addProofs(proofs answers) {
+	a.known, a.sole, a.contradicted = proofs.known, proofs.sole, proofs.contradicted
+	a.asked += proofs.asked
+	a.unreached = a.unreached || proofs.unreached
+}
+
 // best returns what the findings say together.
 func (a *answers) best() Finding {
 	best := Finding{Verdict: Unknown}
@@ -181,9 +237,9 @@
 	return best
 }
 
-// askAll asks members at the same time, until one knows the stream.
-func (c *Client) askAll(ctx context.Context, now time.Time, keepers []fleet.Keeper, call askCall, all *answers) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+// askAll asks members at the same time, until one knows the stream or the timeout is over.
+func (c *Client) askAll(ctx context.Context, now time.Time, keepers []fleet.Keeper, call askCall, timeout time.Duration, all *answers) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	findings := make(chan Finding, len(keepers))
 	for _, k := range keepers {
--- a/origin/history.go
+++ b/origin/history.go
@@ -19,6 +19,8 @@
 	// since is from when on the origins are known: when the first view came, or that of a
 	// member that told of its past at inheritedAt; zero before.
 	since, inheritedAt time.Time
+	// revision is that of the latest view.
+	revision uint64
 	// config and versions are those of the latest view: the version of its configuration,
 	// and the versions of the endpoints of each service.
 	config   uint64
@@ -35,7 +37,7 @@
 	return &History{last: make(map[string]map[Origin]time.Time), current: make(map[string]map[Origin]bool)}
 }
 
-// SetView records a new view.
+// SetView records a new view; one that is older than the latest is ignored.
 func (h *History) SetView(now time.Time, view *catalog.View) {
 	if !view.Ready() {
 		return
@@ -49,6 +51,10 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if view.Revision < h.revision {
+		return
+	}
+	h.revision = view.Revision
 	config := view.Index.Config.Version
 	if h.config == config && reflect.DeepEqual(h.versions, versions) {
 		return
@@ -107,14 +113,15 @@
 }
 
 // Sole returns the only origin that a stream of a route can have had which began at most
-// lifetime ago; ok is false if there were several or none, or if this is not known. seen is
-// since when this process has seen all changes.
-func (h *History) Sole(now, seen time.Time, route string, lifetime time.Duration) (sole Origin, ok bool) {
+// lifetime before now, and the verdict Sole; Unknown if there were several or none, and
+// unseen if this is not known for all of that time. seen is since when this process has
+// seen all changes.
+func (h *History) Sole(now, seen time.Time, route string, lifetime time.Duration) (sole Origin, v Verdict) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	from := now.Add(-lifetime)
 	if start, ok := h.startLocked(seen); !ok || start.After(from) {
-		return Origin{}, false
+		return Origin{}, unseen
 	}
 	found := make(map[Origin]bool)
 	for o := range h.current[route] {
@@ -126,12 +133,12 @@
 		}
 	}
 	if len(found) != 1 {
-		return Origin{}, false
+		return Origin{}, Unknown
 	}
 	for o := range found {
 		sole = o
 	}
-	return sole, true
+	return sole, Sole
 }
 
 // startLocked returns from when on all origins are known, without a gap until now; ok is
--- a/origin/history_test.go
+++ b/origin/history_test.go
@@ -40,8 +40,8 @@
 		return h
 	}
 	sole := func(h *History, now, seen int, lifetime time.Duration) bool {
-		_, ok := h.Sole(at(now), at(seen), "chat", lifetime)
-		return ok
+		_, verdict := h.Sole(at(now), at(seen), "chat", lifetime)
+		return verdict == Sole
 	}
 	assert.Assert(t, sole(started(), 21, 20, 10*time.Second))
 	assert.Assert(t, !sole(started(), 21, 20, 20500*time.Millisecond), "the other version was there")
@@ -92,9 +92,9 @@
 			for _, s := range test.steps {
 				h.SetView(epoch.Add(s.at), s.view)
 			}
-			sole, ok := h.Sole(epoch.Add(test.at), epoch.Add(test.seen), "chat", lifetime)
-			assert.Equal(t, ok, test.want)
-			if ok {
+			sole, verdict := h.Sole(epoch.Add(test.at), epoch.Add(test.seen), "chat", lifetime)
+			assert.Equal(t, verdict == Sole, test.want)
+			if verdict == Sole {
 				assert.Equal(t, sole, v1)
 			}
 		})
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -65,15 +65,18 @@
 type askCall struct {
 	Stream Stream `json:"stream,string"`
 	Question
+	// Prove asks the member to find out, if it does not know the stream, whether there is one
+	// origin that the stream can have had. That takes up to proofTimeout.
+	Prove bool `json:"prove,omitempty"`
 }
 
-// askReply is the answer: that the origin is known, or the only one that the stream can
-// have had.
+// askReply is the answer: that the origin is known, or proved to be the only one that the
+// stream can have had.
 type askReply struct {
 	Origin
 	Proof toldProof `json:"proof,omitzero"`
 	Known bool      `json:"known,omitempty"`
-	Sole  bool      `json:"sole,omitempty"`
+	Sole  bool      `json:"proved,omitempty"`
 	// Age is how long ago the member learned it, Left how long it holds it.
 	Age  time.Duration `json:"age_ns,omitempty"`
 	Left time.Duration `json:"left_ns,omitempty"`
--- a/origin/outbox.go
+++ b/origin/outbox.go
@@ -13,6 +13,8 @@
 	// flushDelay is the time in which streams are collected that are told together. What
 	// began within it before a kill is lost.
 	flushDelay = 10 * time.Millisecond
+	// othersInterval is how often it is noted whether there are other members.
+	othersInterval = time.Second
 	// maxOutgoing bounds the streams that wait to be told.
 	maxOutgoing = 1 << 14
 )
@@ -95,6 +97,7 @@
 
 // Run tells other members of the streams that begin until ctx ends.
 func (c *Client) Run(ctx context.Context) {
+	go sleep.Every(ctx, othersInterval, func(time.Time) { c.currentKeepers() })
 	for {
 		select {
 		case <-ctx.Done():
--- a/origin/proof.go
+++ b/origin/proof.go
@@ -34,10 +34,13 @@
 func (p Proof) IsZero() bool { return p.Endpoint == "" }
 
 // SettledBefore returns the time before which a connection must have been opened for the view
-// to have the entry of the process at its other end: certainly by what is known to be in the
-// view, or by how late changes come to it.
-func (c *Client) SettledBefore() time.Time {
-	certain := c.cfg.AsOf().Add(-settleTime)
+// to be sure to have the entry of the process at its other end.
+func (c *Client) SettledBefore() time.Time { return c.cfg.AsOf().Add(-settleTime) }
+
+// likelySettledBefore is SettledBefore, or the time that follows from how late changes come to
+// the view, if that is later.
+func (c *Client) likelySettledBefore() time.Time {
+	certain := c.SettledBefore()
 	likely := time.Now().Add(-min(settleTime+lagMargin*c.cfg.Lag(), maxSettleTime))
 	if certain.After(likely) {
 		return certain
@@ -45,10 +48,11 @@
 	return likely
 }
 
-// Await waits until the view has the entry of the process, see SettledBefore.
+// Await waits until the view is likely to have the entry of the process: what this process
+// itself has begun is not held for as long as the store is away.
 func (c *Client) Await(ctx context.Context, p Proof) {
 	sleep.For(ctx, time.Until(p.Opened.Add(settleTime)))
-	for !p.Opened.Before(c.SettledBefore()) && ctx.Err() == nil {
+	for !p.Opened.Before(c.likelySettledBefore()) && ctx.Err() == nil {
 		sleep.For(ctx, settlePollInterval)
 	}
 }
