gateway: a version that may have just joined is looked for before its stream is refused

Cause: "gone" was drawn from the view as it was, however old.

Change: the view is confirmed first, which takes one call to the store. If it cannot be, the refusal names a time to come again.

--- a/gateway/model.go
+++ b/gateway/model.go
@@ -87,7 +87,7 @@
 		}
 		return nil, giveUp(m.request, m.endReason("queue_unreachable"), overloadRetryAfter)
 	case lease.Refuse != nil && lease.Refuse.Reason == dispatch.ReasonNoVersion:
-		return nil, g.versionGone(m.request)
+		return nil, g.versionGone(m.request, g.cfg.Origins.InStep(m.ctx, m.arrived))
 	case lease.Refuse != nil:
 		p := giveUp(m.request, string(lease.Refuse.Reason), lease.Refuse.RetryAfter)
 		p.queue, p.shortOf, p.lateness = lease.Refuse.ShortService, lease.Refuse.ShortResource, lease.Refuse.LateBy
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -83,7 +83,7 @@
 	case f.Origin.Unclear:
 		return giveUp(req, req.endReason(reasonVersionUnclear), 0)
 	case !req.route.Serves(f.Origin.Service):
-		return g.versionGone(req)
+		return g.versionGone(req, g.cfg.Origins.InStep(req.ctx, req.arrived))
 	}
 	req.bind(f.Origin)
 	req.service = g.cfg.View().Index.Service(req.serviceName)
@@ -140,14 +140,22 @@
 	if req.origin == nil || len(g.endpointsFor(req)) > 0 {
 		return nil
 	}
-	return g.versionGone(req)
+	// The version may have just joined.
+	inStep := g.cfg.Origins.InStep(req.ctx, req.arrived)
+	if inStep && len(g.endpointsFor(req)) > 0 {
+		return nil
+	}
+	return g.versionGone(req, inStep)
 }
 
 // versionGone returns the problem for a request whose version cannot serve it. It names a
 // time to come again only if an endpoint that may run the version is listed and does not
-// leave.
-func (g *Gateway) versionGone(req *request) *problem {
+// leave, or if the view is not in step and may lack one.
+func (g *Gateway) versionGone(req *request, inStep bool) *problem {
 	var retryAfter time.Duration
+	if !inStep {
+		retryAfter = versionRetryAfter
+	}
 	for _, e := range g.viewFor(req).Endpoints(req.serviceName) {
 		if req.origin != nil && e.Version == req.origin.Version && !e.Leaving {
 			retryAfter = versionRetryAfter
--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -265,3 +265,34 @@
 		assert.Check(t, got.err == nil && got.body == streamBody(6), "%s: status %d, %q", on.service, got.status, got.body)
 	}
 }
+
+// Guards against a stream of a version that has just joined, which is refused as gone where the
+// version is not known yet; and against a refusal without a time to come again at a member
+// whose view is old.
+func TestStreamOfAVersionThatHasJustJoined(t *testing.T) {
+	t.Parallel()
+	for _, on := range resumableStreams {
+		r := newRig(t)
+		r.startVersion(on.service, "e-1", "v1")
+		first := r.request(http.MethodPost, on.path, "prompt")
+		r.do(first)
+		r.startVersion(on.service, "e-2", "v2")
+		r.remove("e-1")
+		takeUp := func() clientResult {
+			again := r.request(http.MethodPost, on.path, "prompt")
+			again.Header.Set("Last-Event-Id", "3")
+			again.Header.Set("Resumes", first.Header.Get("Mangostage-Attempt-Id"))
+			return r.do(again)
+		}
+		gone := takeUp()
+		assert.Assert(t, strings.Contains(gone.body, `"stream_version_gone"`), gone.body)
+		assert.Equal(t, gone.header.Get("Retry-After"), "")
+		r.viewAge.Store(int64(time.Hour))
+		old := takeUp()
+		assert.Assert(t, strings.Contains(old.body, `"stream_version_gone"`), old.body)
+		assert.Assert(t, old.header.Get("Retry-After") != "", "it may be listed by now")
+		r.viewAge.Store(int64(100 * time.Millisecond))
+		time.AfterFunc(50*time.Millisecond, func() { r.startVersion(on.service, "e-3", "v1") })
+		assert.Assert(t, strings.Contains(takeUp().body, "v1 piece 6"))
+	}
+}
