--- a/integration/stops/clients_test.go
+++ b/integration/stops/clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -39,12 +40,12 @@
 type tally struct {
 	mu     sync.Mutex
 	counts map[string]map[outcome]int
-	// refusals counts all answers that a gateway refused with.
-	refusals map[string]int
+	// refusals counts all refusals by kind and reason.
+	refusals map[string]map[string]int
 }
 
 func newTally() *tally {
-	return &tally{counts: make(map[string]map[outcome]int), refusals: make(map[string]int)}
+	return &tally{counts: make(map[string]map[outcome]int), refusals: make(map[string]map[string]int)}
 }
 
 func (t *tally) add(kind string, o outcome) {
@@ -56,10 +57,13 @@
 	t.counts[kind][o]++
 }
 
-func (t *tally) addRefusal(kind string) {
+func (t *tally) addRefusal(kind, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.refusals[kind]++
+	if t.refusals[kind] == nil {
+		t.refusals[kind] = make(map[string]int)
+	}
+	t.refusals[kind][reason]++
 }
 
 // count returns the number of requests of all kinds with an outcome.
@@ -73,7 +77,7 @@
 
 func (t *tally) log(tb testing.TB) {
 	for _, kind := range kinds {
-		tb.Logf("%s: %v, refusals %d", kind, t.counts[kind], t.refusals[kind])
+		tb.Logf("%s: %v, refusals %v", kind, t.counts[kind], t.refusals[kind])
 	}
 }
 
@@ -110,19 +114,13 @@
 	if kind != "bounded" && rand.IntN(longShare) == 0 {
 		work = longWork
 	}
-	first, wait := c.try(kind, work)
-	if first == refused {
-		t.addRefusal(kind)
-	}
+	first, wait := c.try(kind, work, t)
 	if first != refused && first != unread {
 		return first
 	}
 	c.drop()
 	<-time.After(wait)
-	second, _ := c.try(kind, work)
-	if second == refused {
-		t.addRefusal(kind)
-	}
+	second, _ := c.try(kind, work, t)
 	if second == served && first == refused {
 		return retried
 	}
@@ -130,7 +128,7 @@
 }
 
 // try sends one attempt; wait is the Retry-After of a refusal, up to a third of the time left.
-func (c *client) try(kind string, work time.Duration) (o outcome, wait time.Duration) {
+func (c *client) try(kind string, work time.Duration, t *tally) (o outcome, wait time.Duration) {
 	id := fmt.Sprintf("r-%d", requestIDs.Add(1))
 	for c.conn == nil {
 		if !c.dial() {
@@ -147,8 +145,9 @@
 	if err == nil {
 		resp, err = http.ReadResponse(c.in, nil)
 	}
+	var answer []byte
 	if err == nil {
-		_, err = io.ReadAll(resp.Body)
+		answer, err = io.ReadAll(resp.Body)
 	}
 	if err != nil {
 		c.drop()
@@ -161,6 +160,11 @@
 	case http.StatusOK:
 		return served, 0
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		var problem struct {
+			Reason string `json:"reason"`
+		}
+		_ = json.Unmarshal(answer, &problem)
+		t.addRefusal(kind, problem.Reason)
 		seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		return refused, min(clientDeadline/3, time.Duration(seconds*float64(time.Second)))
 	}
