--- a/soak/book_test.go
+++ b/soak/book_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -191,7 +192,7 @@
 		if !repeatable && runs > 1 {
 			b.violations = append(b.violations, fmt.Sprintf("%s on %s ran %d times", id, o.route, runs))
 		}
-		refused := o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests
+		refused := slices.Contains(promisingStatuses, o.status) || o.status == http.StatusMisdirectedRequest
 		if !repeatable && refused && runs > 0 {
 			b.violations = append(b.violations, fmt.Sprintf("%s on %s was refused with %d and ran", id, o.route, o.status))
 		}
--- a/soak/endpoints_test.go
+++ b/soak/endpoints_test.go
@@ -61,6 +61,8 @@
 	running atomic.Int64
 	// endless means that the endpoint answers with bytes without end.
 	endless atomic.Bool
+	// failing is the status with which the endpoint fails a part of its runs; 0 for none.
+	failing atomic.Int64
 }
 
 func (r *rig) addEndpoint(service string) {
@@ -166,6 +168,13 @@
 				answerVersioned(w, run, version)
 				return
 			}
+			if e.failsRun(w, run) {
+				return
+			}
+			if strings.HasPrefix(run.Target, "/rare/") {
+				answerRare(w, run)
+				return
+			}
 			answer(w, run, e.service)
 		}}
 		inner.Reject(reject)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -18,6 +18,9 @@
 	}
 	if set == allFaults {
 		running.Go(r.drawLossOfAll())
+		for _, fault := range r.drawRelease() {
+			running.Go(fault)
+		}
 	}
 	for time.Now().Before(end) {
 		fault := r.pickFault(set)
@@ -149,11 +152,13 @@
 	stopped := time.Now()
 	defer func() { r.recorder.recordStop(stopped) }()
 	started := g.hasStarted()
+	g.setStopped(time.Now())
 	g.Term()
 	// SIGTERM ends a process that was killed and has not started again at once.
 	if code := g.WaitExit(waitTimeout); code != 0 && started {
 		r.recorder.addViolation("%s exited with code %d", g.name, code)
 	}
+	g.setStopped(time.Time{})
 	g.Restart()
 	g.release(true)
 }
--- a/soak/gateways_test.go
+++ b/soak/gateways_test.go
@@ -32,6 +32,8 @@
 	inRotation bool
 	// incarnation counts the starts of the process.
 	incarnation int
+	// stoppedAt is when a planned stop under way began; zero without one.
+	stoppedAt time.Time
 	// busy means that a fault or planned work has acquired the gateway.
 	busy bool
 }
--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -118,6 +118,7 @@
 		route("resume", "streaming", "model", `,"sticky":true,"resumable":true`),
 		route("versions", "streaming", "versioned", `,"sticky":true,"resumable":true`),
 		route("feeds", "streaming", "feed", `,"resumable":true`),
+		strings.Replace(route("rare", "streaming", "model", `,"sticky":true`), `"timeout_ms":4000`, `"timeout_ms":15000`, 1),
 		route("staged", "streaming", "model", `,"sticky":true,"stages":[{"service":"stage","byte_count":1000},{"service":"stage","after":[0],"byte_count":100}]`),
 	}
 	for v := 1; v <= r.version; v++ {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -111,6 +111,9 @@
 	for n := range versionClients {
 		running.Go(func() { r.runStreamClient(ctx, n, seed) })
 	}
+	for n := range keptClients {
+		running.Go(func() { r.runKeptClient(ctx, n, seed) })
+	}
 	running.Go(func() { r.probeGateways(ctx) })
 	r.inject(set)
 	timer := time.NewTimer(quietPeriod)
