gateway: a path that begins with two slashes is forwarded as it is

Cause: an opaque target that begins with two slashes is written with the scheme before it, as for a proxy.

Change: such a target is sent as a path. One that could only be sent with other bytes (raw characters that a path must escape) is refused with 400.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -74,6 +74,9 @@
 	now := time.Now()
 	req := &request{Request: platform.DecodeRequest(r.Header), http: r, arrived: now, readAt: now}
 	req.stream.lastEventID = req.LastEvent
+	if !forwardable(r) {
+		return req, &problem{status: http.StatusBadRequest, reason: "bad_target"}
+	}
 	view := g.cfg.View()
 	if !view.Ready() {
 		return req, unavailable("not_ready", notReadyRetryAfter)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -89,8 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	// The request target is forwarded as the client wrote it.
-	out.URL = &url.URL{Scheme: "http", Host: e.Addr, Opaque: req.http.RequestURI}
+	out.URL = targetURL(e.Addr, req.http)
 	out.Host = req.http.Host
 	out.Header = platform.ForwardHeader(req.http.Header, s)
 	out.Header.Del("Expect")
@@ -102,6 +101,20 @@
 	return out, nil
 }
 
+// targetURL returns the URL by which the request target is forwarded as the client wrote it.
+func targetURL(addr string, r *http.Request) *url.URL {
+	if strings.HasPrefix(r.RequestURI, "//") {
+		// net/url takes an opaque target that begins so for a host and a path.
+		return &url.URL{Scheme: "http", Host: addr, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery}
+	}
+	return &url.URL{Scheme: "http", Host: addr, Opaque: r.RequestURI}
+}
+
+// forwardable reports whether the request target can be forwarded as the client wrote it.
+func forwardable(r *http.Request) bool {
+	return targetURL("", r).RequestURI() == r.RequestURI
+}
+
 // roundTrip makes one exchange with an endpoint up to the head of its answer to the request
 // with that ID. reused says that it went over a kept connection.
 func (g *Gateway) roundTrip(out *http.Request, id string, e *catalog.Endpoint) (a *answer, reused bool, err error) {
