origin: a stream's own version is settled without a call to the store

Others look for themselves if they have to; this process waits for the next answer to a watch. A request that ends while it has the view confirmed no longer delays the next one, and calls come 50 ms apart.

--- a/discovery/confirm.go
+++ b/discovery/confirm.go
@@ -10,7 +10,7 @@
 const (
 	// confirmInterval is the interval of the calls by which the view is confirmed, however
 	// many wait for it; confirmRetryInterval is that after a call that failed.
-	confirmInterval      = 20 * time.Millisecond
+	confirmInterval      = 50 * time.Millisecond
 	confirmRetryInterval = 300 * time.Millisecond
 	// confirmTimeout bounds such a call.
 	confirmTimeout = 500 * time.Millisecond
@@ -48,10 +48,14 @@
 		return false
 	}
 	f.nextConfirm = time.Now().Add(confirmInterval)
-	if f.At().IsZero() || !f.confirm(ctx) {
+	answered := !f.At().IsZero() && f.confirm(ctx)
+	if ctx.Err() != nil {
+		return false
+	}
+	if !answered {
 		f.nextConfirm = time.Now().Add(confirmRetryInterval)
 	}
-	return ctx.Err() == nil
+	return true
 }
 
 // confirm reads from the store what has changed. It reports whether the store answered.
--- a/origin/client.go
+++ b/origin/client.go
@@ -159,8 +159,11 @@
 func (c *Client) settle(o Origin, p Proof, lifetime time.Duration, attempts []string) {
 	ctx, cancel := context.WithTimeout(context.Background(), lifetime)
 	defer cancel()
-	if !c.confirm(ctx, p.Opened.Add(settleTime)) {
-		return
+	// Nobody waits for it: the next answer to a watch will do, without a call.
+	for entered := p.Opened.Add(settleTime); c.cfg.AsOf().Before(entered); {
+		if !sleep.For(ctx, settleTime) {
+			return
+		}
 	}
 	o.Unclear = o.Unclear || !p.Holds(c.cfg.View(), o)
 	c.record(o, Proof{}, time.Now().Add(lifetime), attempts)
