origin: an entry is believed of a young connection's process only at a view in step

How late changes come was measured, and what a cut holds back is not late but missing: the entry was believed after some 200 ms, and after a second at most, however old the view was.

Change: the view is confirmed, as for a sole origin. The measured lag, its messages and its tests have no use any more.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -125,7 +125,7 @@
 	})
 	g.follower.OnWake(g.quarantine.BeCautious)
 	g.origins = origin.NewClient(origin.Config{
-		Fleet: g.fleet, View: g.follower.View, SeenSince: g.follower.SeenSince, AsOf: g.follower.AsOf, Lag: g.follower.Lag,
+		Fleet: g.fleet, View: g.follower.View, SeenSince: g.follower.SeenSince, AsOf: g.follower.AsOf,
 		Confirm: g.follower.Confirm, Log: g.log,
 	})
 	origin.Serve(mux, g.origins)
--- a/daemon/gateway_vars.go
+++ b/daemon/gateway_vars.go
@@ -30,7 +30,7 @@
 	m.Set("fleet_size", expvar.Func(func() any { return g.fleet.Size() }))
 	m.Set("store_at", expvar.Func(func() any { return g.follower.At().Revision }))
 	m.Set("store_era", expvar.Func(func() any { return g.follower.At().Era }))
-	m.Set("view_lag_ms", expvar.Func(func() any { return g.follower.Lag().Milliseconds() }))
+	m.Set("view_age_ms", expvar.Func(func() any { return time.Since(g.follower.AsOf()).Milliseconds() }))
 	m.Set("store_returns", expvar.Func(func() any { return g.storeReturns() }))
 	m.Set("store_healthy", expvar.Func(func() any { return g.follower.Healthy() }))
 	m.Set("evacuated_domains", expvar.Func(func() any { return g.follower.Evacuated() }))
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -95,9 +95,8 @@
 	mu    sync.Mutex
 	state *State
 	view  atomic.Pointer[catalog.View]
-	// asOf is as in AsOf, lag as in Lag.
+	// asOf is as in AsOf.
 	asOf time.Time
-	lag  lagMeter
 	// changed is closed and replaced when the state's position has changed.
 	changed chan struct{}
 	// healthy means that the store answered the latest call to it.
--- a/discovery/peers.go
+++ b/discovery/peers.go
@@ -199,7 +199,6 @@
 func (r *PeerRelay) follow(ctx context.Context, conn *peer.Conn, known position.Knowledge, wait time.Duration) (Batch, error) {
 	began := time.Now()
 	reply, err := requestChanges(ctx, conn, queryAfter(known.At, wait))
-	took := time.Since(began)
 	switch {
 	case err != nil:
 		return Batch{}, err
@@ -211,7 +210,7 @@
 	if !reply.batch().lacks(known) {
 		changes, err := r.fetchLargeValues(ctx, conn, reply)
 		if err == nil && changes.At == reply.position() {
-			changes.AsOf, changes.Lag = reply.asOf(began), reply.lagOf(took)
+			changes.AsOf = reply.asOf(began)
 		}
 		return changes, err
 	}
--- a/discovery/read.go
+++ b/discovery/read.go
@@ -184,9 +184,6 @@
 			f.advanceAsOf(watchedUntil(began, wait, len(changes.Events)))
 		}
 	})
-	if len(changes.Events) == 0 {
-		f.lag.record(time.Now(), time.Since(began)-wait)
-	}
 	return nil
 }
 
@@ -204,7 +201,6 @@
 		s.ApplyBatch(now, batch)
 		f.advanceAsOf(batch.AsOf)
 	})
-	f.lag.record(time.Now(), batch.Lag)
 	return true
 }
 
--- a/discovery/restore.go
+++ b/discovery/restore.go
@@ -36,8 +36,6 @@
 	// AsOf is a time of this process's clock as of which the changes are complete; zero if
 	// none is known.
 	AsOf time.Time
-	// Lag is that of the peer, see Follower.Lag, and of its answer.
-	Lag time.Duration
 	// Complete means that the changes are all items that the peer knows.
 	Complete bool
 	// Settled is that of the peer's Knowledge, EraAge how long ago the fleet entered the era
--- a/discovery/serve.go
+++ b/discovery/serve.go
@@ -88,9 +88,6 @@
 	// AsOf is how long after the arrival of the call the time is as of which the peer is
 	// complete; 0 if it does not know.
 	AsOf time.Duration `json:"as_of_ns,omitempty"`
-	// Held is how long the peer took for the answer, Lag its own, see Follower.Lag.
-	Held time.Duration `json:"held_ns,omitempty"`
-	Lag  time.Duration `json:"lag_ns,omitempty"`
 }
 
 // position returns the position up to which the answer is complete.
@@ -144,7 +141,6 @@
 		})
 		reply, err := changesAnswer(changes, packs)
 		reply.Fresh, reply.AsOf = f.Fresh(), changes.asOfSince(arrived)
-		reply.Held, reply.Lag = time.Since(arrived), f.Lag()
 		return reply, err
 	})
 	peer.HandleCall(mux, MethodCompare, func(_ context.Context, _ *peer.Conn, q compareQuery) (compareReply, error) {
--- a/integration/streams/cut_off_test.go
+++ b/integration/streams/cut_off_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -234,3 +236,44 @@
 		})
 	}
 }
+
+// Guards against a member that is cut off and believes the entry of the process
+// before: a stream that begins at a new version under the old one's ID breaks, and goes on at
+// the old version in the same answer.
+func TestStreamBegunAtAMemberOutOfStep(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, time.Millisecond)
+	r.addVersion("v1")
+	for _, e := range r.endpointsOf("v1") {
+		e.born = time.Now().UnixMilli()
+		r.list(e, "ready")
+	}
+	r.startLinkedMembers(2)
+	// Connections that are older than the entries that the view is sure to have stay usable.
+	waitFor(lifetime / 4)
+	m, cut := r.members[0], outOfStep{store: true, others: true}
+	cut.begin(r, m)
+	defer cut.end(r, m)
+	joinUnderIDs(r)
+	var mixed, whole, broken atomic.Int64
+	var clients sync.WaitGroup
+	for range cutTakeUps {
+		for route := range resumableRoutes {
+			clients.Go(func() {
+				stream := r.send(m, call{route: route, body: breakAfterThree.body()})
+				versions, _ := stream.events()
+				switch {
+				case len(versions) > 0 && slices.ContainsFunc(versions, func(v string) bool { return v != versions[0] }):
+					mixed.Add(1)
+				case stream.complete:
+					whole.Add(1)
+				default:
+					broken.Add(1)
+				}
+			})
+		}
+	}
+	clients.Wait()
+	t.Logf("%d answers are whole, %d broken off", whole.Load(), broken.Load())
+	assert.Check(t, mixed.Load() == 0, "%d answers hold events of two versions", mixed.Load())
+}
--- a/origin/client.go
+++ b/origin/client.go
@@ -53,9 +53,7 @@
 	// Confirm makes sure that View has all changes as of a time, and reports whether it has by
 	// the end of the context. It notices a pause of the process first.
 	Confirm func(ctx context.Context, t time.Time) bool
-	// Lag returns how late changes came to View lately.
-	Lag func() time.Duration
-	Log zerolog.Logger
+	Log     zerolog.Logger
 }
 
 // Client records where streams begin at this process, tells other members, and finds the
--- a/origin/find.go
+++ b/origin/find.go
@@ -73,15 +73,9 @@
 }
 
 // settled returns the origin once it is known whether to believe it: the member that began the
-// stream tells, or else this process looks. What another member told is believed only if the
-// view of this process is sure to have the entry; else it may be cut off, and the entry old.
+// stream tells, or else this process looks.
 func (c *Client) settled(ctx context.Context, s Stream, f Finding) (Origin, Verdict) {
-	sure := true
-	if r, ok := c.table.Find(time.Now(), s); ok && r.From == "" {
-		c.Await(ctx, f.proof)
-	} else {
-		sure = c.awaitEntry(ctx, f.proof)
-	}
+	sure := c.Await(ctx, f.proof)
 	if r, ok := c.table.Find(time.Now(), s); ok && r.Proof.IsZero() {
 		return r.Origin, Known
 	}
--- a/origin/sole.go
+++ b/origin/sole.go
@@ -67,11 +67,3 @@
 	c.history.SetView(time.Now(), c.cfg.View())
 	return true
 }
-
-// awaitEntry waits until the view is sure to have the entry of the process, and reports whether
-// it has by the end of ctx or within settleTime and proofTimeout.
-func (c *Client) awaitEntry(ctx context.Context, p Proof) bool {
-	ctx, cancel := context.WithTimeout(ctx, settleTime+proofTimeout)
-	defer cancel()
-	return c.confirm(ctx, p.Opened.Add(settleTime))
-}
