--- a/integration/streams/cut_off_test.go
+++ b/integration/streams/cut_off_test.go
@@ -102,16 +102,25 @@
 	}
 }
 
-// begin lets the member get out of step.
-func (o outOfStep) begin(r *rig, m *member) {
+// links returns the links that the case cuts.
+func (o outOfStep) links(r *rig, m *member) []*harness.Link {
+	var links []*harness.Link
 	if o.store {
-		m.toStore.Drop()
+		links = append(links, m.toStore)
 	}
 	if o.others {
 		for _, other := range r.members {
-			other.toPeer.Drop()
+			links = append(links, other.toPeer)
 		}
 	}
+	return links
+}
+
+// begin lets the member get out of step.
+func (o outOfStep) begin(r *rig, m *member) {
+	for _, l := range o.links(r, m) {
+		l.Drop()
+	}
 	if o.still {
 		m.Stop()
 	}
@@ -119,13 +128,8 @@
 
 // end lets the member go on.
 func (o outOfStep) end(r *rig, m *member) {
-	if o.store {
-		m.toStore.Heal()
-	}
-	if o.others {
-		for _, other := range r.members {
-			other.toPeer.Heal()
-		}
+	for _, l := range o.links(r, m) {
+		l.Heal()
 	}
 	if o.still {
 		m.Cont()
