--- a/integration/stops/clients_test.go
+++ b/integration/stops/clients_test.go
@@ -141,36 +141,52 @@
 	_ = c.conn.SetDeadline(time.Now().Add(clientDeadline))
 	_, err := fmt.Fprintf(c.conn, "POST /%s/x HTTP/1.1\r\nHost: shop.example\r\nAuthorization: Token k1\r\nMangostage-Attempt-Id: %s\r\n"+
 		"Mangostage-Deadline-Ms: %d\r\nMangostage-Token-Usage: 100,20\r\nContent-Length: %d\r\n\r\n%s", kind, id, clientDeadline.Milliseconds(), len(body), body)
-	var resp *http.Response
+	var got answer
 	if err == nil {
-		resp, err = http.ReadResponse(c.in, nil)
-	}
-	var answer []byte
-	if err == nil {
-		answer, err = io.ReadAll(resp.Body)
+		got, err = readAnswer(c.in)
 	}
 	if err != nil {
 		c.drop()
 		return c.unanswered(id, late), 0
 	}
-	if resp.Close {
+	if got.closes {
 		c.drop()
 	}
-	switch resp.StatusCode {
+	switch got.status {
 	case http.StatusOK:
 		return served, 0
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		var problem struct {
 			Reason string `json:"reason"`
 		}
-		_ = json.Unmarshal(answer, &problem)
+		_ = json.Unmarshal(got.body, &problem)
 		t.addRefusal(kind, problem.Reason)
-		seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-		return refused, min(clientDeadline/3, time.Duration(seconds*float64(time.Second)))
+		return refused, min(clientDeadline/3, got.retryAfter)
 	}
 	return failed, 0
 }
 
+// answer is a whole answer.
+type answer struct {
+	status int
+	// closes means that the connection is closed after the answer.
+	closes     bool
+	retryAfter time.Duration
+	body       []byte
+}
+
+// readAnswer reads a whole answer.
+func readAnswer(in *bufio.Reader) (answer, error) {
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Close, time.Duration(seconds * float64(time.Second)), body}, err
+}
+
 // unanswered returns the outcome of a request whose connection has ended.
 func (c *client) unanswered(id string, late bool) outcome {
 	switch {
--- a/origin/sole.go
+++ b/origin/sole.go
@@ -18,7 +18,7 @@
 // of one version only, for as long as it does not notice. So the view must have all that was
 // written before the stream was taken up: an endpoint that began it was listed by then.
 func (c *Client) proveSole(ctx context.Context, now time.Time, call askCall) (Origin, Verdict) {
-	if _, verdict := c.sole(now, now, call); verdict != Sole {
+	if _, verdict := c.sole(now, call); verdict != Sole {
 		return Origin{}, verdict
 	}
 	ctx, cancel := context.WithTimeout(ctx, settleTime+proofTimeout)
@@ -26,7 +26,7 @@
 	if !c.confirm(ctx, c.listedBy(now)) {
 		return Origin{}, Unreached
 	}
-	return c.sole(now, time.Now(), call)
+	return c.sole(now, call)
 }
 
 // listedBy returns when the entries of all processes that have served by now are written. A
@@ -42,7 +42,7 @@
 
 // sole returns the only origin that a stream that was taken up at a time can have had, by what
 // this process has seen until now.
-func (c *Client) sole(takenUp, now time.Time, call askCall) (Origin, Verdict) {
+func (c *Client) sole(takenUp time.Time, call askCall) (Origin, Verdict) {
 	seen, ok := c.cfg.SeenSince()
 	if !ok {
 		return Origin{}, Unreached
