--- a/gateway/origins_test.go
+++ b/gateway/origins_test.go
@@ -220,7 +220,7 @@
 
 // Guards against streams that are held, or that go on nowhere, for as long as the store is away:
 // where the process at the other end of a connection is the one in the entry, the rest of a
-// stream goes on at once; where it may be another one, it is refused with a time to come again.
+// stream goes on at once; where it may be another one, the client is told at once that the stream cannot go on.
 func TestStreamWhileTheViewIsOld(t *testing.T) {
 	t.Parallel()
 	for _, on := range resumableStreams {
@@ -248,6 +248,8 @@
 		r.stuckAt.Store(&long)
 		refused, took := takeUp(first)
 		assert.Assert(t, took < time.Second, "held for %v", took)
+		assert.NilError(t, refused.err)
+		assert.Equal(t, refused.status, http.StatusBadGateway, "it has run at a process that may be another one")
 		assert.Assert(t, !strings.Contains(refused.body, "piece"), "%q", refused.body)
 	}
 }
--- a/gateway/stop_admit.go
+++ b/gateway/stop_admit.go
@@ -4,10 +4,8 @@
 
 const (
 	// estimatePeriod is the time from the start of a shutdown in which an estimate may admit
-	// a request that no bound ends in time: its client may have been sent here by a load
-	// balancer that did not know better, and refusing all would cost more than the few
-	// requests that are cut. It is shorter than the time for which the platform excuses
-	// such a cut, as a signal may be handled late.
+	// a request that no bound ends in time: until the load balancer has noticed, its client
+	// may have no other gateway. The platform allows 3 s; a signal may be handled late.
 	estimatePeriod = 2500 * time.Millisecond
 	// outOfRotationMargin multiplies the estimated duration of requests that arrive
 	// after the load balancer has taken the process out of rotation. While load moves to
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -66,7 +66,7 @@
 	Stream Stream `json:"stream,string"`
 	Question
 	// Prove asks the member to find out, if it does not know the stream, whether there is one
-	// origin that the stream can have had. That takes up to proofTimeout.
+	// origin that the stream can have had. That takes up to settleTime and proofTimeout.
 	Prove bool `json:"prove,omitempty"`
 }
 
