--- a/integration/streams/cut_off_test.go
+++ b/integration/streams/cut_off_test.go
@@ -3,8 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,7 +14,6 @@
 	"github.com/mangostage/mangostage/internal/harness"
 	"github.com/mangostage/mangostage/internal/testwait"
 	"github.com/mangostage/mangostage/platform"
-	"github.com/mangostage/mangostage/platform/standin"
 )
 
 // cutMembers is the number of gateways of TestNewVersionBesideAMemberOutOfStep.
@@ -48,14 +45,10 @@
 		m := &member{frontend: harness.FreePort(r.t), toPeer: links[i]}
 		var store string
 		m.toStore, store = harness.NewLink(r.t, fmt.Sprintf("store-%d", i), r.storeAddr)
-		text := standin.NodeFile(platform.Settings{
-			Name: fmt.Sprintf("g%d", i+1), Domain: "z0", IP: "127.0.0.1", Cores: 1, Seeds: peers[:min(3, n)],
-			Frontend: m.frontend, Ready: harness.FreePort(r.t), Peer: listens[i], Store: store, Bounds: harness.GatewayBounds(memberGrace),
-		})
-		file := filepath.Join(r.t.TempDir(), "boot.toml")
-		assert.NilError(r.t, os.WriteFile(file, []byte(text), 0o600))
-		m.Process = harness.NewProcess(r.t, fmt.Sprintf("g%d", i+1), harness.Binary(r.t, "mangostage-gateway", true),
-			[]string{"--metrics-port", "0", "--advertise", peers[i]}, []string{platform.SettingsVariable + "=" + file})
+		m.Process = harness.StartGateway(r.t, platform.Settings{
+			Name: fmt.Sprintf("g%d", i+1), Frontend: m.frontend, Peer: listens[i], Store: store,
+			Seeds: peers[:min(3, n)], Bounds: harness.GatewayBounds(memberGrace),
+		}, "--advertise", peers[i])
 		r.members = append(r.members, m)
 	}
 	r.t.Cleanup(r.terminate)
--- a/internal/harness/gateway.go
+++ b/internal/harness/gateway.go
@@ -24,8 +24,8 @@
 }
 
 // StartGateway starts a gateway process with the settings. The failure domain, the address
-// and the cores have defaults.
-func StartGateway(t testing.TB, s platform.Settings) *Process {
+// and the cores have defaults. args are further arguments of its command.
+func StartGateway(t testing.TB, s platform.Settings, args ...string) *Process {
 	t.Helper()
 	s.IP, s.Cores = "127.0.0.1", 1
 	if s.Domain == "" {
@@ -41,7 +41,7 @@
 	// With the race detector a process and its streams go on for a second after its end.
 	const withoutRaceDetector = true
 	return NewProcess(t, s.Name, Binary(t, "mangostage-gateway", withoutRaceDetector),
-		[]string{"--metrics-port", "0"}, []string{platform.SettingsVariable + "=" + file})
+		append([]string{"--metrics-port", "0"}, args...), []string{platform.SettingsVariable + "=" + file})
 }
 
 // ServeHTTP serves h on a loopback address until the end of the test.
