--- a/soak/gateways_test.go
+++ b/soak/gateways_test.go
@@ -5,16 +5,11 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/mangostage/mangostage/internal/harness"
 	"github.com/mangostage/mangostage/platform"
-	"github.com/mangostage/mangostage/platform/standin"
 )
 
 // gateway is one gateway process and the proxies on its connections.
@@ -45,18 +40,14 @@
 	g := &gateway{name: fmt.Sprintf("g%d", i), frontend: harness.FreePort(r.t), ready: harness.FreePort(r.t), incarnation: 1}
 	var toStore string
 	g.toStore, toStore = harness.NewLink(r.t, "store-"+g.name, storeAddr)
-	text := standin.NodeFile(platform.Settings{
-		Name: g.name, Domain: "z0", IP: "127.0.0.1", Cores: 1, Seeds: peers[:min(maxSeedPeers, len(peers))],
+	g.Process = harness.StartGateway(r.t, platform.Settings{
+		Name: g.name, Seeds: peers[:min(maxSeedPeers, len(peers))],
 		Frontend: g.frontend, Ready: g.ready, Peer: listen, Store: toStore,
 		Bounds: platform.Bounds{
 			Drain: 2 * time.Second, Grace: 8 * time.Second, ConfigApply: 2 * time.Second,
 			RetryRatio: 0.5, RetryWindow: 10 * time.Second, RetrySlack: 200,
 		},
-	})
-	file := filepath.Join(r.t.TempDir(), "boot.toml")
-	assert.NilError(r.t, os.WriteFile(file, []byte(text), 0o600))
-	g.Process = harness.NewProcess(r.t, g.name, harness.Binary(r.t, "mangostage-gateway", true),
-		[]string{"--metrics-port", "0", "--advertise", peers[i]}, []string{platform.SettingsVariable + "=" + file})
+	}, "--advertise", peers[i])
 	r.gateways = append(r.gateways, g)
 }
 
