gateway: a send says over which connection it went, and what proves that it has not run

The log had no way to tell its three hypotheses apart: over which connection a try went, how many requests that had carried before, and whether "not run" rests on no byte written or on the endpoint's statement. 'sent' says that now (conn, conn_carried, not_run); an answer that belongs to no send has a line (stray_answer) and a count (stray_answers, by service).

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -14,6 +14,8 @@
 type endpointConn struct {
 	net.Conn
 	transport *Transport
+	// number numbers the connections of the transport from 1.
+	number uint64
 	// endpoint is the one listed at the address when the connection was opened; nil if
 	// there was none.
 	endpoint *catalog.Endpoint
@@ -22,6 +24,8 @@
 	raw syscall.RawConn
 	// mu guards the begin of an exchange against the end of the idle time.
 	mu sync.Mutex
+	// carried counts the exchanges over the connection.
+	carried int
 	// idleTimer runs while the connection is idle; nil before it first is.
 	idleTimer *time.Timer
 	// closed is true once the connection is closed; idleConns guards it.
@@ -30,8 +34,9 @@
 	exchange atomic.Pointer[exchange]
 }
 
-// beginExchange records that an exchange uses the connection.
-func (c *endpointConn) beginExchange(x *exchange) {
+// beginExchange records that an exchange uses the connection, and returns how many have done so
+// before.
+func (c *endpointConn) beginExchange(x *exchange) (carried int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchange.Store(x)
@@ -39,6 +44,8 @@
 	if c.idleTimer != nil {
 		c.idleTimer.Stop()
 	}
+	c.carried++
+	return c.carried - 1
 }
 
 // endExchange records that an exchange has ended, and closes the connection if no other
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -24,6 +24,8 @@
 	// conn is the connection; nil until there is one. reused says that it was kept.
 	conn   *endpointConn
 	reused bool
+	// carried is how many requests the connection had carried before.
+	carried int
 	// begun is true once a byte of the request may have been written. abandoned is true
 	// if none was and none will be.
 	begun, abandoned bool
@@ -36,8 +38,8 @@
 			if c, ok := info.Conn.(*endpointConn); ok {
 				x.mu.Lock()
 				x.conn, x.reused = c, info.Reused
+				x.carried = c.beginExchange(x)
 				x.mu.Unlock()
-				c.beginExchange(x)
 			}
 		},
 		Got1xxResponse: func(int, textproto.MIMEHeader) error { return x.head.EndInterim() },
--- a/gateway/lognames.go
+++ b/gateway/lognames.go
@@ -24,6 +24,8 @@
 	// logPromiseWithheld is logged when an endpoint's answer is not passed on because its
 	// status promises more than the endpoint states.
 	logPromiseWithheld = "promise_withheld"
+	// logStrayAnswer is logged for an answer that belongs to no send.
+	logStrayAnswer = "stray_answer"
 	// logSharesHeld is logged when a gateway begins or ceases to hold client accounts to
 	// their shares of a plain service.
 	logSharesHeld = "account_shares"
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,6 +29,8 @@
 	ShutdownAdmissions *expvar.Map
 	// Withheld counts the answers of endpoints that were not passed on, by route and status.
 	Withheld *expvar.Map
+	// Strays counts the answers of endpoints that belong to no send, by service.
+	Strays *expvar.Map
 	// Held counts requests that were refused because their client account had more than its
 	// share of a service, by service and account.
 	Held *expvar.Map
@@ -48,6 +50,7 @@
 		StreamEnds: new(expvar.Map).Init(),
 		Held:       new(expvar.Map).Init(),
 		Withheld:   new(expvar.Map).Init(),
+		Strays:     new(expvar.Map).Init(),
 
 		ShutdownAdmissions: new(expvar.Map).Init(),
 
@@ -75,6 +78,9 @@
 	m.Withheld.Add(routeName(req)+" "+strconv.Itoa(status), 1)
 }
 
+// countStray counts an answer that belongs to no send.
+func (m *Metrics) countStray(service string) { m.Strays.Add(service, 1) }
+
 // countStreamEnd counts the end of an endpoint's stream.
 func (m *Metrics) countStreamEnd(req *request, f framing, end streamEnd) {
 	m.StreamEnds.Add(routeName(req)+" "+string(f)+" "+string(end), 1)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -59,6 +59,8 @@
 	// endpoint may have run it.
 	sent       bool
 	mayHaveRun bool
+	// lastSend is how the request was sent last.
+	lastSend sendRecord
 	// stream is what the client has of a streamed answer.
 	stream streamState
 	// origin is where the stream began, once that is known; lifetime is how long a stream of
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -54,9 +54,15 @@
 	sent := time.Now()
 	a, err := g.sendOnKept(ctx, req, e, s)
 	if err != nil {
+		if errorx.IsOfType(err, errNotSent) {
+			req.lastSend.notRun = notRunUnwritten
+		}
 		giveUp(err)
 		return nil, err
 	}
+	if a.NotRun {
+		req.lastSend.notRun = notRunStated
+	}
 	a.giveUp = giveUp
 	if a.Body != http.NoBody {
 		a.Body = exchangeBody{a.Body, giveUp}
@@ -73,7 +79,7 @@
 		if err != nil {
 			return nil, errNotSent.Wrap(err, "request")
 		}
-		a, reused, err := g.roundTrip(out, req.ID, e)
+		a, reused, err := g.roundTrip(out, req, e)
 		if err == nil || !reused || kept == maxIdlePerEndpoint || ctx.Err() != nil || !errorx.IsOfType(err, errNotSent) {
 			return a, err
 		}
@@ -116,9 +122,10 @@
 }
 
 // roundTrip makes one exchange with an endpoint up to the head of its answer to the request
-// with that ID. reused says that it went over a kept connection.
-func (g *Gateway) roundTrip(out *http.Request, id string, e *catalog.Endpoint) (a *answer, reused bool, err error) {
+// as it is sent in out. reused says that it went over a kept connection.
+func (g *Gateway) roundTrip(out *http.Request, req *request, e *catalog.Endpoint) (a *answer, reused bool, err error) {
 	resp, x, err := g.cfg.Transport.exchange(out)
+	req.lastSend = x.record()
 	switch {
 	case err == nil:
 	case x.conn == nil:
@@ -139,10 +146,11 @@
 		Response: resp, Answer: platform.DecodeAnswer(resp.StatusCode, resp.Header), endpoint: e,
 		opened: x.conn.opened, headBytes: x.headBytes,
 	}
-	if a.ID != id {
+	if a.ID != req.ID {
 		// This is a late answer to an earlier request on the connection, or not an answer
 		// to this request at all. Its recipient is unknown, so nobody gets it.
 		_ = resp.Body.Close()
+		g.recordStray(req, a)
 		return nil, x.reused, errUnknown.New("endpoint %s sent the answer to request %q", e.ID, a.ID)
 	}
 	return a, x.reused, nil
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -56,6 +56,8 @@
 
 	mu    sync.Mutex
 	conns map[*endpointConn]struct{}
+	// opened counts the connections.
+	opened uint64
 	// endpointsByAddr holds the endpoint listed at each address in the latest view.
 	endpointsByAddr map[string]*catalog.Endpoint
 }
@@ -84,7 +86,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := &endpointConn{Conn: conn, raw: socket.Raw(conn), transport: t, endpoint: t.endpointsByAddr[addr], opened: time.Now()}
+	t.opened++
+	c := &endpointConn{
+		Conn: conn, raw: socket.Raw(conn), transport: t, number: t.opened, endpoint: t.endpointsByAddr[addr], opened: time.Now(),
+	}
 	t.conns[c] = struct{}{}
 	return c, nil
 }
