gateway: a request is never sent again over a connection that has carried it

Cause: an engine refuses a request with 409 and states that it has not run it; the request is submitted again and may go to the same engine under the same ID, over the connection that carried the refusal. If the engine sends that refusal once more, late, nothing tells the copy from the answer to the second send: an ID names a request, not a send of it. The copy counts as "not run". The same holds for a stream that goes on at the endpoints that refused it.

Change: a copy can only come over the connection that carried the first send, so a request is not written to such a connection: its ID on the connection then names one send. That connection is closed, nothing was written, and the next one is taken. An answer that comes before a byte of the request was written belongs to no send, and is none. Other requests use the connection as before: only a second send to the same process costs one, and only if no other is idle.

--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -14,6 +14,8 @@
 	// errUnknown means that the request was sent and no usable answer came back, so
 	// that it may have run.
 	errUnknown = errs.NewType("fate_unknown")
+	// errConnUsed means that a connection has carried the request before.
+	errConnUsed = errs.NewType("connection_used").New("the connection has carried the request before")
 	// errNoAnswer means that an endpoint sent bytes that are no answer, or are not going to
 	// be one, and that this process gave them up.
 	errNoAnswer = errUnknown.NewSubtype("no_answer")
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"slices"
 	"sync"
 
 	"github.com/mangostage/mangostage/internal/bounded"
@@ -17,6 +18,8 @@
 // exchange is one request to an endpoint up to the head of its answer.
 type exchange struct {
 	head *bounded.Head
+	// usedConns are the connections that have carried the request before.
+	usedConns []*endpointConn
 	// headBytes is about the length of the head in bytes, once it has come.
 	headBytes int
 
@@ -47,7 +50,9 @@
 }
 
 // beginWrite is called before each write. A request is not written to a connection that the
-// endpoint has closed: it would be unknown whether the request has run.
+// endpoint has closed: it would be unknown whether the request has run. Nor is it written to one
+// that has carried it before: the endpoint may send its answer to the send before once more, and
+// nothing would tell that from the answer to this one.
 func (x *exchange) beginWrite(c *endpointConn) error {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -58,6 +63,8 @@
 		return nil
 	case c.raw != nil && socket.ClosedByPeer(c.raw):
 		return net.ErrClosed
+	case slices.Contains(x.usedConns, c):
+		return errConnUsed
 	}
 	x.begun = true
 	return nil
@@ -72,13 +79,14 @@
 	return x.abandoned
 }
 
-// exchange sends a request and bounds the head of its answer.
-func (t *Transport) exchange(r *http.Request) (*http.Response, *exchange, error) {
+// exchange sends a request over another connection than the used ones, which have carried it
+// before, and bounds the head of its answer.
+func (t *Transport) exchange(r *http.Request, used []*endpointConn) (*http.Response, *exchange, error) {
 	if t.BeforeRequest != nil {
 		t.BeforeRequest()
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
-	x := &exchange{head: bounded.NewHead(cancel)}
+	x := &exchange{head: bounded.NewHead(cancel), usedConns: used}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, x.trace())))
 	x.headBytes = x.head.End()
 	if err != nil {
@@ -106,7 +114,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, _, err := t.exchange(r)
+	resp, _, err := t.exchange(r, nil)
 	return resp, err
 }
 
--- a/gateway/late_copy_test.go
+++ b/gateway/late_copy_test.go
@@ -67,15 +67,22 @@
 			for range 10 {
 				req := r.request(http.MethodPost, "/staged/", "prompt")
 				req.Header.Set("Mangostage-Segments", "1")
-				id := req.Header.Get("Mangostage-Attempt-Id")
-				got := r.do(req)
-				engine.mu.Lock()
-				runs := engine.runs[id]
-				engine.mu.Unlock()
-				assert.Check(t, runs <= 1, "%s ran %d times", id, runs)
-				assert.Check(t, runs == 0 || got.status != http.StatusServiceUnavailable, "%s ran and was answered %d: %s", id, got.status, got.body)
-				assert.Check(t, got.status == http.StatusOK && got.body == streamBody(2), "%s: %d %q %v", id, got.status, got.body, got.err)
+				r.checkRunsOnce(req, engine)
 			}
 		})
 	}
 }
+
+// checkRunsOnce checks that a request which the engine refuses when it first comes is served, and
+// runs once.
+func (r *rig) checkRunsOnce(req *http.Request, engine *copyingEngine) {
+	r.t.Helper()
+	id := req.Header.Get("Mangostage-Attempt-Id")
+	got := r.do(req)
+	engine.mu.Lock()
+	runs := engine.runs[id]
+	engine.mu.Unlock()
+	assert.Check(r.t, runs <= 1, "%s ran %d times", id, runs)
+	assert.Check(r.t, runs == 0 || got.status != http.StatusServiceUnavailable, "%s ran and was answered %d: %s", id, got.status, got.body)
+	assert.Check(r.t, got.status == http.StatusOK && got.body == streamBody(2), "%s: %d %q %v", id, got.status, got.body, got.err)
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -61,6 +61,8 @@
 	mayHaveRun bool
 	// lastSend is how the request was sent last.
 	lastSend sendRecord
+	// usedConns are the connections over which the request was answered.
+	usedConns []*endpointConn
 	// stream is what the client has of a streamed answer.
 	stream streamState
 	// origin is where the stream began, once that is known; lifetime is how long a stream of
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -124,9 +124,11 @@
 // roundTrip makes one exchange with an endpoint up to the head of its answer to the request
 // as it is sent in out. reused says that it went over a kept connection.
 func (g *Gateway) roundTrip(out *http.Request, req *request, e *catalog.Endpoint) (a *answer, reused bool, err error) {
-	resp, x, err := g.cfg.Transport.exchange(out)
+	resp, x, err := g.cfg.Transport.exchange(out, req.usedConns)
 	req.lastSend = x.record()
 	switch {
+	case err == nil && x.abandon():
+		return nil, x.reused, g.dropEarlyAnswer(req, e, resp, x)
 	case err == nil:
 	case x.conn == nil:
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -142,6 +144,7 @@
 	default:
 		return nil, x.reused, errUnknown.Wrap(err, "endpoint %s", e.ID)
 	}
+	req.usedConns = append(req.usedConns, x.conn)
 	a = &answer{
 		Response: resp, Answer: platform.DecodeAnswer(resp.StatusCode, resp.Header), endpoint: e,
 		opened: x.conn.opened, headBytes: x.headBytes,
@@ -156,6 +159,15 @@
 	return a, x.reused, nil
 }
 
+// dropEarlyAnswer closes the connection of an answer that came before a byte of the request was
+// written, and so belongs to no send of it.
+func (g *Gateway) dropEarlyAnswer(req *request, e *catalog.Endpoint, resp *http.Response, x *exchange) error {
+	_ = x.conn.Close()
+	_ = resp.Body.Close()
+	g.recordStray(req, &answer{Response: resp, Answer: platform.DecodeAnswer(resp.StatusCode, resp.Header), endpoint: e})
+	return errNotSent.New("endpoint %s sent an answer before the request", e.ID)
+}
+
 // recordEnded records a send on a kept connection that its endpoint ended.
 func (t *attempts) recordEnded(e *catalog.Endpoint, err error) {
 	if t.connEnded == "" && errorx.IsOfType(err, errConnEnded) {
