gateway: a connection is not used again after an answer that belongs to no send

Callers saw: after one late copy of an answer without a body, each request over that connection runs and fails, for as long as the connection is kept.

Cause: an answer that names another request was refused, but its connection was closed only if a body was left to read. Without one, net/http has put the connection back before anybody looks at the answer, so it stays one answer behind.

Change: each exchange is settled by its caller, who believes the answer or rejects the connection; the next request over the connection is not written before.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -30,22 +30,26 @@
 	idleTimer *time.Timer
 	// closed is true once the connection is closed; idleConns guards it.
 	closed bool
+	// rejected is true once an answer came that is not the one to its request.
+	rejected atomic.Bool
 	// exchange is the latest one over the connection. It is set with mu held.
 	exchange atomic.Pointer[exchange]
 }
 
 // beginExchange records that an exchange uses the connection, and returns how many have done so
-// before.
-func (c *endpointConn) beginExchange(x *exchange) (carried int) {
+// before and when the last of them is settled.
+func (c *endpointConn) beginExchange(x *exchange) (carried int, previous <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.exchange.Store(x)
+	if last := c.exchange.Swap(x); last != nil {
+		previous = last.settled
+	}
 	c.transport.idle.remove(c)
 	if c.idleTimer != nil {
 		c.idleTimer.Stop()
 	}
 	c.carried++
-	return c.carried - 1
+	return c.carried - 1, previous
 }
 
 // endExchange records that an exchange has ended, and closes the connection if no other
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -20,6 +20,9 @@
 	head *bounded.Head
 	// usedConns are the connections that have carried the request before.
 	usedConns []*endpointConn
+	// settled is closed once the answer is believed, or its connection rejected.
+	settled chan struct{}
+	settle  sync.Once
 	// headBytes is about the length of the head in bytes, once it has come.
 	headBytes int
 
@@ -27,8 +30,10 @@
 	// conn is the connection; nil until there is one. reused says that it was kept.
 	conn   *endpointConn
 	reused bool
-	// carried is how many requests the connection had carried before.
-	carried int
+	// carried is how many requests the connection had carried before, previous is settled of
+	// the last one; nil if there was none.
+	carried  int
+	previous <-chan struct{}
 	// begun is true once a byte of the request may have been written. abandoned is true
 	// if none was and none will be.
 	begun, abandoned bool
@@ -41,7 +46,7 @@
 			if c, ok := info.Conn.(*endpointConn); ok {
 				x.mu.Lock()
 				x.conn, x.reused = c, info.Reused
-				x.carried = c.beginExchange(x)
+				x.carried, x.previous = c.beginExchange(x)
 				x.mu.Unlock()
 			}
 		},
@@ -54,6 +59,7 @@
 // that has carried it before: the endpoint may send its answer to the send before once more, and
 // nothing would tell that from the answer to this one.
 func (x *exchange) beginWrite(c *endpointConn) error {
+	x.awaitPrevious()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	switch {
@@ -61,7 +67,7 @@
 		return net.ErrClosed
 	case x.begun:
 		return nil
-	case c.raw != nil && socket.ClosedByPeer(c.raw):
+	case c.rejected.Load() || c.raw != nil && socket.ClosedByPeer(c.raw):
 		return net.ErrClosed
 	case slices.Contains(x.usedConns, c):
 		return errConnUsed
@@ -70,6 +76,31 @@
 	return nil
 }
 
+// awaitPrevious waits until the answer to the request before on the connection is settled. An
+// answer without a body frees its connection before it has been looked at.
+func (x *exchange) awaitPrevious() {
+	x.mu.Lock()
+	previous := x.previous
+	x.mu.Unlock()
+	if previous != nil {
+		<-previous
+	}
+}
+
+// believe records that the answer that came is the one to the request. It has no effect after
+// reject.
+func (x *exchange) believe() { x.settle.Do(func() { close(x.settled) }) }
+
+// reject closes the connection, before another request is written to it: the answer that came is
+// not the one to the request, so that one may still come.
+func (x *exchange) reject() {
+	if x.conn != nil {
+		x.conn.rejected.Store(true)
+		_ = x.conn.Close()
+	}
+	x.settle.Do(func() { close(x.settled) })
+}
+
 // abandon reports whether no byte of a request that has failed was written, and keeps any
 // from being written.
 func (x *exchange) abandon() (unsent bool) {
@@ -80,13 +111,14 @@
 }
 
 // exchange sends a request over another connection than the used ones, which have carried it
-// before, and bounds the head of its answer.
+// before, and bounds the head of its answer. The caller settles the exchange: by believe or by
+// reject.
 func (t *Transport) exchange(r *http.Request, used []*endpointConn) (*http.Response, *exchange, error) {
 	if t.BeforeRequest != nil {
 		t.BeforeRequest()
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
-	x := &exchange{head: bounded.NewHead(cancel), usedConns: used}
+	x := &exchange{head: bounded.NewHead(cancel), usedConns: used, settled: make(chan struct{})}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, x.trace())))
 	x.headBytes = x.head.End()
 	if err != nil {
@@ -114,7 +146,8 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, _, err := t.exchange(r, nil)
+	resp, x, err := t.exchange(r, nil)
+	x.believe()
 	return resp, err
 }
 
--- a/gateway/late_copy_test.go
+++ b/gateway/late_copy_test.go
@@ -6,12 +6,16 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/mangostage/mangostage/platform/standin"
 )
 
+// runTime is how long an endpoint works for a request.
+const runTime = 10 * time.Millisecond
+
 // statedLine is the line of an endpoint's answer which states that the request has not run.
 const statedLine = "Mangostage-Not-Executed: 1"
 
@@ -86,3 +90,33 @@
 	assert.Check(r.t, runs == 0 || got.status != http.StatusServiceUnavailable, "%s ran and was answered %d: %s", id, got.status, got.body)
 	assert.Check(r.t, got.status == http.StatusOK && got.body == streamBody(2), "%s: %d %q %v", id, got.status, got.body, got.err)
 }
+
+// Guards against a connection that stays one answer behind after a late copy of an answer without
+// a body: each request that it carries from then on runs and fails.
+func TestConnectionIsNotUsedAfterAStrayAnswer(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	var mu sync.Mutex
+	var last string
+	copied := false
+	empty := func(id string) string { return rawHead(http.StatusOK, id, sealLine, "Content-Length: 0") }
+	e := startRaw(t, func(w rawWriter, id string) {
+		mu.Lock()
+		defer mu.Unlock()
+		if last != "" && !copied {
+			copied = true
+			w.send(empty(last))
+		}
+		time.Sleep(runTime)
+		last = id
+		w.send(empty(id))
+	})
+	r.add("plain", "i-1", e.addr)
+	failed := 0
+	for range 10 {
+		if r.do(r.request(http.MethodPost, "/once/", "order")).status != http.StatusOK {
+			failed++
+		}
+	}
+	assert.Equal(t, failed, 1, "only the request that met the copy may have run without an answer")
+}
