A stage's answer is believed if it names a result that its connection has not named

Change: the results that an answer names are new with each run, so an answer is the latest call's if it names one that the connection has not named before (internal/resultlog, without I/O); a known one is the answer to an earlier call. An answer that names none (a refusal, no piece made) is the latest call's, as all before it have named one, and a copy of it would say nothing: the connection is closed after it. So it is after any other answer that does not settle the call. A release of results takes no answer that names results. No header is added, and calls share connections as before.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -106,6 +106,7 @@
 	p := g.loaded.Platform
 	mux := peer.NewMux()
 	toStore, toEndpoints := storeTransport(), gateway.NewTransport()
+	toEndpoints.OnStray = g.metrics.CountStray
 	toEndpoints.BeforeRequest = func() { g.follower.CheckPause() }
 	store := platform.NewStore(p.Store, &http.Client{Transport: toStore}, discovery.StoreTimeouts)
 	stages := platform.NewStageClient(&http.Client{Transport: toEndpoints})
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/internal/resultlog"
 )
 
 // endpointConn is a connection to an endpoint.
@@ -30,6 +31,8 @@
 	idleTimer *time.Timer
 	// closed is true once the connection is closed; idleConns guards it.
 	closed bool
+	// results holds what the answers to calls over the connection have named.
+	results resultlog.Log
 	// rejected is true once an answer came that is not the one to its request.
 	rejected atomic.Bool
 	// exchange is the latest one over the connection. It is set with mu held.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -9,6 +9,7 @@
 	"net/textproto"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/mangostage/mangostage/internal/bounded"
 	"github.com/mangostage/mangostage/internal/socket"
@@ -23,6 +24,8 @@
 	// settled is closed once the answer is believed, or its connection rejected.
 	settled chan struct{}
 	settle  sync.Once
+	// settledByCaller is true if the one who called RoundTrip settles the exchange.
+	settledByCaller atomic.Bool
 	// headBytes is about the length of the head in bytes, once it has come.
 	headBytes int
 
@@ -87,18 +90,20 @@
 	}
 }
 
-// believe records that the answer that came is the one to the request. It has no effect after
-// reject.
+// believe records that the answer that came is the one to the request. Only the first call of
+// believe or reject has an effect.
 func (x *exchange) believe() { x.settle.Do(func() { close(x.settled) }) }
 
 // reject closes the connection, before another request is written to it: the answer that came is
 // not the one to the request, so that one may still come.
 func (x *exchange) reject() {
-	if x.conn != nil {
-		x.conn.rejected.Store(true)
-		_ = x.conn.Close()
-	}
-	x.settle.Do(func() { close(x.settled) })
+	x.settle.Do(func() {
+		if x.conn != nil {
+			x.conn.rejected.Store(true)
+			_ = x.conn.Close()
+		}
+		close(x.settled)
+	})
 }
 
 // abandon reports whether no byte of a request that has failed was written, and keeps any
@@ -147,7 +152,9 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, x, err := t.exchange(r, nil)
-	x.believe()
+	if !x.settledByCaller.Load() {
+		x.believe()
+	}
 	return resp, err
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -78,8 +78,8 @@
 	m.Withheld.Add(routeName(req)+" "+strconv.Itoa(status), 1)
 }
 
-// countStray counts an answer that belongs to no send.
-func (m *Metrics) countStray(service string) { m.Strays.Add(service, 1) }
+// CountStray counts an answer that belongs to no send.
+func (m *Metrics) CountStray(service string) { m.Strays.Add(service, 1) }
 
 // countStreamEnd counts the end of an endpoint's stream.
 func (m *Metrics) countStreamEnd(req *request, f framing, end streamEnd) {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -222,7 +222,7 @@
 	}
 	req.about(line.Str("event", logSent)).Str("endpoint", e.ID).
 		Str("version", e.Version).Int("status", status).Uint64("config", req.configVersion).
-		Uint64("conn", req.lastSend.conn).Int("conn_carried", req.lastSend.carried).Str("not_run", string(req.lastSend.notRun)).
+		Uint64("conn", req.lastSend.conn.Number).Int("conn_carried", req.lastSend.conn.Carried).Str("not_run", string(req.lastSend.notRun)).
 		Bool("left_domain", e.Domain != g.cfg.Domain).Dur("took_ms", duration).Msg("sent to an endpoint")
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -126,7 +126,7 @@
 func (g *Gateway) roundTrip(out *http.Request, req *request, e *catalog.Endpoint) (a *answer, reused bool, err error) {
 	resp, x, err := g.cfg.Transport.exchange(out, req.usedConns)
 	defer x.believe()
-	req.lastSend = x.record()
+	req.lastSend = sendRecord{conn: x.use()}
 	switch {
 	case err == nil && x.abandon():
 		return nil, x.reused, g.dropEarlyAnswer(req, e, resp, x)
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -51,6 +51,10 @@
 	// not have run, and its client waits without an answer until its deadline.
 	BeforeRequest func()
 
+	// OnStray, if set, is called with the service of the endpoint, if that was listed, whose
+	// answer to a call belongs to another one.
+	OnStray func(service string)
+
 	// idle holds the connections that no request uses.
 	idle *idleConns
 
@@ -94,6 +98,17 @@
 	return c, nil
 }
 
+// countStray counts an answer of the endpoint, which may be nil, that belongs to no call.
+func (t *Transport) countStray(e *catalog.Endpoint) {
+	switch {
+	case t.OnStray == nil:
+	case e == nil:
+		t.OnStray("")
+	default:
+		t.OnStray(e.Service)
+	}
+}
+
 // SetView sets the listed endpoints and closes the connections to processes that
 // have ended. Requests on them fail as broken, since they may have run.
 func (t *Transport) SetView(view *catalog.View) {
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -70,7 +70,7 @@
 	}
 	line.Str("event", logStageCall).Uint64("call", e.Call).Str("service", e.Service).Str("endpoint", e.Endpoint).
 		Strs("requests", requestsOf(e.Pieces)).Int("waiting", e.Waiting).Int("pieces", len(pieces)).Int("failed", failed).Str("fault", string(fault)).
-		Float64("speed", e.Speed).Bool("suspect", e.Suspect).Dur("took_ms", time.Since(sent)).Msg("stage call ended")
+		Uint64("conn", reply.Conn.Number).Int("conn_carried", reply.Conn.Carried).Float64("speed", e.Speed).Bool("suspect", e.Suspect).Dur("took_ms", time.Since(sent)).Msg("stage call ended")
 	s.handle(eventCallEnded, func(now time.Time, c *dispatch.Core) { c.CallEnded(now, e.Call, fault, outcomes) })
 }
 
