--- a/soak/endpoints_test.go
+++ b/soak/endpoints_test.go
@@ -61,13 +61,15 @@
 	running atomic.Int64
 	// endless means that the endpoint answers with bytes without end.
 	endless atomic.Bool
+	// copying means that the endpoint sends some of its answers a second time.
+	copying atomic.Bool
 	// failing is the status with which the endpoint fails a part of its runs; 0 for none.
 	failing atomic.Int64
 }
 
 func (r *rig) addEndpoint(service string) {
 	e := &endpoint{service: service, slot: len(r.endpoints), domain: fmt.Sprintf("z%d", len(r.endpoints)%failureDomains)}
-	e.link, e.addr = harness.NewLink(r.t, fmt.Sprintf("%s-%d", service, len(r.endpoints)), r.serve(r.handler(e)))
+	e.link, e.addr = harness.NewLink(r.t, fmt.Sprintf("%s-%d", service, len(r.endpoints)), r.serveCopying(e, r.handler(e)))
 	r.endpoints = append(r.endpoints, e)
 	r.register(e)
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -21,6 +21,7 @@
 		for _, fault := range r.drawRelease() {
 			running.Go(fault)
 		}
+		running.Go(func() { r.copyAnswers(end) })
 	}
 	for time.Now().Before(end) {
 		fault := r.pickFault(set)
--- a/soak/rig_test.go
+++ b/soak/rig_test.go
@@ -55,6 +55,8 @@
 	evacuated map[string]time.Time
 	// config is the newest configuration.
 	config []byte
+	// copies counts the answers that endpoints sent a second time.
+	copies atomic.Int64
 	// away counts the returns of the store in which it is away.
 	away atomic.Int32
 	// writeOrder draws the order in which writers write again.
