gateway: the pieces that a request may name are bounded

A request that names more than 10,000 for the stages of its route gets 400, too_many_pieces, at once; a route without stages ignores the header as before. TestPiecesOfARequestAreBounded failed before (503 after the queue had taken the job with 10,001 pieces; larger numbers were not run on the old code).

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -24,6 +24,10 @@
 // defaultMaxBody limits bodies, in bytes, if the configuration does not.
 const defaultMaxBody = 4 << 20
 
+// maxPieces bounds the pieces of one request over all its stages: the owner of the queue holds
+// state for each.
+const maxPieces = 10_000
+
 // request is the state of one client request.
 type request struct {
 	platform.Request
@@ -97,6 +101,9 @@
 			return req, p
 		}
 	}
+	if req.tooManyPieces() {
+		return req, &problem{status: http.StatusBadRequest, reason: "too_many_pieces"}
+	}
 	req.serviceName = pickService(req.route, req.ID)
 	req.service = index.Service(req.serviceName)
 	req.deadline = now.Add(requestTimeout(req))
@@ -105,6 +112,18 @@
 	return req, nil
 }
 
+// tooManyPieces reports whether the request names more pieces of its route's stages than are run.
+func (req *request) tooManyPieces() bool {
+	left := maxPieces
+	for _, n := range req.Pieces[:min(len(req.Pieces), len(req.route.Stages))] {
+		if n > left {
+			return true
+		}
+		left -= n
+	}
+	return false
+}
+
 // startContext creates the context in which the request is served. It ends when the
 // client leaves, at the request's deadline, or at the end of a shutdown.
 func (req *request) startContext(s *shutdown) {
