A call of a stage binds to its connection without hooks of its own

The transport hands the exchange over by the context instead, and what a call asks for is hashed without text. What settles an exchange says what becomes of its connection (keep, retire). An answer with results to a release of results is counted too. Tests check the readiness of gateways in one place.

--- a/gateway/callexchange.go
+++ b/gateway/callexchange.go
@@ -7,38 +7,33 @@
 
 // callExchange is a call to an endpoint of a stage, whose answer is known by the results that it
 // names alone; it implements platform.CallExchange.
-type callExchange struct {
-	*exchange
-	on *endpointConn
-}
-
-// BeginCall implements platform.CallConn.
-func (c *endpointConn) BeginCall() platform.CallExchange {
-	x := c.exchange.Load()
-	x.settledByCaller.Store(true)
-	return callExchange{x, c}
-}
+type callExchange struct{ *exchange }
 
 // Use implements platform.CallExchange.
 func (x callExchange) Use() platform.ConnUse { return x.use() }
 
 // Match implements platform.CallExchange.
-func (x callExchange) Match(result, work string) bool {
-	verdict := x.on.results.Judge(result, work)
-	switch verdict {
+func (x callExchange) Match(result string, work uint64) bool {
+	switch x.conn.results.Judge(result, work) {
 	case resultlog.Latest:
-		x.believe()
+		x.keep()
+	case resultlog.LatestUnmarked:
+		x.retire()
 	case resultlog.Earlier:
-		x.on.transport.countStray(x.on.endpoint)
-		x.reject()
-	default:
-		x.reject()
+		x.Stray()
+		return false
 	}
-	return verdict != resultlog.Earlier
+	return true
 }
 
 // Keep implements platform.CallExchange.
-func (x callExchange) Keep() { x.believe() }
+func (x callExchange) Keep() { x.keep() }
 
 // Discard implements platform.CallExchange.
-func (x callExchange) Discard() { x.reject() }
+func (x callExchange) Discard() { x.retire() }
+
+// Stray implements platform.CallExchange.
+func (x callExchange) Stray() {
+	x.conn.transport.countStray(x.conn.endpoint)
+	x.retire()
+}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -33,8 +33,8 @@
 	closed bool
 	// results holds what the answers to calls over the connection have named.
 	results resultlog.Log
-	// rejected is true once an answer came that is not the one to its request.
-	rejected atomic.Bool
+	// retired is true once the connection must not carry another request.
+	retired atomic.Bool
 	// exchange is the latest one over the connection. It is set with mu held.
 	exchange atomic.Pointer[exchange]
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -9,7 +9,6 @@
 	"net/textproto"
 	"slices"
 	"sync"
-	"sync/atomic"
 
 	"github.com/mangostage/mangostage/internal/bounded"
 	"github.com/mangostage/mangostage/internal/socket"
@@ -21,11 +20,9 @@
 	head *bounded.Head
 	// usedConns are the connections that have carried the request before.
 	usedConns []*endpointConn
-	// settled is closed once the answer is believed, or its connection rejected.
+	// settled is closed once it is decided whether the connection may carry another request.
 	settled chan struct{}
 	settle  sync.Once
-	// settledByCaller is true if the one who called RoundTrip settles the exchange.
-	settledByCaller atomic.Bool
 	// headBytes is about the length of the head in bytes, once it has come.
 	headBytes int
 
@@ -70,7 +67,7 @@
 		return net.ErrClosed
 	case x.begun:
 		return nil
-	case c.rejected.Load() || c.raw != nil && socket.ClosedByPeer(c.raw):
+	case c.retired.Load() || c.raw != nil && socket.ClosedByPeer(c.raw):
 		return net.ErrClosed
 	case slices.Contains(x.usedConns, c):
 		return errConnUsed
@@ -90,16 +87,16 @@
 	}
 }
 
-// believe records that the answer that came is the one to the request. Only the first call of
-// believe or reject has an effect.
-func (x *exchange) believe() { x.settle.Do(func() { close(x.settled) }) }
+// keep settles the exchange: its connection may carry another request. Only the first call of
+// keep or retire has an effect.
+func (x *exchange) keep() { x.settle.Do(func() { close(x.settled) }) }
 
-// reject closes the connection, before another request is written to it: the answer that came is
-// not the one to the request, so that one may still come.
-func (x *exchange) reject() {
+// retire settles the exchange by closing its connection, before another request is written to it:
+// an answer may still come over it that could be taken for the one to that.
+func (x *exchange) retire() {
 	x.settle.Do(func() {
 		if x.conn != nil {
-			x.conn.rejected.Store(true)
+			x.conn.retired.Store(true)
 			_ = x.conn.Close()
 		}
 		close(x.settled)
@@ -116,8 +113,7 @@
 }
 
 // exchange sends a request over another connection than the used ones, which have carried it
-// before, and bounds the head of its answer. The caller settles the exchange: by believe or by
-// reject.
+// before, and bounds the head of its answer. The caller settles the exchange: by keep or retire.
 func (t *Transport) exchange(r *http.Request, used []*endpointConn) (*http.Response, *exchange, error) {
 	if t.BeforeRequest != nil {
 		t.BeforeRequest()
@@ -152,8 +148,8 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	resp, x, err := t.exchange(r, nil)
-	if !x.settledByCaller.Load() {
-		x.believe()
+	if !platform.SetExchange(r.Context(), callExchange{x}) {
+		x.keep()
 	}
 	return resp, err
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -125,7 +125,7 @@
 // as it is sent in out. reused says that it went over a kept connection.
 func (g *Gateway) roundTrip(out *http.Request, req *request, e *catalog.Endpoint) (a *answer, reused bool, err error) {
 	resp, x, err := g.cfg.Transport.exchange(out, req.usedConns)
-	defer x.believe()
+	defer x.keep()
 	req.lastSend = sendRecord{conn: x.use()}
 	switch {
 	case err == nil && x.abandon():
@@ -153,7 +153,7 @@
 	if a.ID != req.ID {
 		// This is a late answer to an earlier request on the connection, or not an answer
 		// to this request at all. Its recipient is unknown, so nobody gets it.
-		x.reject()
+		x.retire()
 		_ = resp.Body.Close()
 		g.recordStray(req, a)
 		return nil, x.reused, errUnknown.New("endpoint %s sent the answer to request %q", e.ID, a.ID)
@@ -164,7 +164,7 @@
 // dropEarlyAnswer closes the connection of an answer that came before a byte of the request was
 // written, and so belongs to no send of it.
 func (g *Gateway) dropEarlyAnswer(req *request, e *catalog.Endpoint, resp *http.Response, x *exchange) error {
-	x.reject()
+	x.retire()
 	_ = resp.Body.Close()
 	g.recordStray(req, &answer{Response: resp, Answer: platform.DecodeAnswer(resp.StatusCode, resp.Header), endpoint: e})
 	return errNotSent.New("endpoint %s sent an answer before the request", e.ID)
--- a/integration/copies/rig_test.go
+++ b/integration/copies/rig_test.go
@@ -82,14 +82,7 @@
 			Seeds: peers, Bounds: harness.GatewayBounds(gatewayGrace),
 		})
 		r.frontends = append(r.frontends, frontend)
-		testwait.For(t, startTimeout, func() bool {
-			resp, err := http.Get("http://" + ready + "/readyz")
-			if err != nil {
-				return false
-			}
-			_ = resp.Body.Close()
-			return resp.StatusCode == http.StatusOK
-		})
+		testwait.For(t, startTimeout, func() bool { return harness.IsReady(ready) })
 	}
 	return r
 }
--- a/integration/gateway_stop_test.go
+++ b/integration/gateway_stop_test.go
@@ -76,14 +76,7 @@
 }
 
 // isReady probes readiness as the platform's load balancer does.
-func (r *stopRig) isReady() bool {
-	resp, err := http.Get("http://" + r.ready + "/readyz")
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
+func (r *stopRig) isReady() bool { return harness.IsReady(r.ready) }
 
 // ran reports whether the engine started to run the request.
 func (r *stopRig) ran(id string) bool {
--- a/integration/stops/rig_test.go
+++ b/integration/stops/rig_test.go
@@ -126,15 +126,7 @@
 }
 
 // isReady checks the readiness of the gateway.
-func (g *gateway) isReady() bool {
-	client := &http.Client{Timeout: probeInterval}
-	resp, err := client.Get("http://" + g.ready + "/readyz")
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
+func (g *gateway) isReady() bool { return harness.IsReady(g.ready) }
 
 // probe checks the gateway's readiness until done is closed, as the balancer does.
 func (g *gateway) probe(done <-chan struct{}) {
--- a/internal/harness/gateway.go
+++ b/internal/harness/gateway.go
@@ -12,8 +12,12 @@
 	"github.com/mangostage/mangostage/platform/standin"
 )
 
-// readHeaderTimeout bounds the wait of a served stand-in for the head of a request.
-const readHeaderTimeout = 30 * time.Second
+const (
+	// readHeaderTimeout bounds the wait of a served stand-in for the head of a request.
+	readHeaderTimeout = 30 * time.Second
+	// probeTimeout bounds a readiness check.
+	probeTimeout = time.Second
+)
 
 // GatewayBounds are the bounds of the platform for gateways under test.
 func GatewayBounds(grace time.Duration) platform.Bounds {
@@ -44,6 +48,18 @@
 		append([]string{"--metrics-port", "0"}, args...), []string{platform.SettingsVariable + "=" + file})
 }
 
+// IsReady reports whether a gateway answers on its readiness address, ready, that it is ready, as
+// the platform's load balancer finds out.
+func IsReady(ready string) bool {
+	client := &http.Client{Timeout: probeTimeout}
+	resp, err := client.Get("http://" + ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // ServeHTTP serves h on a loopback address until the end of the test.
 func ServeHTTP(t testing.TB, h http.Handler) string {
 	t.Helper()
--- a/internal/resultlog/resultlog.go
+++ b/internal/resultlog/resultlog.go
@@ -31,15 +31,15 @@
 }
 
 // Judge returns the verdict on an answer and records it. result is the first result that it names,
-// empty for none, and work identifies all that the latest call asked for.
-func (l *Log) Judge(result, work string) Verdict {
+// empty for none, and work is a hash of all that the latest call asked for.
+func (l *Log) Judge(result string, work uint64) Verdict {
 	if result == "" {
 		return LatestUnmarked
 	}
-	name, asked := xxhash.Sum64String(result), xxhash.Sum64String(work)
+	name := xxhash.Sum64String(result)
 	before, known := l.work[name]
 	switch {
-	case known && before != asked:
+	case known && before != work:
 		return Earlier
 	case known:
 		// An endpoint may name results after their pieces: they are right whichever call made them.
@@ -48,7 +48,7 @@
 	if l.work == nil {
 		l.work = make(map[uint64]uint64)
 	}
-	l.work[name] = asked
+	l.work[name] = work
 	if len(l.work) == maxAnswers {
 		return LatestUnmarked
 	}
--- a/internal/resultlog/resultlog_test.go
+++ b/internal/resultlog/resultlog_test.go
@@ -11,11 +11,11 @@
 // connection that is used on after an answer of which a copy would say nothing.
 func TestJudge(t *testing.T) {
 	var l Log
-	assert.Equal(t, l.Judge("h1", "a"), Latest)
-	assert.Equal(t, l.Judge("h2", "b"), Latest)
-	assert.Equal(t, l.Judge("h1", "c"), Earlier)
-	assert.Equal(t, l.Judge("h2", "b"), LatestUnmarked)
-	assert.Equal(t, l.Judge("", ""), LatestUnmarked)
+	assert.Equal(t, l.Judge("h1", 1), Latest)
+	assert.Equal(t, l.Judge("h2", 2), Latest)
+	assert.Equal(t, l.Judge("h1", 3), Earlier)
+	assert.Equal(t, l.Judge("h2", 2), LatestUnmarked)
+	assert.Equal(t, l.Judge("", 0), LatestUnmarked)
 }
 
 // Guards against a log that grows with the connection, or that forgets an answer of which a copy
@@ -23,7 +23,7 @@
 func TestFullLogEndsItsConnection(t *testing.T) {
 	var l Log
 	for i := 1; i < maxAnswers; i++ {
-		assert.Equal(t, l.Judge(strconv.Itoa(i), "a"), Latest)
+		assert.Equal(t, l.Judge(strconv.Itoa(i), 1), Latest)
 	}
-	assert.Equal(t, l.Judge("0", "a"), LatestUnmarked)
+	assert.Equal(t, l.Judge("0", 1), LatestUnmarked)
 }
