resultlog: a connection's answers take 4 kB at most

A map of 1,024 answers would have taken some 36 kB for each connection to an endpoint of a stage; the owner of a large site's queue has hundreds. 256 answers in a slice; the connection is closed after them, as before.

--- a/internal/resultlog/resultlog.go
+++ b/internal/resultlog/resultlog.go
@@ -4,8 +4,8 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// maxAnswers bounds the answers that a Log holds.
-const maxAnswers = 1024
+// maxAnswers bounds the answers that a Log holds: 4 kB a connection.
+const maxAnswers = 256
 
 // Verdict says to which call an answer belongs.
 type Verdict int
@@ -26,8 +26,13 @@
 // Each answer that a connection carries while it is used names a result that no answer before it
 // has named. So a copy of it names a known result, and an answer without any is no copy.
 type Log struct {
-	// work maps the first result of each answer to the work of its call.
-	work map[uint64]uint64
+	answers []answer
+}
+
+// answer is an answer that named results.
+type answer struct {
+	// result is the first result that it named, work all that its call asked for.
+	result, work uint64
 }
 
 // Judge returns the verdict on an answer and records it. result is the first result that it names,
@@ -36,20 +41,19 @@
 	if result == "" {
 		return LatestUnmarked
 	}
-	name := xxhash.Sum64String(result)
-	before, known := l.work[name]
-	switch {
-	case known && before != work:
-		return Earlier
-	case known:
-		// An endpoint may name results after their pieces: they are right whichever call made them.
-		return LatestUnmarked
-	}
-	if l.work == nil {
-		l.work = make(map[uint64]uint64)
+	latest := answer{result: xxhash.Sum64String(result), work: work}
+	for _, earlier := range l.answers {
+		switch {
+		case earlier == latest:
+			// An endpoint may name results after their pieces: they are right whichever call
+			// made them.
+			return LatestUnmarked
+		case earlier.result == latest.result:
+			return Earlier
+		}
 	}
-	l.work[name] = work
-	if len(l.work) == maxAnswers {
+	l.answers = append(l.answers, latest)
+	if len(l.answers) == maxAnswers {
 		return LatestUnmarked
 	}
 	return Latest
