A stage's answer without results costs no connection by itself

An answer that names no result (a refusal, no piece in time, no room) proves nothing, and the connection was closed after it.

If such an answer was a copy, the call's own answer is the next that comes. It has as many entries as that call had pieces, so it could be taken for the answer to a call for as many pieces only; and an answer to a release of results has none. So the connection goes on, and only a call for as many pieces is not sent over it before another answer has proved that none is due.

--- a/gateway/callexchange.go
+++ b/gateway/callexchange.go
@@ -13,11 +13,11 @@
 func (x callExchange) Use() platform.ConnUse { return x.use() }
 
 // Match implements platform.CallExchange.
-func (x callExchange) Match(result string, work uint64) bool {
-	switch x.conn.results.Judge(result, work) {
+func (x callExchange) Match(result string) bool {
+	switch x.conn.results.Judge(result, resultlog.Call{Pieces: x.work.Pieces, Work: x.work.Hash}) {
 	case resultlog.Latest:
 		x.keep()
-	case resultlog.LatestUnmarked:
+	case resultlog.Last:
 		x.retire()
 	case resultlog.Earlier:
 		x.Stray()
@@ -27,7 +27,10 @@
 }
 
 // Keep implements platform.CallExchange.
-func (x callExchange) Keep() { x.keep() }
+func (x callExchange) Keep() {
+	x.conn.results.Prove()
+	x.keep()
+}
 
 // Discard implements platform.CallExchange.
 func (x callExchange) Discard() { x.retire() }
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -14,8 +14,9 @@
 	// errUnknown means that the request was sent and no usable answer came back, so
 	// that it may have run.
 	errUnknown = errs.NewType("fate_unknown")
-	// errConnUsed means that a connection has carried the request before.
-	errConnUsed = errs.NewType("connection_used").New("the connection has carried the request before")
+	// errConnUsed means that an answer to an earlier request over the connection could be taken
+	// for the one to this.
+	errConnUsed = errs.NewType("connection_used").New("the connection has carried this request, or one like it")
 	// errNoAnswer means that an endpoint sent bytes that are no answer, or are not going to
 	// be one, and that this process gave them up.
 	errNoAnswer = errUnknown.NewSubtype("no_answer")
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -20,6 +20,8 @@
 	head *bounded.Head
 	// usedConns are the connections that have carried the request before.
 	usedConns []*endpointConn
+	// work is what a call to an endpoint of a stage asks for; zero for others.
+	work platform.CallWork
 	// settled is closed once it is decided whether the connection may carry another request.
 	settled chan struct{}
 	settle  sync.Once
@@ -57,7 +59,8 @@
 // beginWrite is called before each write. A request is not written to a connection that the
 // endpoint has closed: it would be unknown whether the request has run. Nor is it written to one
 // that has carried it before: the endpoint may send its answer to the send before once more, and
-// nothing would tell that from the answer to this one.
+// nothing would tell that from the answer to this one. The same goes for a call to which the answer
+// to an earlier one may come.
 func (x *exchange) beginWrite(c *endpointConn) error {
 	x.awaitPrevious()
 	x.mu.Lock()
@@ -69,7 +72,7 @@
 		return nil
 	case c.retired.Load() || c.raw != nil && socket.ClosedByPeer(c.raw):
 		return net.ErrClosed
-	case slices.Contains(x.usedConns, c):
+	case slices.Contains(x.usedConns, c) || !c.results.Allows(x.work.Pieces):
 		return errConnUsed
 	}
 	x.begun = true
@@ -113,13 +116,14 @@
 }
 
 // exchange sends a request over another connection than the used ones, which have carried it
-// before, and bounds the head of its answer. The caller settles the exchange: by keep or retire.
-func (t *Transport) exchange(r *http.Request, used []*endpointConn) (*http.Response, *exchange, error) {
+// before, and bounds the head of its answer. work is what a call to an endpoint of a stage asks
+// for. The caller settles the exchange: by keep or retire.
+func (t *Transport) exchange(r *http.Request, used []*endpointConn, work platform.CallWork) (*http.Response, *exchange, error) {
 	if t.BeforeRequest != nil {
 		t.BeforeRequest()
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
-	x := &exchange{head: bounded.NewHead(cancel), usedConns: used, settled: make(chan struct{})}
+	x := &exchange{head: bounded.NewHead(cancel), usedConns: used, work: work, settled: make(chan struct{})}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, x.trace())))
 	x.headBytes = x.head.End()
 	if err != nil {
@@ -147,10 +151,14 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, x, err := t.exchange(r, nil)
-	if !platform.SetExchange(r.Context(), callExchange{x}) {
+	call := platform.CallOf(r.Context())
+	if call == nil {
+		resp, x, err := t.exchange(r, nil, platform.CallWork{})
 		x.keep()
+		return resp, err
 	}
+	resp, x, err := t.exchange(r, nil, call.Work)
+	call.Exchange = callExchange{x}
 	return resp, err
 }
 
