gateway: a request waits for the one before on its connection only while it is wanted

An endpoint of a stage that redirects a call: the HTTP client sends the call again, and the first exchange was settled by nobody, so the next request over its connection waited for ever; net/http waits for the writer even when the request is given up. TestRedirectedStageCallHoldsNoConnection hung for ten minutes before. The first exchange of a call is settled when it is sent again, and the wait ends with the request, of which nothing is written then.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -22,6 +22,8 @@
 	usedConns []*endpointConn
 	// work is what a call to an endpoint of a stage asks for; zero for others.
 	work platform.CallWork
+	// done is closed once the exchange is given up.
+	done <-chan struct{}
 	// settled is closed once it is decided whether the connection may carry another request.
 	settled chan struct{}
 	settle  sync.Once
@@ -62,7 +64,9 @@
 // nothing would tell that from the answer to this one. The same goes for a call to which the answer
 // to an earlier one may come.
 func (x *exchange) beginWrite(c *endpointConn) error {
-	x.awaitPrevious()
+	if !x.awaitPrevious() {
+		return net.ErrClosed
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	switch {
@@ -79,14 +83,26 @@
 	return nil
 }
 
-// awaitPrevious waits until the answer to the request before on the connection is settled. An
-// answer without a body frees its connection before it has been looked at.
-func (x *exchange) awaitPrevious() {
+// awaitPrevious waits until the exchange before on the connection is settled, and reports whether
+// it is: false if this one is given up first. An answer without a body frees its connection before
+// it has been looked at.
+func (x *exchange) awaitPrevious() bool {
 	x.mu.Lock()
 	previous := x.previous
 	x.mu.Unlock()
-	if previous != nil {
-		<-previous
+	if previous == nil {
+		return true
+	}
+	select {
+	case <-previous:
+		return true
+	case <-x.done:
+	}
+	select {
+	case <-previous:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -123,7 +139,7 @@
 		t.BeforeRequest()
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
-	x := &exchange{head: bounded.NewHead(cancel), usedConns: used, work: work, settled: make(chan struct{})}
+	x := &exchange{head: bounded.NewHead(cancel), usedConns: used, work: work, done: ctx.Done(), settled: make(chan struct{})}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, x.trace())))
 	x.headBytes = x.head.End()
 	if err != nil {
@@ -157,6 +173,10 @@
 		x.keep()
 		return resp, err
 	}
+	// A call that is redirected is sent a second time.
+	call.Exchange.Discard()
+	// A call that is redirected is sent a second time.
+	call.Exchange.Discard()
 	resp, x, err := t.exchange(r, nil, call.Work)
 	call.Exchange = callExchange{x}
 	return resp, err
--- a/gateway/stage_copy_test.go
+++ b/gateway/stage_copy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -184,3 +185,28 @@
 	defer mu.Unlock()
 	assert.Equal(t, len(conns), 1)
 }
+
+// Guards against an endpoint that redirects a call, and a connection on which the next call then
+// waits for ever.
+func TestRedirectedStageCallHoldsNoConnection(t *testing.T) {
+	t.Parallel()
+	stage := &standin.StageEndpoint{ID: "s-1", Addr: "s"}
+	redirects := 0
+	addr := serve(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if redirects++; redirects == 1 {
+			http.Redirect(w, req, "/stage-run", http.StatusTemporaryRedirect)
+			return
+		}
+		stage.ServeHTTP(w, req)
+	}))
+	transport := gateway.NewTransport()
+	defer transport.CloseIdleConnections()
+	client := platform.NewStageClient(&http.Client{Transport: transport})
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	for i := range 3 {
+		_, _ = client.Run(ctx, "s-1", addr, []platform.Piece{{Request: fmt.Sprint(i), Remaining: time.Second}})
+	}
+	assert.NilError(t, ctx.Err())
+	assert.Equal(t, len(stage.CompletedPieces()), 3)
+}
