--- a/gateway/late_copy_test.go
+++ b/gateway/late_copy_test.go
@@ -28,12 +28,11 @@
 	// copies is how often it sends a refusal again at most, for each request.
 	copies int
 
-	mu       sync.Mutex
-	arrivals map[string]int
-	carried  map[net.Conn]map[string]bool
-	runs     map[string]int
-	// sent counts the refusals that were sent again.
-	sent int
+	mu sync.Mutex
+	// arrivals and runs count by request; carried holds the requests that each connection has
+	// brought first.
+	arrivals, runs map[string]int
+	carried        map[net.Conn]map[string]bool
 }
 
 func (e *copyingEngine) answer(w rawWriter, id string) {
@@ -51,7 +50,6 @@
 	}
 	e.runs[id]++
 	if e.carried[w.conn][id] && e.arrivals[id] <= 1+e.copies {
-		e.sent++
 		w.send(refusal)
 	}
 	body := streamBody(2)
