--- a/gateway/callexchange.go
+++ b/gateway/callexchange.go
@@ -12,8 +12,13 @@
 // Use implements platform.CallExchange.
 func (x callExchange) Use() platform.ConnUse { return x.use() }
 
-// Match implements platform.CallExchange.
+// Match implements platform.CallExchange. An answer that came before a byte of the call was written
+// is not the one to it.
 func (x callExchange) Match(result string) bool {
+	if x.abandon() {
+		x.Stray()
+		return false
+	}
 	switch x.conn.results.Judge(result, resultlog.Call{Pieces: x.work.Pieces, Work: x.work.Hash}) {
 	case resultlog.Latest:
 		x.keep()
@@ -27,9 +32,14 @@
 }
 
 // Keep implements platform.CallExchange.
-func (x callExchange) Keep() {
+func (x callExchange) Keep() bool {
+	if x.abandon() {
+		x.Stray()
+		return false
+	}
 	x.conn.results.Prove()
 	x.keep()
+	return true
 }
 
 // Discard implements platform.CallExchange.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -175,8 +175,6 @@
 	}
 	// A call that is redirected is sent a second time.
 	call.Exchange.Discard()
-	// A call that is redirected is sent a second time.
-	call.Exchange.Discard()
 	resp, x, err := t.exchange(r, nil, call.Work)
 	call.Exchange = callExchange{x}
 	return resp, err
