--- a/integration/copies/copies_test.go
+++ b/integration/copies/copies_test.go
@@ -81,7 +81,7 @@
 	req.Header.Set("Mangostage-Deadline-Ms", "5000")
 	req.Header.Set("Authorization", "Token k1")
 	if route == "staged" {
-		req.Header.Set("Mangostage-Segments", fmt.Sprint(segments))
+		req.Header.Set("Mangostage-Segments", fmt.Sprint(pieces))
 		req.Header.Set("Mangostage-Segment-Key", "k-"+id)
 	}
 	resp, err := client.Do(req)
--- a/integration/copies/rig_test.go
+++ b/integration/copies/rig_test.go
@@ -31,16 +31,16 @@
 const (
 	gatewayGrace = 8 * time.Second
 	startTimeout = 30 * time.Second
-	// refusedAtFirst is how many endpoints refuse a request that comes to them first.
-	refusedAtFirst = 1
-	segments       = 3
-	streamEvents   = 3
-	runTime        = 5 * time.Millisecond
-	clientTimeout  = 10 * time.Second
+	// refusals is how often a request is refused.
+	refusals = 1
+	// pieces is the number of pieces of a staged request, streamEvents that of a stream's events.
+	pieces        = 3
+	streamEvents  = 3
+	runTime       = 5 * time.Millisecond
+	clientTimeout = 10 * time.Second
 )
 
-// rig is gateways before endpoints that refuse each request once, fail some of the others, and
-// send answers a second time.
+// rig is gateways before endpoints that refuse each request once and send answers a second time.
 type rig struct {
 	t         *testing.T
 	frontends []string
@@ -129,7 +129,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refused[request]++
-	return r.refused[request] <= refusedAtFirst
+	return r.refused[request] <= refusals
 }
 
 // run records a run and answers it.
