platform, resultlog: what a call asks for is one type

platform.CallWork and resultlog.Call were one concept under two names. No change of behaviour; the tests of platform, resultlog, integration/copies and those of copies and stages in gateway pass.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"sync"
 
 	"github.com/mangostage/mangostage/internal/bounded"
+	"github.com/mangostage/mangostage/internal/resultlog"
 	"github.com/mangostage/mangostage/internal/socket"
 	"github.com/mangostage/mangostage/platform"
 )
@@ -21,7 +22,7 @@
 	// usedConns are the connections that have carried the request before.
 	usedConns []*endpointConn
 	// work is what a call to an endpoint of a stage asks for; zero for others.
-	work platform.CallWork
+	work resultlog.Call
 	// done is closed once the exchange is given up.
 	done <-chan struct{}
 	// settled is closed once it is decided whether the connection may carry another request.
@@ -134,7 +135,7 @@
 // exchange sends a request over another connection than the used ones, which have carried it
 // before, and bounds the head of its answer. work is what a call to an endpoint of a stage asks
 // for. The caller settles the exchange: by keep or retire.
-func (t *Transport) exchange(r *http.Request, used []*endpointConn, work platform.CallWork) (*http.Response, *exchange, error) {
+func (t *Transport) exchange(r *http.Request, used []*endpointConn, work resultlog.Call) (*http.Response, *exchange, error) {
 	if t.BeforeRequest != nil {
 		t.BeforeRequest()
 	}
@@ -169,7 +170,7 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	call := platform.CallOf(r.Context())
 	if call == nil {
-		resp, x, err := t.exchange(r, nil, platform.CallWork{})
+		resp, x, err := t.exchange(r, nil, resultlog.Call{})
 		x.keep()
 		return resp, err
 	}
--- a/internal/resultlog/resultlog.go
+++ b/internal/resultlog/resultlog.go
@@ -48,7 +48,7 @@
 
 // Call is what a call asks for.
 type Call struct {
-	// Pieces is the number of pieces, Work a hash of them.
+	// Pieces is the number of pieces; 0 for a release of results. Work is a hash of them.
 	Pieces int
 	Work   uint64
 }
