--- a/integration/crash/crash_test.go
+++ b/integration/crash/crash_test.go
@@ -183,10 +183,12 @@
 
 // powerLoss crashes the first n endpoints of a service, at an interval.
 func (r *crashRig) powerLoss(service string, n int, interval time.Duration) {
+	began := time.Now()
 	for _, e := range r.endpoints[service][:n] {
 		r.crash(e)
 		waitUntil(time.Now(), interval)
 	}
+	r.t.Logf("%d endpoints of %s lost power within %v", n, service, time.Since(began))
 }
 
 // Guards against callers who are refused in the calm after endpoints have lost power
--- a/integration/crash/part_innocent_test.go
+++ b/integration/crash/part_innocent_test.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"sync"
@@ -22,6 +23,20 @@
 		}
 	}
 	assert.Check(r.t, refused == 0, "%d of %d requests refused", refused, len(outcomes))
+	if refused > 0 {
+		r.logPartStandings()
+	}
+}
+
+// logPartStandings logs what the gateways said of the standing of parts.
+func (r *crashRig) logPartStandings() {
+	for _, m := range r.members {
+		for line := range bytes.Lines(m.Log()) {
+			if bytes.Contains(line, []byte(`"part_standing"`)) {
+				r.t.Logf("%s: %s", m.Name, bytes.TrimSpace(line))
+			}
+		}
+	}
 }
 
 // Guards against parts that are refused because endpoints lost power under them: all, some
--- a/quarantine/part/changes.go
+++ b/quarantine/part/changes.go
@@ -14,6 +14,8 @@
 	// that are blamed for the same ones.
 	Endpoints []string
 	Others    []ID
+	// Spread is the time from the first to the last of the crashes that count against the part.
+	Spread time.Duration
 	// AnsweredAgo is the time since the part was last answered; 0 if it never was, as far as is
 	// known.
 	AnsweredAgo time.Duration
@@ -79,7 +81,11 @@
 	if s == nil {
 		return c
 	}
-	left := t.findingsLocked(id, s).left
+	f := t.findingsLocked(id, s)
+	left := f.left
+	if n := len(f.counted); n > 0 {
+		c.Spread = f.counted[n-1].at.Sub(f.counted[0].at)
+	}
 	for _, e := range left {
 		c.Endpoints = append(c.Endpoints, e.key)
 	}
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -159,7 +159,7 @@
 		c.Counters.Add(logPartStanding+" "+now, 1)
 		c.log.Warn().Str("event", logPartStanding).Stringer("part", change.Part).Str("was", was).Str("now", now).
 			Int("crashes", len(change.Endpoints)).Strs("endpoints", change.Endpoints).Strs("blamed_with", part.Texts(change.Others)).
-			Dur("answered_ago_ms", change.AnsweredAgo).Dur("trial_in_ms", change.TrialIn).Str("from", from).
+			Dur("spread_ms", change.Spread).Dur("answered_ago_ms", change.AnsweredAgo).Dur("trial_in_ms", change.TrialIn).Str("from", from).
 			Msg("the standing of a part of prompts has changed")
 		if !change.Blamed {
 			continue
