gateway: a connection that its endpoint has closed proves nothing, also unread

Streams that are taken up believe an entry because an older connection to its process is open. A process that has just ended counted as serving until a goroutine had read the end of that connection.

The socket is asked. TestUnreadEndOfAConnectionIsNoService: a connection that nobody reads; without the change the process serves for ever (by reading: nothing else takes the connection from the table).

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/internal/resultlog"
+	"github.com/mangostage/mangostage/internal/socket"
 )
 
 // endpointConn is a connection to an endpoint.
@@ -121,6 +122,10 @@
 	return c.Conn.Close()
 }
 
+// endedByPeer reports whether the endpoint has closed the connection, which may not have been read
+// yet.
+func (c *endpointConn) endedByPeer() bool { return c.raw != nil && socket.ClosedByPeer(c.raw) }
+
 // isStale reports whether the process at the other end has ended: another one
 // serves under its ID and started after the connection was opened. A younger
 // connection leads to the new process already, although the old one was listed when
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -12,7 +12,6 @@
 
 	"github.com/mangostage/mangostage/internal/bounded"
 	"github.com/mangostage/mangostage/internal/resultlog"
-	"github.com/mangostage/mangostage/internal/socket"
 	"github.com/mangostage/mangostage/platform"
 )
 
@@ -75,7 +74,7 @@
 		return net.ErrClosed
 	case x.begun:
 		return nil
-	case c.retired.Load() || c.raw != nil && socket.ClosedByPeer(c.raw):
+	case c.retired.Load() || c.endedByPeer():
 		return net.ErrClosed
 	case slices.Contains(x.usedConns, c) || !c.results.Allows(x.work.Pieces):
 		return errConnUsed
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -136,7 +136,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.conns {
-		if c.opened.Before(before) && c.endpoint != nil && c.endpoint.Key() == key {
+		if c.opened.Before(before) && c.endpoint != nil && c.endpoint.Key() == key && !c.endedByPeer() {
 			return true
 		}
 	}
