discovery: it is known that the store does not answer

Two calls in a row by which the view was to be confirmed have failed: from then on one caller at a time waits for the next, and the others can be told. Nothing uses it yet. TestSilenceOfTheStoreIsKnown.

--- a/discovery/asof.go
+++ b/discovery/asof.go
@@ -12,7 +12,13 @@
 }
 
 // advanceAsOf notes that the state has all changes as of a time. f.mu must be held.
-func (f *Follower) advanceAsOf(t time.Time) { f.asOf = later(f.asOf, t) }
+func (f *Follower) advanceAsOf(t time.Time) {
+	if t.After(f.asOf) {
+		f.asOf = t
+		f.unconfirmed.Store(0)
+		f.silentUntil.Store(0)
+	}
+}
 
 // asOfSince returns how long after a time AsOf is; 0 if that is not known.
 func (b Batch) asOfSince(t time.Time) time.Duration {
--- a/discovery/confirm.go
+++ b/discovery/confirm.go
@@ -14,6 +14,11 @@
 	confirmRetryInterval = 300 * time.Millisecond
 	// confirmTimeout bounds such a call.
 	confirmTimeout = 500 * time.Millisecond
+	// silentFrom is the number of calls in a row from which the store is silent: one answer may
+	// get lost.
+	silentFrom = 2
+	// silentTime is how long StoreSilent leaves it to one caller to confirm the view.
+	silentTime = confirmRetryInterval + confirmTimeout
 )
 
 // Confirm makes sure that this process has all changes as of t, and reports whether it has by
@@ -47,8 +52,12 @@
 	if !sleep.Until(ctx, f.nextConfirm) {
 		return false
 	}
-	f.nextConfirm = time.Now().Add(confirmInterval)
+	asked := time.Now()
+	f.nextConfirm = asked.Add(confirmInterval)
 	answered := !f.At().IsZero() && f.confirm(ctx)
+	if !answered && (ctx.Err() == nil || time.Since(asked) >= confirmRetryInterval) {
+		f.noteUnconfirmed()
+	}
 	if ctx.Err() != nil {
 		return false
 	}
@@ -58,6 +67,27 @@
 	return true
 }
 
+// noteUnconfirmed notes that a call by which the view was to be confirmed has failed.
+func (f *Follower) noteUnconfirmed() {
+	if f.unconfirmed.Add(1) >= silentFrom {
+		f.silentUntil.Store(time.Now().Add(confirmRetryInterval).UnixNano())
+	}
+}
+
+// StoreSilent reports whether the latest calls by which the view was to be confirmed have failed.
+// Once in a while it reports false to one caller, which is to confirm the view.
+func (f *Follower) StoreSilent() bool {
+	now := time.Now()
+	until := f.silentUntil.Load()
+	switch {
+	case until == 0:
+		return false
+	case now.UnixNano() < until:
+		return true
+	}
+	return !f.silentUntil.CompareAndSwap(until, now.Add(silentTime).UnixNano())
+}
+
 // confirm reads from the store what has changed. It reports whether the store answered.
 func (f *Follower) confirm(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
--- a/discovery/confirm_test.go
+++ b/discovery/confirm_test.go
@@ -58,3 +58,27 @@
 	silent.Store(false)
 	testwait.For(t, patience, func() bool { return f.Confirm(context.Background(), cut) })
 }
+
+// Guards against callers that all wait in vain for a store that is known not to answer, and
+// against a silence that is known for longer than it lasts.
+func TestSilenceOfTheStoreIsKnown(t *testing.T) {
+	t.Parallel()
+	store := standin.NewStore()
+	putConfig(store, 1)
+	f := followers(t, store)["reader"]
+	var silent atomic.Bool
+	store.SetBeforeCall(func(string) bool { return !silent.Load() })
+	silent.Store(true)
+	confirms := func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*applyBound)
+		defer cancel()
+		return f.Confirm(ctx, time.Now().Add(applyBound))
+	}
+	assert.Assert(t, !f.StoreSilent())
+	testwait.For(t, patience, func() bool { return !confirms() && f.StoreSilent() })
+	testwait.For(t, patience, func() bool { return !f.StoreSilent() })
+	assert.Assert(t, f.StoreSilent(), "it is left to more than one caller to ask")
+	silent.Store(false)
+	testwait.For(t, patience, confirms)
+	assert.Assert(t, !f.StoreSilent())
+}
--- a/discovery/follower.go
+++ b/discovery/follower.go
@@ -123,6 +123,10 @@
 	// guards, is when the store may be asked next.
 	confirming  chan struct{}
 	nextConfirm time.Time
+	// unconfirmed counts the latest calls in a row by which the view could not be confirmed,
+	// silentUntil is until when the store is known not to answer, in Unix nanoseconds, or 0.
+	unconfirmed atomic.Int32
+	silentUntil atomic.Int64
 	// onWake are called after a pause, before anything is read.
 	onWake []func()
 }
