origin: another member vouches for the process that a stream goes on at

What other gateways know was not asked.

Change: if the store does not answer, the other members are asked. One vouches by a connection to that process that is older than what its own view is sure to have and than the one in question, and still open, or by a view that is in step. While the store is known not to answer they are asked before anything is waited for. Not at another version stays first: without either nothing is believed.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -127,7 +127,7 @@
 	g.follower.OnWake(g.quarantine.BeCautious)
 	g.origins = origin.NewClient(origin.Config{
 		Fleet: g.fleet, View: g.follower.View, SeenSince: g.follower.SeenSince, AsOf: g.follower.AsOf,
-		Confirm: g.follower.Confirm, Log: g.log,
+		Confirm: g.follower.Confirm, StoreSilent: g.follower.StoreSilent, Serves: toEndpoints.ServesSince, Log: g.log,
 	})
 	origin.Serve(mux, g.origins)
 	g.scheduler = scheduler.New(p.Name, stages, g.quotas.Table(), g.backoffs, g.quarantine, g.signals, g.log)
--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -230,15 +230,14 @@
 	req.proof = origin.Proof{}
 }
 
-// proves waits until the view is sure to have the entry of the process that sent the request an
-// answer, and reports whether that is known to have had the version of the origin.
+// proves finds out whether the process that sent the request an answer is known to have had the
+// version of the origin.
 func (g *Gateway) proves(req *request, proof origin.Proof, o origin.Origin) bool {
 	began := time.Now()
-	sure := !req.unproved && g.cfg.Origins.Await(req.ctx, proof)
-	req.unproved = !sure
+	sure, asked := g.cfg.Origins.Prove(req.ctx, proof)
 	holds := sure && proof.Holds(g.cfg.View(), o)
 	g.cfg.Log.Info().Str("event", logOriginProved).Str("request", req.ID).Str("endpoint", proof.Endpoint).
-		Str("version", o.Version).Bool("sure", sure).Bool("holds", holds).Dur("connection_age_ms", time.Since(proof.Opened)).
+		Str("version", o.Version).Bool("sure", sure).Bool("asked", asked).Bool("holds", holds).Dur("connection_age_ms", time.Since(proof.Opened)).
 		Dur("took_ms", time.Since(began)).Msg("an endpoint's version over a young connection")
 	return holds
 }
--- a/integration/streams/rig_test.go
+++ b/integration/streams/rig_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,8 +39,8 @@
 	store     *standin.Store
 	storeAddr string
 	members   []*member
-	// pace is the time that an endpoint takes for an event.
-	pace time.Duration
+	// pace is the time that an endpoint takes for an event, in nanoseconds.
+	pace atomic.Int64
 
 	mu        sync.Mutex
 	endpoints map[string]*endpoint
@@ -96,7 +97,8 @@
 
 func newRig(t *testing.T, pace time.Duration) *rig {
 	t.Helper()
-	r := &rig{t: t, store: standin.NewStore(), pace: pace, endpoints: make(map[string]*endpoint), broken: make(map[string]bool)}
+	r := &rig{t: t, store: standin.NewStore(), endpoints: make(map[string]*endpoint), broken: make(map[string]bool)}
+	r.pace.Store(int64(pace))
 	r.storeAddr = harness.ServeHTTP(t, r.store)
 	r.store.Put(platform.KeyConfig, []byte(streamConfig))
 	return r
@@ -224,7 +226,7 @@
 		if _, err := u.Write([]byte(eventText(i, version))); err != nil {
 			break
 		}
-		waitFor(r.pace)
+		waitFor(time.Duration(r.pace.Load()))
 	}
 	if breaks && b.reset {
 		u.Reset()
--- a/origin/client.go
+++ b/origin/client.go
@@ -53,7 +53,12 @@
 	// Confirm makes sure that View has all changes as of a time, and reports whether it has by
 	// the end of the context. It notices a pause of the process first.
 	Confirm func(ctx context.Context, t time.Time) bool
-	Log     zerolog.Logger
+	// StoreSilent reports whether Confirm is known to fail now; nil for never.
+	StoreSilent func() bool
+	// Serves reports whether a connection of this process to the one of an endpoint, by its
+	// Key, is open that was opened before a time; nil if there is none.
+	Serves func(endpoint string, before time.Time) bool
+	Log    zerolog.Logger
 }
 
 // Client records where streams begin at this process, tells other members, and finds the
@@ -76,6 +81,12 @@
 
 // NewClient returns a client that knows nothing.
 func NewClient(cfg Config) *Client {
+	if cfg.StoreSilent == nil {
+		cfg.StoreSilent = func() bool { return false }
+	}
+	if cfg.Serves == nil {
+		cfg.Serves = func(string, time.Time) bool { return false }
+	}
 	c := &Client{cfg: cfg, table: NewTable(), history: NewHistory(), Counters: new(expvar.Map).Init()}
 	c.outbox.wake = make(chan struct{}, 1)
 	return c
@@ -89,6 +100,9 @@
 	peer.HandleCall(mux, MethodAsk, func(ctx context.Context, _ *peer.Conn, call askCall) (askReply, error) {
 		return c.answer(ctx, time.Now(), call), nil
 	})
+	peer.HandleCall(mux, MethodVouch, func(ctx context.Context, _ *peer.Conn, p toldProof) (vouchReply, error) {
+		return vouchReply{Vouches: c.vouches(ctx, p.proof(time.Now()))}, nil
+	})
 	peer.HandleCall(mux, MethodPast, func(ctx context.Context, _ *peer.Conn, _ struct{}) (past, error) {
 		return c.tellPast(ctx), nil
 	})
--- a/origin/find.go
+++ b/origin/find.go
@@ -75,7 +75,7 @@
 // settled returns the origin once it is known whether to believe it: the member that began the
 // stream tells, or else this process looks.
 func (c *Client) settled(ctx context.Context, s Stream, f Finding) (Origin, Verdict) {
-	sure := c.Await(ctx, f.proof)
+	sure := c.Await(ctx, f.proof) || c.serves(f.proof) || c.askVouchers(ctx, f.proof, askTimeout)
 	if r, ok := c.table.Find(time.Now(), s); ok && r.Proof.IsZero() {
 		return r.Origin, Known
 	}
--- a/origin/lognames.go
+++ b/origin/lognames.go
@@ -9,6 +9,8 @@
 	countTold         = "told"
 	countToldMessages = "told_messages"
 	countToldLost     = "told_in_vain"
-	// countAsked counts the calls to other members.
-	countAsked = "asked"
+	// countAsked counts the calls to other members for streams, countAskedVouch those for the
+	// processes of endpoints.
+	countAsked      = "asked"
+	countAskedVouch = "asked_vouch"
 )
--- a/origin/messages.go
+++ b/origin/messages.go
@@ -7,9 +7,10 @@
 
 // Methods between processes.
 const (
-	MethodTell = "origin.tell"
-	MethodAsk  = "origin.ask"
-	MethodPast = "origin.past"
+	MethodTell  = "origin.tell"
+	MethodAsk   = "origin.ask"
+	MethodPast  = "origin.past"
+	MethodVouch = "origin.vouch"
 )
 
 // maxTold bounds the streams of one message.
@@ -38,6 +39,11 @@
 	return Proof{Endpoint: t.Endpoint, Opened: now.Add(-t.Age)}
 }
 
+// vouchReply is the answer whether the process of a Proof is the one that the list names.
+type vouchReply struct {
+	Vouches bool `json:"vouches,omitempty"`
+}
+
 // told are streams of one origin.
 type told struct {
 	Origin
