--- a/gateway/origins.go
+++ b/gateway/origins.go
@@ -234,7 +234,8 @@
 // version of the origin.
 func (g *Gateway) proves(req *request, proof origin.Proof, o origin.Origin) bool {
 	began := time.Now()
-	sure, asked := g.cfg.Origins.Prove(req.ctx, proof)
+	sure, asked := g.cfg.Origins.Prove(req.ctx, proof, !req.unproved)
+	req.unproved = req.unproved || !sure || asked
 	holds := sure && proof.Holds(g.cfg.View(), o)
 	g.cfg.Log.Info().Str("event", logOriginProved).Str("request", req.ID).Str("endpoint", proof.Endpoint).
 		Str("version", o.Version).Bool("sure", sure).Bool("asked", asked).Bool("holds", holds).Dur("connection_age_ms", time.Since(proof.Opened)).
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -75,6 +75,9 @@
 	lifetime time.Duration
 	// proof is what has to be looked at before the origin is believed.
 	proof origin.Proof
+	// unproved is true once the view could not be confirmed for the request: it does not wait
+	// for that again.
+	unproved bool
 }
 
 // admit decodes a request and finds its route, service and client account.
--- a/origin/serves.go
+++ b/origin/serves.go
@@ -8,23 +8,25 @@
 )
 
 // Prove reports whether the entry in the view is that of the process of a Proof, or of a later one:
-// as Await does, or by what other members know. These are asked at once while the store is known
-// not to answer this process, else after Await; asked says that it was them who knew.
-func (c *Client) Prove(ctx context.Context, p Proof) (sure, asked bool) {
-	wait := askTimeout
+// as Await does if mayWait is true, or by what other members know. These are asked at once while
+// the store is known not to answer this process, else after Await; asked says that it was them who
+// knew.
+func (c *Client) Prove(ctx context.Context, p Proof, mayWait bool) (sure, asked bool) {
+	timeout := askTimeout
 	switch {
+	case !mayWait:
 	case c.cfg.StoreSilent():
-		wait = settleTime + proofTimeout
+		timeout = settleTime + proofTimeout
 	case c.Await(ctx, p):
 		return true, false
 	}
-	sure = c.serves(p) || c.askVouchers(ctx, p, wait)
+	sure = c.serves(p) || c.askVouchers(ctx, p, timeout)
 	return sure, sure
 }
 
 // askVouchers asks all other members at the same time whether they vouch for the process of a Proof.
-func (c *Client) askVouchers(ctx context.Context, p Proof, wait time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, wait)
+func (c *Client) askVouchers(ctx context.Context, p Proof, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	keepers := c.currentKeepers()
 	vouched := make(chan bool, len(keepers))
