--- a/discovery/confirm_test.go
+++ b/discovery/confirm_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mangostage/mangostage/discovery"
 	"github.com/mangostage/mangostage/internal/testwait"
 	"github.com/mangostage/mangostage/platform/standin"
 )
@@ -40,16 +41,23 @@
 	}
 }
 
-// Guards against a member that is cut off from the store and says, before it notices, that its
-// view has all changes.
-func TestViewOfASilentStoreIsNotConfirmed(t *testing.T) {
-	t.Parallel()
+// silencedReader returns a process that has read the store, which does not answer it as long as
+// silent is true.
+func silencedReader(t *testing.T) (f *discovery.Follower, silent *atomic.Bool) {
+	t.Helper()
 	store := standin.NewStore()
 	putConfig(store, 1)
-	f := followers(t, store)["reader"]
-	var silent atomic.Bool
+	f, silent = followers(t, store)["reader"], new(atomic.Bool)
 	store.SetBeforeCall(func(string) bool { return !silent.Load() })
 	silent.Store(true)
+	return f, silent
+}
+
+// Guards against a member that is cut off from the store and says, before it notices, that its
+// view has all changes.
+func TestViewOfASilentStoreIsNotConfirmed(t *testing.T) {
+	t.Parallel()
+	f, silent := silencedReader(t)
 	// A watch under way may still be answered.
 	cut := time.Now().Add(2 * applyBound)
 	ctx, cancel := context.WithTimeout(context.Background(), 3*applyBound)
@@ -63,12 +71,7 @@
 // against a silence that is known for longer than it lasts.
 func TestSilenceOfTheStoreIsKnown(t *testing.T) {
 	t.Parallel()
-	store := standin.NewStore()
-	putConfig(store, 1)
-	f := followers(t, store)["reader"]
-	var silent atomic.Bool
-	store.SetBeforeCall(func(string) bool { return !silent.Load() })
-	silent.Store(true)
+	f, silent := silencedReader(t)
 	confirms := func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*applyBound)
 		defer cancel()
