--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -131,6 +131,7 @@
 	})
 	origin.Serve(mux, g.origins)
 	g.scheduler = scheduler.New(p.Name, stages, g.quotas.Table(), g.backoffs, g.quarantine, g.signals, g.log)
+	g.scheduler.SetCores(p.Cores)
 	if g.options.QueueShares {
 		g.scheduler.ShareAmongAccounts()
 	}
--- a/load/usage.go
+++ b/load/usage.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/mangostage/mangostage/internal/cputime"
 )
 
 // loadAverageFile has the machine's load averages on Linux.
@@ -19,7 +21,7 @@
 }
 
 func startUsage() usageMeter {
-	return usageMeter{start: time.Now(), cpuTime: processCPUTime(), load: loadAverage()}
+	return usageMeter{start: time.Now(), cpuTime: cputime.Used(), load: loadAverage()}
 }
 
 // usageResult is the result of a usageMeter. cores is the mean number of cores
@@ -31,7 +33,7 @@
 
 func (u usageMeter) stop() usageResult {
 	return usageResult{
-		cores:     fraction(float64(processCPUTime()-u.cpuTime), float64(time.Since(u.start))),
+		cores:     fraction(float64(cputime.Used()-u.cpuTime), float64(time.Since(u.start))),
 		loadStart: u.load,
 		loadEnd:   loadAverage(),
 	}
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/mangostage/mangostage/dispatch"
+	"github.com/mangostage/mangostage/internal/cputime"
 )
 
 // eventKind is a kind of event that the core handles.
@@ -43,8 +44,21 @@
 	// RunDelay is the moving average of the time for which a goroutine that is ready waits
 	// for the processor.
 	RunDelay time.Duration `json:"run_delay"`
+	// Processor is the processor time used since the start, Cores what the process gets.
+	Processor time.Duration `json:"processor"`
+	Cores     float64       `json:"cores,omitempty"`
 }
 
+// processorUse is the processor time that this process has used since its start.
+type processorUse struct {
+	// All is the whole, GC the part of garbage collection as of the latest one. Neither counts
+	// time in which the host was busy with others, unlike the run delay.
+	All, GC time.Duration
+}
+
+// readProcessorUse returns the processor time used so far.
+func readProcessorUse() processorUse { return processorUse{All: cputime.Used(), GC: cputime.GC()} }
+
 // summaryInterval is the interval of the lines that sum up what the queue's owner does.
 const summaryInterval = time.Second
 
@@ -55,9 +69,11 @@
 type load struct {
 	events   map[eventKind]EventStats
 	runDelay time.Duration
-	// loggedAt is when the last summary was logged, logged the events until then.
+	// loggedAt is when the last summary was logged, logged the events and used the processor time
+	// until then.
 	loggedAt time.Time
 	logged   map[eventKind]EventStats
+	used     processorUse
 }
 
 func newLoad() load { return load{events: make(map[eventKind]EventStats)} }
@@ -83,8 +99,8 @@
 	return time.Since(began)
 }
 
-// since returns the events since the last summary, and begins the next one.
-func (l *load) since(now time.Time) map[eventKind]EventStats {
+// since returns the events and the processor time since the last summary, and begins the next one.
+func (l *load) since(now time.Time, used processorUse) (map[eventKind]EventStats, processorUse) {
 	since := make(map[eventKind]EventStats, len(l.events))
 	for kind, e := range l.events {
 		before := l.logged[kind]
@@ -93,15 +109,19 @@
 			since[kind] = e
 		}
 	}
-	l.loggedAt, l.logged = now, maps.Clone(l.events)
-	return since
+	before := l.used
+	l.loggedAt, l.logged, l.used = now, maps.Clone(l.events), used
+	return since, processorUse{All: used.All - before.All, GC: used.GC - before.GC}
 }
 
 // summary is what the owner of the queue did since the last one, and the state of its queues.
 type summary struct {
 	stats    dispatch.Stats
 	events   map[eventKind]EventStats
+	used     processorUse
 	runDelay time.Duration
+	// took is the time since the last summary.
+	took time.Duration
 }
 
 // summaryLocked returns the summary if it is due, else nil.
@@ -109,7 +129,9 @@
 	if now.Sub(s.load.loggedAt) < summaryInterval {
 		return nil
 	}
-	return &summary{stats: s.core.QueueStats(now), events: s.load.since(now), runDelay: s.load.runDelay}
+	took := min(now.Sub(s.load.loggedAt), now.Sub(s.startedAt))
+	events, used := s.load.since(now, readProcessorUse())
+	return &summary{stats: s.core.QueueStats(now), events: events, used: used, runDelay: s.load.runDelay, took: took}
 }
 
 // logSummary logs a summary.
@@ -125,5 +147,6 @@
 	}
 	s.log.Info().Str("event", logQueueSummary).Int("jobs", sum.stats.Jobs).Int("calls", sum.stats.Calls).
 		Dur("lag_ms", sum.stats.Lag).Dur("run_delay_ms", sum.runDelay).
+		Dur("took_ms", sum.took).Dur("processor_ms", sum.used.All).Dur("gc_ms", sum.used.GC).Float64("cores", s.cores).
 		Dict("events", events).Dict("pools", pools).Interface("routes", sum.stats.Routes).Msg("what the owner of the queue did")
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,6 +14,7 @@
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/fleet"
+	"github.com/mangostage/mangostage/internal/cputime"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/quarantine"
 	"github.com/mangostage/mangostage/quota"
@@ -56,6 +57,9 @@
 	// quarantine gets the calls whose connections broke; nil for none.
 	quarantine *quarantine.Client
 	log        zerolog.Logger
+	// cores is the processor time that this process gets, in cores; 0 if it is not known.
+	cores     float64
+	startedAt time.Time
 
 	mu   sync.Mutex
 	core *dispatch.Core
@@ -79,6 +83,7 @@
 		backoffs:   backoffs,
 		quarantine: contents,
 		log:        log,
+		startedAt:  time.Now(),
 		core:       dispatch.New(name, quotas, backoffs),
 		load:       newLoad(),
 		waiting:    make(map[string]chan Decision),
@@ -95,6 +100,9 @@
 // are configured, while it is short. It must be called before Run.
 func (s *Scheduler) ShareAmongAccounts() { s.core.ShareAmongAccounts() }
 
+// SetCores sets the processor time that this process gets, in cores. It must be called before Run.
+func (s *Scheduler) SetCores(cores float64) { s.cores = cores }
+
 // Run ticks while there are jobs, until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
@@ -237,7 +245,10 @@
 func (s *Scheduler) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Stats{Stats: s.core.Stats(time.Now()), Events: maps.Clone(s.load.events), RunDelay: s.load.runDelay}
+	return Stats{
+		Stats: s.core.Stats(time.Now()), Events: maps.Clone(s.load.events), RunDelay: s.load.runDelay,
+		Processor: cputime.Used(), Cores: s.cores,
+	}
 }
 
 // lock locks the core for an event that arrived at a time, reports the delay to the core,
