--- a/dispatch/fleet_rig_test.go
+++ b/dispatch/fleet_rig_test.go
@@ -153,7 +153,9 @@
 	at     time.Time
 	number int
 	// own is true if it happens without the owner's processor, such as a client's arrival.
-	own    bool
+	own bool
+	// price is the processor time of the message or call that brings it.
+	price  time.Duration
 	handle func(now time.Time)
 }
 
@@ -184,6 +186,13 @@
 	return e
 }
 
+// ownerPrices is the owner's processor time for what brings events to it and carries out effects.
+type ownerPrices struct {
+	// submit is that of a job and its decision, note that of a message about it, call that of a call
+	// for pieces and free that of a release of results.
+	submit, note, call, free time.Duration
+}
+
 // fleetLoad plays clients of a fleet against a Core whose processor handles one event after
 // the other.
 type fleetLoad struct {
@@ -195,6 +204,8 @@
 	burst func(r *fleetRoute, at time.Duration) float64
 	// cost returns the owner's processor time for an event that the Core handled in took.
 	cost func(took time.Duration) time.Duration
+	// prices are those of messages and calls.
+	prices ownerPrices
 	// naive makes the owner free the results of each job at each endpoint by themselves.
 	naive bool
 	// countFrom is the time from which requests are counted.
@@ -243,14 +254,24 @@
 }
 
 // at adds an event that the owner has to handle.
-func (l *fleetLoad) at(t time.Time, handle func(now time.Time)) { l.add(t, false, handle) }
+func (l *fleetLoad) at(t time.Time, handle func(now time.Time)) {
+	l.add(ownerEvent{at: t, handle: handle})
+}
+
+// priced adds an event that a message or call brings.
+func (l *fleetLoad) priced(t time.Time, price time.Duration, handle func(now time.Time)) {
+	l.add(ownerEvent{at: t, price: price, handle: handle})
+}
 
 // outside adds an event that does not need the owner.
-func (l *fleetLoad) outside(t time.Time, handle func(now time.Time)) { l.add(t, true, handle) }
+func (l *fleetLoad) outside(t time.Time, handle func(now time.Time)) {
+	l.add(ownerEvent{at: t, own: true, handle: handle})
+}
 
-func (l *fleetLoad) add(t time.Time, own bool, handle func(now time.Time)) {
+func (l *fleetLoad) add(e ownerEvent) {
 	l.numbers++
-	heap.Push(&l.events, ownerEvent{at: t, number: l.numbers, own: own, handle: handle})
+	e.number = l.numbers
+	heap.Push(&l.events, e)
 }
 
 // play offers the load for a time and lets all requests end.
@@ -300,7 +321,7 @@
 	}
 	took := time.Since(began)
 	l.coreTime += took
-	l.freeAt = now.Add(l.cost(took))
+	l.freeAt = now.Add(l.cost(took) + e.price)
 	l.carryOut(l.freeAt)
 }
 
@@ -359,7 +380,7 @@
 	age := now.Sub(c.first)
 	j.Objective, j.Deadline = c.route.objective-age, c.route.deadline-age
 	l.clients[j.Ticket] = c
-	l.at(now.Add(networkDelay), func(now time.Time) {
+	l.priced(now.Add(networkDelay), l.prices.submit, func(now time.Time) {
 		if err := l.core.Submit(now, j); err != nil {
 			panic(err)
 		}
@@ -380,7 +401,7 @@
 		case Refuse:
 			l.refused(e, now)
 		case Free:
-			l.at(now.Add(2*networkDelay), func(now time.Time) { l.core.FreeEnded(now, e.ID, true) })
+			l.priced(now.Add(2*networkDelay), l.prices.free, func(now time.Time) { l.core.FreeEnded(now, e.ID, true) })
 		}
 	}
 }
@@ -393,7 +414,7 @@
 		outcomes[i] = Outcome{Handle: fmt.Sprintf("%s/%d", e.Addr, l.pieceIDs)}
 	}
 	ends := now.Add(2*networkDelay + spec.CallTimeFor(len(e.Pieces)))
-	l.at(ends, func(now time.Time) { l.core.CallEnded(now, e.Call, CallOK, outcomes) })
+	l.priced(ends, l.prices.call, func(now time.Time) { l.core.CallEnded(now, e.Call, CallOK, outcomes) })
 }
 
 func (l *fleetLoad) granted(g Grant, now time.Time) {
@@ -411,8 +432,8 @@
 	default:
 		result.late++
 	}
-	l.at(first.Add(networkDelay), func(now time.Time) { l.core.FirstEvent(now, g.Ticket) })
-	l.at(last.Add(networkDelay), func(now time.Time) { l.core.Done(now, g.Ticket, true) })
+	l.priced(first.Add(networkDelay), l.prices.note, func(now time.Time) { l.core.FirstEvent(now, g.Ticket) })
+	l.priced(last.Add(networkDelay), l.prices.note, func(now time.Time) { l.core.Done(now, g.Ticket, true) })
 }
 
 func (l *fleetLoad) refused(r Refuse, now time.Time) {
