Messages about jobs are compact: no reply, CBOR, no JSON-RPC

A job, its decision and two notes pass JSON four times each: the library decodes a message twice, its params are a string that is unquoted, and the text is checked and decoded again.

Change: methods about jobs are served as compact messages too, which stand in the same stream in their order. A process names in its hello that it knows them; to one of an older build the same goes out as notifications, and a job as a call. A job and its decision are two messages that name its ticket and connection; it ends with the connection, as the call did.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -13,8 +13,9 @@
 
 // Conn is one connection to a peer, used in both directions.
 type Conn struct {
-	node *Node
-	rpc  *jsonrpc2.Conn
+	node   *Node
+	rpc    *jsonrpc2.Conn
+	stream *stream
 	// ready is closed once rpc is set.
 	ready  chan struct{}
 	remote net.Addr
@@ -24,6 +25,8 @@
 	authenticated atomic.Bool
 	// hello is the latest hello of the peer; nil before the first.
 	hello atomic.Pointer[wire.Hello]
+	// ctx ends with the connection.
+	ctx context.Context
 	// dropped means that DropAll is closing the connection; no call is written
 	// from then on.
 	dropped atomic.Bool
@@ -59,6 +62,9 @@
 // Done returns a channel that is closed when the connection has ended.
 func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
 
+// Context returns a context that ends with the connection.
+func (c *Conn) Context() context.Context { return c.ctx }
+
 // Close closes the connection.
 func (c *Conn) Close() { _ = c.rpc.Close() }
 
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -23,7 +23,10 @@
 		f.Add(frames(seed))
 	}
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Add(append(frames([]string{hello}), compactFrame("stage.chunk.note", []byte{0xa1, 0x63, 's', 'e', 'q', 0x20})...))
+	f.Add(compactFrame("stage.chunk.note", []byte{0xff}))
 	mux := NewMux()
+	HandleCompact(mux, "stage.compact", func(*Conn, wire.StageChunk) {})
 	HandleCall(mux, wire.MethodStageRun, func(_ context.Context, _ *Conn, c wire.StageCall) (wire.StageResult, error) {
 		return wire.StageResult{ID: c.ID}, nil
 	})
--- a/peer/mux.go
+++ b/peer/mux.go
@@ -13,16 +13,23 @@
 
 type notificationHandler func(from *Conn, params json.RawMessage) error
 
+type compactHandler func(from *Conn, params []byte) error
+
 // Mux maps method names to typed handlers. All handlers must be registered
 // before the node starts.
 type Mux struct {
 	calls         map[string]requestHandler
 	notifications map[string]notificationHandler
+	compact       map[string]compactHandler
 }
 
 // NewMux returns an empty Mux.
 func NewMux() *Mux {
-	return &Mux{calls: make(map[string]requestHandler), notifications: make(map[string]notificationHandler)}
+	return &Mux{
+		calls:         make(map[string]requestHandler),
+		notifications: make(map[string]notificationHandler),
+		compact:       make(map[string]compactHandler),
+	}
 }
 
 // HandleCall registers fn for a method that has a reply. Each call runs in its
--- a/peer/node.go
+++ b/peer/node.go
@@ -152,10 +152,12 @@
 // newConn starts the read loop of a connection and registers it. If the node is
 // closed already, it closes the connection.
 func (n *Node) newConn(conn net.Conn) *Conn {
-	c := &Conn{node: n, remote: conn.RemoteAddr(), ready: make(chan struct{})}
+	ctx, end := context.WithCancel(context.Background())
+	c := &Conn{node: n, remote: conn.RemoteAddr(), ready: make(chan struct{}), stream: newStream(conn, &n.Traffic), ctx: ctx}
+	c.stream.handleCompact = c.handleCompact
 	// The read loop starts inside jsonrpc2.NewConn, before c.rpc is assigned.
 	// Handle waits for ready so that no handler uses a Conn without rpc.
-	c.rpc = jsonrpc2.NewConn(context.Background(), newStream(conn, &n.Traffic), c, jsonrpc2.SetLogger(discardLogger{}))
+	c.rpc = jsonrpc2.NewConn(context.Background(), c.stream, c, jsonrpc2.SetLogger(discardLogger{}))
 	close(c.ready)
 	n.mu.Lock()
 	n.conns[c] = struct{}{}
@@ -168,6 +170,7 @@
 	n.mu.Unlock()
 	go func() {
 		n.awaitDisconnect(c)
+		end()
 		if !closed {
 			n.wg.Done()
 		}
@@ -227,7 +230,7 @@
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	var theirs wire.Hello
-	if err := c.Call(ctx, helloMethod, n.cfg.Hello(), &theirs); err != nil {
+	if err := c.Call(ctx, helloMethod, n.hello(), &theirs); err != nil {
 		c.Close()
 		return nil, ErrNotWritten.Wrap(err, "hello to %s", addr)
 	}
@@ -261,7 +264,14 @@
 		return wire.Hello{}, ErrMalformed.New("hello without a process")
 	}
 	from.completeHello(theirs)
-	return n.cfg.Hello(), nil
+	return n.hello(), nil
+}
+
+// hello returns the description of this process.
+func (n *Node) hello() wire.Hello {
+	h := n.cfg.Hello()
+	h.Process.Compact = true
+	return h
 }
 
 // Conns lists the authenticated connections.
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -47,6 +46,8 @@
 	raw     syscall.RawConn
 	reader  *bufio.Reader
 	traffic *Traffic
+	// handleCompact gets the compact messages.
+	handleCompact func(method string, params []byte)
 
 	// mu serialises writes and guards broken.
 	mu sync.Mutex
@@ -90,8 +91,8 @@
 	if err := s.extendWriteDeadline(); err != nil {
 		return ErrNotWritten.Wrap(err, "set write deadline")
 	}
-	for chunk := range slices.Chunk(frame, writeChunkSize) {
-		if err := s.writeChunk(chunk); err != nil {
+	for at := 0; at < len(frame); at += writeChunkSize {
+		if err := s.writeChunk(frame[at:min(at+writeChunkSize, len(frame))], at > 0); err != nil {
 			s.broken = err
 			_ = s.conn.Close()
 			return ErrLost.Wrap(err, "write message")
@@ -106,18 +107,26 @@
 	return s.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 }
 
-func (s *stream) writeChunk(chunk []byte) error {
-	if err := s.extendWriteDeadline(); err != nil {
-		return err
+// writeChunk writes a part of a frame; later is true if it is not the first.
+func (s *stream) writeChunk(chunk []byte, later bool) error {
+	if later {
+		if err := s.extendWriteDeadline(); err != nil {
+			return err
+		}
 	}
 	n, err := s.conn.Write(chunk)
 	s.traffic.BytesOut.Add(int64(n))
 	return err
 }
 
-// ReadObject reads one message into v.
+// ReadObject reads one JSON-RPC message into v, and has the compact messages before it handled.
 func (s *stream) ReadObject(v any) error {
 	size, err := binary.ReadUvarint(s.reader)
+	for ; err == nil && size == compactMark; size, err = binary.ReadUvarint(s.reader) {
+		if err := s.readCompact(); err != nil {
+			return err
+		}
+	}
 	if err != nil {
 		return err
 	}
--- a/scheduler/remote.go
+++ b/scheduler/remote.go
@@ -21,6 +21,10 @@
 	MethodFirst  = "dispatch.first"
 	MethodDone   = "dispatch.done"
 	MethodPlaced = "dispatch.placed"
+	// MethodEnqueue is MethodSubmit without a reply, to a process that knows compact messages:
+	// MethodDecided brings the decision.
+	MethodEnqueue = "dispatch.enqueue"
+	MethodDecided = "dispatch.decided"
 )
 
 // Note is a message about a job from the process that submitted it to the queue owner.
@@ -38,10 +42,12 @@
 	peer.HandleCall(mux, MethodSubmit, func(ctx context.Context, _ *peer.Conn, j dispatch.Job) (Decision, error) {
 		return s.Submit(ctx, j)
 	})
-	peer.HandleNotification(mux, MethodCancel, func(_ *peer.Conn, n Note) { s.Cancel(n.Ticket) })
-	peer.HandleNotification(mux, MethodFirst, func(_ *peer.Conn, n Note) { s.FirstEvent(n) })
-	peer.HandleNotification(mux, MethodPlaced, func(_ *peer.Conn, p []dispatch.Placement) { s.RecordPlacements(p) })
-	peer.HandleNotification(mux, MethodDone, func(_ *peer.Conn, n Note) { s.Done(n) })
+	peer.HandleCompact(mux, MethodEnqueue, func(from *peer.Conn, j dispatch.Job) { go s.serveEnqueue(from, j) })
+	peer.HandleCompact(mux, MethodDecided, func(from *peer.Conn, d decided) { s.submissions.decide(from, d) })
+	peer.HandleCompact(mux, MethodCancel, func(_ *peer.Conn, n Note) { s.Cancel(n.Ticket) })
+	peer.HandleCompact(mux, MethodFirst, func(_ *peer.Conn, n Note) { s.FirstEvent(n) })
+	peer.HandleCompact(mux, MethodPlaced, func(_ *peer.Conn, p []dispatch.Placement) { s.RecordPlacements(p) })
+	peer.HandleCompact(mux, MethodDone, func(_ *peer.Conn, n Note) { s.Done(n) })
 }
 
 // ownerConnTimeout is how long a job waits for the connection to a known owner before
@@ -165,7 +171,7 @@
 	case conn == nil:
 		c.local.RecordPlacements(recent)
 	default:
-		if err := conn.Notify(MethodPlaced, recent); err != nil {
+		if err := conn.Send(MethodPlaced, recent); err != nil {
 			c.log.Debug().Str("event", logOwnerNotTold).Err(err).Msg(MethodPlaced)
 		}
 	}
@@ -195,12 +201,11 @@
 		case <-ctx.Done():
 		}
 	}()
-	var v Decision
-	err := conn.Call(ctx, MethodSubmit, j, &v)
+	v, err := c.local.submissions.submit(ctx, conn, j)
 	if err != nil && !errorx.IsOfType(err, peer.ErrNotWritten) {
 		// The former owner may still run, or wake up later: it must not reserve capacity for a
 		// job that was submitted elsewhere.
-		go func() { _ = conn.Notify(MethodCancel, Note{Ticket: j.Ticket}) }()
+		go func() { _ = conn.Send(MethodCancel, Note{Ticket: j.Ticket}) }()
 	}
 	return v, err
 }
@@ -230,7 +235,7 @@
 // notify sends a note to the owner. A failure is only logged: an owner that has ended
 // has lost the job anyway, and one that is cut off drops it at the job's deadline.
 func (l *Lease) notify(method string, n Note) {
-	if err := l.conn.Notify(method, n); err != nil {
+	if err := l.conn.Send(method, n); err != nil {
 		l.client.log.Debug().Str("event", logOwnerNotTold).Str("ticket", l.ticket).Err(err).Msg(method)
 	}
 }
--- a/scheduler/remote_test.go
+++ b/scheduler/remote_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -283,3 +284,54 @@
 		t.Fatal("the first caller gets no decision")
 	}
 }
+
+// Guards against a decision that goes to another job, or to none: jobs wait in parallel over one
+// connection, and some are refused.
+func TestDecisionsReachTheirJobs(t *testing.T) {
+	a, b := newProcess(t, "a"), newProcess(t, "b")
+	b.scheduler.SetView(testView(stageServer(t, &standin.StageEndpoint{ID: "s-1", Addr: "s"})))
+	client := scheduler.NewClient(a.scheduler, newStubOwners(a.dial(t, b)), zerolog.Nop())
+	var waiting sync.WaitGroup
+	for i := range 40 {
+		waiting.Go(func() {
+			j := testJob(fmt.Sprint(i))
+			j.Objective, j.RouteObjective, j.Deadline = time.Minute, time.Minute, time.Minute
+			if i%4 == 0 {
+				j.Service = "unknown"
+			}
+			lease, err := client.Submit(t.Context(), j)
+			assert.Check(t, err == nil, "%v", err)
+			if err != nil {
+				return
+			}
+			assert.Check(t, (lease.Refuse != nil) == (i%4 == 0), "%d: %+v", i, lease.Decision)
+			assert.Check(t, lease.Refuse != nil || lease.Grant.Ticket == j.Ticket)
+			lease.Done(true)
+		})
+	}
+	waiting.Wait()
+}
+
+// Guards against a job that waits for a decision on a connection that has ended.
+func TestConnectionThatEndsMovesItsJobs(t *testing.T) {
+	a, b, c := newProcess(t, "a"), newProcess(t, "b"), newProcess(t, "c")
+	began := make(chan struct{})
+	var once sync.Once
+	b.scheduler.SetView(testView(stageServer(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		once.Do(func() { close(began) })
+		<-r.Context().Done()
+	}))))
+	c.scheduler.SetView(testView(stageServer(t, &standin.StageEndpoint{ID: "s-1", Addr: "s"})))
+	owners := newStubOwners(a.dial(t, b))
+	next := a.dial(t, c)
+	go func() {
+		<-began
+		owners.set(next, false)
+		b.node.DropAll()
+	}()
+	lease, err := scheduler.NewClient(a.scheduler, owners, zerolog.Nop()).Submit(t.Context(), testJob("1"))
+	assert.NilError(t, err)
+	assert.Equal(t, lease.Owner, "c")
+	testwait.For(t, waitTimeout, func() bool { return b.scheduler.Stats().Jobs == 0 })
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,6 +66,8 @@
 	load load
 	// waiting maps the tickets of undecided jobs to their callers.
 	waiting map[string]chan Decision
+	// submissions are the jobs that this process has submitted to others.
+	submissions submissions
 	// wake wakes the ticker when a job is submitted.
 	wake chan struct{}
 	// ctx is the parent of the calls to endpoints.
@@ -93,6 +95,7 @@
 	if contents != nil {
 		s.core.LimitContents(contents)
 	}
+	s.submissions = submissions{waiting: make(map[submission]chan decided)}
 	return s
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -55,6 +55,8 @@
 	Incarnation string `json:"incarnation"`
 	Role        Role   `json:"role"`
 	Domain      string `json:"domain"`
+	// Compact is true if the process knows compact messages, see peer.Conn.Send.
+	Compact bool `json:"compact,omitempty"`
 }
 
 // Hello is the first call on a connection, in both directions.
