The calls of a busy owner are made by other members

Cause: one process pays for what grows with the fleet. The owner of the queue makes up to 1,300 calls over HTTP a second to the endpoints of stages, more of them to free results than to make pieces. Once its 0.8 of a core is used up, calls end later, results are held longer, memory is short, and results are freed one by one: a shortage that is met with what is short. Routes lose by their number of stages, whatever their priority, and refused clients come back.

Change: members with at least half of the owner's cores offer to make calls; while there are many, the owner assigns them to two strong ones in the endpoint's failure domain, with the pieces of a stage together (a call for 70 pieces names the same eight inputs 16 times), gathered for 3 ms. It decides as before. A lost or silent member leaves its calls abandoned: pieces are made elsewhere, memory stays booked, the endpoint is left alone until the call would have ended and is not blamed. Members of an older build offer nothing and get no calls.

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -187,14 +187,15 @@
 	}
 }
 
-// greet tells a member that has just connected what endpoints said about themselves, and
-// which content crashes them.
+// greet tells a member that has just connected what endpoints said about themselves, which content
+// crashes them, and that this process makes calls for it.
 func (g *Gateway) greet(conn *peer.Conn) {
 	g.quotas.Greet(conn)
 	g.signals.departures.Greet(conn)
 	g.signals.ends.Greet(conn)
 	g.quarantine.Greet(conn)
 	g.origins.Greet(conn)
+	g.scheduler.Offer(conn)
 }
 
 // quotaAllowance returns what this process may spend of the quotas of endpoints.
--- a/daemon/gateway_stop.go
+++ b/daemon/gateway_stop.go
@@ -45,6 +45,7 @@
 	end, last := stopTimes(ctx, began, g.loaded.Platform.Bounds.Grace)
 	g.gateway.BeginShutdown(end)
 	g.fleet.Leave()
+	g.scheduler.Withdraw()
 	ctx, cancel := context.WithDeadline(ctx, last)
 	defer cancel()
 	g.awaitBalancer(ctx)
--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -6,9 +6,10 @@
 func (c *Core) startCall(p *pool, w *worker, pieces []callPiece, now time.Time) {
 	c.lastEffectID++
 	cl := &call{id: c.lastEffectID, worker: w, pieces: pieces, sentAt: now, expectedTime: w.spec.CallTimeFor(len(pieces))}
+	mode := c.callMode(pieces[0].stage.job, now)
 	effect := StartCall{
-		Call: cl.id, Service: p.name, Waiting: p.waiting, Endpoint: w.endpoint.ID, Key: w.key, Addr: w.endpoint.Addr,
-		Speed: w.speed, Suspect: w.suspect, Trial: c.callMode(pieces[0].stage.job, now) == callTrial,
+		Call: cl.id, Service: p.name, Waiting: p.waiting, Endpoint: w.endpoint.ID, Key: w.key, Addr: w.endpoint.Addr, Domain: w.endpoint.Domain,
+		Speed: w.speed, Suspect: w.suspect, Trial: mode == callTrial, Watched: mode != callShared,
 	}
 	for _, callPiece := range pieces {
 		s := callPiece.stage
@@ -50,7 +51,7 @@
 	w := cl.worker
 	delete(w.calls, id)
 	w.usedMemory -= cl.bytes
-	cl.countEnded(fault == CallOK || fault == CallLost)
+	cl.countEnded(fault == CallOK || fault == CallLost || fault == CallAbandoned)
 	if p := c.pools[w.endpoint.Service]; p != nil {
 		p.changed = true
 		p.callWindow.callEnded(fault == CallRefused, p.avgCallTime, p.callSlots(), now)
@@ -71,6 +72,10 @@
 		c.reserveLost(cl, now)
 		w.callLost(cl, now)
 		c.requeueCall(cl, now, true)
+	case CallAbandoned:
+		c.reserveLost(cl, now)
+		w.callAbandoned(cl, now)
+		c.requeueCall(cl, now, true)
 	}
 	c.dispatch(now)
 }
--- a/dispatch/effect.go
+++ b/dispatch/effect.go
@@ -17,8 +17,10 @@
 	Service  string
 	Endpoint string
 	// Key is the endpoint's Key.
-	Key    string
-	Addr   string
+	Key  string
+	Addr string
+	// Domain is the endpoint's failure domain.
+	Domain string
 	Pieces []Piece
 	// Timeout is the time after which the call counts as lost.
 	Timeout time.Duration
@@ -31,6 +33,8 @@
 	Suspect bool
 	// Trial is true if the call is a trial of quarantined content.
 	Trial bool
+	// Watched is true if the content may crash endpoints, so that the calls with it are few.
+	Watched bool
 }
 
 // Piece is one piece of a call.
@@ -123,8 +127,10 @@
 	ID       uint64
 	Endpoint string
 	// Key is the endpoint's Key.
-	Key     string
-	Addr    string
+	Key  string
+	Addr string
+	// Domain is the endpoint's failure domain.
+	Domain  string
 	Handles []string
 }
 
@@ -190,6 +196,9 @@
 	CallRefused CallFault = "refused"
 	// CallLost means that no usable answer came; the call may have run.
 	CallLost CallFault = "lost"
+	// CallAbandoned means that the member that made the call was lost or silent. The call may
+	// have run, and says nothing about its endpoint.
+	CallAbandoned CallFault = "abandoned"
 	// CallOtherIncarnation means that another incarnation answers at the address; the call did
 	// not run.
 	CallOtherIncarnation CallFault = "other_incarnation"
--- a/dispatch/fleet_rig_test.go
+++ b/dispatch/fleet_rig_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/scheduler/delegation"
 )
 
 // The stage services of a fleetLoad, in the order of a chain.
@@ -204,8 +205,9 @@
 	burst func(r *fleetRoute, at time.Duration) float64
 	// cost returns the owner's processor time for an event that the Core handled in took.
 	cost func(took time.Duration) time.Duration
-	// prices are those of messages and calls.
-	prices ownerPrices
+	// prices are those of messages and calls, assigned those of calls that members of delegates make.
+	prices, assigned ownerPrices
+	delegates        *delegation.Table[string]
 	// naive makes the owner free the results of each job at each endpoint by themselves.
 	naive bool
 	// countFrom is the time from which requests are counted.
@@ -401,11 +403,23 @@
 		case Refuse:
 			l.refused(e, now)
 		case Free:
-			l.priced(now.Add(2*networkDelay), l.prices.free, func(now time.Time) { l.core.FreeEnded(now, e.ID, true) })
+			l.priced(now.Add(2*networkDelay), l.pricesOf(now, e.Domain, e.Key).free, func(now time.Time) { l.core.FreeEnded(now, e.ID, true) })
 		}
 	}
 }
 
+// pricesOf returns the prices of a call to an endpoint.
+func (l *fleetLoad) pricesOf(now time.Time, domain, endpoint string) ownerPrices {
+	if l.delegates == nil {
+		return l.prices
+	}
+	l.delegates.Count(now)
+	if _, ok := l.delegates.Choose(now, domain, endpoint); ok {
+		return l.assigned
+	}
+	return l.prices
+}
+
 func (l *fleetLoad) startCall(e StartCall, now time.Time) {
 	spec := fleetSpecs[e.Service]
 	outcomes := make([]Outcome, len(e.Pieces))
@@ -414,7 +428,7 @@
 		outcomes[i] = Outcome{Handle: fmt.Sprintf("%s/%d", e.Addr, l.pieceIDs)}
 	}
 	ends := now.Add(2*networkDelay + spec.CallTimeFor(len(e.Pieces)))
-	l.priced(ends, l.prices.call, func(now time.Time) { l.core.CallEnded(now, e.Call, CallOK, outcomes) })
+	l.priced(ends, l.pricesOf(now, e.Domain, e.Key).call, func(now time.Time) { l.core.CallEnded(now, e.Call, CallOK, outcomes) })
 }
 
 func (l *fleetLoad) granted(g Grant, now time.Time) {
--- a/dispatch/gather.go
+++ b/dispatch/gather.go
@@ -83,7 +83,7 @@
 	}
 	c.lastEffectID++
 	c.pendingFrees[c.lastEffectID] = results
-	c.emit(Free{ID: c.lastEffectID, Endpoint: w.endpoint.ID, Key: w.key, Addr: w.endpoint.Addr, Handles: handlesOf(results)})
+	c.emit(Free{ID: c.lastEffectID, Endpoint: w.endpoint.ID, Key: w.key, Addr: w.endpoint.Addr, Domain: w.endpoint.Domain, Handles: handlesOf(results)})
 }
 
 // freeDue frees what was gathered for long enough or at endpoints whose memory is short.
--- a/dispatch/worker.go
+++ b/dispatch/worker.go
@@ -154,6 +154,14 @@
 	w.suspect = true
 }
 
+// callAbandoned notes that nobody hears the end of a call. The endpoint may work on it until it
+// would have ended.
+func (w *worker) callAbandoned(cl *call, now time.Time) {
+	if left := cl.sentAt.Add(cl.expectedTime).Sub(now); left > 0 {
+		w.pause.BlockFor(left, now)
+	}
+}
+
 // places returns how many pieces the worker may get in one call.
 func (w *worker) places() int {
 	if w.suspect {
--- a/internal/slopes/owner_test.go
+++ b/internal/slopes/owner_test.go
@@ -39,8 +39,13 @@
 // ownerLoadTime is the time for which jobs are submitted to an owner.
 const ownerLoadTime = 6 * time.Second
 
-// ownerCores is the processor time of an owner, in cores.
-const ownerCores = 0.8
+// ownerCores is the processor time of an owner and of the members in strongShare, in cores; weakCores
+// that of the others.
+const (
+	ownerCores  = 0.8
+	weakCores   = 0.144
+	strongEvery = 7
+)
 
 // ownerLoad is the fleet of an owner, and its load.
 type ownerLoad struct {
@@ -271,12 +276,17 @@
 		mux := peer.NewMux()
 		name := fmt.Sprint("member-", i)
 		member := newScheduler(name)
+		member.SetCores(weakCores)
+		if i%strongEvery == 0 {
+			member.SetCores(ownerCores)
+		}
 		scheduler.Serve(mux, member)
 		node := peer.NewNode(peer.Config{Hello: func() wire.Hello {
 			return wire.Hello{Process: wire.Process{Name: name, Incarnation: "1", Domain: ownerDomains[i%len(ownerDomains)]}}
 		}}, mux)
 		conn, err := node.Dial(t.Context(), addr)
 		assert.NilError(t, err)
+		member.Offer(conn)
 		clients[i] = scheduler.NewClient(member, remoteOwner{conn: conn}, zerolog.Nop())
 	}
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/scheduler/effects.go
+++ b/scheduler/effects.go
@@ -17,9 +17,9 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case dispatch.StartCall:
-			go s.runCall(e)
+			s.runCall(e)
 		case dispatch.Free:
-			go s.freeResults(e)
+			s.freeResults(e)
 		case dispatch.Grant:
 			s.deliver(e.Ticket, Decision{Grant: &e})
 		case dispatch.Move:
@@ -41,9 +41,24 @@
 	}
 }
 
-// runCall makes one call to an endpoint of a stage and reports its end to the core.
+// runCall makes one call to an endpoint of a stage, by itself or through another member, and
+// reports its end to the core.
 func (s *Scheduler) runCall(e dispatch.StartCall) {
-	ctx, cancel := context.WithTimeout(s.ctx, e.Timeout)
+	if s.delegations.assignCall(e) {
+		return
+	}
+	go func() { s.callEnded(e, s.makeCall(s.ctx, e, "")) }()
+}
+
+// callEnded reports the end of a call to the core.
+func (s *Scheduler) callEnded(e dispatch.StartCall, r callReport) {
+	s.handle(eventCallEnded, func(now time.Time, c *dispatch.Core) { c.CallEnded(now, e.Call, r.Fault, r.outcomes()) })
+}
+
+// makeCall makes one call to an endpoint of a stage, for the owner of the name, empty for this
+// process, and returns its end.
+func (s *Scheduler) makeCall(ctx context.Context, e dispatch.StartCall, owner string) callReport {
+	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
 	defer cancel()
 	pieces := make([]platform.Piece, len(e.Pieces))
 	for i, p := range e.Pieces {
@@ -55,23 +70,15 @@
 	if errorx.IsOfType(err, platform.ErrBroken) {
 		s.recordBroken(e, time.Since(sent), err)
 	}
-	fault := callFault(err)
-	outcomes := make([]dispatch.Outcome, len(reply.Results))
-	failed := 0
-	for i, r := range reply.Results {
-		outcomes[i] = dispatch.Outcome{Handle: r.Handle, Fault: pieceFault(r)}
-		if outcomes[i].Fault != dispatch.FaultNone {
-			failed++
-		}
-	}
+	r := newCallReport(e.Call, callFault(err), reply)
 	line := s.log.Info()
 	if err != nil {
 		line = s.log.Warn().Err(err)
 	}
-	line.Str("event", logStageCall).Uint64("call", e.Call).Str("service", e.Service).Str("endpoint", e.Endpoint).
-		Strs("requests", requestsOf(e.Pieces)).Int("waiting", e.Waiting).Int("pieces", len(pieces)).Int("failed", failed).Str("fault", string(fault)).
+	line.Str("event", logStageCall).Uint64("call", e.Call).Str("owner", owner).Str("service", e.Service).Str("endpoint", e.Endpoint).
+		Strs("requests", requestsOf(e.Pieces)).Int("waiting", e.Waiting).Int("pieces", len(pieces)).Int("failed", len(r.Faults)).Str("fault", string(r.Fault)).
 		Uint64("conn", reply.Conn.Number).Int("conn_carried", reply.Conn.Carried).Float64("speed", e.Speed).Bool("suspect", e.Suspect).Dur("took_ms", time.Since(sent)).Msg("stage call ended")
-	s.handle(eventCallEnded, func(now time.Time, c *dispatch.Core) { c.CallEnded(now, e.Call, fault, outcomes) })
+	return r
 }
 
 // recordBroken records that the connection broke under a call, for the content of each of
@@ -140,22 +147,35 @@
 	return dispatch.FaultWorkFailed
 }
 
-// freeResults frees results at an endpoint. A failure is only logged, because the
-// endpoint eventually drops the results by itself; for the same reason an endpoint in
-// backoff is not asked.
+// freeResults frees results at an endpoint, by itself or through another member. A failure is only
+// logged, because the endpoint eventually drops the results by itself; for the same reason an
+// endpoint in backoff is not asked.
 func (s *Scheduler) freeResults(e dispatch.Free) {
 	if s.backoffs.Active(time.Now(), e.Key) {
-		s.handle(eventFreeEnded, func(now time.Time, c *dispatch.Core) { c.FreeEnded(now, e.ID, false) })
+		go s.freeEnded(e.ID, false)
+		return
+	}
+	if s.delegations.assignFree(e) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, freeTimeout)
+	go func() { s.freeEnded(e.ID, s.makeFree(s.ctx, e).OK) }()
+}
+
+// freeEnded reports the end of a release of results to the core.
+func (s *Scheduler) freeEnded(id uint64, ok bool) {
+	s.handle(eventFreeEnded, func(now time.Time, c *dispatch.Core) { c.FreeEnded(now, id, ok) })
+}
+
+// makeFree frees results at an endpoint and returns the end of the call.
+func (s *Scheduler) makeFree(ctx context.Context, e dispatch.Free) freeReport {
+	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
 	defer cancel()
 	sent := time.Now()
 	signals, err := s.stages.Free(ctx, e.Endpoint, e.Addr, e.Handles)
 	s.signals.Observe(e.Key, "", sent, signals)
-	s.handle(eventFreeEnded, func(now time.Time, c *dispatch.Core) { c.FreeEnded(now, e.ID, err == nil) })
 	if err != nil {
 		s.log.Warn().Str("event", logFreeFailed).Str("endpoint", e.Endpoint).Int("results", len(e.Handles)).
 			Err(err).Msg("freeing results failed")
 	}
+	return freeReport{ID: e.ID, OK: err == nil, Signals: packSignals(signals, platform.Signals{})}
 }
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -47,6 +47,9 @@
 	// Processor is the processor time used since the start, Cores what the process gets.
 	Processor time.Duration `json:"processor"`
 	Cores     float64       `json:"cores,omitempty"`
+	// Made counts the calls to endpoints by who made them, Delegates the members that make them.
+	Made      CallsMade `json:"made"`
+	Delegates int       `json:"delegates"`
 }
 
 // processorUse is the processor time that this process has used since its start.
@@ -122,6 +125,8 @@
 	runDelay time.Duration
 	// took is the time since the last summary.
 	took time.Duration
+	// made counts the calls to endpoints since the start.
+	made CallsMade
 }
 
 // summaryLocked returns the summary if it is due, else nil.
@@ -131,7 +136,8 @@
 	}
 	took := min(now.Sub(s.load.loggedAt), now.Sub(s.startedAt))
 	events, used := s.load.since(now, readProcessorUse())
-	return &summary{stats: s.core.QueueStats(now), events: events, used: used, runDelay: s.load.runDelay, took: took}
+	_, made := s.delegations.stats()
+	return &summary{stats: s.core.QueueStats(now), events: events, used: used, runDelay: s.load.runDelay, took: took, made: made}
 }
 
 // logSummary logs a summary.
@@ -148,5 +154,6 @@
 	s.log.Info().Str("event", logQueueSummary).Int("jobs", sum.stats.Jobs).Int("calls", sum.stats.Calls).
 		Dur("lag_ms", sum.stats.Lag).Dur("run_delay_ms", sum.runDelay).
 		Dur("took_ms", sum.took).Dur("processor_ms", sum.used.All).Dur("gc_ms", sum.used.GC).Float64("cores", s.cores).
+		Interface("made", sum.made).
 		Dict("events", events).Dict("pools", pools).Interface("routes", sum.stats.Routes).Msg("what the owner of the queue did")
 }
--- a/scheduler/lognames.go
+++ b/scheduler/lognames.go
@@ -2,6 +2,9 @@
 
 // Event names of the log lines.
 const (
+	logCallAbandoned    = "call_abandoned"
+	logDelegate         = "delegate"
+	logDelegateLost     = "delegate_lost"
 	logFreeFailed       = "free_failed"
 	logJobMoves         = "job_moves"
 	logOwnerNotTold     = "owner_not_told"
--- a/scheduler/remote.go
+++ b/scheduler/remote.go
@@ -25,6 +25,11 @@
 	// MethodDecided brings the decision.
 	MethodEnqueue = "dispatch.enqueue"
 	MethodDecided = "dispatch.decided"
+	// MethodOffer tells the owner of a member that makes calls for it, MethodAssign that member of
+	// such calls, MethodReport the owner of their ends.
+	MethodOffer  = "dispatch.offer"
+	MethodAssign = "dispatch.assign"
+	MethodReport = "dispatch.report"
 )
 
 // Note is a message about a job from the process that submitted it to the queue owner.
@@ -48,6 +53,9 @@
 	peer.HandleCompact(mux, MethodFirst, func(_ *peer.Conn, n Note) { s.FirstEvent(n) })
 	peer.HandleCompact(mux, MethodPlaced, func(_ *peer.Conn, p []dispatch.Placement) { s.RecordPlacements(p) })
 	peer.HandleCompact(mux, MethodDone, func(_ *peer.Conn, n Note) { s.Done(n) })
+	peer.HandleCompact(mux, MethodOffer, func(from *peer.Conn, o offer) { s.delegations.join(from, o) })
+	peer.HandleCompact(mux, MethodAssign, func(from *peer.Conn, a assignment) { s.runAssigned(from, a) })
+	peer.HandleCompact(mux, MethodReport, func(_ *peer.Conn, r report) { s.delegations.report(r) })
 }
 
 // ownerConnTimeout is how long a job waits for the connection to a known owner before
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/fleet"
 	"github.com/mangostage/mangostage/internal/cputime"
+	"github.com/mangostage/mangostage/peer"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/quarantine"
 	"github.com/mangostage/mangostage/quota"
@@ -66,6 +67,10 @@
 	load load
 	// waiting maps the tickets of undecided jobs to their callers.
 	waiting map[string]chan Decision
+	// delegations are the calls that other members make for this process, delegate is what this
+	// process makes for others.
+	delegations *delegations
+	delegate    delegate
 	// submissions are the jobs that this process has submitted to others.
 	submissions submissions
 	// wake wakes the ticker when a job is submitted.
@@ -96,6 +101,8 @@
 		s.core.LimitContents(contents)
 	}
 	s.submissions = submissions{waiting: make(map[submission]chan decided)}
+	s.delegations = newDelegations(s, 0)
+	s.delegate = delegate{offered: make(map[*peer.Conn]struct{}), owners: make(map[*peer.Conn]*ownerLink)}
 	return s
 }
 
@@ -103,8 +110,14 @@
 // are configured, while it is short. It must be called before Run.
 func (s *Scheduler) ShareAmongAccounts() { s.core.ShareAmongAccounts() }
 
-// SetCores sets the processor time that this process gets, in cores. It must be called before Run.
-func (s *Scheduler) SetCores(cores float64) { s.cores = cores }
+// SetCores sets the processor time that this process gets, in cores. While it owns the queue and has
+// many calls to make for that, other members make them, and it offers to make theirs. It must be
+// called before Run.
+func (s *Scheduler) SetCores(cores float64) {
+	s.cores = cores
+	s.delegations = newDelegations(s, cores)
+	s.delegate.cores = cores
+}
 
 // Run ticks while there are jobs, until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) {
@@ -142,6 +155,8 @@
 	summary := s.summaryLocked(now)
 	s.mu.Unlock()
 	s.runEffects(effects)
+	s.delegations.expire(now)
+	idle = idle && s.delegations.delegated() == 0
 	if summary != nil {
 		s.logSummary(summary)
 	}
@@ -239,6 +254,9 @@
 // HasUnfinishedStages reports whether this process has begun stages, for itself or others, whose
 // results would be lost, or kept without use, if it ended now.
 func (s *Scheduler) HasUnfinishedStages() bool {
+	if s.delegate.busy() {
+		return true
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.core.HasUnfinishedStages()
@@ -248,9 +266,10 @@
 func (s *Scheduler) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	delegates, made := s.delegations.stats()
 	return Stats{
 		Stats: s.core.Stats(time.Now()), Events: maps.Clone(s.load.events), RunDelay: s.load.runDelay,
-		Processor: cputime.Used(), Cores: s.cores,
+		Processor: cputime.Used(), Cores: s.cores, Made: made, Delegates: delegates,
 	}
 }
 
