gateway: while others stay, a request in a planned stop is taken by known bounds only

The estimate decides only where most stop at once, or for what came before the signal.

The stops of integration/stops: clients' retries reach another gateway, as the platform's page says they do; they could reach the one that had refused them. Beside it none may be cut where stops follow each other (stricter).

--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -174,6 +174,7 @@
 		FreshView:       g.follower.FreshView,
 		FleetSize:       g.fleet.Size,
 		OthersAvailable: g.fleet.OthersAvailable,
+		OthersStay:      g.fleet.OthersStay,
 		Scheduler:       scheduler.NewClient(g.scheduler, g.fleet, g.log),
 		Signals:         g.signals,
 		Quotas:          g.quotas,
--- a/fleet/core.go
+++ b/fleet/core.go
@@ -299,6 +299,21 @@
 	return false
 }
 
+// OthersStay reports whether more of the other live members stay than leave.
+func (c *Core) OthersStay(now time.Time) bool {
+	staying := 0
+	for _, p := range c.peers {
+		switch {
+		case !p.live(now):
+		case p.leaving:
+			staying--
+		default:
+			staying++
+		}
+	}
+	return staying > 0
+}
+
 // live reports whether a member has been heard within its timeout.
 func (p *peerState) live(now time.Time) bool {
 	return !p.dead(now) && now.Sub(p.lastHeard) < p.livenessTimeout()
--- a/fleet/members.go
+++ b/fleet/members.go
@@ -63,6 +63,13 @@
 	return s.core.OthersAvailable(time.Now())
 }
 
+// OthersStay reports whether more of the other live members stay than leave.
+func (s *Service) OthersStay() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.OthersStay(time.Now())
+}
+
 // OthersStoreSteady reports whether the store has answered another live member without
 // interruption for some seconds.
 func (s *Service) OthersStoreSteady() bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,6 +55,8 @@
 	Metrics   *Metrics
 	// OthersAvailable reports whether another gateway is live and not shutting down.
 	OthersAvailable func() bool
+	// OthersStay reports whether more of the other live gateways stay than shut down.
+	OthersStay func() bool
 	// Quarantine stops content that crashes endpoints.
 	Quarantine *quarantine.Client
 	// Origins knows where streams began.
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -67,6 +67,8 @@
 	// while the store answers.
 	viewAge atomic.Int64
 	stuckAt atomic.Pointer[time.Time]
+	// othersStay is true if other gateways are available.
+	othersStay atomic.Bool
 
 	mu        sync.Mutex
 	view      *catalog.View
@@ -142,7 +144,8 @@
 			AsOf:    r.asOf,
 			Confirm: r.confirm,
 		}),
-		OthersAvailable: func() bool { return false },
+		OthersAvailable: r.othersStay.Load,
+		OthersStay:      r.othersStay.Load,
 		Scheduler:       scheduler.NewClient(r.scheduler, newSingleProcess(), log),
 		Signals:         &signalObserver{quotas: quotas, backoffs: r.backoffs},
 		Backoffs:        r.backoffs,
--- a/gateway/stop_admit.go
+++ b/gateway/stop_admit.go
@@ -4,8 +4,9 @@
 
 const (
 	// estimatePeriod is the time from the start of a shutdown in which an estimate may admit
-	// a request that no bound ends in time: until the load balancer has noticed, its client
-	// may have no other gateway. The platform allows 3 s; a signal may be handled late.
+	// a request that no bound ends in time, if most other gateways stop too: until the load
+	// balancer has noticed, its client may find no other one. The platform allows 3 s; a signal
+	// may be handled late.
 	estimatePeriod = 2500 * time.Millisecond
 	// outOfRotationMargin multiplies the estimated duration of requests that arrive
 	// after the load balancer has taken the process out of rotation. While load moves to
@@ -39,11 +40,12 @@
 //
 // The failure that it guards against: the latest requests of a route were short, and the
 // next one lasts longer than any multiple of them. Only the request's own deadline is
-// certain to end it, so that alone counts for requests that are read late.
+// certain to end it, so that alone counts for requests that come while another gateway stays,
+// and for those that are read late.
 func (g *Gateway) shutdownNeed(req *request) shutdownNeed {
 	s := g.shutdown
 	switch {
-	case req.deadline.After(s.deadline) && req.readAt.Sub(s.startedAt) >= estimatePeriod:
+	case req.deadline.After(s.deadline) && g.needsBound(req):
 		return shutdownNeed{whole: req.remaining(), engine: req.remaining(), bound: boundNone}
 	case req.deadline.After(s.deadline):
 		whole, engine := g.estimateDuration(req)
@@ -54,6 +56,13 @@
 	return shutdownNeed{bound: boundDeadline}
 }
 
+// needsBound reports whether only a known bound may admit the request: it came during the
+// shutdown, and its client finds another gateway, or should have found one by then.
+func (g *Gateway) needsBound(req *request) bool {
+	late := req.readAt.Sub(g.shutdown.startedAt)
+	return late >= estimatePeriod || late > 0 && g.cfg.OthersStay()
+}
+
 // estimateDuration returns upper estimates of a request's whole duration and of the
 // part after the choice of its engine. Neither exceeds the request's remaining time,
 // which is also the estimate for a route without samples.
--- a/gateway/stop_late_test.go
+++ b/gateway/stop_late_test.go
@@ -103,6 +103,32 @@
 	r.logs.waitForLine(t, `"event":"taken_while_stopping"`, `"bound":"none"`, `"taken":false`)
 }
 
+// Guards against a request that is taken early in a shutdown because the latest ones of its route
+// were short, and is cut at the end, while another gateway would serve it.
+func TestRequestInAShutdownIsNotTakenByGuessWhileOthersStay(t *testing.T) {
+	r := newLateRig(t)
+	r.othersStay.Store(true)
+	paths := []string{"/stream/", "/resume/", "/once/", "/idem/", "/events/"}
+	for _, path := range paths {
+		for range 3 {
+			assert.Equal(t, r.ask(path, shortWork, time.Minute).status, http.StatusOK, path)
+		}
+	}
+	r.gateway.BeginShutdown(time.Now().Add(lateShutdown))
+	<-time.After(shortWork)
+	var asking sync.WaitGroup
+	for _, path := range paths {
+		asking.Go(func() {
+			got := r.ask(path, lateShutdown+longWork, time.Minute)
+			assert.Check(t, got.err == nil && got.status == http.StatusServiceUnavailable, "%s: status %d, %v", path, got.status, got.err)
+			assert.Check(t, got.header.Get("Retry-After") != "", "%s: when to come back", path)
+		})
+		asking.Go(func() { assert.Check(t, r.ask(path, shortWork, time.Second).status == http.StatusOK, path) })
+	}
+	asking.Wait()
+	r.logs.waitForLine(t, `"event":"taken_while_stopping"`, `"bound":"none"`, `"taken":false`)
+}
+
 // Guards against a request whose head came early in a shutdown and whose body came late, and
 // which is taken by a guess.
 func TestLateBodyIsNotTakenByGuess(t *testing.T) {
--- a/integration/stops/clients_test.go
+++ b/integration/stops/clients_test.go
@@ -89,8 +89,10 @@
 type client struct {
 	r       *rig
 	gateway *gateway
-	conn    net.Conn
-	in      *bufio.Reader
+	// avoid is the gateway that has refused the request: a client's retries reach other ones.
+	avoid *gateway
+	conn  net.Conn
+	in    *bufio.Reader
 	// sent counts the requests on the connection.
 	sent int
 }
@@ -120,7 +122,9 @@
 	}
 	c.drop()
 	<-time.After(wait)
+	c.avoid = c.gateway
 	second, _ := c.try(kind, work, t)
+	c.avoid = nil
 	if second == served && first == refused {
 		return retried
 	}
@@ -200,7 +204,7 @@
 
 // dial opens a connection to the gateway that the balancer chooses.
 func (c *client) dial() bool {
-	c.gateway = c.r.balance()
+	c.gateway = c.r.balance(c.avoid)
 	conn, err := net.DialTimeout("tcp", c.gateway.frontend, time.Second)
 	if err != nil {
 		return false
--- a/integration/stops/rig_test.go
+++ b/integration/stops/rig_test.go
@@ -165,16 +165,24 @@
 	return time.Since(g.stopped)
 }
 
-// balance chooses the gateway of a new connection: one in rotation, or any if there is none.
-func (r *rig) balance() *gateway {
-	var chosen []*gateway
+// balance chooses the gateway of a new connection: one in rotation, or any if there is none; another
+// one than avoid, which may be nil, if there is one.
+func (r *rig) balance(avoid *gateway) *gateway {
+	var chosen, others []*gateway
 	for _, g := range r.gateways {
+		if g == avoid {
+			continue
+		}
+		others = append(others, g)
 		if g.chosen() {
 			chosen = append(chosen, g)
 		}
 	}
-	if len(chosen) == 0 {
-		chosen = r.gateways
+	switch {
+	case len(others) == 0:
+		return avoid
+	case len(chosen) == 0:
+		chosen = others
 	}
 	return chosen[rand.IntN(len(chosen))]
 }
--- a/integration/stops/stops_test.go
+++ b/integration/stops/stops_test.go
@@ -50,6 +50,9 @@
 	counts.log(t)
 	assert.Check(t, counts.count(cutLate) == 0, "%d cut", counts.count(cutLate))
 	assert.Check(t, counts.count(served) > 0)
+	if *gap == 0 {
+		assert.Check(t, counts.count(cut) == 0, "%d cut", counts.count(cut))
+	}
 }
 
 // restart stops the gateway as planned and starts it again.
