--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -89,6 +89,9 @@
 	return p.run
 }
 
+// PID returns the ID of the current or latest run.
+func (p *Process) PID() int { return p.currentRun().cmd.Process.Pid }
+
 func (p *Process) signal(s syscall.Signal) {
 	p.t.Helper()
 	r := p.currentRun()
