scheduler: a member that stops is busy until the ends of its calls are sent

What callers would see: in a planned stop of a member that makes calls for the owner, the ends of its last calls, which are gathered for 3 ms, may not be sent before the process ends; their pieces are made again. Found on rereading. Calls are delegated from 300 a second for each of the owner's cores, not 150: below it a hop more costs more than it saves. What was gathered in two places by the same steps is one type (flushTimer).

--- a/scheduler/delegate.go
+++ b/scheduler/delegate.go
@@ -37,7 +37,7 @@
 	offered map[*peer.Conn]struct{}
 	// withdrawn is true once this process makes no more calls.
 	withdrawn bool
-	// running counts the calls under way.
+	// running counts the calls whose ends the owner has not been sent.
 	running int
 	// owners holds the connections to members that have assigned calls.
 	owners map[*peer.Conn]*ownerLink
@@ -45,11 +45,9 @@
 
 // ownerLink is the connection to an owner that has assigned calls.
 type ownerLink struct {
-	// gathered holds the ends of calls that have not been sent yet. timer sends them at sendAt; it is
-	// nil while there are none.
+	// gathered holds the ends of calls that have not been sent yet.
 	gathered report
-	timer    *time.Timer
-	sendAt   time.Time
+	flush    flushTimer
 }
 
 // Offer tells the member at the other end of a connection that this process makes calls for it
@@ -124,35 +122,32 @@
 	return owner
 }
 
-// end counts a call that has ended, and has its end reported within delay.
+// end records that a call has ended, and has its end reported within delay.
 func (d *delegate) end(to *peer.Conn, owner *ownerLink, delay time.Duration, add func(*report)) {
-	sendAt := time.Now().Add(delay)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.running--
 	add(&owner.gathered)
-	switch {
-	case owner.timer == nil:
-		owner.sendAt = sendAt
-		owner.timer = time.AfterFunc(delay, func() { d.sendReport(to, owner) })
-	case sendAt.Before(owner.sendAt):
-		owner.sendAt = sendAt
-		owner.timer.Reset(delay)
-	}
+	owner.flush.within(delay, func() { d.sendReport(to, owner) })
 }
 
 // sendReport sends what was gathered for an owner. One that does not get it has lost this process.
 func (d *delegate) sendReport(to *peer.Conn, owner *ownerLink) {
 	d.mu.Lock()
 	gathered := owner.gathered
-	owner.gathered, owner.timer = report{}, nil
+	owner.gathered = report{}
+	owner.flush.flushed()
 	d.mu.Unlock()
-	if len(gathered.Calls)+len(gathered.Frees) > 0 {
-		_ = to.Send(MethodReport, gathered)
+	ended := len(gathered.Calls) + len(gathered.Frees)
+	if ended == 0 {
+		return
 	}
+	_ = to.Send(MethodReport, gathered)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running -= ended
 }
 
-// busy reports whether calls for other processes are under way.
+// busy reports whether calls for other processes are under way, or their ends have not been sent.
 func (d *delegate) busy() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/scheduler/delegation/delegation.go
+++ b/scheduler/delegation/delegation.go
@@ -16,7 +16,7 @@
 const (
 	// callsPerCore is the rate of calls, in a second and for each of the owner's cores, from
 	// which calls are delegated. Below it they are cheaper where they are decided.
-	callsPerCore = 150.0
+	callsPerCore = 300.0
 	// endShare times that rate is the one below which calls are not delegated any more.
 	endShare = 0.5
 	// minCoresShare times the owner's cores is the least that a delegate has.
--- a/scheduler/delegations.go
+++ b/scheduler/delegations.go
@@ -82,9 +82,7 @@
 // outbox gathers an assignment for one member.
 type outbox struct {
 	assignment
-	timer *time.Timer
-	// sendAt is when the timer sends it.
-	sendAt time.Time
+	flush flushTimer
 }
 
 // join records that the member at the other end of a connection makes calls.
@@ -124,7 +122,7 @@
 	}
 	d.table.Assign(now, e.Call, conn, now.Add(e.Timeout+reportMargin))
 	d.calls[e.Call] = sentCall{StartCall: e, at: now}
-	o := d.outboxLocked(conn, now, assignDelay)
+	o := d.outboxLocked(conn, assignDelay)
 	o.Calls = append(o.Calls, assign(e))
 	return true
 }
@@ -140,7 +138,7 @@
 	}
 	d.table.Assign(now, e.ID, conn, now.Add(freeTimeout+reportMargin))
 	d.frees[e.ID] = sentFree{Free: e, at: now}
-	o := d.outboxLocked(conn, now, freeAssignDelay)
+	o := d.outboxLocked(conn, freeAssignDelay)
 	o.Frees = append(o.Frees, assignedFree{ID: e.ID, Endpoint: e.Endpoint, Key: e.Key, Addr: e.Addr, Handles: e.Handles})
 	return true
 }
@@ -161,17 +159,13 @@
 }
 
 // outboxLocked returns the outbox of a member, which is sent within delay.
-func (d *delegations) outboxLocked(conn *peer.Conn, now time.Time, delay time.Duration) *outbox {
+func (d *delegations) outboxLocked(conn *peer.Conn, delay time.Duration) *outbox {
 	o := d.outboxes[conn]
 	if o == nil {
-		o = &outbox{sendAt: now.Add(delay)}
-		o.timer = time.AfterFunc(delay, func() { d.send(conn, o) })
+		o = &outbox{}
 		d.outboxes[conn] = o
 	}
-	if now.Add(delay).Before(o.sendAt) {
-		o.sendAt = now.Add(delay)
-		o.timer.Reset(delay)
-	}
+	o.flush.within(delay, func() { d.send(conn, o) })
 	return o
 }
 
