peer: a compact message may hold any bytes

What callers would see: a request with a header that is no UTF-8 (a prompt part's ID, a key of its pieces) waits until its deadline, since the message with its job cannot be decoded and nobody decides it. Cause: the CBOR decoder rejects such texts by default; JSON replaced their bytes. TestCompactMessageHoldsAnyBytes failed before.

--- a/peer/compact.go
+++ b/peer/compact.go
@@ -19,6 +19,17 @@
 // maxMethod bounds the name of a method in bytes.
 const maxMethod = 64
 
+// compactDecoder decodes params. Texts may hold any bytes, since clients' headers may.
+var compactDecoder = newCompactDecoder()
+
+func newCompactDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // HandleCompact registers fn for a method whose messages have no reply and are compact or, from
 // peers that know no compact messages, notifications. Like that of a notification, fn must not
 // block.
@@ -26,7 +37,7 @@
 	HandleNotification(m, method, fn)
 	m.compact[method] = func(from *Conn, data []byte) error {
 		var params P
-		if err := cbor.Unmarshal(data, &params); err != nil {
+		if err := compactDecoder.Unmarshal(data, &params); err != nil {
 			return ErrMalformed.Wrap(err, "%s", method)
 		}
 		fn(from, params)
--- a/peer/compact_test.go
+++ b/peer/compact_test.go
@@ -62,6 +62,20 @@
 	}
 }
 
+// Guards against a job that nobody decides because a header of its client is no UTF-8.
+func TestCompactMessageHoldsAnyBytes(t *testing.T) {
+	mux, notes := receiveNotes()
+	_, conn, _ := pair(t, mux)
+	sent := compactNote{Texts: []string{"\xff\xfe", "\x00"}, Named: map[string]string{"\x80": "\xc3\x28"}}
+	assert.NilError(t, conn.Send("note", sent))
+	select {
+	case got := <-notes:
+		assert.DeepEqual(t, got, sent)
+	case <-time.After(compactWait):
+		t.Fatal("the message does not arrive")
+	}
+}
+
 // Guards against a message that a peer of an older build cannot read, which ends the connection.
 func TestOlderPeerGetsNotifications(t *testing.T) {
 	mux, notes := receiveNotes()
