soak: with every second seed members make the owner's calls

The soak's gateways had a core each, so that their owner made all calls by itself and no seed would have met a member lost with calls of the owner. With even seeds they have a thousandth; the summary counts the calls made for others.

--- a/internal/harness/gateway.go
+++ b/internal/harness/gateway.go
@@ -31,7 +31,10 @@
 // and the cores have defaults. args are further arguments of its command.
 func StartGateway(t testing.TB, s platform.Settings, args ...string) *Process {
 	t.Helper()
-	s.IP, s.Cores = "127.0.0.1", 1
+	s.IP = "127.0.0.1"
+	if s.Cores == 0 {
+		s.Cores = 1
+	}
 	if s.Domain == "" {
 		s.Domain = "z0"
 	}
--- a/soak/gateways_test.go
+++ b/soak/gateways_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -33,8 +34,12 @@
 	busy bool
 }
 
-// maxSeedPeers is the largest number of peer addresses given to a process at its start.
-const maxSeedPeers = 3
+const (
+	// maxSeedPeers is the largest number of peer addresses given to a process at its start.
+	maxSeedPeers = 3
+	// fewCores is little processor time, in cores.
+	fewCores = 0.001
+)
 
 func (r *rig) addGateway(i int, listen string, peers []string, storeAddr string) {
 	g := &gateway{name: fmt.Sprintf("g%d", i), frontend: harness.FreePort(r.t), ready: harness.FreePort(r.t), incarnation: 1}
@@ -42,7 +47,7 @@
 	g.toStore, toStore = harness.NewLink(r.t, "store-"+g.name, storeAddr)
 	g.Process = harness.StartGateway(r.t, platform.Settings{
 		Name: g.name, Seeds: peers[:min(maxSeedPeers, len(peers))],
-		Frontend: g.frontend, Ready: g.ready, Peer: listen, Store: toStore,
+		Frontend: g.frontend, Ready: g.ready, Peer: listen, Store: toStore, Cores: r.cores(),
 		Bounds: platform.Bounds{
 			Drain: 2 * time.Second, Grace: 8 * time.Second, ConfigApply: 2 * time.Second,
 			RetryRatio: 0.5, RetryWindow: 10 * time.Second, RetrySlack: 200,
@@ -51,6 +56,28 @@
 	r.gateways = append(r.gateways, g)
 }
 
+// cores returns the processor time of the gateways, in cores. With every second seed it is so little
+// that the queue's owner has other members make its calls.
+func (r *rig) cores() float64 {
+	if r.seed%2 == 0 {
+		return fewCores
+	}
+	return 1
+}
+
+// callsForOwners counts the calls that gateways have made for others.
+func (r *rig) callsForOwners() int {
+	n := 0
+	for _, g := range r.gateways {
+		for line := range bytes.Lines(g.Log()) {
+			if bytes.Contains(line, []byte(`"event":"stage_call"`)) && !bytes.Contains(line, []byte(`"owner":""`)) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // awaitReady waits until all gateways are ready.
 func (r *rig) awaitReady() {
 	r.t.Helper()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -150,8 +150,8 @@
 		}
 	}
 	sort.Strings(lines)
-	r.t.Logf("seed %d: %d answered with 200, %d broken promises, %d endpoints back under their IDs, signals: %d rates, %d refusals, %d departures, endpoints lost to contents: %v; streams: %v; %d answers sent twice; %v",
-		seed, answered, broken, r.recorder.restarts, len(r.signals.rates), len(r.signals.refusals), len(r.signals.departures), r.crashes.lost, &r.streams, r.copies.Load(), lines)
+	r.t.Logf("seed %d: %d answered with 200, %d broken promises, %d endpoints back under their IDs, signals: %d rates, %d refusals, %d departures, endpoints lost to contents: %v; streams: %v; %d answers sent twice, %d calls made for others; %v",
+		seed, answered, broken, r.recorder.restarts, len(r.signals.rates), len(r.signals.refusals), len(r.signals.departures), r.crashes.lost, &r.streams, r.copies.Load(), r.callsForOwners(), lines)
 	if answered == 0 {
 		r.t.Error("nothing was served")
 	}
