scheduler: a report that does not fit its call is a loss

What callers would see: a member of another build reports the end of a call with fewer results than it has pieces, and the owner of the queue ends (index out of range), or with a fault that this build does not know, and the pieces wait until their deadline without a call. TestReportThatDoesNotFitItsCallIsALoss ends in a panic without the change.

--- a/scheduler/delegate_test.go
+++ b/scheduler/delegate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -159,3 +160,49 @@
 	submit(t, client, "2")
 	assert.Equal(t, owner.scheduler.Stats().Made.Delegated, delegated)
 }
+
+// Guards against a report of another build that does not fit its call, and ends the owner or leaves
+// the pieces without a call.
+func TestReportThatDoesNotFitItsCallIsALoss(t *testing.T) {
+	for name, unfit := range map[string]map[string]any{
+		"too few results": {"h": []string{}},
+		"too many":        {"h": []string{"a", "b", "c"}},
+		"unknown fault":   {"f": "frozen", "h": []string{"a"}},
+		"abandoned":       {"f": "abandoned"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			other := peer.NewMux()
+			peer.HandleCompact(other, scheduler.MethodAssign, func(from *peer.Conn, a map[string][]map[string]any) {
+				for _, c := range a["calls"] {
+					report := map[string]any{"c": c["c"]}
+					maps.Copy(report, unfit)
+					assert.Check(t, from.Send(scheduler.MethodReport, map[string]any{"calls": []any{report}}) == nil)
+				}
+			})
+			node := peer.NewNode(peer.Config{Hello: func() wire.Hello {
+				return wire.Hello{Process: wire.Process{Name: "other", Incarnation: "1"}}
+			}}, other)
+			t.Cleanup(node.Close)
+			owner := newProcess(t, "owner")
+			owner.scheduler.SetCores(busyCores)
+			stage := &standin.StageEndpoint{ID: "s-1", Addr: "s"}
+			owner.scheduler.SetView(testView(stageServer(t, stage)))
+			conn, err := node.Dial(t.Context(), owner.addr)
+			assert.NilError(t, err)
+			assert.NilError(t, conn.Send(scheduler.MethodOffer, map[string]any{"cores": 1.0}))
+			testwait.For(t, waitTimeout, func() bool { return owner.scheduler.Stats().Delegates == 1 })
+			client := scheduler.NewClient(owner.scheduler, newStubOwners(nil), zerolog.Nop())
+			j := testJob("1")
+			granted := make(chan *scheduler.Lease, 1)
+			go func() {
+				lease, err := client.Submit(context.Background(), j)
+				assert.Check(t, err == nil, "%v", err)
+				granted <- lease
+			}()
+			testwait.For(t, waitTimeout, func() bool { return owner.scheduler.Stats().Made.Delegated >= 2 })
+			conn.Close()
+			lease := <-granted
+			assert.Assert(t, lease != nil && lease.Grant != nil)
+		})
+	}
+}
--- a/scheduler/delegations.go
+++ b/scheduler/delegations.go
@@ -189,7 +189,7 @@
 	for _, c := range r.Calls {
 		if e, ok := d.endCall(c.Call); ok {
 			d.observe(e.Key, firstRequest(e.Pieces), e.at, unpackSignals(c.Signals, noSignals))
-			d.callEnded(e.StartCall, c)
+			d.callEnded(e.StartCall, c.checked(len(e.Pieces)))
 		}
 	}
 	for _, f := range r.Frees {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"github.com/mangostage/mangostage/dispatch"
 	"github.com/mangostage/mangostage/platform"
 )
@@ -44,6 +46,11 @@
 	return *packed
 }
 
+// knownFaults are the faults of calls that members report.
+var knownFaults = []dispatch.CallFault{
+	dispatch.CallOK, dispatch.CallRefused, dispatch.CallLost, dispatch.CallOtherIncarnation,
+}
+
 // newCallReport returns the end of a call with an endpoint's answer.
 func newCallReport(call uint64, fault dispatch.CallFault, reply platform.StageReply) callReport {
 	r := callReport{Call: call, Fault: fault, Handles: make([]string, len(reply.Results)), Signals: packSignals(reply.Signals, noSignals)}
@@ -64,6 +71,16 @@
 	r.Faults[piece] = f
 }
 
+// checked returns the report on a call for a number of pieces. One that does not fit the call, as from
+// a member of another build, says nothing: the call counts as lost.
+func (r callReport) checked(pieces int) callReport {
+	fits := r.Fault != dispatch.CallOK || len(r.Handles) == pieces
+	if !fits || !slices.Contains(knownFaults, r.Fault) {
+		return callReport{Call: r.Call, Fault: dispatch.CallLost}
+	}
+	return r
+}
+
 // outcomes returns what became of the pieces.
 func (r callReport) outcomes() []dispatch.Outcome {
 	outcomes := make([]dispatch.Outcome, len(r.Handles))
