wire: what a process knows is no part of its identity

What callers would see: entries refuse requests with no_endpoint. Cause: put Compact into wire.Process, which is the identity by which members know each other; only the hello at a connection's start had it, so that each process counted as two.

Change: it stands in the hello; a connection remembers it.

--- a/peer/compact.go
+++ b/peer/compact.go
@@ -46,7 +46,7 @@
 }
 
 // Compact reports whether the peer knows compact messages.
-func (c *Conn) Compact() bool { return c.Peer().Process.Compact }
+func (c *Conn) Compact() bool { return c.compact.Load() }
 
 // Send sends a message without a reply: a compact one if the peer knows these, else a
 // notification. Its error is of type ErrNotWritten or ErrLost.
--- a/peer/compact_test.go
+++ b/peer/compact_test.go
@@ -41,7 +41,7 @@
 	assert.Assert(t, conn.Compact())
 	sent := compactNote{
 		Took: 3 * time.Second, Texts: []string{"a", ""}, Faults: map[int]string{3: "late"},
-		Inner: &wire.Process{Name: "p", Compact: true}, Named: map[string]string{"a": "b"},
+		Inner: &wire.Process{Name: "p"}, Named: map[string]string{"a": "b"},
 	}
 	for i := range 100 {
 		sent.Number = i
@@ -76,13 +76,22 @@
 	}
 }
 
+// Guards against a process that counts as two: what identifies it goes with each of its hellos, and
+// only those of a connection's start say what it knows.
+func TestHelloKeepsTheIdentityOfAProcess(t *testing.T) {
+	server, conn, _ := pair(t, NewMux())
+	named := server.cfg.Hello().Process
+	assert.Equal(t, conn.Peer().Process, named)
+	assert.Assert(t, conn.Compact())
+	conn.completeHello(wire.Hello{Process: named})
+	assert.Assert(t, conn.Compact())
+}
+
 // Guards against a message that a peer of an older build cannot read, which ends the connection.
 func TestOlderPeerGetsNotifications(t *testing.T) {
 	mux, notes := receiveNotes()
 	server, conn, _ := pair(t, mux)
-	older := conn.Peer()
-	older.Process.Compact = false
-	conn.hello.Store(&older)
+	conn.compact.Store(false)
 	before := server.Traffic.Rejected.Load()
 	assert.NilError(t, conn.Send("note", compactNote{Number: 7}))
 	assert.Equal(t, (<-notes).Number, 7)
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -25,6 +25,9 @@
 	authenticated atomic.Bool
 	// hello is the latest hello of the peer; nil before the first.
 	hello atomic.Pointer[wire.Hello]
+	// compact means that a hello has said that the peer knows compact messages; later ones may
+	// leave it out.
+	compact atomic.Bool
 	// ctx ends with the connection.
 	ctx context.Context
 	// dropped means that DropAll is closing the connection; no call is written
@@ -36,6 +39,9 @@
 // connection as authenticated and calls OnConnect.
 func (c *Conn) completeHello(theirs wire.Hello) {
 	c.hello.Store(&theirs)
+	if theirs.Compact {
+		c.compact.Store(true)
+	}
 	if c.authenticated.Swap(true) {
 		return
 	}
--- a/peer/node.go
+++ b/peer/node.go
@@ -270,7 +270,7 @@
 // hello returns the description of this process.
 func (n *Node) hello() wire.Hello {
 	h := n.cfg.Hello()
-	h.Process.Compact = true
+	h.Compact = true
 	return h
 }
 
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -55,13 +55,13 @@
 	Incarnation string `json:"incarnation"`
 	Role        Role   `json:"role"`
 	Domain      string `json:"domain"`
-	// Compact is true if the process knows compact messages, see peer.Conn.Send.
-	Compact bool `json:"compact,omitempty"`
 }
 
 // Hello is the first call on a connection, in both directions.
 type Hello struct {
 	Process Process `json:"process"`
+	// Compact is true if the process knows compact messages, see peer.Conn.Send.
+	Compact bool `json:"compact,omitempty"`
 	// VM is the name of the sender's VM in the platform's list; empty if it
 	// equals the process's name.
 	VM     string      `json:"vm,omitempty"`
