--- a/scheduler/delegate_test.go
+++ b/scheduler/delegate_test.go
@@ -35,6 +35,24 @@
 	return owner, scheduler.NewClient(owner.scheduler, newStubOwners(nil), zerolog.Nop())
 }
 
+// ownerOfForeignMember starts an owner whose calls go to a process that serves mux, and returns it and
+// that process's connection to it.
+func ownerOfForeignMember(t *testing.T, stage http.Handler, mux *peer.Mux) (*process, *peer.Conn) {
+	t.Helper()
+	node := peer.NewNode(peer.Config{Hello: func() wire.Hello {
+		return wire.Hello{Process: wire.Process{Name: "foreign", Incarnation: "1"}}
+	}}, mux)
+	t.Cleanup(node.Close)
+	owner := newProcess(t, "owner")
+	owner.scheduler.SetCores(busyCores)
+	owner.scheduler.SetView(testView(stageServer(t, stage)))
+	conn, err := node.Dial(t.Context(), owner.addr)
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Send(scheduler.MethodOffer, map[string]any{"cores": 1.0}))
+	testwait.For(t, waitTimeout, func() bool { return owner.scheduler.Stats().Delegates == 1 })
+	return owner, conn
+}
+
 // submit submits a job and expects an engine.
 func submit(t *testing.T, client *scheduler.Client, ticket string) *scheduler.Lease {
 	t.Helper()
@@ -100,18 +118,8 @@
 func TestCallsOfASilentMemberAreMadeAgain(t *testing.T) {
 	silent := peer.NewMux()
 	peer.HandleNotification(silent, scheduler.MethodAssign, func(*peer.Conn, map[string]any) {})
-	node := peer.NewNode(peer.Config{Hello: func() wire.Hello {
-		return wire.Hello{Process: wire.Process{Name: "silent", Incarnation: "1"}}
-	}}, silent)
-	t.Cleanup(node.Close)
-	owner := newProcess(t, "owner")
-	owner.scheduler.SetCores(busyCores)
 	stage := &standin.StageEndpoint{ID: "s-1", Addr: "s"}
-	owner.scheduler.SetView(testView(stageServer(t, stage)))
-	conn, err := node.Dial(t.Context(), owner.addr)
-	assert.NilError(t, err)
-	assert.NilError(t, conn.Notify(scheduler.MethodOffer, map[string]any{"cores": 1}))
-	testwait.For(t, waitTimeout, func() bool { return owner.scheduler.Stats().Delegates == 1 })
+	owner, _ := ownerOfForeignMember(t, stage, silent)
 	client := scheduler.NewClient(owner.scheduler, newStubOwners(nil), zerolog.Nop())
 	lease := submit(t, client, "1")
 	lease.Done(true)
@@ -179,18 +187,7 @@
 					assert.Check(t, from.Send(scheduler.MethodReport, map[string]any{"calls": []any{report}}) == nil)
 				}
 			})
-			node := peer.NewNode(peer.Config{Hello: func() wire.Hello {
-				return wire.Hello{Process: wire.Process{Name: "other", Incarnation: "1"}}
-			}}, other)
-			t.Cleanup(node.Close)
-			owner := newProcess(t, "owner")
-			owner.scheduler.SetCores(busyCores)
-			stage := &standin.StageEndpoint{ID: "s-1", Addr: "s"}
-			owner.scheduler.SetView(testView(stageServer(t, stage)))
-			conn, err := node.Dial(t.Context(), owner.addr)
-			assert.NilError(t, err)
-			assert.NilError(t, conn.Send(scheduler.MethodOffer, map[string]any{"cores": 1.0}))
-			testwait.For(t, waitTimeout, func() bool { return owner.scheduler.Stats().Delegates == 1 })
+			owner, conn := ownerOfForeignMember(t, &standin.StageEndpoint{ID: "s-1", Addr: "s"}, other)
 			client := scheduler.NewClient(owner.scheduler, newStubOwners(nil), zerolog.Nop())
 			j := testJob("1")
 			granted := make(chan *scheduler.Lease, 1)
--- a/scheduler/delegations.go
+++ b/scheduler/delegations.go
@@ -169,7 +169,8 @@
 	return o
 }
 
-// send sends what was gathered for a member. What cannot be written was not assigned.
+// send sends what was gathered for a member. One that cannot be written to is lost: its connection is
+// closed, which abandons its calls.
 func (d *delegations) send(conn *peer.Conn, o *outbox) {
 	d.mu.Lock()
 	if d.outboxes[conn] != o {
