--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,8 @@
 	go build ./...
 
 test:
-	go test -race -p 3 -count=1 -timeout 12m ./...
+	go test -race -p 3 -count=1 -timeout 12m $(shell go list ./... | grep -v /integration/clients$$)
+	go test -race -count=1 -timeout 20m ./integration/clients
 
 ci:
 	bash .ci/run
--- a/internal/harness/links.go
+++ b/internal/harness/links.go
@@ -13,7 +13,7 @@
 		if !f.views.mayDial(p.from, p.to) {
 			continue
 		}
-		peerProxy, err := f.views.proxy(p, f.vmAddress(p.to))
+		peerProxy, err := f.views.proxy(p, f.VMAddress(p.to))
 		f.must(err)
 		l.proxies = append(l.proxies, peerProxy)
 	}
@@ -89,8 +89,8 @@
 	return nil
 }
 
-// vmAddress returns the peer address of a VM, or "" if there is no such VM.
-func (f *Fleet) vmAddress(vm string) string {
+// VMAddress returns the peer address of a VM, or "" if there is no such VM.
+func (f *Fleet) VMAddress(vm string) string {
 	for _, v := range f.vms {
 		if v.Name == vm {
 			return v.Address
