Configurations carry the operator's limits on heads, head time and idle time

What callers saw: a head of 33 kB was served where the operator allows 16 kB, and connections stayed idle for 90 s where 15 s are set.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -161,10 +161,17 @@
 	Priority *int `json:"priority,omitempty"`
 }
 
-// Limits are the limits on what a client may send.
+// Limits are the limits on what a client may send, and on how long it may take. Zero means the
+// default.
 type Limits struct {
+	// HeaderBytes is the largest head of a request in bytes.
+	HeaderBytes int64 `json:"header_bytes"`
 	// BodyBytes is the largest request body in bytes.
 	BodyBytes int64 `json:"body_bytes"`
+	// HeaderTimeout is how long a head may take from its first byte to its end.
+	HeaderTimeout time.Duration `json:"header_timeout"`
+	// IdleTimeout is how long a connection without a request is kept.
+	IdleTimeout time.Duration `json:"idle_timeout"`
 }
 
 // Incarnation is the start time of an endpoint's process in Unix milliseconds, as
--- a/configcheck/check.go
+++ b/configcheck/check.go
@@ -45,8 +45,27 @@
 	c.checkRoutes()
 	c.checkServices()
 	c.checkAccounts()
-	if config.Limits.BodyBytes < 0 {
-		c.add(KindError, Place{List: ListLimits, Index: -1, Field: FieldBodyBytes}, "is negative")
-	}
+	c.checkLimits()
 	return c.findings
 }
+
+// checkLimits checks the limits on what clients may send.
+func (c *checker) checkLimits() {
+	limits := c.config.Limits
+	for _, f := range []struct {
+		field    Field
+		negative bool
+	}{
+		{FieldHeaderBytes, limits.HeaderBytes < 0},
+		{FieldBodyBytes, limits.BodyBytes < 0},
+		{FieldHeaderTimeout, limits.HeaderTimeout < 0},
+		{FieldIdleTimeout, limits.IdleTimeout < 0},
+	} {
+		if f.negative {
+			c.add(KindError, limitPlace(f.field), "is negative")
+		}
+	}
+}
+
+// limitPlace returns the place of a limit on what clients may send.
+func limitPlace(f Field) Place { return Place{List: ListLimits, Index: -1, Field: f} }
--- a/configcheck/diff.go
+++ b/configcheck/diff.go
@@ -19,7 +19,10 @@
 // the names of entries. Keys of accounts are counted and never shown.
 func Diff(inForce, next *catalog.Config) []Change {
 	var d differ
-	d.compare(Place{List: ListLimits, Index: -1, Field: FieldBodyBytes}, inForce.Limits.BodyBytes, next.Limits.BodyBytes)
+	d.compare(limitPlace(FieldHeaderBytes), inForce.Limits.HeaderBytes, next.Limits.HeaderBytes)
+	d.compare(limitPlace(FieldBodyBytes), inForce.Limits.BodyBytes, next.Limits.BodyBytes)
+	d.compare(limitPlace(FieldHeaderTimeout), inForce.Limits.HeaderTimeout, next.Limits.HeaderTimeout)
+	d.compare(limitPlace(FieldIdleTimeout), inForce.Limits.IdleTimeout, next.Limits.IdleTimeout)
 	diffEntries(&d, ListRoutes, inForce.Routes, next.Routes, func(r *catalog.Route) string { return r.Name }, (*differ).route)
 	diffEntries(&d, ListServices, inForce.Services, next.Services, func(s *catalog.Service) string { return s.Name }, (*differ).service)
 	diffEntries(&d, ListAccounts, inForce.Accounts, next.Accounts, func(a *catalog.Account) string { return a.Name }, (*differ).account)
--- a/configcheck/finding.go
+++ b/configcheck/finding.go
@@ -54,10 +54,14 @@
 	FieldRoom        Field = "room"
 	FieldVersion     Field = "version"
 	FieldBodyBytes   Field = "body_bytes"
+	FieldHeaderBytes Field = "header_bytes"
+	FieldIdleTimeout Field = "idle_timeout"
 	FieldKind        Field = "kind"
 	FieldPublic      Field = "public"
 	FieldBatch       Field = "batch"
 	FieldColdStart   Field = "cold_start"
+
+	FieldHeaderTimeout Field = "header_timeout"
 )
 
 // Place is where in a configuration a finding is.
