What clients hold of a process has one bound for all of them

What callers saw: a process before clients that nobody controls ran out of memory or descriptors, and the requests of all others ended with it. Cause: each limit was for one request or connection (the library's 1 MB for a head, the operator's for a body, none for connections, idle and head times of our own), and nothing bounded their sum; a body also grew by doubling, and its announced length was taken before a byte had come.

Change: package intake, a core without I/O, holds every connection of an address and what its request has reserved beyond the price of an ordinary one; its size follows from memory_mb and max_fds. Without room for a connection, the oldest silent, heading or closing one ends, then the idle, then the stalled; without room for a body or head, the slow ones that hold most, then the account that holds most, then the one that asks, which gets 503 and has not run. A request that is whole is never ended. internal/clientconn (it was keepalive) does the I/O: heads are counted at the connection, by the limits in force when they begin, with what their lines cost; bodies are reserved as they come, or at once if announced; refused clients get 431, 408 or 503, and their connection waits until they have read it. Bodies are kept in pieces. Every HTTP address goes through it: the frontend, ready, metrics, debug and the entry. The garbage collector has a soft limit from memory_mb.

Why it works: no byte of a client is kept that is not part of a counted connection or reserved, and no connection is accepted that is not counted.

--- /dev/null
+++ b/daemon/clients.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"cmp"
+	"math"
+	"runtime/debug"
+	"time"
+
+	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/intake"
+	"github.com/mangostage/mangostage/internal/clientconn"
+	"github.com/mangostage/mangostage/platform"
+)
+
+const (
+	// defaultMemory, in bytes, and defaultDescriptors apply to a gateway whose settings file
+	// names none.
+	defaultMemory      = 144 << 20
+	defaultDescriptors = 3075
+	// fileDescriptors is the part of the descriptors that is kept for files; sockets and pipes
+	// share the rest.
+	fileDescriptors = 200
+	// heapShare is the part of the memory that the heap and the stacks may take before the
+	// garbage collector works harder. The rest is for what sockets hold unread and for the
+	// program itself.
+	heapShare = 0.75
+	// defaultHeadTimeout and defaultIdleTimeout apply where the configuration names none.
+	// The latter is longer than any idle limit of the clients, so that the gateway never
+	// closes a connection while a request is on its way.
+	defaultHeadTimeout = 10 * time.Second
+	defaultIdleTimeout = 90 * time.Second
+)
+
+// clientRoom returns what the clients of a gateway may hold of its process.
+func clientRoom(p platform.Settings) intake.Limits {
+	memory := cmp.Or(p.MemoryBytes, defaultMemory)
+	descriptors := cmp.Or(p.MaxDescriptors, defaultDescriptors)
+	return intake.ForProcess(memory, max(0, descriptors-fileDescriptors))
+}
+
+// clientLimits returns the bounds of single requests that a configuration sets.
+func clientLimits(l catalog.Limits) clientconn.Limits {
+	return clientconn.Limits{
+		HeadBytes:   cmp.Or(max(0, l.HeaderBytes), defaultClientLimits.HeadBytes),
+		HeadTimeout: cmp.Or(max(0, l.HeaderTimeout), defaultHeadTimeout),
+		IdleTimeout: cmp.Or(max(0, l.IdleTimeout), defaultIdleTimeout),
+	}
+}
+
+// boundHeap makes the garbage collector keep the heap within the memory of the process, in bytes.
+func boundHeap(memory int64) {
+	limit := int64(math.MaxInt64)
+	if memory > 0 {
+		limit = int64(heapShare * float64(memory))
+	}
+	debug.SetMemoryLimit(limit)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"io"
 	"net"
@@ -29,8 +28,6 @@
 const (
 	// platformTimeout bounds one call to the platform, for a watch beyond its wait.
 	platformTimeout = 2 * time.Second
-	// headerTimeout closes connections that do not send their request header.
-	headerTimeout = 5 * time.Second
 )
 
 // Values of the log key "event".
@@ -41,6 +38,9 @@
 	logBusEnded   = "event_bus_ended"
 	logHTTPEnded  = "http_ended"
 	logNotApplied = "bundle_not_applied"
+	// logClientsEnded is logged after a process has ended connections of clients, or refused
+	// them, for what they take of it.
+	logClientsEnded = "clients_ended"
 	// logSettingsRead is logged when a gateway has re-read its settings file.
 	logSettingsRead = "settings_read"
 )
@@ -77,10 +77,9 @@
 	// peerAddr is the address bound for peers.
 	peerAddr net.Addr
 	// debug serves metrics on a separate address; nil if none is configured.
-	debug     *http.Server
-	debugAddr net.Addr
-	tls       *settings.TLS
-	stopBus   context.CancelFunc
+	debug   *httpServer
+	tls     *settings.TLS
+	stopBus context.CancelFunc
 }
 
 func newBase(process wire.Process, loaded settings.Loaded, log zerolog.Logger) (*base, error) {
@@ -152,7 +151,7 @@
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/debug/vars", serveVars(b.vars(own)))
 	var err error
-	b.debug, b.debugAddr, err = serveHTTP(address, r, b.log)
+	b.debug, err = serveHTTP(address, r, checksRoom, b.log)
 	return err
 }
 
@@ -172,14 +171,19 @@
 	if callers != nil {
 		event.Stringer("address", callers)
 	}
-	if b.debugAddr != nil {
-		event.Stringer("debug_address", b.debugAddr)
+	if b.debug != nil {
+		event.Stringer("debug_address", b.debug.addr)
 	}
 	event.Msg("listening")
 }
 
 // DebugAddr returns the address bound for metrics, or nil if there is none.
-func (b *base) DebugAddr() net.Addr { return b.debugAddr }
+func (b *base) DebugAddr() net.Addr {
+	if b.debug == nil {
+		return nil
+	}
+	return b.debug.addr
+}
 
 // PeerAddr returns the address bound for peers.
 func (b *base) PeerAddr() net.Addr { return b.peerAddr }
@@ -208,29 +212,3 @@
 		_, _ = w.Write([]byte(m.String()))
 	}
 }
-
-// serveHTTP serves handler on address until the server is shut down.
-func serveHTTP(address string, handler http.Handler, log zerolog.Logger) (*http.Server, net.Addr, error) {
-	listener, err := listenHTTP(address)
-	if err != nil {
-		return nil, nil, err
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	go serveOn(server, listener, log)
-	return server, listener.Addr(), nil
-}
-
-func listenHTTP(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errorx.Decorate(err, "listen for HTTP")
-	}
-	return listener, nil
-}
-
-// serveOn serves until the server is shut down; it logs any other end.
-func serveOn(server *http.Server, listener net.Listener, log zerolog.Logger) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		log.Error().Str("event", logHTTPEnded).Err(err).Msg("HTTP server ended")
-	}
-}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/http"
 
@@ -9,6 +10,7 @@
 
 	"github.com/mangostage/mangostage/bundle"
 	"github.com/mangostage/mangostage/entry"
+	"github.com/mangostage/mangostage/intake"
 	"github.com/mangostage/mangostage/kernel"
 	"github.com/mangostage/mangostage/ledger"
 	"github.com/mangostage/mangostage/settings"
@@ -20,8 +22,7 @@
 	*base
 	settings settings.Entry
 	entry    *entry.Entry
-	server   *http.Server
-	addr     net.Addr
+	server   *httpServer
 }
 
 // StartEntry starts an entry; s and loaded must have been checked.
@@ -58,19 +59,22 @@
 		b.stop()
 		return nil, err
 	}
-	b.logStart(e.addr)
+	b.logStart(e.server.addr)
 	return e, nil
 }
 
 // serve serves the callers' API. Metrics are served with it only if they have no
 // address of their own, because callers need not see other accounts' figures.
 func (e *Entry) serve() error {
-	vars := serveVars(e.vars(e.entry.Vars()))
+	all := e.vars(e.entry.Vars())
+	all.Set("clients", expvar.Func(func() any { return e.server.conns.Stats() }))
+	vars := serveVars(all)
 	if e.settings.DebugListen != "" {
 		vars = http.NotFound
 	}
 	var err error
-	if e.server, e.addr, err = serveHTTP(e.settings.Listen, e.entry.Handler(vars), e.log); err != nil {
+	room := intake.Limits{Conns: e.settings.MaxConns, Bytes: e.settings.ClientMemoryMB << 20}
+	if e.server, err = serveHTTP(e.settings.Listen, e.entry.Handler(vars), room, e.log); err != nil {
 		return err
 	}
 	if err := e.serveDebug(e.settings.DebugListen, e.entry.Vars()); err != nil {
@@ -89,7 +93,7 @@
 }
 
 // Addr returns the address bound for callers.
-func (e *Entry) Addr() net.Addr { return e.addr }
+func (e *Entry) Addr() net.Addr { return e.server.addr }
 
 // Entry returns the entry itself.
 func (e *Entry) Entry() *entry.Entry { return e.entry }
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -19,7 +19,6 @@
 	"github.com/mangostage/mangostage/discovery"
 	"github.com/mangostage/mangostage/fleet"
 	"github.com/mangostage/mangostage/gateway"
-	"github.com/mangostage/mangostage/internal/keepalive"
 	"github.com/mangostage/mangostage/internal/logsink"
 	"github.com/mangostage/mangostage/kernel"
 	"github.com/mangostage/mangostage/origin"
@@ -34,11 +33,6 @@
 )
 
 const (
-	// clientHeaderTimeout closes client connections that do not send their header.
-	clientHeaderTimeout = 10 * time.Second
-	// clientIdleTimeout is longer than any idle limit of the clients, so that the
-	// gateway never closes a connection while a request is on its way.
-	clientIdleTimeout = 90 * time.Second
 	// restShare is the part of the time for which leaving endpoints serve in which they may
 	// be sent the rest of streams; the word that they leave takes some of it.
 	restShare = 0.5
@@ -63,11 +57,9 @@
 	origins    *origin.Client
 	gateway    *gateway.Gateway
 	metrics    *gateway.Metrics
-	frontend   *http.Server
-	// clientConns are the client connections of frontend.
-	clientConns *keepalive.Conns
+	frontend   *httpServer
 	// auxServers serve readiness and metrics.
-	auxServers []*http.Server
+	auxServers []*httpServer
 	// reloadSignals receives SIGHUP. It is registered before anything else starts,
 	// because SIGHUP ends the process by default.
 	reloadSignals chan os.Signal
@@ -90,6 +82,7 @@
 	g := &Gateway{options: options, loaded: loaded, log: log, sink: sink, bus: bus, metrics: gateway.NewMetrics(), reloadSignals: reloadSignals}
 	ctx, stop := context.WithCancel(context.Background())
 	g.stop = stop
+	boundHeap(p.MemoryBytes)
 	g.assemble()
 	g.runBus(ctx)
 	if err := g.start(ctx); err != nil {
@@ -139,6 +132,7 @@
 	scheduler.Serve(mux, g.scheduler)
 	quota.Serve(mux, g.quotas)
 	g.gateway = gateway.New(g.gatewayConfig(toEndpoints))
+	g.frontend = newHTTPServer(g.gateway, clientRoom(p), clientLimits(catalog.Limits{}))
 	quarantine.Serve(mux, g.quarantine)
 	kernel.Handle(g.bus, "scheduler", kernel.TopicView, func(kernel.ViewEvent) { g.scheduler.SetView(g.follower.View()) })
 	kernel.Handle(g.bus, "gateway", kernel.TopicView, func(kernel.ViewEvent) { g.gateway.SetView(g.follower.View()) })
@@ -216,6 +210,9 @@
 // Requests read the view directly from the follower, so that no request sees an
 // older view than an earlier request.
 func (g *Gateway) publishView(view *catalog.View) {
+	if view.Index != nil {
+		g.frontend.conns.SetLimits(clientLimits(view.Index.Config.Limits))
+	}
 	err := kernel.Publish(g.bus, kernel.TopicView, kernel.ViewEvent{Revision: view.Revision})
 	if err != nil {
 		g.log.Error().Str("event", logBusEnded).Err(err).Msg("failed to publish the view event")
@@ -255,34 +252,18 @@
 			return err
 		}
 	}
-	return g.serveFrontend(p.Frontend)
+	return g.frontend.listen(p.Frontend, g.log)
 }
 
 // serveAux serves handler on addr until the end of Stop.
 func (g *Gateway) serveAux(addr string, handler http.Handler) error {
-	server, _, err := serveHTTP(addr, handler, g.log)
+	server, err := serveHTTP(addr, handler, checksRoom, g.log)
 	if err == nil {
 		g.auxServers = append(g.auxServers, server)
 	}
 	return err
 }
 
-// serveFrontend serves the clients on addr.
-func (g *Gateway) serveFrontend(addr string) error {
-	listener, err := listenHTTP(addr)
-	if err != nil {
-		return err
-	}
-	g.frontend = &http.Server{
-		Handler:           g.gateway,
-		ReadHeaderTimeout: clientHeaderTimeout,
-		IdleTimeout:       clientIdleTimeout,
-	}
-	g.clientConns = keepalive.Attach(g.frontend)
-	go serveOn(g.frontend, g.clientConns.Listener(listener), g.log)
-	return nil
-}
-
 // watchSettings re-reads the platform's settings file on SIGHUP and logs whether
 // it has changed. All values that the process uses are fixed while it runs, so a
 // change is only logged and no request is cut.
--- a/daemon/gateway_stop.go
+++ b/daemon/gateway_stop.go
@@ -52,7 +52,7 @@
 	g.gateway.OutOfRotation()
 	// Idle connections are closed now, so that their clients send the next request
 	// to a gateway that is not stopping.
-	g.clientConns.CloseIdle(0)
+	g.frontend.conns.CloseIdle(0)
 	stopClosing := g.keepClosingIdle(ctx)
 	g.awaitDrained(ctx)
 	err := g.frontend.Shutdown(ctx)
@@ -112,7 +112,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			sleep.For(ctx, idleCloseInterval)
-			g.clientConns.CloseIdle(idleCloseAfter)
+			g.frontend.conns.CloseIdle(idleCloseAfter)
 		}
 	}()
 	return stop
--- a/daemon/gateway_vars.go
+++ b/daemon/gateway_vars.go
@@ -18,6 +18,7 @@
 	m.Set("account_shares_refused", g.metrics.Held)
 	m.Set("stream_origins", g.origins.Counters)
 	m.Set("streams_held", expvar.Func(func() any { return g.origins.Stats() }))
+	m.Set("clients", expvar.Func(func() any { return g.frontend.conns.Stats() }))
 	m.Set("latency_ms", expvar.Func(func() any { return g.metrics.Latency() }))
 	m.Set("queues", expvar.Func(func() any { return g.scheduler.Stats() }))
 	m.Set("endpoints", expvar.Func(func() any { return g.gateway.EndpointStats() }))
--- a/entry/http.go
+++ b/entry/http.go
@@ -8,6 +8,7 @@
 
 	"github.com/mangostage/mangostage/api"
 	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/internal/clientconn"
 )
 
 // Paths and path parameters of the HTTP API, and the largest body in bytes of a
@@ -62,7 +63,11 @@
 // request, since any client can send any number of them.
 func (e *Entry) reject(w http.ResponseWriter, reason api.Reason, detail string) {
 	e.stats.rejected.Add(1)
-	writeProblem(w, refusal(e.newRequestID("", ""), reason, detail))
+	p := refusal(e.newRequestID("", ""), reason, detail)
+	if reason == api.ReasonOverloaded {
+		p = withRetry(p, clientconn.RetryAfter)
+	}
+	writeProblem(w, p)
 }
 
 // authenticate returns the current generation and the caller's account. If there
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -15,6 +15,7 @@
 	"github.com/mangostage/mangostage/admit"
 	"github.com/mangostage/mangostage/api"
 	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/internal/clientconn"
 	"github.com/mangostage/mangostage/limit"
 	"github.com/mangostage/mangostage/pipeline"
 	"github.com/mangostage/mangostage/suspect"
@@ -180,10 +181,20 @@
 	if pipelineMax := int64(s.pipeline.MaxBody); pipelineMax > 0 && pipelineMax < allowed {
 		allowed = pipelineMax
 	}
+	tooLong := &rejection{api.ReasonBodyTooLarge, "the body exceeds " + strconv.FormatInt(allowed, 10) + " bytes"}
+	if r.ContentLength > allowed {
+		w.Header().Set("Connection", "close")
+		return tooLong
+	}
+	clientconn.SetAccount(r.Context(), s.account.Name)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, allowed))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return &rejection{api.ReasonBodyTooLarge, "the body exceeds " + strconv.FormatInt(allowed, 10) + " bytes"}
+		return tooLong
+	}
+	if errors.Is(err, clientconn.ErrNoRoom) {
+		w.Header().Set("Connection", "close")
+		return &rejection{api.ReasonOverloaded, "no memory is left for the body"}
 	}
 	if err != nil {
 		return &rejection{api.ReasonBadRequest, "the body could not be read"}
--- a/gateway/content.go
+++ b/gateway/content.go
@@ -30,7 +30,7 @@
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(req.body)
+	req.body.hash(h)
 	return quarantine.Content(h.Sum64())
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,7 +10,7 @@
 
 	"github.com/mangostage/mangostage/balance"
 	"github.com/mangostage/mangostage/catalog"
-	"github.com/mangostage/mangostage/internal/keepalive"
+	"github.com/mangostage/mangostage/internal/clientconn"
 	"github.com/mangostage/mangostage/origin"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/quarantine"
@@ -121,7 +121,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	earlier := keepalive.EarlierRequests(r.Context())
+	earlier := clientconn.EarlierRequests(r.Context())
 	req, p := g.admit(r)
 	if g.shutdown.stopping() {
 		w.Header().Set("Connection", "close")
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -13,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/internal/clientconn"
 	"github.com/mangostage/mangostage/origin"
 	"github.com/mangostage/mangostage/platform"
 	"github.com/mangostage/mangostage/quarantine"
@@ -24,6 +23,9 @@
 // defaultMaxBody limits bodies, in bytes, if the configuration does not.
 const defaultMaxBody = 4 << 20
 
+// reasonNoRoom is the reason of requests for whose body there is no memory.
+const reasonNoRoom = "no_room"
+
 // maxPieces bounds the pieces of one request over all its stages: the owner of the queue holds
 // state for each.
 const maxPieces = 10_000
@@ -37,7 +39,7 @@
 	// serviceName is the service of the route to which the request is sent.
 	serviceName string
 	account     *catalog.Account
-	body        []byte
+	body        payload
 	// subject is what the request is known by across a client's retries.
 	subject quarantine.Subject
 	// run is the current send to an endpoint, runs the number of sends.
@@ -213,27 +215,42 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body := http.MaxBytesReader(w, req.http.Body, limit)
-	var buffer bytes.Buffer
-	if n := req.http.ContentLength; n > 0 && n <= limit {
-		buffer.Grow(int(n) + bytes.MinRead)
+	if req.http.ContentLength > limit {
+		return bodyTooLarge()
 	}
+	clientconn.SetAccount(req.http.Context(), req.accountName())
 	stop := interruptRead(w, req)
-	_, err := io.Copy(&buffer, body)
+	body, err := readPayload(http.MaxBytesReader(w, req.http.Body, limit), req.http.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, clientconn.ErrNoRoom):
+		stop()
+		return noRoom()
 	case !stop() && (cancelledByShutdown(req.ctx) || req.expired()):
 		return lateBodyProblem(req)
 	case errors.As(err, &tooLarge):
-		return &problem{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+		return bodyTooLarge()
 	case err != nil:
 		// The client closed the connection or its chunks are malformed.
 		return &problem{status: http.StatusBadRequest, reason: "body_unreadable", close: true}
 	}
-	req.body, req.readAt = buffer.Bytes(), time.Now()
+	req.body, req.readAt = body, time.Now()
 	return nil
 }
 
+// bodyTooLarge returns the problem for a body over the limit, of which the rest is not read.
+func bodyTooLarge() *problem {
+	return &problem{status: http.StatusRequestEntityTooLarge, reason: "body_too_large", close: true}
+}
+
+// noRoom returns the problem for a body for which there is no memory, of which the rest is not
+// read.
+func noRoom() *problem {
+	p := unavailable(reasonNoRoom, clientconn.RetryAfter)
+	p.close, p.readInterrupted = true, true
+	return p
+}
+
 // interruptRead interrupts reading the body when the request's context ends. A
 // blocked read does not observe the context: without this, a half-sent request would
 // hold up a shutdown, and its client would get no answer. stop ends the watch and
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -195,10 +194,10 @@
 // setBody sets the body of a request so that it cannot be rewound: net/http itself sends a
 // request again whose kept connection turns out to be dead, and which may have run, if its
 // body can be rewound or is absent.
-func setBody(out *http.Request, body []byte) {
-	out.ContentLength = int64(len(body))
-	out.Body = io.NopCloser(bytes.NewReader(body))
-	if len(body) > 0 || probesEmptyBody(out.Method) {
+func setBody(out *http.Request, body payload) {
+	out.ContentLength = body.length
+	out.Body = io.NopCloser(body.reader())
+	if body.length > 0 || probesEmptyBody(out.Method) {
 		return
 	}
 	// An empty body of unknown length would be sent in chunks. Without a body, net/http sends
--- /dev/null
+++ b/intake/client.go
@@ -0,0 +1,106 @@
+package intake
+
+import "sync/atomic"
+
+// Phase is what a connection is doing.
+type Phase int32
+
+const (
+	// Silent means that no request has come yet, Idle that all requests are answered.
+	Silent Phase = iota
+	Idle
+	// Head means that the head of a request is coming, Body that its body is.
+	Head
+	Body
+	// Serving means that a request is whole and has no complete answer, Writing that its
+	// client takes a part of the answer.
+	Serving
+	Writing
+	// Closing means that the client was refused and the connection waits for its end.
+	Closing
+	phases
+)
+
+var phaseNames = [phases]string{"silent", "idle", "head", "body", "serving", "writing", "closing"}
+
+// String returns the name of the phase in metrics.
+func (p Phase) String() string { return phaseNames[p] }
+
+// Client is one connection in a Table.
+type Client struct {
+	table *Table
+	evict func(Reason) bool
+	phase atomic.Int32
+	// since is the tick in which the phase began, order the place of its begin among those of
+	// all connections.
+	since, order atomic.Int64
+	// moved counts the bytes that have come from the client or went to it.
+	moved atomic.Int64
+
+	// The table's mutex guards the rest.
+
+	account string
+	// reserved is in bytes.
+	reserved int64
+	// reservedAt is the tick of the first reservation for the request.
+	reservedAt int64
+	// seen is moved at the latest tick, gained what came since the tick before, and quiet the
+	// number of ticks without a byte.
+	seen, gained, quiet int64
+	evicted             bool
+	// declined is the tick in which the connection was last asked to end and did not.
+	declined int64
+}
+
+// SetPhase records what the connection is doing.
+func (c *Client) SetPhase(p Phase) {
+	c.phase.Store(int32(p))
+	c.since.Store(c.table.tick.Load())
+	c.order.Store(c.table.begun.Add(1))
+}
+
+// Phase returns what the connection is doing.
+func (c *Client) Phase() Phase { return Phase(c.phase.Load()) }
+
+// Moved records bytes that have come from the client or went to it.
+func (c *Client) Moved(bytes int) { c.moved.Add(int64(bytes)) }
+
+// measure records what has moved since the tick before.
+func (c *Client) measure() {
+	moved := c.moved.Load()
+	c.gained, c.seen = moved-c.seen, moved
+	c.quiet++
+	if c.gained > 0 {
+		c.quiet = 0
+	}
+}
+
+// slow reports whether too little of a request that reserved memory has come in the latest
+// interval between ticks, the whole of which it was there.
+func (c *Client) slow(tick int64) bool {
+	return tick-c.reservedAt > 1 && c.gained < slowBytes
+}
+
+// stalled reports whether the connection has been in its phase without a byte for some ticks.
+func (c *Client) stalled(tick int64) bool {
+	return c.quiet >= stalledTicks && tick-c.since.Load() >= stalledTicks && c.moved.Load() == c.seen
+}
+
+// cost is how cheap it is to end the connection to make room for another one: the lowest goes
+// first. ok is false if it must not be ended.
+func (c *Client) cost(tick int64) (cost int, ok bool) {
+	if c.evicted || c.declined == tick {
+		return 0, false
+	}
+	switch c.Phase() {
+	case Silent, Head, Closing:
+		return 0, true
+	case Idle:
+		return 1, true
+	case Body:
+		return 2, c.stalled(tick)
+	case Writing:
+		return 3, c.stalled(tick)
+	}
+	return 0, false
+}
--- a/internal/keepalive/keepalive.go
+++ b/internal/clientconn/conns.go
@@ -1,6 +1,4 @@
-// Package keepalive closes the connections of an HTTP server: idle ones without
-// losing requests, and those of unfinished answers so that they do not look whole.
-package keepalive
+package clientconn
 
 import (
 	"context"
@@ -10,9 +8,26 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mangostage/mangostage/intake"
+	"github.com/mangostage/mangostage/internal/sleep"
 	"github.com/mangostage/mangostage/internal/socket"
 )
 
+// maxLibraryHead is the bound on heads of http.Server itself, in bytes. It only has to be above
+// any limit: Conns obeys the limit in force, which may change while the server runs.
+const maxLibraryHead = 64 << 20
+
+// Limits bound what a client may send and how long it may take.
+type Limits struct {
+	// HeadBytes is the largest head of a request in bytes.
+	HeadBytes int64
+	// HeadTimeout is how long a head may take from its first byte to its end.
+	HeadTimeout time.Duration
+	// IdleTimeout is how long a connection is kept without a request, or while its client
+	// takes nothing of an answer.
+	IdleTimeout time.Duration
+}
+
 // Conns tracks the connections of one server.
 //
 // It guards against a race in http.Server, which marks a connection as active
@@ -23,6 +38,9 @@
 // so again before the handler runs, because a pipelined request may already have
 // been read together with the previous one and causes no further read.
 type Conns struct {
+	table  *intake.Table
+	limits atomic.Pointer[Limits]
+
 	mu   sync.Mutex
 	open map[*conn]struct{}
 }
@@ -31,8 +49,17 @@
 type conn struct {
 	net.Conn
 	conns *Conns
+	// client is the connection in the table.
+	client *intake.Client
 	// requests is the number of requests so far on the connection.
 	requests atomic.Int64
+	// head follows the head that is being read, and limits are those in force at its first
+	// byte. reserved is the memory in bytes reserved for the request, and account its client
+	// account. Only the server's goroutine for the connection uses them.
+	head     head
+	limits   *Limits
+	reserved int64
+	account  string
 
 	mu sync.Mutex
 	// idle is true while every request of which a byte has been read has been
@@ -40,19 +67,27 @@
 	idle bool
 	// idleSince is when the connection was accepted or its latest answer ended.
 	idleSince time.Time
-	// closed is true once closeIfIdle has closed the connection.
+	// closed is true once the connection has been closed as idle.
 	closed bool
+	// evicted is why the connection has to end; empty while it does not.
+	evicted intake.Reason
+	// lingers is true if the close of the connection waits until its client has read what was
+	// written.
+	lingers bool
+	// lingerEnd ends that wait; nil while there is none.
+	lingerEnd chan struct{}
 }
 
 // connKey is the context key under which a request finds its connection.
 type connKey struct{}
 
 // Attach makes the returned Conns track the connections of server, which must
-// not have begun to serve. It replaces the server's ConnState and ConnContext
-// and wraps its Handler. The server must serve the listener that
-// Conns.Listener returns.
-func Attach(server *http.Server) *Conns {
-	c := &Conns{open: make(map[*conn]struct{})}
+// not have begun to serve. It replaces the server's ConnState and ConnContext,
+// wraps its Handler, and obeys limits in place of the server's own. The server must
+// serve the listener that Conns.Listener returns, and Run must run.
+func Attach(server *http.Server, room intake.Limits, limits Limits) *Conns {
+	c := &Conns{table: intake.NewTable(room), open: make(map[*conn]struct{})}
+	c.SetLimits(limits)
 	server.ConnState = func(nc net.Conn, state http.ConnState) {
 		if conn, ok := nc.(*conn); ok && state == http.StateIdle {
 			conn.markIdle()
@@ -61,19 +96,23 @@
 	server.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, nc)
 	}
-	server.Handler = rejectClosed(resetUnlessComplete(server.Handler))
+	server.MaxHeaderBytes = maxLibraryHead
+	server.Handler = c.bound(resetUnlessComplete(server.Handler))
 	return c
 }
 
-// rejectClosed aborts a request whose connection has been closed as idle, before
-// next runs it: its answer could not be delivered.
-func rejectClosed(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if conn, ok := r.Context().Value(connKey{}).(*conn); ok && !conn.beginRequest() {
-			panic(http.ErrAbortHandler)
-		}
-		next.ServeHTTP(w, r)
-	})
+// SetLimits sets the limits on requests that begin from now on.
+func (c *Conns) SetLimits(limits Limits) { c.limits.Store(&limits) }
+
+// Stats returns the figures of the connections and of what they hold.
+func (c *Conns) Stats() intake.Stats { return c.table.Stats() }
+
+// Run ends the connections that take too long, until ctx ends.
+func (c *Conns) Run(ctx context.Context) {
+	for sleep.For(ctx, intake.TickInterval) {
+		limits := c.limits.Load()
+		c.table.Tick(intake.Timeouts{Head: limits.HeadTimeout, Idle: limits.IdleTimeout})
+	}
 }
 
 // EarlierRequests returns the number of requests that preceded the request of ctx on its
@@ -86,9 +125,6 @@
 	return conn.requests.Load() - 1
 }
 
-// Listener wraps l; the server must serve the returned listener.
-func (c *Conns) Listener(l net.Listener) net.Listener { return &listener{Listener: l, conns: c} }
-
 // CloseIdle closes the connections on which no request has been in progress for at least
 // the time given. A request that arrives as its connection is closed is never read, and its
 // client sees the connection close without an answer.
@@ -105,44 +141,11 @@
 	}
 }
 
-// listener wraps each accepted connection in a conn.
-type listener struct {
-	net.Listener
-	conns *Conns
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	conn := &conn{Conn: nc, conns: l.conns, idle: true, idleSince: time.Now()}
-	l.conns.mu.Lock()
-	l.conns.open[conn] = struct{}{}
-	l.conns.mu.Unlock()
-	return conn, nil
-}
-
-// Read fails on a connection that closeIfIdle has closed, even if it has read
-// bytes that arrived before: a request that cannot be answered must not run.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
-	}
-	if n > 0 {
-		c.idle = false
-	}
-	return n, err
-}
-
 // CloseWrite closes the writing side of the connection. net/http calls it before
 // it closes a connection with unread bytes, so that the client receives the
 // answer before the reset.
 func (c *conn) CloseWrite() error {
+	c.client.SetPhase(intake.Closing)
 	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return inner.CloseWrite()
 	}
@@ -152,35 +155,50 @@
 // Close closes the connection and stops tracking it. The server calls it when no
 // request is in progress.
 func (c *conn) Close() error {
+	if end := c.startLinger(); end != nil {
+		c.linger(end)
+	}
+	err := c.Conn.Close()
 	c.conns.mu.Lock()
 	delete(c.conns.open, c)
 	c.conns.mu.Unlock()
-	return c.Conn.Close()
+	c.conns.table.Close(c.client)
+	return err
 }
 
 // beginRequest counts a request and marks the connection as in use. It returns
-// false if closeIfIdle has already closed the connection.
-func (c *conn) beginRequest() bool {
+// false if the connection has already been closed as idle or has to end.
+func (c *conn) beginRequest(hasBody bool) bool {
 	c.requests.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = false
-	return !c.closed
+	phase := intake.Serving
+	if hasBody {
+		phase = intake.Body
+	}
+	c.client.SetPhase(phase)
+	return !c.closed && c.evicted == ""
 }
 
 // markIdle marks the connection as idle after an answer.
 func (c *conn) markIdle() {
+	c.head, c.limits, c.account = head{}, nil, ""
+	if c.reserved > 0 {
+		c.reserved = 0
+		c.conns.table.Release(c.client)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.idleSince = true, time.Now()
+	c.client.SetPhase(intake.Idle)
 }
 
 // closeIfIdle closes the connection if it has been idle since before the time given and no
 // bytes of a request wait to be read.
 func (c *conn) closeIfIdle(before time.Time) {
-	raw := socket.Raw(c.Conn)
 	c.mu.Lock()
-	idle := c.idle && !c.closed && !c.idleSince.After(before) && (raw == nil || !socket.Readable(raw))
+	idle := c.mayCloseIdle() && !c.idleSince.After(before)
 	c.closed = c.closed || idle
 	c.mu.Unlock()
 	if idle {
@@ -188,3 +206,13 @@
 		_ = c.Conn.Close()
 	}
 }
+
+// mayCloseIdle reports whether the connection is idle and open, and no bytes of a request wait to
+// be read. The caller holds mu.
+func (c *conn) mayCloseIdle() bool {
+	if !c.idle || c.closed {
+		return false
+	}
+	raw := socket.Raw(c.Conn)
+	return raw == nil || !socket.Readable(raw)
+}
--- a/internal/keepalive/keepalive_test.go
+++ b/internal/clientconn/conns_test.go
@@ -1,4 +1,4 @@
-package keepalive_test
+package clientconn_test
 
 import (
 	"bufio"
@@ -14,7 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/mangostage/mangostage/internal/keepalive"
+	"github.com/mangostage/mangostage/intake"
+	"github.com/mangostage/mangostage/internal/clientconn"
 	"github.com/mangostage/mangostage/internal/testwait"
 )
 
@@ -23,7 +24,7 @@
 
 // server is an HTTP server that records which requests reached its handler.
 type server struct {
-	conns *keepalive.Conns
+	conns *clientconn.Conns
 	addr  string
 	// handled holds the IDs of the requests that reached the handler.
 	handled sync.Map
@@ -43,7 +44,7 @@
 func (s *server) serve(t *testing.T, handler http.HandlerFunc) {
 	t.Helper()
 	h := &http.Server{ReadHeaderTimeout: waitTimeout, Handler: handler}
-	s.conns = keepalive.Attach(h)
+	s.conns = clientconn.Attach(h, intake.Limits{Conns: 1000, Bytes: 1 << 20}, clientconn.Limits{HeadBytes: 1 << 20, HeadTimeout: waitTimeout, IdleTimeout: waitTimeout})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.addr = l.Addr().String()
@@ -143,7 +144,7 @@
 	began, release := make(chan struct{}), make(chan struct{})
 	var s server
 	s.serve(t, func(w http.ResponseWriter, r *http.Request) {
-		assert.Check(t, keepalive.EarlierRequests(r.Context()) == 0)
+		assert.Check(t, clientconn.EarlierRequests(r.Context()) == 0)
 		close(began)
 		<-release
 		_, _ = fmt.Fprint(w, "ok")
--- a/internal/keepalive/linger.go
+++ b/internal/clientconn/linger.go
@@ -1,4 +1,4 @@
-package keepalive
+package clientconn
 
 import (
 	"net"
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,9 @@
 	DecisionLogRefusals = "refusals"
 )
 
+// maxClientMemoryMB bounds Entry.ClientMemoryMB: 1 TB.
+const maxClientMemoryMB = 1 << 20
+
 // Common holds the settings that entries and agents share.
 type Common struct {
 	VM         string   `arg:"--vm,env:MANGOSTAGE_VM" help:"name of this VM in the platform's list"`
@@ -57,6 +60,9 @@
 	Listen    string        `arg:"--listen,env:MANGOSTAGE_LISTEN" default:"0.0.0.0:7600" help:"address of the callers' HTTP API"`
 	DrainWait time.Duration `arg:"--drain-wait,env:MANGOSTAGE_DRAIN_WAIT" default:"3s" help:"time the balancer needs to notice that this entry is not ready"`
 	MaxBody   int64         `arg:"--max-body,env:MANGOSTAGE_MAX_BODY" default:"1048576" help:"largest request body in bytes, whatever the bundle says"`
+	// ClientMemoryMB and MaxConns bound what all callers together hold of the process.
+	ClientMemoryMB int64 `arg:"--client-memory-mb,env:MANGOSTAGE_CLIENT_MEMORY_MB" default:"24" help:"memory in MB for request bodies of over 16 kB of all callers; further ones are refused until there is room"`
+	MaxConns       int   `arg:"--max-connections,env:MANGOSTAGE_MAX_CONNECTIONS" default:"4096" help:"connections of callers; beyond them the ones that are idle for longest are closed"`
 }
 
 // Agent holds the settings of mangostage-agent.
@@ -123,6 +129,15 @@
 	if e.MaxBody <= 0 {
 		findings.Add(flagPlace("--max-body"), "%d is not positive", e.MaxBody)
 	}
+	if e.ClientMemoryMB < 1 || e.ClientMemoryMB<<20 < e.MaxBody {
+		findings.Add(flagPlace("--client-memory-mb"), "%d holds no body of --max-body", e.ClientMemoryMB)
+	}
+	if e.ClientMemoryMB > maxClientMemoryMB {
+		findings.Add(flagPlace("--client-memory-mb"), "%d is above %d", e.ClientMemoryMB, maxClientMemoryMB)
+	}
+	if e.MaxConns < 1 {
+		findings.Add(flagPlace("--max-connections"), "%d is not positive", e.MaxConns)
+	}
 }
 
 // Check reports what is wrong with a beyond its common part.
