peer: before its hello a connection holds little, and there are few of them

What a client saw: connections from anyone to the address for peers that announced messages of 4 MB, or made calls without reading replies, took the memory of a gateway, an entry or an agent (188, 185 and 201 MB with 48 connections); 260 silent ones took more sockets than the process has. The store's endpoints and members could then not be reached. Clients do not reach that address on the platform; it is open within its network.

Cause: a message's length was allocated before a byte of it had come, its bound of 4 MB held before the hello as after it, each call before the hello got a goroutine and an answer, and nothing bounded the connections.

Change: until its hello a connection may send one message of 64 kB, the hello; anything else is answered or counted as before, and the connection is closed. Beyond a tenth of the process's sockets (256 where no settings name them) the oldest connection without a hello makes room. Long messages take memory as they come.

--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -20,6 +20,11 @@
 	// fileDescriptors is the part of the descriptors that is kept for files; sockets and pipes
 	// share the rest.
 	fileDescriptors = 200
+	// unauthenticatedShare is the part of the sockets for connections to the address for peers
+	// whose other side has not said who it is, minUnauthenticated the fewest: members that
+	// start at once connect at the same time.
+	unauthenticatedShare = 0.1
+	minUnauthenticated   = 16
 	// heapShare is the part of the memory that the heap and the stacks may take before the
 	// garbage collector works harder. The rest is for what sockets hold unread and for the
 	// program itself.
@@ -33,9 +38,18 @@
 
 // clientRoom returns what the clients of a gateway may hold of its process.
 func clientRoom(p platform.Settings) intake.Limits {
-	memory := cmp.Or(p.MemoryBytes, defaultMemory)
-	descriptors := cmp.Or(p.MaxDescriptors, defaultDescriptors)
-	return intake.ForProcess(memory, max(0, descriptors-fileDescriptors))
+	return intake.ForProcess(cmp.Or(p.MemoryBytes, defaultMemory), sockets(p))
+}
+
+// sockets returns how many sockets and pipes a process may have.
+func sockets(p platform.Settings) int {
+	return max(0, cmp.Or(p.MaxDescriptors, defaultDescriptors)-fileDescriptors)
+}
+
+// maxUnauthenticated returns how many connections to the address for peers a process takes whose
+// other side has not said who it is.
+func maxUnauthenticated(p platform.Settings) int {
+	return max(minUnauthenticated, int(unauthenticatedShare*float64(sockets(p))))
 }
 
 // clientLimits returns the bounds of single requests that a configuration sets.
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -147,7 +147,9 @@
 		Seeds:  p.Seeds,
 		Mux:    mux,
 		Log:    g.log,
-		Store:  func() position.Knowledge { return g.follower.Knowledge() },
+
+		MaxUnauthenticated: maxUnauthenticated(p),
+		Store:              func() position.Knowledge { return g.follower.Knowledge() },
 
 		StoreSteady: func() bool { return g.follower.Steady() },
 		OnPromoted:  func(r fleet.Reach) { g.scheduler.BecomeOwner(r) },
--- a/fleet/service.go
+++ b/fleet/service.go
@@ -50,6 +50,9 @@
 	Seeds []string
 	Mux   *peer.Mux
 	Log   zerolog.Logger
+	// MaxUnauthenticated bounds the connections whose other side has not said who it is; 0
+	// means a default.
+	MaxUnauthenticated int
 	// Store returns what this process knows of the store.
 	Store func() position.Knowledge
 	// StoreSteady reports whether the store has answered this process without
@@ -99,6 +102,8 @@
 		Dial:    peerLimits.DialContext,
 		Hello:   s.hello,
 		OnClose: s.handleClose,
+
+		MaxUnauthenticated: cfg.MaxUnauthenticated,
 	}, cfg.Mux)
 	return s
 }
--- a/peer/compact.go
+++ b/peer/compact.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"io"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -79,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	data, err := s.readBytes(wire.MaxMessage)
+	data, err := s.readBytes(uint64(s.maxMessage.Load()))
 	if err != nil {
 		return err
 	}
@@ -99,17 +98,19 @@
 		s.traffic.Rejected.Add(1)
 		return nil, ErrMalformed.New("%d bytes exceed %d", size, limit)
 	}
-	data := make([]byte, size)
-	_, err = io.ReadFull(s.reader, data)
-	return data, err
+	return readMessage(s.reader, int(size))
 }
 
 // handleCompact dispatches a compact message received on c.
 func (c *Conn) handleCompact(method string, data []byte) {
 	<-c.ready
+	authenticated := c.authenticated.Load()
 	handler, ok := c.node.mux.compact[method]
-	if !ok || !c.authenticated.Load() {
+	if !ok || !authenticated {
 		c.node.Traffic.Rejected.Add(1)
+		if !authenticated && !c.dialed.Load() {
+			c.Close()
+		}
 		return
 	}
 	if err := handler(c, data); err != nil {
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -25,6 +25,10 @@
 	authenticated atomic.Bool
 	// hello is the latest hello of the peer; nil before the first.
 	hello atomic.Pointer[wire.Hello]
+	// helloBegun means that a hello is being handled, or has been.
+	helloBegun atomic.Bool
+	// introduced records that the hello of the peer has come.
+	introduced func()
 	// compact means that a hello has said that the peer knows compact messages; later ones may
 	// leave it out.
 	compact atomic.Bool
@@ -45,6 +49,8 @@
 	if c.authenticated.Swap(true) {
 		return
 	}
+	c.stream.maxMessage.Store(wire.MaxMessage)
+	c.introduced()
 	if c.node.cfg.OnConnect != nil {
 		c.node.cfg.OnConnect(c)
 	}
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -34,7 +34,7 @@
 	node := NewNode(Config{Hello: func() wire.Hello { return wire.Hello{} }}, mux)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		ours, theirs := net.Pipe()
-		c := node.newConn(theirs)
+		c := node.newConn(theirs, wire.MaxMessage, func() {})
 		go drain(ours)
 		_ = ours.SetWriteDeadline(time.Now().Add(fuzzTimeout))
 		_, _ = ours.Write(data)
--- a/peer/mux.go
+++ b/peer/mux.go
@@ -65,6 +65,12 @@
 	if req.Params != nil {
 		raw = *req.Params
 	}
+	if !c.mayHandle(req) {
+		// The reply says why; the read loop waits for it, so that there is one at a time.
+		c.reject(ctx, req, raw)
+		c.Close()
+		return
+	}
 	if req.Notif {
 		c.handleNotification(req.Method, raw)
 		return
@@ -72,6 +78,23 @@
 	go c.handleCall(ctx, req, raw)
 }
 
+// mayHandle reports whether a message is handled: before the hello has been, only one hello is.
+func (c *Conn) mayHandle(req *jsonrpc2.Request) bool {
+	if c.authenticated.Load() || c.dialed.Load() {
+		return true
+	}
+	return req.Method == helloMethod && !req.Notif && !c.helloBegun.Swap(true)
+}
+
+// reject answers a call that is not handled, and counts a notification.
+func (c *Conn) reject(ctx context.Context, req *jsonrpc2.Request, raw json.RawMessage) {
+	if req.Notif {
+		c.handleNotification(req.Method, raw)
+		return
+	}
+	c.handleCall(ctx, req, raw)
+}
+
 func (c *Conn) handleNotification(method string, raw json.RawMessage) {
 	handler, ok := c.node.mux.notifications[method]
 	if !ok || !c.authenticated.Load() {
--- a/peer/node.go
+++ b/peer/node.go
@@ -4,6 +4,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -57,6 +58,9 @@
 	// from the pause; while it returns true no call is written. It runs before
 	// each call; nil means never stalled.
 	Stalled func() bool
+	// MaxUnauthenticated bounds the accepted connections whose hello has not come; 0 means a
+	// default.
+	MaxUnauthenticated int
 }
 
 // Node holds all peer connections of this process.
@@ -71,6 +75,8 @@
 	listener net.Listener
 	closed   bool
 	wg       sync.WaitGroup
+	// unauthenticated holds the accepted connections whose hello has not come.
+	unauthenticated unauthenticated
 	// ctx is cancelled by Close; it bounds the TLS handshakes of accepted connections.
 	ctx  context.Context
 	stop context.CancelFunc
@@ -79,6 +85,7 @@
 // NewNode returns a node that serves the methods of mux, to which it adds hello.
 func NewNode(cfg Config, mux *Mux) *Node {
 	n := &Node{cfg: cfg, mux: mux, conns: make(map[*Conn]struct{})}
+	n.unauthenticated.max = cmp.Or(cfg.MaxUnauthenticated, defaultMaxUnauthenticated)
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	HandleCall(mux, helloMethod, n.serveHello)
 	return n
@@ -121,16 +128,18 @@
 // never reaches the read loop.
 func (n *Node) handleAccepted(conn net.Conn) {
 	defer n.wg.Done()
+	done := n.unauthenticated.add(conn)
 	if secure, ok := conn.(*tls.Conn); ok {
 		ctx, cancel := context.WithTimeout(n.ctx, helloTimeout)
 		err := secure.HandshakeContext(ctx)
 		cancel()
 		if err != nil {
+			done()
 			n.rejectHandshake(conn, err)
 			return
 		}
 	}
-	c := n.newConn(conn)
+	c := n.newConn(conn, maxHello, done)
 	time.AfterFunc(helloTimeout, func() {
 		if !c.authenticated.Load() {
 			c.Close()
@@ -150,10 +159,12 @@
 }
 
 // newConn starts the read loop of a connection and registers it. If the node is
-// closed already, it closes the connection.
-func (n *Node) newConn(conn net.Conn) *Conn {
+// closed already, it closes the connection. Messages have maxMessage bytes at most until
+// the hello has come; introduced is called when it has, or when the connection has ended.
+func (n *Node) newConn(conn net.Conn, maxMessage int64, introduced func()) *Conn {
 	ctx, end := context.WithCancel(context.Background())
-	c := &Conn{node: n, remote: conn.RemoteAddr(), ready: make(chan struct{}), stream: newStream(conn, &n.Traffic), ctx: ctx}
+	c := &Conn{node: n, remote: conn.RemoteAddr(), ready: make(chan struct{}), stream: newStream(conn, &n.Traffic), ctx: ctx, introduced: sync.OnceFunc(introduced)}
+	c.stream.maxMessage.Store(maxMessage)
 	c.stream.handleCompact = c.handleCompact
 	// The read loop starts inside jsonrpc2.NewConn, before c.rpc is assigned.
 	// Handle waits for ready so that no handler uses a Conn without rpc.
@@ -170,6 +181,7 @@
 	n.mu.Unlock()
 	go func() {
 		n.awaitDisconnect(c)
+		c.introduced()
 		end()
 		if !closed {
 			n.wg.Done()
@@ -225,7 +237,7 @@
 		_ = conn.Close()
 		return nil, ErrNotWritten.Wrap(err, "handshake with %s", addr)
 	}
-	c := n.newConn(secure)
+	c := n.newConn(secure, wire.MaxMessage, func() {})
 	c.dialed.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
--- a/peer/node_test.go
+++ b/peer/node_test.go
@@ -106,6 +106,6 @@
 	client := testNode(t, "client", NewMux())
 	raw, err := client.Connect(context.Background(), addr.String())
 	assert.NilError(t, err)
-	err = client.newConn(raw).Call(context.Background(), "run", wire.Revoke{}, nil)
+	err = client.newConn(raw, wire.MaxMessage, func() {}).Call(context.Background(), "run", wire.Revoke{}, nil)
 	assert.Assert(t, errorx.IsOfType(err, ErrRemote), "%v", err)
 }
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/binary"
 	"encoding/json"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -46,6 +45,8 @@
 	raw     syscall.RawConn
 	reader  *bufio.Reader
 	traffic *Traffic
+	// maxMessage is the longest message in bytes that may come now.
+	maxMessage atomic.Int64
 	// handleCompact gets the compact messages.
 	handleCompact func(method string, params []byte)
 
@@ -56,7 +57,9 @@
 }
 
 func newStream(conn net.Conn, traffic *Traffic) *stream {
-	return &stream{conn: conn, raw: socket.Raw(conn), reader: bufio.NewReader(conn), traffic: traffic}
+	s := &stream{conn: conn, raw: socket.Raw(conn), reader: bufio.NewReader(conn), traffic: traffic}
+	s.maxMessage.Store(wire.MaxMessage)
+	return s
 }
 
 // WriteObject writes one message. An oversized or unencodable object is rejected
@@ -130,12 +133,12 @@
 	if err != nil {
 		return err
 	}
-	if size > wire.MaxMessage {
+	if limit := uint64(s.maxMessage.Load()); size > limit {
 		s.traffic.Rejected.Add(1)
-		return ErrMalformed.New("message of %d bytes exceeds %d", size, wire.MaxMessage)
+		return ErrMalformed.New("message of %d bytes exceeds %d", size, limit)
 	}
-	payload := make([]byte, size)
-	if _, err := io.ReadFull(s.reader, payload); err != nil {
+	payload, err := readMessage(s.reader, int(size))
+	if err != nil {
 		return err
 	}
 	s.traffic.BytesIn.Add(int64(size) + 1)
