gateway: connections to endpoints leave descriptors and memory for others

What callers saw: 260 clients that read none of their large answers took 531 sockets of 200, and 45 MB that the gateway had received from endpoints and not read. Cause: each such request keeps its endpoint's connection, whose receive buffer grows to megabytes, and up to 2,048 idle connections were kept whatever max_fds says.

Change: sockets to endpoints hold 64 kB unread (32 kB asked for, which Linux doubles); from 45% of the process's sockets on, a new connection to an endpoint closes the one that is idle for longest. Requests at once are bounded by the connections of clients, which have as many.

TestIdleConnectionsMakeRoom is new.

--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -46,6 +46,10 @@
 	return max(0, cmp.Or(p.MaxDescriptors, defaultDescriptors)-fileDescriptors)
 }
 
+// maxEndpointConns returns how many connections to endpoints a process keeps open while some of
+// them are idle: as many as its clients may have.
+func maxEndpointConns(p platform.Settings) int { return int(intake.SocketShare * float64(sockets(p))) }
+
 // maxUnauthenticated returns how many connections to the address for peers a process takes whose
 // other side has not said who it is.
 func maxUnauthenticated(p platform.Settings) int {
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -99,6 +99,7 @@
 	p := g.loaded.Platform
 	mux := peer.NewMux()
 	toStore, toEndpoints := storeTransport(), gateway.NewTransport()
+	toEndpoints.MaxConns = maxEndpointConns(p)
 	toEndpoints.OnStray = g.metrics.CountStray
 	toEndpoints.BeforeRequest = func() { g.follower.CheckPause() }
 	store := platform.NewStore(p.Store, &http.Client{Transport: toStore}, discovery.StoreTimeouts)
--- a/gateway/idle.go
+++ b/gateway/idle.go
@@ -64,6 +64,17 @@
 	return surplus
 }
 
+// oldest returns up to n connections, those that are idle for longest.
+func (l *idleConns) oldest(n int) []idleConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []idleConn
+	for e := l.order.Front(); e != nil && len(found) < n; e = e.Next() {
+		found = append(found, e.Value.(idleConn))
+	}
+	return found
+}
+
 // remove removes a connection that is used.
 func (l *idleConns) remove(c *endpointConn) {
 	l.mu.Lock()
--- a/gateway/idle_test.go
+++ b/gateway/idle_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/internal/testwait"
 )
 
 // Guards against connections that are kept until their endpoint closes them under a request,
@@ -109,3 +111,20 @@
 		}
 	}
 }
+
+// Guards against idle connections that leave no descriptors for others.
+func TestIdleConnectionsMakeRoom(t *testing.T) {
+	t.Parallel()
+	transport := NewTransport()
+	transport.MaxConns = 4
+	t.Cleanup(transport.CloseIdleConnections)
+	for range 10 {
+		url, _ := keepAliveServer(t, "timeout=60", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+		get(t, transport, url)
+		testwait.For(t, time.Second, func() bool { return len(transport.idle.oldest(1)) == 1 })
+		transport.mu.Lock()
+		open := len(transport.conns)
+		transport.mu.Unlock()
+		assert.Assert(t, open <= transport.MaxConns, "%d connections", open)
+	}
+}
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -32,6 +32,8 @@
 	Dial:           600 * time.Millisecond,
 	Unacknowledged: 2 * time.Second,
 	Probe:          2 * time.Second,
+	// An answer that its client does not take stays here.
+	ReceiveBuffer: 32 << 10,
 }
 
 // Transport carries requests to endpoints. It tracks when its connections were
@@ -51,6 +53,12 @@
 	// not have run, and its client waits without an answer until its deadline.
 	BeforeRequest func()
 
+	// MaxConns is the number of open connections from which on a new one closes the one that
+	// is idle for longest; 0 means that there is none. It is set before the first request.
+	//
+	// It guards against idle connections that leave no descriptors for clients and peers.
+	MaxConns int
+
 	// OnStray, if set, is called with the service of the endpoint, if that was listed, whose
 	// answer to a call belongs to another one.
 	OnStray func(service string)
@@ -88,14 +96,28 @@
 	if err != nil {
 		return nil, err
 	}
+	c, surplus := t.register(conn, addr)
+	if surplus > 0 {
+		for _, s := range t.idle.oldest(surplus) {
+			s.conn.closeIdle(s.exchange)
+		}
+	}
+	return c, nil
+}
+
+// register tracks a new connection. surplus is how many connections are open beyond MaxConns.
+func (t *Transport) register(conn net.Conn, addr string) (c *endpointConn, surplus int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.opened++
-	c := &endpointConn{
+	c = &endpointConn{
 		Conn: conn, raw: socket.Raw(conn), transport: t, number: t.opened, endpoint: t.endpointsByAddr[addr], opened: time.Now(),
 	}
 	t.conns[c] = struct{}{}
-	return c, nil
+	if t.MaxConns > 0 {
+		surplus = len(t.conns) - t.MaxConns
+	}
+	return c, surplus
 }
 
 // countStray counts an answer of the endpoint, which may be nil, that belongs to no call.
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -8,15 +8,16 @@
 	// requests reserve beyond the price of their connections. The rest is the process's own.
 	connShare    = 0.4
 	requestShare = 0.2
-	// clientSocketShare is the part of the sockets for clients. As many are left for the
-	// requests that these make to endpoints, and the rest for peers, store and checks.
-	clientSocketShare = 0.45
 	// minConns is the fewest connections, and minRequestBytes the least memory in bytes for
 	// requests, that a process of any size takes.
 	minConns        = 16
 	minRequestBytes = 8 << 20
 )
 
+// SocketShare is the part of the sockets of a process for its clients. As many are left for their
+// requests to endpoints, and the rest for peers, store and checks.
+const SocketShare = 0.45
+
 // Limits are the bounds of a Table.
 type Limits struct {
 	// Conns is the number of connections.
@@ -29,7 +30,7 @@
 // open.
 func ForProcess(memory int64, sockets int) Limits {
 	byMemory := int(connShare * float64(memory) / connBytes)
-	bySockets := int(clientSocketShare * float64(sockets))
+	bySockets := int(SocketShare * float64(sockets))
 	return Limits{
 		Conns: max(minConns, min(byMemory, bySockets)),
 		Bytes: max(minRequestBytes, int64(requestShare*float64(memory))),
--- a/internal/dialer/dialer.go
+++ b/internal/dialer/dialer.go
@@ -22,6 +22,9 @@
 	Unacknowledged time.Duration
 	// Probe is the interval of keep-alive probes on an idle connection.
 	Probe time.Duration
+	// ReceiveBuffer is what the socket holds unread at most, in bytes; Linux doubles it. 0
+	// leaves it to the system.
+	ReceiveBuffer int
 }
 
 // DialContext connects to addr with the limits l.
@@ -45,6 +48,10 @@
 	err := c.Control(func(fd uintptr) {
 		ms := int(l.Unacknowledged.Milliseconds())
 		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, ms)
+		if l.ReceiveBuffer > 0 {
+			// Without the bound the socket works as well, and holds more.
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, l.ReceiveBuffer)
+		}
 	})
 	if err != nil {
 		return err
