logsink: long texts of a line are cut

What operators saw: requests whose ID is as long as a head may be leave lines of over 8 kB, each of which takes the place of twenty others in the queue of lines and in the log. Cause: texts that clients choose were logged whole. Change: a line of over 1 kB keeps 512 bytes of each text and says so; it stays JSON. IDs inside a kilobyte line are as before, and the request is matched and forwarded by its whole ID.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -42,9 +42,9 @@
 	return s
 }
 
-// Write implements io.Writer; it never blocks and never fails.
+// Write implements io.Writer; it never blocks and never fails. Long texts of a line are cut.
 func (s *Sink) Write(line []byte) (int, error) {
-	copied := append([]byte(nil), line...)
+	copied := cutTexts(line)
 	select {
 	case s.queue <- copied:
 	default:
