Refused clients give back their room at once, and learn why

- A refused body kept the 64 kB of its receive buffer reserved while its connection waited for its client (half a second), so that a few refused clients kept all others out.
- A head over the limit was refused twice on its connection, and counted twice: the library reads again after an error.
The second answer could have been taken for that to a next request.
- A limit on headers may or may not include the request line: each of the two has the limit now, so that no client inside either reading is refused.
- A socket that held more for a large body kept that on an idle connection.

--- a/daemon/http.go
+++ b/daemon/http.go
@@ -75,11 +75,12 @@
 }
 
 // logEnded logs how many clients were ended or refused by the process itself, and why, since the
-// line before.
+// line before. Connections that were idle for too long are no reason for a line.
 func (s *httpServer) logEnded(ctx context.Context, log zerolog.Logger) {
 	logged := make(map[intake.Reason]int64)
 	for sleep.For(ctx, endedLogInterval) {
 		stats := s.conns.Stats()
+		delete(stats.Ended, intake.ReasonIdleTimeout)
 		if maps.Equal(stats.Ended, logged) {
 			continue
 		}
--- a/intake/client.go
+++ b/intake/client.go
@@ -6,15 +6,17 @@
 type Phase int32
 
 const (
-	// Silent means that no request has come yet, Idle that all requests are answered.
+	// Silent means that no request has come yet.
 	Silent Phase = iota
+	// Idle means that all requests are answered.
 	Idle
-	// Head means that the head of a request is coming, Body that its body is.
+	// Head means that the head of a request is coming.
 	Head
+	// Body means that the body of a request is coming.
 	Body
-	// Serving means that a request is whole and has no complete answer, Writing that its
-	// client takes a part of the answer.
+	// Serving means that a request is whole and has no complete answer.
 	Serving
+	// Writing means that the client takes a part of the answer.
 	Writing
 	// Closing means that the client was refused and the connection waits for its end.
 	Closing
--- a/intake/table.go
+++ b/intake/table.go
@@ -27,14 +27,15 @@
 type Reason string
 
 const (
-	// ReasonConns means that there was no room for a connection, ReasonMemory that there was
-	// none for a request.
-	ReasonConns  Reason = "connections"
+	// ReasonConns means that there was no room for a connection.
+	ReasonConns Reason = "connections"
+	// ReasonMemory means that there was no memory for a request.
 	ReasonMemory Reason = "memory"
-	// ReasonHeadTimeout, ReasonIdleTimeout and ReasonWriteTimeout mean that a head took too
-	// long, that no request came for too long, and that nothing of an answer was taken.
-	ReasonHeadTimeout  Reason = "head_timeout"
-	ReasonIdleTimeout  Reason = "idle_timeout"
+	// ReasonHeadTimeout means that a head took too long.
+	ReasonHeadTimeout Reason = "head_timeout"
+	// ReasonIdleTimeout means that no request came for too long.
+	ReasonIdleTimeout Reason = "idle_timeout"
+	// ReasonWriteTimeout means that nothing of an answer was taken for too long.
 	ReasonWriteTimeout Reason = "write_timeout"
 	// ReasonHead means that a head was over the limit.
 	ReasonHead Reason = "head_too_large"
--- a/internal/clientconn/body.go
+++ b/internal/clientconn/body.go
@@ -50,7 +50,7 @@
 
 // headTooLarge reports whether a head was over the limit that was read to its end.
 func (c *conn) headTooLarge() bool {
-	return c.limits != nil && c.head.ended && c.head.bytes > c.limits.HeadBytes
+	return c.limits != nil && c.head.ended && c.head.exceeds(c.limits.HeadBytes)
 }
 
 // SetAccount names the client account of the request of ctx, whose memory counts as that
@@ -117,6 +117,8 @@
 // reserve reserves memory for the connection's request.
 func (c *conn) reserve(bytes int64) bool {
 	if !c.conns.table.Reserve(c.client, c.account, bytes) {
+		c.conns.table.Release(c.client)
+		c.reserved = 0
 		c.lingerAtClose()
 		return false
 	}
@@ -129,10 +131,17 @@
 	if !c.reserve(bodyBuffer) {
 		return false
 	}
+	c.largeBuffer = true
+	c.setReceiveBuffer(bodyBuffer)
+	return true
+}
+
+// setReceiveBuffer bounds what the socket holds unread, in bytes.
+func (c *conn) setReceiveBuffer(bytes int) {
 	if tcp, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
-		_ = tcp.SetReadBuffer(bodyBuffer)
+		// The connection works with any bound.
+		_ = tcp.SetReadBuffer(bytes)
 	}
-	return true
 }
 
 // endBody records that the request is whole. It returns false if the connection has to end: the
--- a/internal/clientconn/conns.go
+++ b/internal/clientconn/conns.go
@@ -60,6 +60,10 @@
 	limits   *Limits
 	reserved int64
 	account  string
+	// refused is true once the head that was being read has got its refusal.
+	refused bool
+	// largeBuffer is true while the socket may hold more for a large body.
+	largeBuffer bool
 
 	mu sync.Mutex
 	// idle is true while every request of which a byte has been read has been
@@ -156,6 +160,7 @@
 // request is in progress.
 func (c *conn) Close() error {
 	if end := c.startLinger(); end != nil {
+		c.conns.table.Release(c.client)
 		c.linger(end)
 	}
 	err := c.Conn.Close()
@@ -184,6 +189,10 @@
 // markIdle marks the connection as idle after an answer.
 func (c *conn) markIdle() {
 	c.head, c.limits, c.account = head{}, nil, ""
+	if c.largeBuffer {
+		c.largeBuffer = false
+		c.setReceiveBuffer(receiveBuffer)
+	}
 	if c.reserved > 0 {
 		c.reserved = 0
 		c.conns.table.Release(c.client)
--- a/internal/clientconn/head.go
+++ b/internal/clientconn/head.go
@@ -11,8 +11,9 @@
 
 // head follows the head of a request as it is read.
 type head struct {
-	// bytes is its length so far, lines the number of its lines that are not empty.
-	bytes, lines int64
+	// first is the length of the request line so far, with what comes before it, fields that of
+	// the lines after it; lines is the number of lines that are not empty.
+	first, fields, lines int64
 	// text is true once a byte of the current line has come that does not end it.
 	text bool
 	// ended is true once the empty line at the end of the head has come.
@@ -24,11 +25,11 @@
 	for len(data) > 0 && !h.ended {
 		end := bytes.IndexByte(data, '\n')
 		if end < 0 {
-			h.bytes += int64(len(data))
+			h.count(len(data))
 			h.text = h.text || len(bytes.Trim(data, "\r")) > 0
 			return
 		}
-		h.bytes += int64(end) + 1
+		h.count(end + 1)
 		if h.text || len(bytes.Trim(data[:end], "\r")) > 0 {
 			h.lines++
 		} else if h.lines > 0 {
@@ -39,5 +40,18 @@
 	}
 }
 
+// count adds bytes of the current line.
+func (h *head) count(bytes int) {
+	if h.lines == 0 {
+		h.first += int64(bytes)
+	} else {
+		h.fields += int64(bytes)
+	}
+}
+
+// exceeds reports whether the head is over a limit in bytes: its header lines are, or its request
+// line, which limits on headers may or may not include.
+func (h *head) exceeds(limit int64) bool { return h.first > limit || h.fields > limit }
+
 // cost is about the memory in bytes that the head takes.
-func (h *head) cost() int64 { return byteCost*h.bytes + fieldCost*h.lines }
+func (h *head) cost() int64 { return byteCost*(h.first+h.fields) + fieldCost*h.lines }
--- a/internal/clientconn/read.go
+++ b/internal/clientconn/read.go
@@ -28,6 +28,9 @@
 // Read fails on a connection that was closed as idle, even if it has read
 // bytes that arrived before: a request that cannot be answered must not run.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.refused {
+		return 0, errEnded
+	}
 	if c.readsHead() {
 		if r := c.headRefusal(); r != nil {
 			c.refuse(r)
@@ -86,7 +89,7 @@
 	if c.limits == nil {
 		return nil
 	}
-	if c.head.bytes > c.limits.HeadBytes {
+	if c.head.exceeds(c.limits.HeadBytes) {
 		c.conns.table.Count(intake.ReasonHead)
 		return refusals[intake.ReasonHead]
 	}
--- a/internal/clientconn/refuse.go
+++ b/internal/clientconn/refuse.go
@@ -46,6 +46,7 @@
 
 // refuse answers a request whose head is not read to its end. The connection has to be closed.
 func (c *conn) refuse(r *refusal) {
+	c.refused = true
 	c.mu.Lock()
 	c.lingers = true
 	c.mu.Unlock()
