--- a/integration/clients/usage_test.go
+++ b/integration/clients/usage_test.go
@@ -83,7 +83,7 @@
 	u.unread = max(u.unread, unread)
 	u.sockets = max(u.sockets, sockets)
 	u.all = max(u.all, all)
-	if memoryOf(pid, "VmRSS:")+unread > killAt && u.process.Running() && !u.killed {
+	if u.process.Memory()+unread > killAt && u.process.Running() && !u.killed {
 		u.killed = true
 		_ = syscall.Kill(pid, syscall.SIGKILL)
 	}
@@ -147,23 +147,6 @@
 	return sockets, len(entries)
 }
 
-// memoryOf returns a figure of the memory of a process in bytes; 0 if it has ended.
-func memoryOf(pid int, name string) int64 {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(status)) {
-		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == name {
-			kilobytes, err := strconv.ParseInt(fields[1], 10, 64)
-			if err == nil {
-				return kilobytes << 10
-			}
-		}
-	}
-	return 0
-}
-
 // check checks that the process stayed within its limits so far.
 func (u *usage) check() {
 	u.t.Helper()
@@ -177,7 +160,7 @@
 // checkMemory checks that the process stayed within its memory so far.
 func (u *usage) checkMemory() {
 	u.t.Helper()
-	peak := memoryOf(u.process.PID(), "VmHWM:")
+	peak := u.process.PeakMemory()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.t.Logf("peak of the memory %d MB, unread %d MB, %d sockets and pipes, %d descriptors", peak>>20, u.unread>>20, u.sockets, u.all)
--- a/integration/endless/endless_test.go
+++ b/integration/endless/endless_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -166,21 +165,6 @@
 	return resp.StatusCode
 }
 
-// peakMemory returns the largest memory that a process has used, in bytes.
-func peakMemory(t *testing.T, pid int) int64 {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	assert.NilError(t, err)
-	for line := range strings.Lines(string(status)) {
-		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmHWM:" {
-			kilobytes, err := strconv.ParseInt(fields[1], 10, 64)
-			assert.NilError(t, err)
-			return kilobytes << 10
-		}
-	}
-	t.Fatal("no peak of the memory is known")
-	return 0
-}
-
 // Guards against a gateway that keeps what endpoints of plain services and of stages send without
 // end: it runs out of memory, and the requests of its other clients end with it.
 func TestManyEndpointsWithoutEndAtOneProcess(t *testing.T) {
@@ -212,9 +196,9 @@
 		}
 	}
 	clients.Wait()
-	peak := peakMemory(t, r.process.PID())
+	peak := r.process.PeakMemory()
 	t.Logf("%d requests, %d sound ones served, peak of the memory %d MB", number.Load(), sound.Load(), peak>>20)
-	assert.Check(t, peak < memoryLimit, "%d MB", peak>>20)
+	assert.Check(t, peak > 0 && peak < memoryLimit, "%d MB", peak>>20)
 	assert.Check(t, sound.Load() > 0 && unsound.Load() == 0, "%d of the others' requests served, %d not", sound.Load(), unsound.Load())
 	assert.Check(t, slow.Load() == 0, "%d answers came over %s after the deadline", slow.Load(), answerMargin)
 	assert.Check(t, r.process.Running())
--- a/soak/gateways_test.go
+++ b/soak/gateways_test.go
@@ -47,7 +47,7 @@
 	g.toStore, toStore = harness.NewLink(r.t, "store-"+g.name, storeAddr)
 	g.Process = harness.StartGateway(r.t, platform.Settings{
 		Name: g.name, Seeds: peers[:min(maxSeedPeers, len(peers))],
-		Frontend: g.frontend, Ready: g.ready, Peer: listen, Store: toStore, Cores: r.cores(),
+		Frontend: g.frontend, Ready: g.ready, Peer: listen, Store: toStore, Cores: r.cores(), MemoryBytes: gatewayMemory,
 		Bounds: platform.Bounds{
 			Drain: 2 * time.Second, Grace: 8 * time.Second, ConfigApply: 2 * time.Second,
 			RetryRatio: 0.5, RetryWindow: 10 * time.Second, RetrySlack: 200,
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -115,6 +115,7 @@
 		running.Go(func() { r.runKeptClient(ctx, n, seed) })
 	}
 	running.Go(func() { r.probeGateways(ctx) })
+	running.Go(func() { r.runCrowds(ctx) })
 	r.inject(set)
 	timer := time.NewTimer(quietPeriod)
 	defer timer.Stop()
@@ -124,6 +125,7 @@
 	r.checkOthersServed()
 	r.checkCrashes(set)
 	r.checkSignals()
+	r.checkCrowds()
 	broken := r.recorder.finalViolations()
 	r.logSummary(seed, len(broken))
 	for _, b := range broken {
