Connections that close for others do not keep new ones out

Found by two tests of the shell that were written against it (TestConnectionsThatCloseDoNotKeepNewOnesOut, TestRefusalReachesAClientThatStillSends):

- A connection that declined to end once, as its bytes had not been read yet, was not asked again for half a second: a few heads without end kept new connections out (refused within 10 to 20 of them at a limit of four).
- A connection that was told to make room waited half a second for its client like a refused one, and new ones were closed after 100 ms.
It is closed at once now, and one that waits for its client is closed when another comes.
- A whole request whose connection was told to end while its head was parsed was closed without an answer; it gets 503 now, and has not run.
- A request refused before its body was read to the end was closed with bytes unread, which resets the connection: its client may not learn why.
The close waits for it now, also after 413.

--- a/intake/client.go
+++ b/intake/client.go
@@ -28,10 +28,22 @@
 // String returns the name of the phase in metrics.
 func (p Phase) String() string { return phaseNames[p] }
 
+// Ending says what a connection does that was told to end.
+type Ending int
+
+const (
+	// Declines means that it goes on: its request is whole, or on the way.
+	Declines Ending = iota
+	// Ends means that it will be closed, and removed from its table.
+	Ends
+	// Ended means that it has been closed.
+	Ended
+)
+
 // Client is one connection in a Table.
 type Client struct {
 	table *Table
-	evict func(Reason) bool
+	evict func(Reason) Ending
 	phase atomic.Int32
 	// since is the tick in which the phase began, order the place of its begin among those of
 	// all connections.
@@ -50,7 +62,8 @@
 	// number of ticks without a byte.
 	seen, gained, quiet int64
 	evicted             bool
-	// declined is the tick in which the connection was last asked to end and did not.
+	// declined is the latest search for room in which the connection was asked to end and did
+	// not.
 	declined int64
 }
 
@@ -91,7 +104,7 @@
 // cost is how cheap it is to end the connection to make room for another one: the lowest goes
 // first. ok is false if it must not be ended.
 func (c *Client) cost(tick int64) (cost int, ok bool) {
-	if c.evicted || c.declined == tick {
+	if c.evicted || c.declined == c.table.searches {
 		return 0, false
 	}
 	switch c.Phase() {
--- a/intake/reserve.go
+++ b/intake/reserve.go
@@ -12,6 +12,7 @@
 	if c.reserved == 0 {
 		c.account, c.reservedAt = account, t.tick.Load()
 	}
+	t.searches++
 	for t.reserved+bytes > t.limits.Bytes {
 		victim := t.slowest(c)
 		if victim == nil {
@@ -22,7 +23,7 @@
 			return false
 		}
 		if !t.evict(victim, ReasonMemory) {
-			victim.declined = t.tick.Load()
+			victim.declined = t.searches
 		}
 	}
 	c.reserved += bytes
@@ -35,7 +36,7 @@
 // evictable reports whether a request may be told to end to make room: no endpoint has it.
 func (c *Client) evictable() bool {
 	p := c.Phase()
-	return !c.evicted && c.reserved > 0 && (p == Head || p == Body) && c.declined != c.table.tick.Load()
+	return !c.evicted && c.reserved > 0 && (p == Head || p == Body) && c.declined != c.table.searches
 }
 
 // slowest returns, of the requests that come slowly, the one that holds most; nil if there is none.
--- a/intake/table.go
+++ b/intake/table.go
@@ -20,9 +20,6 @@
 	endingShare = 0.25
 )
 
-// never is a tick before all others.
-const never = -1
-
 // Reason says why a client was ended or refused.
 type Reason string
 
@@ -61,6 +58,8 @@
 
 	mu      sync.Mutex
 	clients map[*Client]struct{}
+	// searches counts the searches for room.
+	searches int64
 	// ending is the number of connections that were told to end and have not.
 	ending int
 	// reserved is the memory of requests in bytes, endingBytes that of requests that were told
@@ -87,15 +86,16 @@
 
 // Open adds a connection. If there are too many, the one that it costs least to end is told to.
 // It returns nil if there is none. evict tells the connection to end; it must neither block nor
-// call the table, and returns false if the connection must not be ended after all.
-func (t *Table) Open(evict func(Reason) bool) *Client {
+// call the table.
+func (t *Table) Open(evict func(Reason) Ending) *Client {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.clients)-t.ending >= t.limits.Conns && !t.evictOne() {
 		t.ended[ReasonConns]++
 		return nil
 	}
-	c := &Client{table: t, evict: evict, declined: never}
+	t.endRefused()
+	c := &Client{table: t, evict: evict}
 	c.SetPhase(Silent)
 	t.clients[c] = struct{}{}
 	t.mostConns = max(t.mostConns, len(t.clients))
@@ -130,6 +130,7 @@
 
 // evictOne tells the connection to end that it costs least to end. The caller holds mu.
 func (t *Table) evictOne() bool {
+	t.searches++
 	for range maxDeclined {
 		victim := t.cheapest()
 		if victim == nil {
@@ -138,11 +139,24 @@
 		if t.evict(victim, ReasonConns) {
 			return true
 		}
-		victim.declined = t.tick.Load()
+		victim.declined = t.searches
 	}
 	return false
 }
 
+// endRefused ends connections that were told to end and wait for their clients, until there is room
+// for one more beside those that have not ended. The caller holds mu.
+func (t *Table) endRefused() {
+	for c := range t.clients {
+		if len(t.clients) < t.limits.Conns {
+			return
+		}
+		if c.evicted && c.Phase() == Closing {
+			_ = t.evict(c, ReasonConns)
+		}
+	}
+}
+
 // cheapest returns the connection that it costs least to end; nil if there is none.
 func (t *Table) cheapest() *Client {
 	var found *Client
@@ -162,14 +176,20 @@
 
 // evict tells a connection to end, and reports whether it does. The caller holds mu.
 func (t *Table) evict(c *Client, reason Reason) bool {
-	if !c.evict(reason) {
+	ending := c.evict(reason)
+	if ending == Declines {
 		return false
 	}
-	c.evicted = true
-	t.ending++
-	t.endingBytes += c.reserved
-	t.drop(c, c.reserved)
-	t.ended[reason]++
+	if !c.evicted {
+		c.evicted = true
+		t.ending++
+		t.endingBytes += c.reserved
+		t.drop(c, c.reserved)
+		t.ended[reason]++
+	}
+	if ending == Ended {
+		t.remove(c)
+	}
 	return true
 }
 
@@ -188,15 +208,20 @@
 	if _, ok := t.clients[c]; !ok {
 		return
 	}
+	t.remove(c)
+	select {
+	case t.room <- struct{}{}:
+	default:
+	}
+}
+
+// remove removes a connection and what it reserved. The caller holds mu.
+func (t *Table) remove(c *Client) {
 	t.release(c)
 	delete(t.clients, c)
 	if c.evicted {
 		t.ending--
 	}
-	select {
-	case t.room <- struct{}{}:
-	default:
-	}
 }
 
 // Release releases what the connection reserved.
--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -13,8 +13,8 @@
 type fakeConn struct {
 	*Client
 	reason Reason
-	// declines makes it not end.
-	declines bool
+	// ending is what it does when it is told to end.
+	ending Ending
 }
 
 // rig has a table and opens connections in it.
@@ -28,13 +28,12 @@
 // open opens a connection, which is nil if there is no room.
 func (r *rig) open(p Phase) *fakeConn {
 	r.t.Helper()
-	f := &fakeConn{}
-	f.Client = r.Open(func(reason Reason) bool {
-		if f.declines {
-			return false
+	f := &fakeConn{ending: Ends}
+	f.Client = r.Open(func(reason Reason) Ending {
+		if f.ending != Declines {
+			f.reason = reason
 		}
-		f.reason = reason
-		return true
+		return f.ending
 	})
 	if f.Client == nil {
 		return nil
@@ -97,7 +96,7 @@
 func TestConnectionThatDeclinesIsLeftAlone(t *testing.T) {
 	r := newRig(t, Limits{Conns: 2})
 	declining, other := r.open(Idle), r.open(Idle)
-	declining.declines = true
+	declining.ending = Declines
 	assert.Assert(t, r.open(Silent) != nil)
 	assert.Equal(t, other.reason, ReasonConns)
 	r.Close(other.Client)
@@ -114,6 +113,24 @@
 	assert.Assert(t, r.AwaitRoom(time.Millisecond))
 }
 
+// Guards against refused connections that wait for their clients and keep new ones out.
+func TestRefusedConnectionMakesRoomAtOnce(t *testing.T) {
+	r := newRig(t, Limits{Conns: 2, Bytes: 100 * kilobyte})
+	refused, other := r.open(Body), r.open(Body)
+	assert.Assert(t, r.Reserve(refused.Client, "a", 80*kilobyte))
+	r.ticks(3, slowBytes, other)
+	assert.Assert(t, r.Reserve(other.Client, "b", 80*kilobyte))
+	assert.Equal(t, refused.reason, ReasonMemory)
+	refused.SetPhase(Closing)
+	refused.ending = Ended
+	assert.Assert(t, r.open(Serving) != nil)
+	assert.Assert(t, r.open(Serving) == nil, "the other one still sends its body")
+	assert.Assert(t, r.AwaitRoom(time.Millisecond))
+	r.Close(refused.Client)
+	assert.Equal(t, r.ending, 0)
+	assert.Equal(t, r.Stats().Bytes, int64(80*kilobyte))
+}
+
 // Guards against bodies that stop short and keep the memory that others ask for.
 func TestSlowRequestsPayFirst(t *testing.T) {
 	r := newRig(t, Limits{Conns: 10, Bytes: 100 * kilobyte})
--- a/internal/clientconn/body.go
+++ b/internal/clientconn/body.go
@@ -35,22 +35,33 @@
 		if !conn.beginRequest(hasBody) {
 			panic(http.ErrAbortHandler)
 		}
-		if conn.headTooLarge() {
-			c.table.Count(intake.ReasonHead)
-			w.Header().Set("Connection", "close")
-			w.WriteHeader(http.StatusRequestHeaderFieldsTooLarge)
+		if refusal := conn.lateRefusal(); refusal != nil {
+			refusal.answer(w)
+			conn.lingerAtClose()
 			return
 		}
-		if hasBody {
-			r.Body = &body{ReadCloser: r.Body, conn: conn, announced: r.ContentLength}
+		if !hasBody {
+			next.ServeHTTP(w, r)
+			return
 		}
+		b := &body{ReadCloser: r.Body, conn: conn, announced: r.ContentLength}
+		r.Body = b
 		next.ServeHTTP(w, r)
+		if !b.ended {
+			conn.lingerAtClose()
+		}
 	})
 }
 
-// headTooLarge reports whether a head was over the limit that was read to its end.
-func (c *conn) headTooLarge() bool {
-	return c.limits != nil && c.head.ended && c.head.exceeds(c.limits.HeadBytes)
+// lateRefusal returns why a request whose head was read to its end is refused; nil if it is not.
+func (c *conn) lateRefusal() *refusal {
+	if c.limits != nil && c.head.ended && c.head.exceeds(c.limits.HeadBytes) {
+		c.conns.table.Count(intake.ReasonHead)
+		return refusals[intake.ReasonHead]
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return refusals[c.evicted]
 }
 
 // SetAccount names the client account of the request of ctx, whose memory counts as that
@@ -70,6 +81,8 @@
 	announced int64
 	// read is what has come, reserved what is reserved of it.
 	read, reserved int64
+	// ended is true once the body has been read to its end.
+	ended bool
 }
 
 // Read implements io.Reader. It returns ErrNoRoom if there is no memory for the body.
@@ -79,10 +92,11 @@
 	}
 	n, err := b.ReadCloser.Read(p)
 	b.read += int64(n)
+	b.ended = errors.Is(err, io.EOF)
 	switch {
-	case errors.Is(err, io.EOF) && !b.conn.endBody():
+	case b.ended && !b.conn.endBody():
 		return n, ErrNoRoom
-	case err != nil && !errors.Is(err, io.EOF) && b.conn.hasToEnd():
+	case err != nil && !b.ended && b.conn.hasToEnd():
 		return n, ErrNoRoom
 	}
 	return n, err
@@ -119,7 +133,6 @@
 	if !c.conns.table.Reserve(c.client, c.account, bytes) {
 		c.conns.table.Release(c.client)
 		c.reserved = 0
-		c.lingerAtClose()
 		return false
 	}
 	c.reserved += bytes
@@ -150,7 +163,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.evicted != "" {
-		c.lingers = true
 		return false
 	}
 	c.client.SetPhase(intake.Serving)
@@ -161,13 +173,5 @@
 func (c *conn) hasToEnd() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lingers = c.lingers || c.evicted != ""
 	return c.evicted != ""
 }
-
-// lingerAtClose makes the close of the connection wait until its client has read the answer.
-func (c *conn) lingerAtClose() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lingers = true
-}
--- a/internal/clientconn/bound_test.go
+++ b/internal/clientconn/bound_test.go
@@ -201,3 +201,38 @@
 	assert.Assert(t, err != nil, "an answer that was cut looks whole")
 	assert.Equal(t, s.conns.Stats().Ended[intake.ReasonWriteTimeout], int64(1))
 }
+
+// Guards against heads that do not end, or were refused, and whose connections keep new ones out
+// while they are being closed.
+func TestConnectionsThatCloseDoNotKeepNewOnesOut(t *testing.T) {
+	const conns = 4
+	for name, text := range map[string]string{
+		"head without end":    "GET / HTTP/1.1\r\nHost: a\r\n",
+		"head over the limit": "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 4*testHeadLimit),
+	} {
+		s := startBounded(t, intake.Limits{Conns: conns, Bytes: 1 << 20})
+		for i := range 5 * conns {
+			c := s.dial(t)
+			_, err := io.WriteString(c, text)
+			assert.NilError(t, err)
+			assert.Assert(t, s.dial(t).ask(fmt.Sprint(i)), "%s, request %d", name, i)
+		}
+	}
+}
+
+// Guards against a refusal that is lost, since its client still sends the body.
+func TestRefusalReachesAClientThatStillSends(t *testing.T) {
+	s := startBounded(t, intake.Limits{Conns: 10, Bytes: testBody / 2})
+	for range 10 {
+		c := s.dial(t)
+		c.post("refused", "a", 64*testBody)
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			_, _ = io.WriteString(c, strings.Repeat("x", 64*testBody))
+		}()
+		assert.Equal(t, c.status(), http.StatusServiceUnavailable)
+		_ = c.Close()
+		<-sent
+	}
+}
--- a/internal/clientconn/conns.go
+++ b/internal/clientconn/conns.go
@@ -172,7 +172,7 @@
 }
 
 // beginRequest counts a request and marks the connection as in use. It returns
-// false if the connection has already been closed as idle or has to end.
+// false if the connection has already been closed.
 func (c *conn) beginRequest(hasBody bool) bool {
 	c.requests.Add(1)
 	c.mu.Lock()
@@ -183,7 +183,7 @@
 		phase = intake.Body
 	}
 	c.client.SetPhase(phase)
-	return !c.closed && c.evicted == ""
+	return !c.closed
 }
 
 // markIdle marks the connection as idle after an answer.
@@ -199,7 +199,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.idleSince = true, time.Now()
+	c.idle, c.idleSince, c.lingers = true, time.Now(), false
 	c.client.SetPhase(intake.Idle)
 }
 
--- a/internal/clientconn/refuse.go
+++ b/internal/clientconn/refuse.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/mangostage/mangostage/intake"
@@ -38,18 +39,28 @@
 func (r *refusal) text() string {
 	retry := ""
 	if r.retryAfter > 0 {
-		retry = fmt.Sprintf("Retry-After: %g\r\n", r.retryAfter.Seconds())
+		retry = "Retry-After: " + retryAfterText(r.retryAfter) + "\r\n"
 	}
 	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n",
 		r.status, http.StatusText(r.status), retry)
 }
 
+// answer gives the answer by way of the server.
+func (r *refusal) answer(w http.ResponseWriter) {
+	if r.retryAfter > 0 {
+		w.Header().Set("Retry-After", retryAfterText(r.retryAfter))
+	}
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(r.status)
+}
+
+// retryAfterText returns a time as the header Retry-After names it, in seconds.
+func retryAfterText(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', -1, 64) }
+
 // refuse answers a request whose head is not read to its end. The connection has to be closed.
 func (c *conn) refuse(r *refusal) {
 	c.refused = true
-	c.mu.Lock()
-	c.lingers = true
-	c.mu.Unlock()
+	c.lingerAtClose()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTime))
 	// It fails only if the client has gone or takes nothing.
 	_, _ = io.WriteString(c.Conn, r.text())
@@ -60,10 +71,11 @@
 func (c *conn) startLinger() <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.lingers {
+	if !c.lingers || c.closed || c.evicted == intake.ReasonConns {
 		return nil
 	}
 	c.lingers = false
+	c.client.SetPhase(intake.Closing)
 	c.lingerEnd = make(chan struct{})
 	return c.lingerEnd
 }
@@ -84,40 +96,49 @@
 	}
 }
 
-// endLinger makes the connection close now. The caller holds mu.
-func (c *conn) endLinger() {
-	_ = c.Conn.SetDeadline(longAgo)
+// lingerAtClose makes the close of the connection wait until its client has read the answer, unless
+// it has to make room for another one by then.
+func (c *conn) lingerAtClose() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lingers = true
+}
+
+// closeNow closes the connection, and ends the wait for its client. The caller holds mu.
+func (c *conn) closeNow() {
+	c.closed = true
+	_ = c.Conn.Close()
 	if c.lingerEnd != nil {
 		close(c.lingerEnd)
 		c.lingerEnd = nil
 	}
 }
 
-// evict tells the connection to end, and reports whether it does: not if its request is whole, or
-// on the way. It implements the evict function of intake.Table.
-func (c *conn) evict(reason intake.Reason) bool {
+// evict tells the connection to end. It implements the evict function of intake.Table.
+func (c *conn) evict(reason intake.Reason) intake.Ending {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
-		return true
+		return intake.Ended
 	}
 	switch c.client.Phase() {
 	case intake.Silent, intake.Idle:
 		if !c.mayCloseIdle() {
-			return false
+			return intake.Declines
 		}
-		c.closed = true
-		_ = c.Conn.Close()
+		c.closeNow()
+		return intake.Ended
+	case intake.Closing:
+		c.closeNow()
+		return intake.Ended
 	case intake.Head, intake.Body:
 		c.evicted = reason
 		_ = c.Conn.SetReadDeadline(longAgo)
 	case intake.Writing:
 		c.evicted = reason
 		_ = c.Conn.SetDeadline(longAgo)
-	case intake.Closing:
-		c.endLinger()
 	default:
-		return false
+		return intake.Declines
 	}
-	return true
+	return intake.Ends
 }
