A head is refused once, and what it holds counts as its account's

Found on rereading:

- While a request is handled the server reads one byte more of its connection.
If its head was over the limit and had come whole, both that read and the handler refused it: two answers on one connection, the second for a request that nobody has sent.
The test of a whole head over the limit counts its answers now.
- A connection that was told to end as its client took nothing, and whose answer then went through, would have sent a refusal with no request waiting; for a write timeout, a nil one.
- The memory of a large head counted as nobody's, and with it the body behind it, so that a crowd with large heads was no account's crowd (TestHeadCountsAsTheAccountsOnceThatIsKnown; found by reading, it fails without the change).
- Head and limits of a connection were read without its lock by that one read.

--- a/intake/reserve.go
+++ b/intake/reserve.go
@@ -10,8 +10,9 @@
 		return false
 	}
 	if c.reserved == 0 {
-		c.account, c.reservedAt = account, t.tick.Load()
+		c.reservedAt = t.tick.Load()
 	}
+	t.setAccount(c, account)
 	t.searches++
 	for t.reserved+bytes > t.limits.Bytes {
 		victim := t.slowest(c)
@@ -33,6 +34,21 @@
 	return true
 }
 
+// setAccount counts what a connection has reserved as a client account's, which may be known only
+// after its head has come.
+func (t *Table) setAccount(c *Client, account string) {
+	if c.account == account {
+		return
+	}
+	held := c.reserved
+	if held > 0 {
+		t.drop(c, held)
+		t.reserved += held
+		t.accounts[account] += held
+	}
+	c.account = account
+}
+
 // evictable reports whether a request may be told to end to make room: no endpoint has it.
 func (c *Client) evictable() bool {
 	p := c.Phase()
--- a/intake/table_test.go
+++ b/intake/table_test.go
@@ -161,6 +161,18 @@
 	assert.Equal(t, other.reason, Reason(""))
 }
 
+// Guards against a large head by which a crowd's bodies count as nobody's.
+func TestHeadCountsAsTheAccountsOnceThatIsKnown(t *testing.T) {
+	r := newRig(t, Limits{Conns: 10, Bytes: 100 * kilobyte})
+	crowd, other := r.open(Head), r.open(Body)
+	assert.Assert(t, r.Reserve(crowd.Client, "", 30*kilobyte))
+	assert.Assert(t, r.Reserve(crowd.Client, "crowd", 50*kilobyte))
+	assert.Equal(t, r.accounts["crowd"], int64(80*kilobyte))
+	assert.Equal(t, r.accounts[""], int64(0))
+	assert.Assert(t, r.Reserve(other.Client, "", 50*kilobyte))
+	assert.Equal(t, crowd.reason, ReasonMemory)
+}
+
 // Guards against ending a request that an endpoint may have.
 func TestRequestThatIsServedKeepsItsMemory(t *testing.T) {
 	r := newRig(t, Limits{Conns: 10, Bytes: 100 * kilobyte})
--- a/internal/clientconn/body.go
+++ b/internal/clientconn/body.go
@@ -36,6 +36,9 @@
 			panic(http.ErrAbortHandler)
 		}
 		if refusal := conn.lateRefusal(); refusal != nil {
+			if refusal == refusals[intake.ReasonHead] {
+				c.table.Count(intake.ReasonHead)
+			}
 			refusal.answer(w)
 			conn.lingerAtClose()
 			return
@@ -55,13 +58,15 @@
 
 // lateRefusal returns why a request whose head was read to its end is refused; nil if it is not.
 func (c *conn) lateRefusal() *refusal {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted != "" {
+		return refusals[c.evicted]
+	}
 	if c.limits != nil && c.head.ended && c.head.exceeds(c.limits.HeadBytes) {
-		c.conns.table.Count(intake.ReasonHead)
 		return refusals[intake.ReasonHead]
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return refusals[c.evicted]
+	return nil
 }
 
 // SetAccount names the client account of the request of ctx, whose memory counts as that
--- a/internal/clientconn/bound_test.go
+++ b/internal/clientconn/bound_test.go
@@ -95,7 +95,10 @@
 		c := s.dial(t)
 		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\nId: "+name+"\r\n"+lines)
 		assert.NilError(t, err)
-		assert.Equal(t, c.status(), http.StatusRequestHeaderFieldsTooLarge, name)
+		answers, err := io.ReadAll(c.in)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasPrefix(string(answers), "HTTP/1.1 431 "), "%s: %q", name, answers)
+		assert.Equal(t, strings.Count(string(answers), "HTTP/1.1"), 1, "%s: %q", name, answers)
 		assert.Assert(t, !s.isHandled(name))
 	}
 	assert.Equal(t, s.conns.Stats().Ended[intake.ReasonHead], int64(2))
--- a/internal/clientconn/conns.go
+++ b/internal/clientconn/conns.go
@@ -53,11 +53,8 @@
 	client *intake.Client
 	// requests is the number of requests so far on the connection.
 	requests atomic.Int64
-	// head follows the head that is being read, and limits are those in force at its first
-	// byte. reserved is the memory in bytes reserved for the request, and account its client
+	// reserved is the memory in bytes reserved for the request, and account its client
 	// account. Only the server's goroutine for the connection uses them.
-	head     head
-	limits   *Limits
 	reserved int64
 	account  string
 	// refused is true once the head that was being read has got its refusal.
@@ -66,6 +63,10 @@
 	largeBuffer bool
 
 	mu sync.Mutex
+	// head follows the head that is being read, and limits are those in force at its first
+	// byte; nil before that.
+	head   head
+	limits *Limits
 	// idle is true while every request of which a byte has been read has been
 	// answered.
 	idle bool
@@ -188,7 +189,7 @@
 
 // markIdle marks the connection as idle after an answer.
 func (c *conn) markIdle() {
-	c.head, c.limits, c.account = head{}, nil, ""
+	c.account = ""
 	if c.largeBuffer {
 		c.largeBuffer = false
 		c.setReceiveBuffer(receiveBuffer)
@@ -199,6 +200,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.head, c.limits = head{}, nil
 	c.idle, c.idleSince, c.lingers = true, time.Now(), false
 	c.client.SetPhase(intake.Idle)
 }
--- a/internal/clientconn/read.go
+++ b/internal/clientconn/read.go
@@ -41,16 +41,14 @@
 	if n > 0 {
 		c.client.Moved(n)
 	}
-	if ended, reason := c.markRead(n); ended {
-		if reason != "" && c.readsHead() {
-			c.refuse(refusals[reason])
-			return 0, errEnded
-		}
+	ended, refusal := c.markRead(p[:n])
+	switch {
+	case refusal != nil:
+		c.refuse(refusal)
+		return 0, errEnded
+	case ended:
 		return 0, net.ErrClosed
 	}
-	if n > 0 && c.readsHead() {
-		c.readHead(p[:n])
-	}
 	return n, err
 }
 
@@ -60,21 +58,30 @@
 	return p == intake.Silent || p == intake.Idle || p == intake.Head
 }
 
-// markRead marks the connection as in use if bytes were read. It reports whether the connection
-// was closed as idle or has to end, and why.
-func (c *conn) markRead(n int) (ended bool, reason intake.Reason) {
+// markRead marks the connection as in use if bytes were read, and follows the head that they belong
+// to. It reports whether the connection was closed as idle or has to end, and why a head that has
+// begun is refused.
+func (c *conn) markRead(data []byte) (ended bool, refusal *refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.evicted != "" {
-		return true, c.evicted
-	}
-	if n > 0 {
-		c.idle = false
+	switch {
+	case c.closed:
+		return true, nil
+	case c.evicted != "" && c.readsHead() && c.limits != nil && !c.head.ended:
+		return true, refusals[c.evicted]
+	case c.evicted != "":
+		return true, nil
+	case len(data) == 0:
+		return false, nil
+	}
+	c.idle = false
+	if c.readsHead() {
+		c.readHead(data)
 	}
-	return false, ""
+	return false, nil
 }
 
-// readHead follows the head of a request.
+// readHead follows the head of a request. The caller holds mu.
 func (c *conn) readHead(data []byte) {
 	if c.limits == nil {
 		c.limits = c.conns.limits.Load()
@@ -83,17 +90,20 @@
 	c.head.read(data)
 }
 
-// headRefusal returns why the head is not read on; nil if it is. The server reads on only while
-// the head has not ended.
+// headRefusal returns why a head that has not ended is not read on; nil if it is. Once it has, the
+// server reads a byte while the request is handled.
 func (c *conn) headRefusal() *refusal {
-	if c.limits == nil {
+	c.mu.Lock()
+	head, limits := c.head, c.limits
+	c.mu.Unlock()
+	switch {
+	case limits == nil || head.ended:
 		return nil
-	}
-	if c.head.exceeds(c.limits.HeadBytes) {
+	case head.exceeds(limits.HeadBytes):
 		c.conns.table.Count(intake.ReasonHead)
 		return refusals[intake.ReasonHead]
 	}
-	for c.head.cost() > ordinaryHead+c.reserved {
+	for head.cost() > ordinaryHead+c.reserved {
 		if !c.conns.table.Reserve(c.client, "", headStep) {
 			return refusals[intake.ReasonMemory]
 		}
