--- a/intake/client.go
+++ b/intake/client.go
@@ -101,9 +101,9 @@
 	return c.quiet >= stalledTicks && tick-c.since.Load() >= stalledTicks && c.moved.Load() == c.seen
 }
 
-// cost is how cheap it is to end the connection to make room for another one: the lowest goes
-// first. ok is false if it must not be ended.
-func (c *Client) cost(tick int64) (cost int, ok bool) {
+// evictionRank orders connections by which is evicted first for another one, the lowest. ok is
+// false if the connection must not be.
+func (c *Client) evictionRank(tick int64) (rank int, ok bool) {
 	if c.evicted || c.declined == c.table.searches {
 		return 0, false
 	}
--- a/intake/limits.go
+++ b/intake/limits.go
@@ -5,7 +5,7 @@
 	// buffers and what its sockets hold unread.
 	connBytes = 96 << 10
 	// connShare is the part of the memory for connections, requestShare that for what
-	// requests reserve beyond the price of their connections. The rest is the process's own.
+	// requests reserve beyond that. The rest is the process's own.
 	connShare    = 0.4
 	requestShare = 0.2
 	// minConns is the fewest connections, and minRequestBytes the least memory in bytes for
--- a/intake/table.go
+++ b/intake/table.go
@@ -84,9 +84,8 @@
 	}
 }
 
-// Open adds a connection. If there are too many, the one that it costs least to end is told to.
-// It returns nil if there is none. evict tells the connection to end; it must neither block nor
-// call the table.
+// Open adds a connection. If there are too many, one of the others is evicted; Open returns nil if
+// none may be. evict tells the connection to end; it must neither block nor call the table.
 func (t *Table) Open(evict func(Reason) Ending) *Client {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -128,11 +127,11 @@
 	return len(t.clients) <= t.limits.Conns
 }
 
-// evictOne tells the connection to end that it costs least to end. The caller holds mu.
+// evictOne evicts a connection, and reports whether there is one that may be. The caller holds mu.
 func (t *Table) evictOne() bool {
 	t.searches++
 	for range maxDeclined {
-		victim := t.cheapest()
+		victim := t.firstToEvict()
 		if victim == nil {
 			return false
 		}
@@ -157,15 +156,16 @@
 	}
 }
 
-// cheapest returns the connection that it costs least to end; nil if there is none.
-func (t *Table) cheapest() *Client {
+// firstToEvict returns the connection of the lowest rank whose phase began first; nil if none may
+// be evicted.
+func (t *Table) firstToEvict() *Client {
 	var found *Client
 	lowest := 0
 	tick := t.tick.Load()
 	for c := range t.clients {
-		cost, ok := c.cost(tick)
-		if ok && (found == nil || cost < lowest || cost == lowest && c.before(found)) {
-			found, lowest = c, cost
+		rank, ok := c.evictionRank(tick)
+		if ok && (found == nil || rank < lowest || rank == lowest && c.before(found)) {
+			found, lowest = c, rank
 		}
 	}
 	return found
@@ -174,7 +174,7 @@
 // before orders connections by the begin of their phases.
 func (c *Client) before(other *Client) bool { return c.order.Load() < other.order.Load() }
 
-// evict tells a connection to end, and reports whether it does. The caller holds mu.
+// evict tells a connection to end, and reports whether it does not decline. The caller holds mu.
 func (t *Table) evict(c *Client, reason Reason) bool {
 	ending := c.evict(reason)
 	if ending == Declines {
@@ -285,7 +285,7 @@
 	// Conns has the connections by phase, Ended those that were ended or refused by reason.
 	Conns map[string]int   `json:"connections"`
 	Ended map[Reason]int64 `json:"ended"`
-	// Bytes is what requests have reserved, beyond the price of their connections.
+	// Bytes is what requests have reserved.
 	Bytes int64 `json:"bytes"`
 	// MostConns and MostBytes are the largest figures so far.
 	MostConns int   `json:"most_connections"`
