An entry whose settings name no bounds on its callers has the defaults

What callers would have seen: `mangostage dev` and `mangostage load`, which build an entry's settings without flags, refused every request: their entries had room for no connection. The settings have the flags' defaults now.

A gateway whose settings file names no memory leaves the heap's limit as it is set from outside.

--- a/daemon/clients.go
+++ b/daemon/clients.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"runtime/debug"
 	"time"
 
@@ -65,11 +64,10 @@
 	}
 }
 
-// boundHeap makes the garbage collector keep the heap within the memory of the process, in bytes.
+// boundHeap makes the garbage collector keep the heap within the memory of the process, in bytes, if
+// the settings name one.
 func boundHeap(memory int64) {
-	limit := int64(math.MaxInt64)
 	if memory > 0 {
-		limit = int64(heapShare * float64(memory))
+		debug.SetMemoryLimit(int64(heapShare * float64(memory)))
 	}
-	debug.SetMemoryLimit(limit)
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net"
@@ -73,8 +74,7 @@
 		vars = http.NotFound
 	}
 	var err error
-	room := intake.Limits{Conns: e.settings.MaxConns, Bytes: e.settings.ClientMemoryMB << 20}
-	if e.server, err = serveHTTP(e.settings.Listen, e.entry.Handler(vars), room, e.log); err != nil {
+	if e.server, err = serveHTTP(e.settings.Listen, e.entry.Handler(vars), callerRoom(e.settings), e.log); err != nil {
 		return err
 	}
 	if err := e.serveDebug(e.settings.DebugListen, e.entry.Vars()); err != nil {
@@ -84,6 +84,15 @@
 	return nil
 }
 
+// callerRoom returns what the callers of an entry may hold of its process. Settings that were not
+// parsed from flags may lack the defaults of these.
+func callerRoom(s settings.Entry) intake.Limits {
+	return intake.Limits{
+		Conns: cmp.Or(s.MaxConns, settings.DefaultMaxConns),
+		Bytes: cmp.Or(s.ClientMemoryMB, settings.DefaultClientMemoryMB) << 20,
+	}
+}
+
 // applyBundle applies a bundle. A bundle whose policy this build does not know is
 // logged and the one in force stays.
 func (e *Entry) applyBundle(v *bundle.Verified) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,6 +30,14 @@
 	DecisionLogRefusals = "refusals"
 )
 
+// Defaults of the bounds on what all callers of an entry hold, as its flags have them.
+const (
+	// DefaultMaxConns is the default of Entry.MaxConns.
+	DefaultMaxConns = 4096
+	// DefaultClientMemoryMB is the default of Entry.ClientMemoryMB.
+	DefaultClientMemoryMB int64 = 24
+)
+
 // maxClientMemoryMB bounds Entry.ClientMemoryMB: 1 TB.
 const maxClientMemoryMB = 1 << 20
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -49,6 +49,15 @@
 
 // A daemon that is started with several wrong settings must report all of them at
 // once, each with its flag, instead of one per restart.
+// Guards against defaults in the code that differ from those of the flags.
+func TestDefaultsOfClientBoundsAreThoseOfTheFlags(t *testing.T) {
+	var s Entry
+	_, err := Parse("mangostage-entry", &s, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, s.MaxConns, DefaultMaxConns)
+	assert.Equal(t, s.ClientMemoryMB, DefaultClientMemoryMB)
+}
+
 func TestFindingsAreReportedTogether(t *testing.T) {
 	var s Agent
 	_, err := Parse("mangostage-agent", &s, []string{
