--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -47,8 +47,6 @@
 	assert.Equal(t, len(loaded.FleetKeys), 1)
 }
 
-// A daemon that is started with several wrong settings must report all of them at
-// once, each with its flag, instead of one per restart.
 // Guards against defaults in the code that differ from those of the flags.
 func TestDefaultsOfClientBoundsAreThoseOfTheFlags(t *testing.T) {
 	var s Entry
@@ -58,6 +56,8 @@
 	assert.Equal(t, s.ClientMemoryMB, DefaultClientMemoryMB)
 }
 
+// A daemon that is started with several wrong settings must report all of them at
+// once, each with its flag, instead of one per restart.
 func TestFindingsAreReportedTogether(t *testing.T) {
 	var s Agent
 	_, err := Parse("mangostage-agent", &s, []string{
