--- a/daemon/http.go
+++ b/daemon/http.go
@@ -46,10 +46,14 @@
 	return s
 }
 
-// serveHTTP serves handler on address until the server is shut down.
+// serveHTTP serves handler on address until the server is shut down. The server is nil if the
+// address cannot be bound.
 func serveHTTP(address string, handler http.Handler, room intake.Limits, log zerolog.Logger) (*httpServer, error) {
 	s := newHTTPServer(handler, room, defaultClientLimits)
-	return s, s.listen(address, log)
+	if err := s.listen(address, log); err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
 // listen serves on address until the server is shut down.
