--- a/review/rig2/case_grace.go
+++ b/review/rig2/case_grace.go
@@ -89,10 +89,7 @@
 			"itl_target_ms": 200, "stages": []any{map[string]any{"service": "stage", "after": []int{}, "byte_count": 1000}},
 		}},
 		"services": []any{
-			map[string]any{"name": "llm", "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false, "engine": map[string]any{
-				"slots": 64, "kv_capacity": 370570, "kv_bytes": 163840, "link_mbps": 1100000.0, "stride": 3, "most": 12, "pin_ms": 4000.0,
-				"hold_ms": 2000.0, "handle_ttl_s": 5.0, "models": []any{map[string]any{"name": "m"}},
-			}},
+			modelService("llm"),
 			map[string]any{"name": "stage", "health_path": "/healthz", "max_conns": 370, "protocol": "h1", "tls": false, "segments": map[string]any{
 				"slots": 1, "queue": 0, "batch": 1, "call_ms": 360.0, "item_ms": 40.0, "headroom_mb": 45.0, "handle_ttl_s": 4.0, "link_mbps": 10000,
 			}},
@@ -122,8 +119,7 @@
 		c, err := dialNode(n)
 		check(err)
 		done.Go(func() {
-			replies[i] = c.do("POST", "draft.example", "/draft/1", "Mangostage-Model: m\r\nMangostage-Token-Usage: 100,20\r\n"+
-				"Mangostage-Prefix-Hash: 5c1e07a2:80,91bd3f06:20\r\nMangostage-Segments: 1\r\nMangostage-Segment-Key: 7c1e07a291bd\r\n", "prompt", 7*time.Second)
+			replies[i] = c.do("POST", "draft.example", "/draft/1", modelHeaders()+"Mangostage-Segments: 1\r\nMangostage-Segment-Key: 7c1e07a291bd\r\n", "prompt", 7*time.Second)
 		})
 	}
 	time.Sleep(300 * time.Millisecond)
