--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -53,15 +53,23 @@
 // newID returns the ID of an attempt.
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// do sends one request and reads the answer. extra are further header lines.
-func (c *conn) do(method, host, path, extra, body string, deadline time.Duration) (r reply) {
+// do sends one request with the tenant's key and reads the answer. extra are further header lines.
+func (c *conn) do(method, host, path, extra, body string, deadline time.Duration) reply {
+	return c.doAs(clientKey, method, host, path, extra, body, deadline)
+}
+
+// doAs sends one request with a key, or without one if it is empty, and reads the answer.
+func (c *conn) doAs(key, method, host, path, extra, body string, deadline time.Duration) (r reply) {
 	r.id, r.sent = newID(), time.Now()
 	length := ""
 	if body != "" {
 		length = fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nMangostage-Attempt-Id: %s\r\nMangostage-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n%s%s\r\n%s",
-		method, path, host, r.id, deadline.Milliseconds(), clientKey, extra, length, body)
+	if key != "" {
+		extra += fmt.Sprintf("Authorization: Token %s\r\n", key)
+	}
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nMangostage-Attempt-Id: %s\r\nMangostage-Deadline-Ms: %d\r\n%s%s\r\n%s",
+		method, path, host, r.id, deadline.Milliseconds(), extra, length, body)
 	defer func() { r.took = time.Since(r.sent) }()
 	_ = c.SetDeadline(time.Now().Add(deadline))
 	if _, r.err = io.WriteString(c, head); r.err != nil {
