--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -62,6 +62,7 @@
 	config    catalog.Config
 	logs      logBuffer
 	backoffs  *retryafter.Table
+	signals   *signalObserver
 	metrics   *gateway.Metrics
 	// viewAge is how old the view is, in nanoseconds, stuckAt as of when it stands still; nil
 	// while the store answers.
@@ -79,9 +80,14 @@
 type signalObserver struct {
 	quotas   *quota.Client
 	backoffs *retryafter.Table
+	// believed counts the answers that asked for less work.
+	believed atomic.Int64
 }
 
 func (o *signalObserver) Observe(endpoint, request string, sent time.Time, s platform.Signals) {
+	if s.Leaving || s.RetryAfter > 0 || s.Rate.Limited {
+		o.believed.Add(1)
+	}
 	o.quotas.Observe(endpoint, request, sent, s)
 	o.backoffs.Observe(time.Now(), endpoint, s.RetryAfter)
 }
@@ -120,6 +126,7 @@
 	log := zerolog.New(&r.logs).With().Timestamp().Str("process", "g").Logger()
 	quotas := quota.NewClient(quota.NewTable(func() quota.Allowance { return quota.Allowance{Share: 1} }), newSingleProcess(), log)
 	contents := quarantine.NewClient(quarantine.Config{Drain: 2 * time.Second, Log: log})
+	r.signals = &signalObserver{quotas: quotas, backoffs: r.backoffs}
 	r.scheduler = scheduler.New("test", platform.NewStageClient(&http.Client{Transport: transport}), quotas.Table(), nil, contents, quotas, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -147,7 +154,7 @@
 		OthersAvailable: r.othersStay.Load,
 		OthersStay:      r.othersStay.Load,
 		Scheduler:       scheduler.NewClient(r.scheduler, newSingleProcess(), log),
-		Signals:         &signalObserver{quotas: quotas, backoffs: r.backoffs},
+		Signals:         r.signals,
 		Backoffs:        r.backoffs,
 		Quotas:          quotas,
 		Transport:       transport,
