httpanswer: what is no answer of HTTP/1 reaches no client

What callers saw: a 200 whose head held a line such as "X Y: 1", or a body that was not the endpoint's: with "Content-Length : 5" or "Transfer-Encoding : chunked" the field frames nothing, so that chunk sizes arrive as text. The same with chunks under HTTP/1.0, a status of 600 or more, HTTP/2.0, control bytes in the status line, and broken trailers. Releases of results and reads of the store took all of these for answers, an agent took them for results.

Cause: net/http reads more than the grammar allows. It accepts blanks in names, does not know the field by that name, and drops the line or passes it on.

Evidence, on: TestBrokenAnswersReachNoCaller (184 of 720), TestBrokenAnswerOnAKeptConnection (75), TestRequestsGoOnAfterABrokenHead (25), and those of the store, stages, agents, confsvc, entries and metrics.

Change: one place decides whether bytes are an answer, on the connection, before net/http reads them: internal/httpanswer. Every reader of answers goes through it; for TLS the connection inside is read, in HTTP/1. What is malformed counts as given up: the endpoint is silent to the balancer, the content is not suspected of a crash, a request that may be repeated goes on. The log says what was wrong, as the connection is asked for it: net/http reports the begin of a broken line in its own words.

The parser removes extensions of chunks and trailers, which nobody gets. That mends sound answers that net/http refuses: blanks around an extension, trailers of over 4 kB (TestSoundAnswersStayWhole and its like).

Ruled out: judging what net/http leaves in the header: it misses what is dropped, folded lines, and framing under other names. Lines that end with LF alone stay readable, as the standard allows and a test holds.

Two unit tests build a connection of the gateway by hand and now wrap it.

--- a/cmd/mangostage/client.go
+++ b/cmd/mangostage/client.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/mangostage/mangostage/internal/httpanswer"
 )
 
 const (
@@ -17,6 +19,9 @@
 	maxEntryReply = 64 << 20
 )
 
+// entryClient queries entries.
+var entryClient = httpanswer.NewClient()
+
 // entryArguments are the arguments of commands that query entries as an operator.
 type entryArguments struct {
 	Entries    []string `arg:"--entries,separate,env:MANGOSTAGE_ENTRIES" help:"address of an entry, host:port; repeat for several"`
@@ -48,7 +53,7 @@
 		return err
 	}
 	req.Header.Set("Authorization", "Bearer "+a.Credential)
-	reply, err := http.DefaultClient.Do(req)
+	reply, err := entryClient.Do(req)
 	if err != nil {
 		return err
 	}
--- a/confsvc/client.go
+++ b/confsvc/client.go
@@ -13,6 +13,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/joomcode/errorx"
 
+	"github.com/mangostage/mangostage/internal/httpanswer"
 	"github.com/mangostage/mangostage/internal/watchdog"
 	"github.com/mangostage/mangostage/kernel"
 )
@@ -101,11 +102,10 @@
 		base:    strings.TrimSuffix(baseURL, "/"),
 		timeout: timeout,
 		http: &http.Client{
-			Transport: &http.Transport{
+			Transport: httpanswer.NewTransport(&http.Transport{
 				MaxResponseHeaderBytes: maxReplyHeader,
 				IdleConnTimeout:        idleTimeout,
-				ForceAttemptHTTP2:      true,
-			},
+			}),
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse
 			},
--- a/endpoint/transport.go
+++ b/endpoint/transport.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/mangostage/mangostage/internal/httpanswer"
 )
 
 // Limits of the connections to an endpoint; maxReplyHeader is in bytes.
@@ -16,10 +18,10 @@
 	idleTimeout    = 30 * time.Second
 )
 
-// client returns an HTTP client that follows no redirects.
+// client returns an HTTP client over the transport that follows no redirects.
 func client(t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport: t,
+		Transport: httpanswer.NewTransport(t),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/endpoint/write_gate.go
+++ b/endpoint/write_gate.go
@@ -9,6 +9,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/mangostage/mangostage/internal/httpanswer"
 	"github.com/mangostage/mangostage/internal/socket"
 )
 
@@ -140,7 +141,7 @@
 
 // gatedConn checks the gate of its current call before each write.
 type gatedConn struct {
-	net.Conn
+	*httpanswer.Conn
 	// raw is the underlying socket; nil if Conn has none.
 	raw     syscall.RawConn
 	mu      sync.Mutex
@@ -148,7 +149,7 @@
 }
 
 func newGatedConn(conn net.Conn, gate *writeGate) *gatedConn {
-	return &gatedConn{Conn: conn, raw: socket.Raw(conn), current: gate}
+	return &gatedConn{Conn: httpanswer.NewConn(conn), raw: socket.Raw(conn), current: gate}
 }
 
 // assign makes gate the one that is checked from now on. HTTP/1 carries one request
--- a/gateway/broken_answer_test.go
+++ b/gateway/broken_answer_test.go
@@ -151,6 +151,7 @@
 			for _, refuses := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s %s refuses=%v", d.path, c.Name, refuses), func(t *testing.T) {
 					t.Parallel()
+					c := c
 					if refuses {
 						c = refusing(c)
 					}
--- a/gateway/callexchange_test.go
+++ b/gateway/callexchange_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/internal/httpanswer"
 )
 
 // Guards against an answer that came before a byte of its call was written and that counts for it:
@@ -20,7 +22,7 @@
 		strays := 0
 		transport := NewTransport()
 		transport.OnStray = func(string) { strays++ }
-		x := &exchange{conn: &endpointConn{Conn: near, transport: transport}, settled: make(chan struct{})}
+		x := &exchange{conn: &endpointConn{Conn: httpanswer.NewConn(near), transport: transport}, settled: make(chan struct{})}
 		assert.Assert(t, !believes(callExchange{x}), name)
 		assert.Equal(t, strays, 1, name)
 		assert.ErrorIs(t, x.beginWrite(x.conn), net.ErrClosed, name)
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -1,20 +1,20 @@
 package gateway
 
 import (
-	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/mangostage/mangostage/catalog"
+	"github.com/mangostage/mangostage/internal/httpanswer"
 	"github.com/mangostage/mangostage/internal/resultlog"
 	"github.com/mangostage/mangostage/internal/socket"
 )
 
 // endpointConn is a connection to an endpoint.
 type endpointConn struct {
-	net.Conn
+	*httpanswer.Conn
 	transport *Transport
 	// number numbers the connections of the transport from 1.
 	number uint64
@@ -49,6 +49,7 @@
 		previous = last.settled
 	}
 	c.transport.idle.remove(c)
+	c.Begin(x.method)
 	if c.idleTimer != nil {
 		c.idleTimer.Stop()
 	}
--- a/gateway/content.go
+++ b/gateway/content.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/joomcode/errorx"
 
 	"github.com/mangostage/mangostage/balance"
 	"github.com/mangostage/mangostage/catalog"
@@ -95,7 +94,7 @@
 // recordBroken records a connection that broke under a request with an error, unless the
 // client left, the time ran out, a shutdown ended the request or the answer was given up.
 func (g *Gateway) recordBroken(req *request, e *catalog.Endpoint, err error) {
-	if req.ctx.Err() != nil || errorx.IsOfType(err, errNoAnswer) {
+	if req.ctx.Err() != nil || isNoAnswer(err) {
 		req.endRun()
 		return
 	}
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -4,7 +4,11 @@
 // byte.
 package gateway
 
-import "github.com/joomcode/errorx"
+import (
+	"github.com/joomcode/errorx"
+
+	"github.com/mangostage/mangostage/internal/bounded"
+)
 
 var errs = errorx.NewNamespace("gateway")
 
@@ -26,3 +30,15 @@
 	// errBroken means that an answer ended before it was complete.
 	errBroken = errs.NewType("answer_broken")
 )
+
+// isNoAnswer reports whether an error says that what came was no answer, so that this process, not
+// the endpoint, ended the exchange.
+func isNoAnswer(err error) bool { return errorx.IsOfType(err, errNoAnswer) || bounded.GivenUp(err) }
+
+// asUnknown returns the error of a request that was sent and got no usable answer.
+func asUnknown(err error, message string, args ...any) error {
+	if isNoAnswer(err) {
+		return errNoAnswer.Wrap(err, message, args...)
+	}
+	return errUnknown.Wrap(err, message, args...)
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -17,7 +17,8 @@
 
 // exchange is one request to an endpoint up to the head of its answer.
 type exchange struct {
-	head *bounded.Head
+	method string
+	head   *bounded.Head
 	// usedConns are the connections that have carried the request before.
 	usedConns []*endpointConn
 	// work is what a call to an endpoint of a stage asks for; zero for others.
@@ -139,13 +140,11 @@
 		t.BeforeRequest()
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
-	x := &exchange{head: bounded.NewHead(cancel), usedConns: used, work: work, done: ctx.Done(), settled: make(chan struct{})}
+	x := &exchange{method: r.Method, head: bounded.NewHead(cancel), usedConns: used, work: work, done: ctx.Done(), settled: make(chan struct{})}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, x.trace())))
 	x.headBytes = x.head.End()
 	if err != nil {
-		if cause := context.Cause(ctx); bounded.GivenUp(cause) {
-			err = cause
-		}
+		err = x.cause(ctx, err)
 		cancel(err)
 		return nil, x, err
 	}
@@ -165,6 +164,18 @@
 	return resp, x, nil
 }
 
+// cause returns why an exchange failed with err, whose context is ctx: it was given up, what came is
+// no answer, or else err.
+func (x *exchange) cause(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); bounded.GivenUp(cause) {
+		return cause
+	}
+	if x.conn != nil {
+		return x.conn.Judge(err)
+	}
+	return err
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	call := platform.CallOf(r.Context())
--- a/gateway/idle_many_test.go
+++ b/gateway/idle_many_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/mangostage/mangostage/internal/httpanswer"
 )
 
 // Guards against a process that calls hundreds of endpoints in turn, as the owner of a large
@@ -74,7 +76,7 @@
 	for range 2 * maxRecentIdle {
 		ours, theirs := net.Pipe()
 		_ = theirs.Close()
-		c := &endpointConn{Conn: ours, transport: transport}
+		c := &endpointConn{Conn: httpanswer.NewConn(ours), transport: transport}
 		x := &exchange{}
 		c.beginExchange(x)
 		assert.NilError(t, c.Close())
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -14,7 +14,6 @@
 
 	"github.com/mangostage/mangostage/balance"
 	"github.com/mangostage/mangostage/catalog"
-	"github.com/mangostage/mangostage/internal/bounded"
 	"github.com/mangostage/mangostage/internal/resultlog"
 	"github.com/mangostage/mangostage/platform"
 )
@@ -138,12 +137,10 @@
 		return nil, false, errNotSent.Wrap(err, "endpoint %s", e.ID)
 	case x.abandon():
 		return nil, x.reused, errNotSent.Wrap(err, "endpoint %s", e.ID)
-	case bounded.GivenUp(err):
-		return nil, x.reused, errNoAnswer.Wrap(err, "endpoint %s", e.ID)
-	case x.reused && x.headBytes == 0 && out.Context().Err() == nil:
+	case x.reused && x.headBytes == 0 && out.Context().Err() == nil && !isNoAnswer(err):
 		return nil, true, errConnEnded.Wrap(err, "endpoint %s", e.ID)
 	default:
-		return nil, x.reused, errUnknown.Wrap(err, "endpoint %s", e.ID)
+		return nil, x.reused, asUnknown(err, "endpoint %s", e.ID)
 	}
 	req.usedConns = append(req.usedConns, x.conn)
 	a = &answer{
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -10,6 +10,7 @@
 	"github.com/mangostage/mangostage/catalog"
 	"github.com/mangostage/mangostage/internal/bounded"
 	"github.com/mangostage/mangostage/internal/dialer"
+	"github.com/mangostage/mangostage/internal/httpanswer"
 	"github.com/mangostage/mangostage/internal/socket"
 )
 
@@ -111,7 +112,7 @@
 	defer t.mu.Unlock()
 	t.opened++
 	c = &endpointConn{
-		Conn: conn, raw: socket.Raw(conn), transport: t, number: t.opened, endpoint: t.endpointsByAddr[addr], opened: time.Now(),
+		Conn: httpanswer.NewConn(conn), raw: socket.Raw(conn), transport: t, number: t.opened, endpoint: t.endpointsByAddr[addr], opened: time.Now(),
 	}
 	t.conns[c] = struct{}{}
 	if t.MaxConns > 0 {
--- a/internal/bounded/doc.go
+++ b/internal/bounded/doc.go
@@ -14,8 +14,14 @@
 	ErrNoAnswer = errs.NewType("no_answer")
 )
 
-// GivenUp reports whether an error says that this process gave an answer up.
+// GivenUp reports whether an error, or one that it wraps, says that this process gave an answer up.
 func GivenUp(err error) bool {
 	var typed *errorx.Error
-	return errors.As(err, &typed) && typed.IsOfType(ErrNoAnswer)
+	for errors.As(err, &typed) {
+		if typed.IsOfType(ErrNoAnswer) {
+			return true
+		}
+		err = typed.Cause()
+	}
+	return false
 }
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/mangostage/mangostage/balance"
 	"github.com/mangostage/mangostage/fleet"
 	"github.com/mangostage/mangostage/gateway"
+	"github.com/mangostage/mangostage/internal/httpanswer"
 	"github.com/mangostage/mangostage/scheduler"
 )
 
@@ -38,6 +39,9 @@
 	LinesDropped uint64            `json:"log_lines_dropped"`
 }
 
+// client reads metrics.
+var client = httpanswer.NewClient()
+
 // Read reads the metrics that the gateway serves at addr, "host:port", into the
 // value that into points to.
 func Read(ctx context.Context, addr string, into *Gateway) error {
@@ -47,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return err
 	}
@@ -55,7 +59,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s: status %d", addr, resp.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBytes)).Decode(into); err != nil {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes))
+	if err != nil {
+		return fmt.Errorf("%s: %w", addr, err)
+	}
+	if err := json.Unmarshal(data, into); err != nil {
 		return fmt.Errorf("%s: %w", addr, err)
 	}
 	return nil
--- a/load/client.go
+++ b/load/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/mangostage/mangostage/api"
 	"github.com/mangostage/mangostage/bundle"
+	"github.com/mangostage/mangostage/internal/httpanswer"
 )
 
 const (
@@ -48,11 +49,11 @@
 // newClient returns a client with enough idle connections per host for the
 // requests in flight, and without compression.
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: httpanswer.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdleConnsPerEntry,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-	}}
+	})}
 }
 
 // send implements sender. It waits for lateReplyWait beyond the deadline, to tell
