httpanswer: a reset under an upload is no end of an answer, and loses none

What callers saw: an endpoint answers an upload at once without a length, sends a part and resets the connection while the upload is being written: the part came as a complete 200. Beside it, answers that came whole by length or chunks were lost in the same way: 502, although they were there.

Cause: Linux reports a reset once, to the call that comes first. The write of the body takes it (ECONNRESET), and the read then returns what is buffered and a clean end. And net/http closes the connection at a failed write, with what has come unread.

TestResetThatTheWriteTakes shows it with one connection.

Change: the read side alone ends an exchange. Once a part of a request was written, a write error that the peer caused is not returned; the rest of the request is discarded. At the end of a body that only its connection ends, the socket is asked for its state: TCP_CLOSE is a reset, and a write under way, which may have got the error and not returned yet, is waited for; no write to such a socket lasts. That is the order between the two goroutines of net/http (TestEndThatIsReadBeforeTheWriteReturns). In any other state the peer only ended its side, and a slow write is not waited for (TestEndWhileTheWriteLasts). EPIPE as the first error says that the peer had ended its side before the reset: whole (TestEndBeforeAReset). A close by this process is not the peer's.

--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -4,30 +4,54 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/mangostage/mangostage/internal/socket"
 )
 
 // Conn is a connection over which an HTTP client sends requests and reads answers. It passes on
 // only bytes of answers.
+//
+// Linux reports that the peer has reset a connection only once, to the call that comes first. If
+// that is the write of a request, a read then returns the end of the connection, as if the peer had
+// closed it: a part of an answer that ends with its connection would be taken for a whole one. An
+// answer that came whole, on the other hand, would be lost if the client stopped at the failed
+// write. So it is the read side alone that ends an exchange.
 type Conn struct {
 	net.Conn
+	// raw is the socket; nil if there is none.
+	raw syscall.RawConn
 
 	mu     sync.Mutex
 	parser Parser
 	// readErr is what each further read returns; nil while there is more to read.
 	readErr error
+	// writing is true during a write; wrote signals its end.
+	writing bool
+	wrote   *sync.Cond
+	// begun is true once a byte of the request was written, writeErr is the first error that was
+	// not this process's own.
+	begun    bool
+	writeErr error
 }
 
 // NewConn returns a Conn over a connection that has just been opened.
-func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+func NewConn(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn, raw: socket.Raw(conn)}
+	c.wrote = sync.NewCond(&c.mu)
+	return c
+}
 
 // Begin tells the method of the next request. It is called before the request is written.
 func (c *Conn) Begin(method string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.parser.Begin(method)
+	c.begun = false
 }
 
 // Judge returns what was wrong with what came if an exchange failed because of that, and else err, its
@@ -88,5 +112,69 @@
 	if err := c.parser.End(); err != nil {
 		return err
 	}
+	if c.parser.EndsWithConnection() {
+		if err := c.resetByPeer(); err != nil {
+			return ErrIncomplete.Wrap(err, "the connection was reset")
+		}
+	}
 	return io.EOF
 }
+
+// resetByPeer returns the error with which a write has failed because the peer reset the connection
+// before it closed it. After a reset no write lasts, so that the one under way can be waited for: it
+// may have got the error.
+func (c *Conn) resetByPeer() error {
+	for c.writing && c.raw != nil && socket.Dead(c.raw) {
+		c.wrote.Wait()
+	}
+	if errors.Is(c.writeErr, syscall.EPIPE) {
+		// The peer had closed the connection before it reset it.
+		return nil
+	}
+	return c.writeErr
+}
+
+// Write implements net.Conn. Once a part of a request was written, an error that the peer has caused
+// is not returned: the rest of the request is discarded, and reading tells whether an answer came.
+func (c *Conn) Write(p []byte) (int, error) {
+	discard, err := c.beginWrite()
+	if err != nil {
+		return 0, err
+	}
+	if discard {
+		return len(p), nil
+	}
+	n, err := c.Conn.Write(p)
+	return c.endWrite(n, len(p), err)
+}
+
+// beginWrite begins a write, unless one has failed before: then the rest of a request that has begun
+// is to be discarded, and another one gets the error.
+func (c *Conn) beginWrite() (discard bool, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.writeErr == nil:
+		c.writing = true
+	case c.begun:
+		return true, nil
+	}
+	return false, c.writeErr
+}
+
+// endWrite ends a write of n of length bytes and returns what is to be returned for it.
+func (c *Conn) endWrite(n, length int, err error) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	c.begun = c.begun || n > 0
+	c.wrote.Broadcast()
+	if err == nil || errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	c.writeErr = err
+	if c.begun {
+		return length, nil
+	}
+	return n, err
+}
--- a/internal/socket/closed_linux.go
+++ b/internal/socket/closed_linux.go
@@ -30,3 +30,17 @@
 	})
 	return err == nil && readable
 }
+
+// tcpClosed is the state TCP_CLOSE of Linux, in which a connection is that neither side can use.
+const tcpClosed = 7
+
+// Dead reports whether the peer has reset the connection, or it has timed out, so that no write to
+// it lasts. Unlike a read or write it leaves the error of the socket for these.
+func Dead(conn syscall.RawConn) bool {
+	dead := false
+	err := conn.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		dead = err == nil && info.State == tcpClosed
+	})
+	return err != nil || dead
+}
--- a/internal/socket/closed_other.go
+++ b/internal/socket/closed_other.go
@@ -10,3 +10,6 @@
 
 // Readable always returns false: only Linux supports the check.
 func Readable(syscall.RawConn) bool { return false }
+
+// Dead always returns false: only Linux supports the check.
+func Dead(syscall.RawConn) bool { return false }
