Broken answers are not believed: not what they say of the request, nor of the endpoint

What callers saw: an endpoint answers 503 with its statement that it has not run the request, and the body breaks off. The caller got 503 and "ran":"no", a promise; a request that must not run twice was sent to the next endpoint. The same with a stage's refusal, and with an agent's endpoint, whose broken refusal counted as a failure of the endpoint itself.

Cause: heads were decided on before the body had come. What an endpoint says about itself (leaving, request rate, time to come again) was passed on with the head, also that of a success without a seal or one that broke off; the load of a long answer counted as that of a served one before it was relayed.

Short answers are believed once they are whole, longer ones once relayed, streams at their first event: they may last minutes, and an engine that says that it leaves would be sent requests for as long (TestClaimsOfSoundAnswersAreBelieved). The balancer hears of a long answer when it has ended, so that one that breaks off counts as silent. An agent reads to the end of a reply after its closing event, for a second at most. A success without a seal is named in "sent" on model routes too.

--- a/confsvc/broken_test.go
+++ b/confsvc/broken_test.go
@@ -42,6 +42,27 @@
 	}
 }
 
+// Guards against a refusal that is believed although it is broken: that a value is missing, or that
+// there were too many calls.
+func TestBrokenRefusalsAreNotBelieved(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"404", "429"} {
+		for _, c := range append(rawhttp.BrokenHeads(), rawhttp.BrokenBodies()...) {
+			t.Run(status+" "+c.Name, func(t *testing.T) {
+				t.Parallel()
+				whole := c.Bytes
+				c.Bytes = func(a rawhttp.Answer) string {
+					return strings.Replace(whole(a), " 200 OK\r\n", " "+status+" X\r\n", 1)
+				}
+				s := rawhttp.StartCase(t, c, reply)
+				_, err := confsvc.NewClient("http://"+s.Addr, timeout).Read(t.Context(), "bundle")
+				believed := errorx.IsOfType(err, confsvc.ErrNotFound) || errorx.IsOfType(err, confsvc.ErrRateLimited)
+				assert.Assert(t, err != nil && !believed, "%v", err)
+			})
+		}
+	}
+}
+
 // Guards against sound replies that are given up.
 func TestSoundRepliesAreBelieved(t *testing.T) {
 	t.Parallel()
--- a/confsvc/client.go
+++ b/confsvc/client.go
@@ -165,9 +165,13 @@
 		return ErrUnavailable.Wrap(err, "get %s", path)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	data, err := readReply(guard.AnswerReader(resp.Body, c.timeout, MaxReplyTime), path, limit)
+	if err != nil {
+		return err
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
-		return decode(guard.AnswerReader(resp.Body, c.timeout, MaxReplyTime), path, limit, into)
+		return decode(data, path, into)
 	case http.StatusTooManyRequests:
 		return ErrRateLimited.New("get %s: too many calls", path)
 	case http.StatusNotFound:
@@ -176,15 +180,20 @@
 	return ErrUnavailable.New("get %s: status %d", path, resp.StatusCode)
 }
 
-// decode decodes one JSON document of at most limit bytes into into.
-func decode(r io.Reader, path string, limit int64, into any) error {
+// readReply reads a reply of at most limit bytes.
+func readReply(r io.Reader, path string, limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
-		return ErrUnavailable.Wrap(err, "read %s", path)
+		return nil, ErrUnavailable.Wrap(err, "read %s", path)
 	}
 	if int64(len(data)) > limit {
-		return ErrMalformed.New("%s is longer than %d bytes", path, limit)
+		return nil, ErrMalformed.New("%s is longer than %d bytes", path, limit)
 	}
+	return data, nil
+}
+
+// decode decodes one JSON document into into.
+func decode(data []byte, path string, into any) error {
 	if err := json.Unmarshal(data, into); err != nil {
 		return ErrMalformed.Wrap(err, "decode %s", path)
 	}
--- a/endpoint/broken_reply_test.go
+++ b/endpoint/broken_reply_test.go
@@ -77,6 +77,21 @@
 	assert.Assert(t, bool(failed.Written) && failed.Lost && !failed.Refused, "%+v %v", failed, err)
 }
 
+// Guards against an order that counts as obeyed because of a broken reply.
+func TestBrokenRepliesToOrdersAreErrors(t *testing.T) {
+	t.Parallel()
+	for _, c := range append(rawhttp.BrokenHeads(), rawhttp.BrokenBodies()...) {
+		t.Run(c.Name, func(t *testing.T) {
+			t.Parallel()
+			p, err := endpoint.New("engine", "http://"+startReplying(t, c, rawhttp.Answer{Body: "{}"}).Addr)
+			assert.NilError(t, err)
+			engine, ok := p.(endpoint.Orderer)
+			assert.Assert(t, ok)
+			assert.Assert(t, engine.Order(withDeadline(t), endpoint.Order{}) != nil)
+		})
+	}
+}
+
 // Guards against a state of an endpoint that is believed although its answer is broken.
 func TestBrokenHealthAnswersAreNotBelieved(t *testing.T) {
 	t.Parallel()
--- a/endpoint/orders.go
+++ b/endpoint/orders.go
@@ -58,6 +58,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode == http.StatusOK {
+		if err := readEnd(resp.Body); err != nil {
+			return lost(err)
+		}
 		return nil
 	}
 	if resp.StatusCode != http.StatusConflict {
--- a/endpoint/reply.go
+++ b/endpoint/reply.go
@@ -7,6 +7,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
 )
 
 // Limits on what an endpoint may send, in bytes.
@@ -19,6 +23,9 @@
 	maxFailureReply = 16 << 10
 )
 
+// maxReplyEnd bounds the time from what completes a reply to its end.
+const maxReplyEnd = time.Second
+
 // decode reads one JSON document of at most limit bytes and nothing after it.
 func decode(r io.Reader, limit int64, into any) error {
 	data, err := io.ReadAll(io.LimitReader(r, limit+1))
@@ -34,6 +41,22 @@
 	return nil
 }
 
+// readEnd reads to the end of a reply whose content is complete. It returns an error if the reply is
+// broken, and none if its end does not come within [maxReplyEnd].
+func readEnd(body io.ReadCloser) error {
+	var late atomic.Bool
+	timer := time.AfterFunc(maxReplyEnd, func() {
+		late.Store(true)
+		_ = body.Close()
+	})
+	defer timer.Stop()
+	_, err := io.Copy(io.Discard, io.LimitReader(body, maxFailureReply))
+	if late.Load() {
+		return nil
+	}
+	return err
+}
+
 // failure converts an unsuccessful reply to an *Error.
 //
 // A refusal proves that the call did not run only if it names this call: on a
@@ -42,6 +65,9 @@
 func failure(resp *http.Response, id string) *Error {
 	var reply FailureReply
 	err := decode(resp.Body, maxFailureReply, &reply)
+	if errorx.IsOfType(err, errCut) {
+		return lost(err)
+	}
 	if err != nil && resp.StatusCode < http.StatusBadRequest {
 		return &Error{Written: true, Lost: true, Err: ErrMalformed.New("status %d", resp.StatusCode)}
 	}
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -26,16 +26,20 @@
 	maxBufferTime = time.Second
 )
 
-// usable reports whether an answer may be relayed as it is. A success must carry the
-// endpoint's seal and must not be content-encoded. No request asks for another protocol.
-func (a *answer) usable() bool {
+// checkUsable returns an error if an answer may not be relayed as it is, and then drops what it says
+// about its endpoint. A success must carry the endpoint's seal and must not be content-encoded.
+func (a *answer) checkUsable() error {
 	switch {
-	case a.StatusCode < http.StatusOK:
-		return false
 	case a.StatusCode >= http.StatusMultipleChoices:
-		return true
+		return nil
+	case !a.Sealed:
+		a.disbelieve()
+		return errBroken.New("status %d without a seal", a.StatusCode)
+	case a.Encoded:
+		a.disbelieve()
+		return errBroken.New("status %d with an encoded body", a.StatusCode)
 	}
-	return a.Sealed && !a.Encoded
+	return nil
 }
 
 // buffer reads a short body completely. It leaves a longer one, a success without a
@@ -52,6 +56,20 @@
 	return a.readShort(deadline)
 }
 
+// readWholeError reads the body of an error answer and keeps it: what a broken one says is not
+// believed. The error is of type errUnknown.
+func (a *answer) readWholeError() error {
+	body, err := a.readError()
+	if err != nil {
+		return asUnknown(err, "endpoint %s, status %d", a.endpoint.ID, a.StatusCode)
+	}
+	if a.Body != http.NoBody {
+		a.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	a.believe()
+	return nil
+}
+
 // readError reads the body of an error answer and gives it up if it is too long or too slow.
 func (a *answer) readError() ([]byte, error) {
 	defer func() { _ = a.Body.Close() }()
@@ -60,9 +78,6 @@
 		return nil, errNoAnswer.New("an error of %d bytes", a.ContentLength)
 	}
 	body, err := bounded.ReadAll(a.Request.Context(), a.giveUp, a.Body, limit, maxErrorTime)
-	if bounded.GivenUp(err) {
-		err = errNoAnswer.Wrap(err, "an error answer")
-	}
 	return body, err
 }
 
--- a/gateway/broken_answer_test.go
+++ b/gateway/broken_answer_test.go
@@ -1,9 +1,12 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mangostage/mangostage/internal/rawhttp"
+	"github.com/mangostage/mangostage/internal/testwait"
 	"github.com/mangostage/mangostage/platform/standin"
 )
 
@@ -117,26 +121,80 @@
 	})
 }
 
-// Guards against what a short answer says about its endpoint that is believed before the answer is
-// whole.
+// claiming returns an answer on the road that makes the claims.
+func (d road) claiming(req *http.Request) rawhttp.Answer {
+	a := d.soundAnswer(req)
+	a.Fields = append(a.Fields, claims...)
+	return a
+}
+
+// Guards against what an answer says about its endpoint that is believed before the answer is whole,
+// or before the first event of a stream has come.
 func TestBrokenSuccessesAreNotBelieved(t *testing.T) {
 	t.Parallel()
-	for _, c := range rawhttp.BrokenBodies()[:2] {
-		for _, d := range roads[:2] {
-			t.Run(d.path+" "+c.Name, func(t *testing.T) {
-				t.Parallel()
-				r := newRig(t)
-				s := rawhttp.StartCase(t, c, func(req *http.Request) rawhttp.Answer {
-					a := d.soundAnswer(req)
-					a.Fields = append(a.Fields, claims...)
-					return a
-				})
-				r.add(d.service, "bad", s.Addr)
-				checkNoAnswer(t, r.do(r.request(http.MethodPost, d.path, "body")))
-				assert.Equal(t, r.signals.believed.Load(), int64(0))
-			})
+	onRoads(t, rawhttp.BrokenBodies(), func(t *testing.T, d road, c rawhttp.Case) {
+		if d.streams && strings.Contains(c.Bytes(rawhttp.Answer{Body: "id: 1"}), "id: 1") {
+			// Its first event may have come.
+			return
 		}
-	}
+		r := newRig(t)
+		s := rawhttp.StartCase(t, c, d.claiming)
+		r.add(d.service, "bad", s.Addr)
+		checkNoAnswer(t, r.do(r.request(http.MethodPost, d.path, "body")))
+		assert.Equal(t, r.signals.believed.Load(), int64(0))
+	})
+}
+
+// Guards against an answer without a seal whose claims are believed.
+func TestUnsealedSuccessesAreNotBelieved(t *testing.T) {
+	t.Parallel()
+	onRoads(t, rawhttp.Sound()[:3], func(t *testing.T, d road, c rawhttp.Case) {
+		r := newRig(t)
+		s := rawhttp.StartCase(t, c, func(req *http.Request) rawhttp.Answer {
+			a := d.claiming(req)
+			a.Fields = slices.DeleteFunc(a.Fields, func(line string) bool { return line == sealLine })
+			return a
+		})
+		r.add(d.service, "bad", s.Addr)
+		req := r.request(http.MethodPost, d.path, "body")
+		checkNoAnswer(t, r.do(req))
+		assert.Equal(t, r.signals.believed.Load(), int64(0))
+		r.logs.waitForLine(t, `"event":"sent"`, idOf(req), "without a seal")
+	})
+}
+
+// Guards against claims of sound answers that are not believed: in answers of each framing, and in
+// the head of a stream that goes on.
+func TestClaimsOfSoundAnswersAreBelieved(t *testing.T) {
+	t.Parallel()
+	onRoads(t, rawhttp.Sound()[:3], func(t *testing.T, d road, c rawhttp.Case) {
+		r := newRig(t)
+		s := rawhttp.StartCase(t, c, d.claiming)
+		r.add(d.service, "e-1", s.Addr)
+		got := r.do(r.request(http.MethodPost, d.path, "body"))
+		assert.NilError(t, got.err)
+		testwait.For(t, waitTimeout, func() bool { return r.signals.believed.Load() == 1 })
+	})
+	t.Run("a stream that goes on", func(t *testing.T) {
+		t.Parallel()
+		d := roads[4]
+		r := newRig(t)
+		s := rawhttp.Start(t, func(conn *net.TCPConn, req *http.Request) {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, d.claiming(req).Connection())
+			_, _ = io.Copy(io.Discard, conn)
+		})
+		r.add(d.service, "e-1", s.Addr)
+		ctx, leave := context.WithCancel(t.Context())
+		left := make(chan struct{})
+		go func() {
+			defer close(left)
+			r.do(r.request(http.MethodPost, d.path, "body").WithContext(ctx))
+		}()
+		testwait.For(t, waitTimeout, func() bool { return r.signals.believed.Load() == 1 })
+		leave()
+		<-left
+	})
 }
 
 // Guards against a request that may be repeated and ends with the endpoint whose answer is broken,
--- a/gateway/engine.go
+++ b/gateway/engine.go
@@ -74,7 +74,8 @@
 		return streamFailed
 	}
 	defer func() { _ = a.Body.Close() }()
-	g.logSend(m.request, e, a.StatusCode, time.Since(sent), nil)
+	unusable := a.checkUsable()
+	g.logSend(m.request, e, a.StatusCode, time.Since(sent), unusable)
 	if a.NotRun {
 		if a.StatusCode == http.StatusConflict {
 			return streamInputsGone
@@ -82,7 +83,7 @@
 		return streamNotRun
 	}
 	m.mayHaveRun = true
-	if !a.usable() {
+	if unusable != nil {
 		return streamFailed
 	}
 	if a.StatusCode > 299 {
--- a/gateway/plain.go
+++ b/gateway/plain.go
@@ -132,9 +132,9 @@
 		return nil, resultNotRun
 	}
 	req.mayHaveRun = true
-	if !a.usable() {
+	if err := a.checkUsable(); err != nil {
 		_ = a.Body.Close()
-		g.recordSend(req, e, a, g.failureOutcome(req), duration, errBroken.New("unusable answer with status %d", a.StatusCode))
+		g.recordSend(req, e, a, g.failureOutcome(req), duration, err)
 		return nil, resultFailed
 	}
 	b := &bufferedAnswer{answer: a, took: duration}
@@ -160,12 +160,13 @@
 }
 
 // bufferPlain buffers the body of an answer that is no stream, if it is short, and reports
-// the send.
+// the send. The outcome of a longer answer is known, and reported, once it has been relayed.
 func (g *Gateway) bufferPlain(req *request, e *catalog.Endpoint, b *bufferedAnswer) (*bufferedAnswer, sendResult) {
 	var err error
 	b.body, b.complete, err = b.buffer(req.deadline)
 	switch {
 	case err != nil:
+		b.disbelieve()
 		g.recordBroken(req, e, err)
 		g.recordSend(req, e, b.answer, g.failureOutcome(req), b.took, errBroken.Wrap(err, "answer with status %d", b.StatusCode))
 		return nil, resultFailed
@@ -181,7 +182,11 @@
 			return b, resultFailed
 		}
 		return b, resultRelay
+	case !b.complete:
+		g.logSend(req, e, b.StatusCode, b.took, nil)
+		return b, resultRelay
 	}
+	b.believe()
 	g.recordSend(req, e, b.answer, balance.Served, b.took, nil)
 	return b, resultRelay
 }
@@ -294,17 +299,30 @@
 	}
 	req.markFirstByte()
 	a.writeHead(w)
-	if broke, err := a.relay(w); err != nil {
-		if broke {
-			g.recordBroken(req, e, err)
-		}
-		g.abortAnswer(req, e.ID, err)
-	}
+	g.relayRest(w, req, e, a)
 	g.recordConnectionEnd(req, e, a.answer)
 	g.finish(req, a.answer, "relayed")
 	return nil
 }
 
+// relayRest relays the body of an answer that is not buffered, and reports to the balancer how it
+// ended. It aborts the client's connection if the answer is broken or the client does not take it.
+func (g *Gateway) relayRest(w http.ResponseWriter, req *request, e *catalog.Endpoint, a *bufferedAnswer) {
+	outcome := balance.Served
+	defer func() { g.recordOutcome(req, e, a.answer, outcome, a.took) }()
+	broke, err := a.relay(w)
+	if err == nil {
+		a.believe()
+		return
+	}
+	if broke {
+		outcome = g.failureOutcome(req)
+		a.disbelieve()
+		g.recordBroken(req, e, err)
+	}
+	g.abortAnswer(req, e.ID, err)
+}
+
 // write writes a complete answer to the client.
 func (b *bufferedAnswer) write(w http.ResponseWriter) {
 	b.writeHead(w)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -28,6 +28,8 @@
 	opened time.Time
 	// headBytes is about the length of the head in bytes.
 	headBytes int
+	// observe passes on what the endpoint says about itself; nil once it has.
+	observe func(platform.Signals)
 	// giveUp ends the answer and closes its connection, for the cause given.
 	giveUp context.CancelCauseFunc
 	// begun is true once the first event of a stream has come.
@@ -36,6 +38,20 @@
 	pauses pauses
 }
 
+// believe passes on what the endpoint says about itself in the answer, which is whole, or in the
+// head of a stream whose first event has come.
+func (a *answer) believe() {
+	if a.observe != nil {
+		a.observe(a.Signals)
+		a.observe = nil
+	}
+}
+
+// disbelieve drops what the endpoint says about itself in the answer, which is broken.
+func (a *answer) disbelieve() {
+	a.observe, a.Load = nil, nil
+}
+
 // loadReport returns the load that the endpoint reported with the answer; nil without
 // one.
 func (a *answer) loadReport() *balance.Report {
@@ -47,7 +63,7 @@
 
 // send sends the request to one endpoint and returns its response. An error is of
 // type errNotSent or errUnknown. A response may still say that the endpoint has not
-// run the request.
+// run the request: then its body has been read, as that of each error.
 func (g *Gateway) send(ctx context.Context, req *request, e *catalog.Endpoint, s platform.ForwardOptions) (*answer, error) {
 	ctx, giveUp := context.WithCancelCause(ctx)
 	sent := time.Now()
@@ -59,14 +75,21 @@
 		giveUp(err)
 		return nil, err
 	}
-	if a.NotRun {
-		req.lastSend.notRun = notRunStated
-	}
 	a.giveUp = giveUp
 	if a.Body != http.NoBody {
 		a.Body = exchangeBody{a.Body, giveUp}
 	}
-	g.cfg.Signals.Observe(e.Key(), req.ID, sent, a.Signals)
+	a.observe = func(s platform.Signals) { g.cfg.Signals.Observe(e.Key(), req.ID, sent, s) }
+	if a.StatusCode < http.StatusMultipleChoices {
+		return a, nil
+	}
+	if err := a.readWholeError(); err != nil {
+		giveUp(err)
+		return nil, err
+	}
+	if a.NotRun {
+		req.lastSend.notRun = notRunStated
+	}
 	return a, nil
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -170,6 +170,7 @@
 		}
 		req.stream.recordRelayed(stream)
 		if ended {
+			a.believe()
 			return relayWhole, nil
 		}
 		if flusher.Flush() != nil {
@@ -186,6 +187,7 @@
 		return nil
 	}
 	a.begun = true
+	a.believe()
 	return g.beginStream(req, a)
 }
 
@@ -250,6 +252,7 @@
 	_ = a.Body.Close()
 	if end == relayBroken {
 		outcome = g.failureOutcome(req)
+		a.disbelieve()
 		g.recordBrokenStream(req, e, err)
 		return false
 	}
