gateway: no second send by the HTTP client after a broken answer

What callers saw: a TRACE request of a route that runs once, over a kept connection; the endpoint answers with an empty line first. The request ran twice.

Cause: net/http repeats requests that it counts as idempotent if reading the first byte of the answer fails, over another connection within one exchange.

Evidence: TestBrokenAnswerOnAKeptConnection, "TRACE line end first", on: 3 requests for 2.

Change: a request of a client, once written to a connection, is written to no other within its exchange. Calls to the store and to stages, which may be repeated, are as before. What was wrong is asked of the connection that carried the request.

--- a/gateway/broken_answer_test.go
+++ b/gateway/broken_answer_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -230,6 +231,38 @@
 	}
 }
 
+// Guards against a broken answer that goes on with a stream which another endpoint began, or looks
+// like its end.
+func TestStreamsDoNotGoOnWithABrokenAnswer(t *testing.T) {
+	t.Parallel()
+	onRoads(t, brokenAnswers(), func(t *testing.T, d road, c rawhttp.Case) {
+		if !d.streams || !d.repeatable {
+			return
+		}
+		r := newRig(t)
+		var sends atomic.Int64
+		answer := func(conn *net.TCPConn, req *http.Request) {
+			_, _ = io.Copy(io.Discard, req.Body)
+			if sends.Add(1) > 1 {
+				a := d.soundAnswer(req)
+				a.Body = "id: 4\ndata: piece 4\n\n"
+				c.Write(conn, a)
+				return
+			}
+			a := d.soundAnswer(req)
+			a.Body += "id: 4\nda"
+			_, _ = io.WriteString(conn, a.Connection())
+			_ = conn.CloseWrite()
+		}
+		r.add(d.service, "e-1", rawhttp.Start(t, answer).Addr)
+		r.add(d.service, "e-2", rawhttp.Start(t, answer).Addr)
+		got := r.do(r.request(http.MethodPost, d.path, "body"))
+		assert.Assert(t, got.err != nil, "%q looks whole", got.body)
+		assert.Equal(t, sends.Load(), int64(2))
+		assert.Assert(t, strings.HasPrefix(events(1, 3, "\n")+"id: 4\ndata: piece 4\n\n", got.body), "%q", got.body)
+	})
+}
+
 // Guards against a broken answer over a kept connection for which the HTTP client sends the request
 // again by itself.
 func TestBrokenAnswerOnAKeptConnection(t *testing.T) {
--- a/gateway/callexchange.go
+++ b/gateway/callexchange.go
@@ -19,7 +19,7 @@
 		x.Stray()
 		return false
 	}
-	switch x.conn.results.Judge(result, x.work) {
+	switch x.conn.results.Judge(result, x.rules.work) {
 	case resultlog.Latest:
 		x.keep()
 	case resultlog.Last:
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -21,6 +21,8 @@
 	// errConnUsed means that an answer to an earlier request over the connection could be taken
 	// for the one to this.
 	errConnUsed = errs.NewType("connection_used").New("the connection has carried this request, or one like it")
+	// errSentBefore means that the request has been written to another connection.
+	errSentBefore = errs.NewType("sent_before").New("the request was sent over another connection")
 	// errNoAnswer means that an endpoint sent bytes that are no answer, or are not going to
 	// be one, and that this process gave them up.
 	errNoAnswer = errUnknown.NewSubtype("no_answer")
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -15,14 +16,21 @@
 	"github.com/mangostage/mangostage/platform"
 )
 
+// exchangeRules say over which connections a request may be sent.
+type exchangeRules struct {
+	// used are the connections that have carried the request before.
+	used []*endpointConn
+	// work is what a call to an endpoint of a stage asks for; zero for others.
+	work resultlog.Call
+	// once is true if the HTTP client must not send the request again by itself.
+	once bool
+}
+
 // exchange is one request to an endpoint up to the head of its answer.
 type exchange struct {
 	method string
 	head   *bounded.Head
-	// usedConns are the connections that have carried the request before.
-	usedConns []*endpointConn
-	// work is what a call to an endpoint of a stage asks for; zero for others.
-	work resultlog.Call
+	rules  exchangeRules
 	// done is closed once the exchange is given up.
 	done <-chan struct{}
 	// settled is closed once it is decided whether the connection may carry another request.
@@ -39,9 +47,10 @@
 	// the last one; nil if there was none.
 	carried  int
 	previous <-chan struct{}
-	// begun is true once a byte of the request may have been written. abandoned is true
-	// if none was and none will be.
-	begun, abandoned bool
+	// begunOn is the connection to which a byte of the request may have been written; nil before
+	// that. abandoned is true if none was and none will be.
+	begunOn   *endpointConn
+	abandoned bool
 }
 
 // trace returns the hooks that bind the exchange to its connection.
@@ -63,7 +72,8 @@
 // endpoint has closed: it would be unknown whether the request has run. Nor is it written to one
 // that has carried it before: the endpoint may send its answer to the send before once more, and
 // nothing would tell that from the answer to this one. The same goes for a call to which the answer
-// to an earlier one may come.
+// to an earlier one may come. A request that is sent once is
+// written to no second connection: net/http repeats some by itself, whether or not they may have run.
 func (x *exchange) beginWrite(c *endpointConn) error {
 	if !x.awaitPrevious() {
 		return net.ErrClosed
@@ -73,14 +83,16 @@
 	switch {
 	case x.abandoned:
 		return net.ErrClosed
-	case x.begun:
+	case x.begunOn == c:
 		return nil
+	case x.begunOn != nil && x.rules.once:
+		return errSentBefore
 	case c.retired.Load() || c.endedByPeer():
 		return net.ErrClosed
-	case slices.Contains(x.usedConns, c) || !c.results.Allows(x.work.Pieces):
+	case slices.Contains(x.rules.used, c) || !c.results.Allows(x.rules.work.Pieces):
 		return errConnUsed
 	}
-	x.begun = true
+	x.begunOn = c
 	return nil
 }
 
@@ -128,19 +140,18 @@
 func (x *exchange) abandon() (unsent bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.abandoned = !x.begun
+	x.abandoned = x.begunOn == nil
 	return x.abandoned
 }
 
-// exchange sends a request over another connection than the used ones, which have carried it
-// before, and bounds the head of its answer. work is what a call to an endpoint of a stage asks
-// for. The caller settles the exchange: by keep or retire.
-func (t *Transport) exchange(r *http.Request, used []*endpointConn, work resultlog.Call) (*http.Response, *exchange, error) {
+// exchange sends a request by the rules and bounds the head of its answer. The caller settles the
+// exchange: by keep or retire.
+func (t *Transport) exchange(r *http.Request, rules exchangeRules) (*http.Response, *exchange, error) {
 	if t.BeforeRequest != nil {
 		t.BeforeRequest()
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
-	x := &exchange{method: r.Method, head: bounded.NewHead(cancel), usedConns: used, work: work, done: ctx.Done(), settled: make(chan struct{})}
+	x := &exchange{method: r.Method, head: bounded.NewHead(cancel), rules: rules, done: ctx.Done(), settled: make(chan struct{})}
 	resp, err := t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, x.trace())))
 	x.headBytes = x.head.End()
 	if err != nil {
@@ -170,8 +181,11 @@
 	if cause := context.Cause(ctx); bounded.GivenUp(cause) {
 		return cause
 	}
-	if x.conn != nil {
-		return x.conn.Judge(err)
+	x.mu.Lock()
+	conn := cmp.Or(x.begunOn, x.conn)
+	x.mu.Unlock()
+	if conn != nil {
+		return conn.Judge(err)
 	}
 	return err
 }
@@ -180,13 +194,13 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	call := platform.CallOf(r.Context())
 	if call == nil {
-		resp, x, err := t.exchange(r, nil, resultlog.Call{})
+		resp, x, err := t.exchange(r, exchangeRules{})
 		x.keep()
 		return resp, err
 	}
 	// A call that is redirected is sent a second time.
 	call.Exchange.Discard()
-	resp, x, err := t.exchange(r, nil, call.Work)
+	resp, x, err := t.exchange(r, exchangeRules{work: call.Work})
 	call.Exchange = callExchange{x}
 	return resp, err
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -14,7 +14,6 @@
 
 	"github.com/mangostage/mangostage/balance"
 	"github.com/mangostage/mangostage/catalog"
-	"github.com/mangostage/mangostage/internal/resultlog"
 	"github.com/mangostage/mangostage/platform"
 )
 
@@ -146,7 +145,7 @@
 // roundTrip makes one exchange with an endpoint up to the head of its answer to the request
 // as it is sent in out. reused says that it went over a kept connection.
 func (g *Gateway) roundTrip(out *http.Request, req *request, e *catalog.Endpoint) (a *answer, reused bool, err error) {
-	resp, x, err := g.cfg.Transport.exchange(out, req.usedConns, resultlog.Call{})
+	resp, x, err := g.cfg.Transport.exchange(out, exchangeRules{used: req.usedConns, once: true})
 	defer x.keep()
 	req.lastSend = sendRecord{conn: x.use()}
 	switch {
--- a/internal/rawhttp/cases.go
+++ b/internal/rawhttp/cases.go
@@ -4,7 +4,9 @@
 
 // BrokenHeads returns the cases whose head is no head of an answer.
 func BrokenHeads() []Case {
-	var cases []Case
+	cases := []Case{
+		{Name: "line end first", Bytes: func(a Answer) string { return "\n" + a.Length(statusLine) }},
+	}
 	for _, line := range []string{
 		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK",
 		"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 200OK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK",
