--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -1,20 +1,19 @@
 package gateway_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mangostage/mangostage/internal/rawhttp"
 	"github.com/mangostage/mangostage/platform/standin"
 )
 
@@ -71,45 +70,15 @@
 // request's ID, and then awaits the next one on the connection.
 func startRaw(t testing.TB, answer func(w rawWriter, id string)) *rawEndpoint {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	e := &rawEndpoint{addr: listener.Addr().String()}
-	var open sync.Map
-	var running sync.WaitGroup
-	running.Go(func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			open.Store(conn, nil)
-			running.Go(func() {
-				defer func() { _ = conn.Close() }()
-				e.serve(conn, answer)
-			})
-		}
-	})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		open.Range(func(conn, _ any) bool { return conn.(net.Conn).Close() == nil || true })
-		running.Wait()
-	})
-	return e
-}
-
-func (e *rawEndpoint) serve(conn net.Conn, answer func(w rawWriter, id string)) {
-	reader := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
+	e := &rawEndpoint{}
+	e.addr = rawhttp.Start(t, func(conn *net.TCPConn, req *http.Request) {
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
 		e.arrivals.Add(1)
-		answer(rawWriter{conn, &e.written}, req.Header.Get("Mangostage-Attempt-Id"))
-	}
+		answer(rawWriter{conn, &e.written}, idOf(req))
+	}).Addr
+	return e
 }
 
 // rawHead returns the head of an answer.
