httpanswer: what passes of a broken chunk does not depend on its parts

FuzzParser found it within a second: "00\r0" passed a CR if it came in parts and none if it came at once. No caller saw it, as neither ends a chunk.

--- a/internal/httpanswer/chunks.go
+++ b/internal/httpanswer/chunks.go
@@ -124,17 +124,18 @@
 // takeCRLF takes a line end, or the part of it that has come, and returns how many bytes of rest
 // belong to it.
 func (p *Parser) takeCRLF(rest []byte) (n int, complete bool, err error) {
-	want := crlf[len(p.line):]
-	n = min(len(want), len(rest))
-	if string(rest[:n]) != want[:n] {
-		return 0, false, ErrMalformed.New("no line end after a chunk or its size")
-	}
-	if n < len(want) {
-		p.line = append(p.line, rest[:n]...)
-		return n, false, nil
+	for n < len(rest) {
+		if rest[n] != crlf[len(p.line)] {
+			return n, false, ErrMalformed.New("no line end after a chunk or its size")
+		}
+		p.line = append(p.line, rest[n])
+		n++
+		if len(p.line) == len(crlf) {
+			p.line = p.line[:0]
+			return n, true, nil
+		}
 	}
-	p.line = p.line[:0]
-	return n, true, nil
+	return n, false, nil
 }
 
 // stepTrailer removes trailers, up to the empty line that ends the answer.
