--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -72,8 +72,8 @@
 // endpoint has closed: it would be unknown whether the request has run. Nor is it written to one
 // that has carried it before: the endpoint may send its answer to the send before once more, and
 // nothing would tell that from the answer to this one. The same goes for a call to which the answer
-// to an earlier one may come. A request that is sent once is
-// written to no second connection: net/http repeats some by itself, whether or not they may have run.
+// to an earlier one may come. A request that is sent once is written to no second connection:
+// net/http repeats some by itself, whether or not they may have run.
 func (x *exchange) beginWrite(c *endpointConn) error {
 	if !x.awaitPrevious() {
 		return net.ErrClosed
