httpanswer: reading goes on after a deadline

An error of a read that is no end of the connection was kept for all later reads. No client here sets a read deadline on such a connection, so no caller saw it (found on rereading; TestReadAfterADeadline fails without the change).

--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// endOfReading returns the error that ended reading.
+// endOfReading returns the error that has ended reading; nil if there is more to read.
 func (c *Conn) endOfReading() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -96,8 +96,8 @@
 		c.readErr = err
 	case errors.Is(readErr, io.EOF):
 		c.readErr = c.judgeEnd()
-	default:
-		c.readErr = readErr
+	case n == 0:
+		return 0, readErr
 	}
 	if n > 0 {
 		// The next read returns the error.
--- a/internal/httpanswer/conn_linux_test.go
+++ b/internal/httpanswer/conn_linux_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -220,6 +221,23 @@
 	}
 }
 
+// Guards against a read that cannot go on after a deadline.
+func TestReadAfterADeadline(t *testing.T) {
+	c, _, server := answered(t, "HTTP/1.1 200 OK\r\n")
+	head := make([]byte, len("HTTP/1.1 200 OK\r\n"))
+	_, err := io.ReadFull(c, head)
+	assert.NilError(t, err)
+	assert.NilError(t, c.SetReadDeadline(time.Now()))
+	_, err = c.Read(head)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	assert.NilError(t, c.SetReadDeadline(time.Time{}))
+	_, err = io.WriteString(server, "\r\n")
+	assert.NilError(t, err)
+	n, err := c.Read(head)
+	assert.NilError(t, err)
+	assert.Equal(t, n, len("\r\n"))
+}
+
 // Guards against bytes after a broken line that are passed on.
 func TestNothingPassesAfterABrokenLine(t *testing.T) {
 	c, _, _ := answered(t, "HTTP/1.1 200 OK\r\nX Y: 1\r\nZ: 1\r\n\r\nbody")
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -15,7 +15,8 @@
 }
 
 // NewTransport has the transport read answers through a [Conn] and returns it. base must not be used
-// by itself. Its DialContext is kept; a connection that embeds a [Conn] is taken as it is.
+// by itself. Its DialContext is kept; a connection that embeds a [Conn] is taken as it is,
+// and must not be dialled for TLS.
 func NewTransport(base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
