endpoint: a complete reply is a result although its end misses the deadline

What callers saw: an engine sends its closing event, and the end of the HTTP body does not come before the call's deadline: the complete reply counted as lost. Cause: the read of the end was cut by the call's own context. TestCompleteReplyAtItsDeadlineIsAResult failed before. The end of the call, like maxReplyEnd, now ends the wait only.

--- a/endpoint/broken_reply_test.go
+++ b/endpoint/broken_reply_test.go
@@ -1,6 +1,7 @@
 package endpoint_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -44,7 +45,7 @@
 func TestBrokenRepliesAreLost(t *testing.T) {
 	t.Parallel()
 	refused := rawhttp.Answer{Body: `{"call":"order","refused":true,"error":"full"}`}
-	for _, c := range append(rawhttp.BrokenHeads(), rawhttp.BrokenBodies()...) {
+	for _, c := range rawhttp.Broken() {
 		for _, protocol := range []string{"service", "engine"} {
 			for _, refuses := range []bool{false, true} {
 				for _, once := range []bool{false, true} {
@@ -52,11 +53,7 @@
 						t.Parallel()
 						c, reply := c, soundReply(protocol)
 						if refuses {
-							whole := c.Bytes
-							reply = refused
-							c.Bytes = func(a rawhttp.Answer) string {
-								return strings.Replace(whole(a), " 200 OK\r\n", " 503 X\r\n", 1)
-							}
+							c, reply = c.WithStatus(http.StatusServiceUnavailable), refused
 						}
 						checkReplyIsLost(t, protocol, startReplying(t, c, reply), once)
 					})
@@ -80,7 +77,7 @@
 // Guards against an order that counts as obeyed because of a broken reply.
 func TestBrokenRepliesToOrdersAreErrors(t *testing.T) {
 	t.Parallel()
-	for _, c := range append(rawhttp.BrokenHeads(), rawhttp.BrokenBodies()...) {
+	for _, c := range rawhttp.Broken() {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			p, err := endpoint.New("engine", "http://"+startReplying(t, c, rawhttp.Answer{Body: "{}"}).Addr)
@@ -95,7 +92,7 @@
 // Guards against a state of an endpoint that is believed although its answer is broken.
 func TestBrokenHealthAnswersAreNotBelieved(t *testing.T) {
 	t.Parallel()
-	for _, c := range append(rawhttp.BrokenHeads(), rawhttp.BrokenBodies()...) {
+	for _, c := range rawhttp.Broken() {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			s := rawhttp.StartCase(t, c, func(*http.Request) rawhttp.Answer { return rawhttp.Answer{Body: `{"up":true,"in_flight":1}`} })
@@ -132,6 +129,24 @@
 	}
 }
 
+// Guards against a reply whose content is complete and that is lost because its end does not come before
+// the deadline of the call.
+func TestCompleteReplyAtItsDeadlineIsAResult(t *testing.T) {
+	t.Parallel()
+	s := rawhttp.Start(t, func(conn *net.TCPConn, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(conn, strings.TrimSuffix(soundReply("engine").Chunked(""), "0\r\n\r\n"))
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	p, err := endpoint.New("engine", "http://"+s.Addr)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	result, err := p.Run(ctx, endpoint.Call{ID: "order", Unrepeatable: true}, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, string(result.Output), `{"ok":true}`)
+}
+
 // Guards against a reply that came whole and is lost because its endpoint reset the connection while
 // the call was being written.
 func TestWholeReplyBeforeAResetIsAResult(t *testing.T) {
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -150,7 +149,7 @@
 		case EventToken:
 			err = g.token(ev.data)
 		case EventDone:
-			return g.done(ev.data, resp.Body)
+			return g.done(ev.data, resp)
 		case EventError:
 			return Result{}, g.failed(ev.data)
 		}
@@ -176,7 +175,7 @@
 }
 
 // done returns the result that the closing event completes, once the reply has ended.
-func (g *generation) done(data []byte, body io.ReadCloser) (Result, error) {
+func (g *generation) done(data []byte, resp *http.Response) (Result, error) {
 	var d DoneEvent
 	if err := json.Unmarshal(data, &d); err != nil {
 		return Result{}, lost(ErrMalformed.Wrap(err, "decode closing event"))
@@ -184,7 +183,7 @@
 	if d.Call != g.call.ID || d.Tokens != g.next || len(d.Output) == 0 {
 		return Result{}, lost(ErrMalformed.New("call %q closed with %d tokens after %d", d.Call, d.Tokens, g.next))
 	}
-	if err := readEnd(body); err != nil {
+	if err := readEnd(resp); err != nil {
 		return Result{}, lost(ErrMalformed.Wrap(err, "after the closing event"))
 	}
 	return Result{Output: d.Output, Tokens: d.Tokens, Cost: cost(d.Cost, g.start)}, nil
--- a/endpoint/orders.go
+++ b/endpoint/orders.go
@@ -58,7 +58,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode == http.StatusOK {
-		if err := readEnd(resp.Body); err != nil {
+		if err := readEnd(resp); err != nil {
 			return lost(err)
 		}
 		return nil
--- a/endpoint/reply.go
+++ b/endpoint/reply.go
@@ -42,16 +42,16 @@
 }
 
 // readEnd reads to the end of a reply whose content is complete. It returns an error if the reply is
-// broken, and none if its end does not come within [maxReplyEnd].
-func readEnd(body io.ReadCloser) error {
+// broken, and none if its end does not come within [maxReplyEnd] or before the call ends.
+func readEnd(resp *http.Response) error {
 	var late atomic.Bool
 	timer := time.AfterFunc(maxReplyEnd, func() {
 		late.Store(true)
-		_ = body.Close()
+		_ = resp.Body.Close()
 	})
 	defer timer.Stop()
-	_, err := io.Copy(io.Discard, io.LimitReader(body, maxFailureReply))
-	if late.Load() {
+	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxFailureReply))
+	if late.Load() || resp.Request.Context().Err() != nil {
 		return nil
 	}
 	return err
