httpanswer: a TLS handshake ends within the transport's limit

Made by: net/http does not apply TLSHandshakeTimeout to connections that DialTLSContext returns, so that a server which accepts and is silent held one for good. The package's comment says that stand-ins and rigs do not read through it.

--- a/internal/httpanswer/doc.go
+++ b/internal/httpanswer/doc.go
@@ -1,5 +1,6 @@
 // Package httpanswer decides whether the bytes that a server sends over a connection are answers
-// of HTTP/1 (RFC 9112). All places of this project that read answers read them through it.
+// of HTTP/1 (RFC 9112). All parts of the product that read answers read them through it;
+// stand-ins and rigs don't.
 //
 // [Parser] is the decision, without I/O. [Conn] applies it to a connection, and [Transport] to the
 // connections of an HTTP client.
--- a/internal/httpanswer/parser_test.go
+++ b/internal/httpanswer/parser_test.go
@@ -50,7 +50,7 @@
 func TestCasesInParts(t *testing.T) {
 	answer := rawhttp.Answer{Fields: []string{"X-Id: 1"}, Body: body}
 	for _, size := range partSizes {
-		for _, c := range append(rawhttp.BrokenHeads(), rawhttp.BrokenBodies()...) {
+		for _, c := range rawhttp.Broken() {
 			got := parse(http.MethodPost, c.Bytes(answer), size)
 			assert.Assert(t, got.end != nil, "%s in parts of %d: %q", c.Name, size, got.kept)
 			assert.Assert(t, !isWhole(got.kept), "%s in parts of %d: %q", c.Name, size, got.kept)
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -69,6 +69,11 @@
 		config.ServerName = host
 	}
 	config.NextProtos = []string{"http/1.1"}
+	if t.TLSHandshakeTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, t.TLSHandshakeTimeout)
+		defer cancel()
+	}
 	secure := tls.Client(conn, config)
 	if err := secure.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
--- a/internal/httpanswer/transport_test.go
+++ b/internal/httpanswer/transport_test.go
@@ -1,10 +1,13 @@
 package httpanswer_test
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -13,6 +16,29 @@
 	"github.com/mangostage/mangostage/internal/rawhttp"
 )
 
+// Guards against a TLS handshake without end with a server that accepts connections and is silent.
+func TestHandshakeEndsInTime(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	base := &http.Transport{TLSHandshakeTimeout: 50 * time.Millisecond}
+	client := &http.Client{Transport: httpanswer.NewTransport(base)}
+	ended := make(chan error, 1)
+	go func() {
+		resp, err := client.Get("https://" + listener.Addr().String())
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+	case <-time.After(waitTimeout):
+		t.Fatal("the handshake has no end")
+	}
+}
+
 // Guards against a broken answer over TLS that passes, and a sound one that doesn't.
 func TestTransportOverTLS(t *testing.T) {
 	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
