--- a/cmd/mangostage/client_test.go
+++ b/cmd/mangostage/client_test.go
@@ -12,7 +12,7 @@
 // Guards against a broken reply of an entry that an operator is shown as its state.
 func TestBrokenRepliesOfEntriesAreErrors(t *testing.T) {
 	t.Parallel()
-	for _, c := range append(rawhttp.BrokenHeads(), rawhttp.BrokenBodies()...) {
+	for _, c := range rawhttp.Broken() {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			s := rawhttp.StartCase(t, c, func(*http.Request) rawhttp.Answer { return rawhttp.Answer{Body: `{"a":1}`} })
--- a/confsvc/broken_test.go
+++ b/confsvc/broken_test.go
@@ -1,6 +1,7 @@
 package confsvc_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -28,7 +29,7 @@
 // Guards against a value or a list of VMs that counts as read because of a broken reply.
 func TestBrokenRepliesAreNotBelieved(t *testing.T) {
 	t.Parallel()
-	for _, c := range append(rawhttp.BrokenHeads(), rawhttp.BrokenBodies()...) {
+	for _, c := range rawhttp.Broken() {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			s := rawhttp.StartCase(t, c, reply)
@@ -46,15 +47,11 @@
 // there were too many calls.
 func TestBrokenRefusalsAreNotBelieved(t *testing.T) {
 	t.Parallel()
-	for _, status := range []string{"404", "429"} {
-		for _, c := range append(rawhttp.BrokenHeads(), rawhttp.BrokenBodies()...) {
-			t.Run(status+" "+c.Name, func(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusTooManyRequests} {
+		for _, c := range rawhttp.Broken() {
+			t.Run(fmt.Sprintf("%d %s", status, c.Name), func(t *testing.T) {
 				t.Parallel()
-				whole := c.Bytes
-				c.Bytes = func(a rawhttp.Answer) string {
-					return strings.Replace(whole(a), " 200 OK\r\n", " "+status+" X\r\n", 1)
-				}
-				s := rawhttp.StartCase(t, c, reply)
+				s := rawhttp.StartCase(t, c.WithStatus(status), reply)
 				_, err := confsvc.NewClient("http://"+s.Addr, timeout).Read(t.Context(), "bundle")
 				believed := errorx.IsOfType(err, confsvc.ErrNotFound) || errorx.IsOfType(err, confsvc.ErrRateLimited)
 				assert.Assert(t, err != nil && !believed, "%v", err)
--- a/gateway/broken_answer_test.go
+++ b/gateway/broken_answer_test.go
@@ -58,9 +58,9 @@
 	whole := c.Bytes
 	c.Bytes = func(a rawhttp.Answer) string {
 		a.Fields = append(a.Fields, claims...)
-		return strings.Replace(whole(a), " 200 OK\r\n", " 503 X\r\n", 1)
+		return whole(a)
 	}
-	return c
+	return c.WithStatus(http.StatusServiceUnavailable)
 }
 
 // onRoads runs a test of each case on each road.
@@ -76,9 +76,6 @@
 	}
 }
 
-// brokenAnswers returns all cases of broken answers.
-func brokenAnswers() []rawhttp.Case { return append(rawhttp.BrokenHeads(), rawhttp.BrokenBodies()...) }
-
 // checkNoAnswer checks that the caller got neither an answer nor a promise.
 func checkNoAnswer(t *testing.T, got clientResult) {
 	t.Helper()
@@ -93,7 +90,7 @@
 // because of it.
 func TestBrokenAnswersReachNoCaller(t *testing.T) {
 	t.Parallel()
-	onRoads(t, brokenAnswers(), func(t *testing.T, d road, c rawhttp.Case) {
+	onRoads(t, rawhttp.Broken(), func(t *testing.T, d road, c rawhttp.Case) {
 		r := newRig(t)
 		s := rawhttp.StartCase(t, c, d.soundAnswer)
 		r.add(d.service, "bad", s.Addr)
@@ -109,7 +106,7 @@
 // and what the endpoint says about itself.
 func TestBrokenRefusalsAreNotBelieved(t *testing.T) {
 	t.Parallel()
-	onRoads(t, brokenAnswers(), func(t *testing.T, d road, c rawhttp.Case) {
+	onRoads(t, rawhttp.Broken(), func(t *testing.T, d road, c rawhttp.Case) {
 		r := newRig(t)
 		s := rawhttp.StartCase(t, refusing(c), d.soundAnswer)
 		r.add(d.service, "bad", s.Addr)
@@ -235,7 +232,7 @@
 // like its end.
 func TestStreamsDoNotGoOnWithABrokenAnswer(t *testing.T) {
 	t.Parallel()
-	onRoads(t, brokenAnswers(), func(t *testing.T, d road, c rawhttp.Case) {
+	onRoads(t, rawhttp.Broken(), func(t *testing.T, d road, c rawhttp.Case) {
 		if !d.streams || !d.repeatable {
 			return
 		}
@@ -427,7 +424,7 @@
 // Guards against a connection that carries another request after a broken answer.
 func TestConnectionOfABrokenAnswerCarriesNothingMore(t *testing.T) {
 	t.Parallel()
-	for _, c := range brokenAnswers() {
+	for _, c := range rawhttp.Broken() {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			d := roads[0]
--- a/gateway/broken_call_test.go
+++ b/gateway/broken_call_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -41,7 +42,7 @@
 // because of a broken answer.
 func TestBrokenAnswersToCallsAreNotBelieved(t *testing.T) {
 	t.Parallel()
-	for _, c := range brokenAnswers() {
+	for _, c := range rawhttp.Broken() {
 		for name, c := range map[string]rawhttp.Case{"success": c, "refusal": refusing(c)} {
 			t.Run(name+" "+c.Name, func(t *testing.T) {
 				t.Parallel()
@@ -66,7 +67,7 @@
 // copy, because of a broken answer.
 func TestBrokenAnswersOfTheStoreAreNotBelieved(t *testing.T) {
 	t.Parallel()
-	for _, c := range brokenAnswers() {
+	for _, c := range rawhttp.Broken() {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			s := rawhttp.StartCase(t, c, callAnswer(storeBody, "Store-Era: 9"))
@@ -89,15 +90,11 @@
 // missing, or its history.
 func TestBrokenRefusalsOfTheStoreAreNotBelieved(t *testing.T) {
 	t.Parallel()
-	for _, status := range []string{"404", "410", "429"} {
-		for _, c := range brokenAnswers() {
-			t.Run(status+" "+c.Name, func(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusGone, http.StatusTooManyRequests} {
+		for _, c := range rawhttp.Broken() {
+			t.Run(fmt.Sprintf("%d %s", status, c.Name), func(t *testing.T) {
 				t.Parallel()
-				whole := c.Bytes
-				c.Bytes = func(a rawhttp.Answer) string {
-					return strings.Replace(whole(a), " 200 OK\r\n", " "+status+" X\r\n", 1)
-				}
-				s := rawhttp.StartCase(t, c, callAnswer("refused", "Store-Era: 9"))
+				s := rawhttp.StartCase(t, c.WithStatus(status), callAnswer("refused", "Store-Era: 9"))
 				_, store := newCallClients(t, s.Addr)
 				ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 				defer cancel()
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -13,7 +13,7 @@
 // Guards against a broken answer of a gateway that counts as its metrics.
 func TestBrokenAnswersAreNoMetrics(t *testing.T) {
 	t.Parallel()
-	for _, c := range append(rawhttp.BrokenHeads(), rawhttp.BrokenBodies()...) {
+	for _, c := range rawhttp.Broken() {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			s := rawhttp.StartCase(t, c, func(*http.Request) rawhttp.Answer { return rawhttp.Answer{Body: `{"log_lines_dropped":7}`} })
--- a/internal/rawhttp/answer.go
+++ b/internal/rawhttp/answer.go
@@ -32,6 +32,15 @@
 	}
 }
 
+// WithStatus returns the case with this status where it would write 200.
+func (c Case) WithStatus(status int) Case {
+	whole := c.Bytes
+	c.Bytes = func(a Answer) string {
+		return strings.Replace(whole(a), " 200 OK\r\n", fmt.Sprintf(" %d X\r\n", status), 1)
+	}
+	return c
+}
+
 const (
 	crlf       = "\r\n"
 	statusLine = "HTTP/1.1 200 OK"
--- a/internal/rawhttp/cases.go
+++ b/internal/rawhttp/cases.go
@@ -66,6 +66,9 @@
 	return cases
 }
 
+// Broken returns all cases of broken answers.
+func Broken() []Case { return append(BrokenHeads(), BrokenBodies()...) }
+
 // Sound returns the cases whose answers are sound.
 func Sound() []Case {
 	cases := []Case{
